--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,155 @@
+// Package event is the time line: typed events that every process writes as JSON
+// lines, stamped by a hybrid logical clock that travels on every message.
+package event
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Type names what happened.
+type Type string
+
+// Events of workers: the evidence of what ran.
+const (
+	WorkerBoot     Type = "worker_boot"     // Worker, Size: a worker starts empty
+	WorkerFence    Type = "worker_fence"    // Worker, Epoch, Member
+	WorkerDrain    Type = "worker_drain"    // Worker: graceful shutdown begins
+	WorkerExit     Type = "worker_exit"     // Worker: shutdown has ended
+	TaskRun        Type = "task_run"        // Worker, Task, Attempt, Class, Size, Epoch
+	TaskEnd        Type = "task_end"        // Worker, Task, Attempt, State
+	RequestRun     Type = "request_run"     // Worker, Request, Key, Class, Epoch
+	RequestEnd     Type = "request_end"     // Worker, Request, Digest, Bytes
+	RequestCut     Type = "request_cut"     // Worker, Request: ended before its answer was written
+	ConfigInForce  Type = "config_in_force" // Member, Version, Detail (what)
+	RequestSent    Type = "request_sent"    // a caller sent: Request (caller's own ID), Key, Class, Idempotent
+	RequestGot     Type = "request_got"     // a caller got: Request, Outcome, Code, Digest, Expect, Detail (system's ID)
+	JobSent        Type = "job_sent"        // a caller submitted and was told accepted: Job, Class, Count
+	JobGot         Type = "job_got"         // a caller saw the job's final State
+	ClassAccepted  Type = "class_accepted"  // an operator was told that Version is accepted
+	RequestIn      Type = "request_in"      // an entry took a request: Request, Key, Class
+	RequestOut     Type = "request_out"     // an entry answered: Request, Outcome, Code, Worker
+	RequestAttempt Type = "request_attempt" // an entry dispatched to a worker: Request, Worker, Attempt
+	LateAnswer     Type = "late_answer"     // an answer to an ended request was dropped
+	JobAccepted    Type = "job_accepted"    // an entry read its own record back: Job, Class, Count
+	JobEnded       Type = "job_ended"       // the owner recorded the end: Job, State
+	TaskPlaced     Type = "task_placed"     // a worker's owner chose: Task, Attempt, Worker
+	TaskSettled    Type = "task_settled"    // the outcome is in the log: Task, Attempt, State
+	LeavingSeen    Type = "leaving_seen"    // an entry has the declaration in force: Worker, Version
+	LeavingSaid    Type = "leaving_said"    // an operator was told that it is accepted: Worker, Version
+	MemberJoined   Type = "member_joined"   // Member, Epoch
+	MemberLeft     Type = "member_left"     // Member, Epoch
+	MemberRemoved  Type = "member_removed"  // Member, Epoch, Detail (forced or by consent)
+	AuthorityOn    Type = "authority_on"    // Member, Epoch
+	AuthorityOff   Type = "authority_off"   // Member, Epoch
+	EntryStart     Type = "entry_start"     // Member
+	EntryDrain     Type = "entry_drain"     // Member: graceful shutdown begins
+	EntryExit      Type = "entry_exit"      // Member: shutdown has ended
+	WorkerGained   Type = "worker_gained"   // Member, Worker, Epoch: inventory read
+	WorkerLost     Type = "worker_lost"     // Member, Worker: now another's
+	Fault          Type = "fault"           // a test injected a fault: Detail
+	Alarm          Type = "alarm"           // Code, Detail
+)
+
+// Event is one line of the time line. Members that do not apply are empty.
+type Event struct {
+	Time Time   `json:"t"`
+	Seq  uint64 `json:"seq"`
+	// Proc is the process: a member ID, a worker ID or a tool's name.
+	Proc string `json:"proc"`
+	Type Type   `json:"type"`
+
+	Request    string             `json:"request,omitempty"`
+	Key        string             `json:"key,omitempty"`
+	Idempotent bool               `json:"idempotent,omitempty"`
+	Class      string             `json:"class,omitempty"`
+	Job        string             `json:"job,omitempty"`
+	Task       structs.TaskID     `json:"task,omitempty"`
+	Attempt    int                `json:"attempt,omitempty"`
+	Count      int                `json:"count,omitempty"`
+	Worker     string             `json:"worker,omitempty"`
+	Member     string             `json:"member,omitempty"`
+	Epoch      int64              `json:"epoch,omitempty"`
+	Version    int64              `json:"version,omitempty"`
+	Size       *structs.Resources `json:"size,omitempty"`
+	State      string             `json:"state,omitempty"`
+	Outcome    structs.Outcome    `json:"outcome,omitempty"`
+	Code       structs.Code       `json:"code,omitempty"`
+	Digest     string             `json:"digest,omitempty"`
+	Expect     string             `json:"expect,omitempty"`
+	Bytes      int                `json:"bytes,omitempty"`
+	Detail     string             `json:"detail,omitempty"`
+}
+
+// Digest returns a short hash of a body for Event.Digest and Event.Expect.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Recorder writes events. It is safe for concurrent use. A nil Recorder drops
+// everything.
+type Recorder struct {
+	proc  string
+	clock *Clock
+
+	mu   sync.Mutex
+	seq  uint64
+	out  *bufio.Writer
+	hook func(Event)
+}
+
+// NewRecorder returns a recorder that writes JSON lines to w; w may be nil.
+func NewRecorder(proc string, clock *Clock, w io.Writer) *Recorder {
+	r := &Recorder{proc: proc, clock: clock}
+	if w != nil {
+		r.out = bufio.NewWriter(w)
+	}
+	return r
+}
+
+// OnEvent sets a function that gets every event after it was written. It is
+// called with the recorder's lock held and must not record.
+func (r *Recorder) OnEvent(f func(Event)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hook = f
+}
+
+// Clock returns the recorder's clock, nil for a nil recorder.
+func (r *Recorder) Clock() *Clock {
+	if r == nil {
+		return nil
+	}
+	return r.clock
+}
+
+// Record stamps e and writes it as one line, flushed at once so that a kill of
+// the process loses no event that another process could have seen the effect of.
+func (r *Recorder) Record(e Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	e.Seq = r.seq
+	e.Proc = r.proc
+	e.Time = r.clock.Now()
+	if r.out != nil {
+		line, err := json.Marshal(e)
+		if err == nil {
+			_, _ = r.out.Write(append(line, '\n'))
+			_ = r.out.Flush()
+		}
+	}
+	if r.hook != nil {
+		r.hook(e)
+	}
+}
--- /dev/null
+++ b/internal/structs/resources.go
@@ -0,0 +1,49 @@
+// Package structs holds the types that the packages of the scheduler share:
+// resources, workers, classes, jobs, allocations, requests and the errors that
+// cross a process boundary. It does no I/O and starts no goroutine.
+package structs
+
+// Resources is an amount of processor, memory and accelerators.
+type Resources struct {
+	// CPUMilli is processor time in thousandths of a core.
+	CPUMilli int64 `json:"cpu_milli"`
+	// MemoryMiB is memory in mebibytes.
+	MemoryMiB int64 `json:"memory_mib"`
+	// Accelerators is a number of whole accelerators.
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli + o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB + o.MemoryMiB,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns r less o; a component may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli - o.CPUMilli,
+		MemoryMiB:    r.MemoryMiB - o.MemoryMiB,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Fits reports whether r is at most free in every component.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPUMilli <= free.CPUMilli &&
+		r.MemoryMiB <= free.MemoryMiB &&
+		r.Accelerators <= free.Accelerators
+}
+
+// Negative reports whether any component is below zero.
+func (r Resources) Negative() bool {
+	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0
+}
+
+// IsZero reports whether every component is zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
