Placement over owned workers and a queue by slack

The entry that owns workers needs to know what is free on each and to choose among them without I/O. Place packs batch work tightly, spreads services over failure domains and racks and keeps gangs together. Queue orders jobs by the slack to their target, gives every fourth pick to work that is late already and bounds backfill past a blocked job.

--- /dev/null
+++ b/internal/scheduler/hold.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Hold is workers kept for one job, so that a job too large for what is free now
+// starts once the work on them has ended.
+type Hold struct {
+	Job     string
+	Workers []string
+	// Until is when the hold ends by itself.
+	Until time.Time
+}
+
+// Holds returns the holds in force, ordered by job.
+func (s *NodeSet) Holds() []Hold {
+	list := make([]Hold, 0, len(s.holds))
+	for _, h := range s.holds {
+		list = append(list, *h)
+	}
+	slices.SortFunc(list, func(a, b Hold) int { return cmp.Compare(a.Job, b.Job) })
+	return list
+}
+
+// SetHold keeps the workers for the job and replaces an earlier hold of the same
+// job. Workers held for another job are left out.
+func (s *NodeSet) SetHold(h Hold) {
+	s.EndHold(h.Job)
+	kept := &Hold{Job: h.Job, Until: h.Until}
+	for _, id := range h.Workers {
+		n := s.nodes[id]
+		if n == nil || n.hold != "" {
+			continue
+		}
+		n.hold = h.Job
+		kept.Workers = append(kept.Workers, id)
+	}
+	if len(kept.Workers) > 0 {
+		s.holds[h.Job] = kept
+	}
+}
+
+// EndHold frees the workers held for a job.
+func (s *NodeSet) EndHold(job string) {
+	h := s.holds[job]
+	if h == nil {
+		return
+	}
+	for _, id := range h.Workers {
+		s.nodes[id].hold = ""
+	}
+	delete(s.holds, job)
+}
+
+// ExpireHolds ends the holds whose time has passed and returns their jobs.
+func (s *NodeSet) ExpireHolds(now time.Time) []string {
+	var ended []string
+	for _, h := range s.Holds() {
+		if !now.Before(h.Until) {
+			s.EndHold(h.Job)
+			ended = append(ended, h.Job)
+		}
+	}
+	return ended
+}
+
+// dropFromHold takes a node that leaves the set out of its hold.
+func (s *NodeSet) dropFromHold(n *Node) {
+	h := s.holds[n.hold]
+	if h == nil {
+		return
+	}
+	h.Workers = slices.DeleteFunc(h.Workers, func(id string) bool { return id == n.worker.ID })
+	n.hold = ""
+}
+
+// holdCandidate is a node that could be held, with the tasks that it would take
+// once its passing work has ended and the share of it that is still busy.
+type holdCandidate struct {
+	node *Node
+	room int
+	busy float64
+}
+
+// PlanHold chooses workers which, once the work on them that ends by itself has
+// ended, take all tasks of the ask: the least busy first, so that the wait is
+// short. It returns no workers if even that would not do. What the hold keeps idle
+// is bounded by the room for the ask's tasks, rounded up to whole workers.
+func PlanHold(s *NodeSet, ask Ask) []string {
+	var found []holdCandidate
+	for _, n := range s.nodes {
+		if c := s.holdCandidate(n, &ask); c.room > 0 {
+			found = append(found, c)
+		}
+	}
+	seed := ask.seed()
+	slices.SortFunc(found, func(a, b holdCandidate) int {
+		return cmp.Or(
+			cmp.Compare(a.busy, b.busy),
+			cmp.Compare(rank(a.node.seed, seed), rank(b.node.seed, seed)),
+		)
+	})
+	var workers []string
+	want := len(ask.Tasks)
+	for _, c := range found {
+		workers = append(workers, c.node.worker.ID)
+		want -= c.room
+		if want <= 0 {
+			return workers
+		}
+	}
+	return nil
+}
+
+// holdCandidate weighs a node; one that can't be held has no room.
+func (s *NodeSet) holdCandidate(n *Node, ask *Ask) holdCandidate {
+	if !n.Usable() || ask.avoids(n.worker.ID) || n.hold != "" && n.hold != ask.Job {
+		return holdCandidate{}
+	}
+	if ask.Size.Accelerators == 0 && n.worker.Size.Accelerators > 0 {
+		return holdCandidate{}
+	}
+	later := clampPositive(n.worker.Size.Sub(n.lasting))
+	return holdCandidate{
+		node: n,
+		room: capacity(later, ask.Size),
+		busy: s.index.share(n.used.Sub(n.lasting)),
+	}
+}
+
+// HeldIdle returns what is free on held workers, which nobody uses meanwhile.
+func (s *NodeSet) HeldIdle() structs.Resources {
+	var idle structs.Resources
+	for _, h := range s.holds {
+		for _, id := range h.Workers {
+			idle = idle.Add(s.nodes[id].Free())
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/scheduler/node.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import "dotterelhitch/internal/structs"
+
+// Node is a worker with what the owner has placed on it or found there. Its fields
+// change through the methods of the NodeSet that holds it.
+type Node struct {
+	worker  structs.Worker
+	flags   Flag
+	used    structs.Resources
+	lasting structs.Resources
+	tasks   int
+	slots   int
+	perJob  map[string]int
+	class   map[string]int
+	hold    string
+
+	seed   uint64
+	rack   *rack
+	bucket *bucket
+	// at is the node's position in its bucket.
+	at int
+}
+
+// Worker returns the worker as it was last listed.
+func (n *Node) Worker() structs.Worker { return n.worker }
+
+// ID returns the worker's name.
+func (n *Node) ID() string { return n.worker.ID }
+
+// Used returns the resources of running, starting and reserved tasks. It may exceed
+// the worker's size where an inventory showed more than was placed.
+func (n *Node) Used() structs.Resources { return n.used }
+
+// Free returns the worker's size less what is used, no component below zero.
+func (n *Node) Free() structs.Resources {
+	return clampPositive(n.worker.Size.Sub(n.used))
+}
+
+// Tasks returns the number of allocations counted on the worker.
+func (n *Node) Tasks() int { return n.tasks }
+
+// JobTasks returns how many of them belong to a job.
+func (n *Node) JobTasks(job string) int { return n.perJob[job] }
+
+// ClassTasks returns how many of them belong to a class.
+func (n *Node) ClassTasks(class string) int { return n.class[class] }
+
+// SlotsUsed returns the number of requests in flight to the worker's endpoint.
+func (n *Node) SlotsUsed() int { return n.slots }
+
+// Has reports whether every flag in f is set.
+func (n *Node) Has(f Flag) bool { return n.flags&f == f }
+
+// HeldFor returns the job for which the worker is held, empty if there is none.
+func (n *Node) HeldFor() string { return n.hold }
+
+// Usable reports whether new tasks and requests may go to the worker.
+func (n *Node) Usable() bool {
+	if n.flags&FlagKnown == 0 || n.flags&blocking != 0 {
+		return false
+	}
+	return n.worker.State == "" || n.worker.State == structs.WorkerLive
+}
+
+// freeFor returns what a task of a size may take. Work that needs no accelerator
+// leaves part of the worker for each accelerator that is free, unless it is so
+// large that it could then never run there.
+func (n *Node) freeFor(size structs.Resources) structs.Resources {
+	free := n.Free()
+	total := n.worker.Size.Accelerators
+	if size.Accelerators > 0 || total == 0 || free.Accelerators == 0 {
+		return free
+	}
+	if !size.Fits(n.worker.Size.Sub(acceleratorReserve(n.worker.Size, total))) {
+		return free
+	}
+	return clampPositive(free.Sub(acceleratorReserve(n.worker.Size, free.Accelerators)))
+}
+
+// acceleratorReserveDivisor is the inverse of the part of an accelerator's even
+// share of processor and memory that work without accelerators leaves untouched.
+const acceleratorReserveDivisor = 2
+
+// acceleratorReserve returns the processor and memory kept for idle accelerators.
+func acceleratorReserve(size structs.Resources, idle int64) structs.Resources {
+	div := size.Accelerators * acceleratorReserveDivisor
+	return structs.Resources{
+		CPUMilli:  size.CPUMilli * idle / div,
+		MemoryMiB: size.MemoryMiB * idle / div,
+	}
+}
+
+// clampPositive returns r with negative components set to zero.
+func clampPositive(r structs.Resources) structs.Resources {
+	r.CPUMilli = max(r.CPUMilli, 0)
+	r.MemoryMiB = max(r.MemoryMiB, 0)
+	r.Accelerators = max(r.Accelerators, 0)
+	return r
+}
+
+// capacity returns how many tasks of a size fit into free.
+func capacity(free, size structs.Resources) int {
+	n := int64(structs.MaxTasksPerJob)
+	if size.CPUMilli > 0 {
+		n = min(n, free.CPUMilli/size.CPUMilli)
+	}
+	if size.MemoryMiB > 0 {
+		n = min(n, free.MemoryMiB/size.MemoryMiB)
+	}
+	if size.Accelerators > 0 {
+		n = min(n, free.Accelerators/size.Accelerators)
+	}
+	return int(n)
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import "dotterelhitch/internal/structs"
+
+// Place chooses workers for the tasks of an ask. It reads the set and changes
+// nothing in it; the caller assigns the plan's allocations. The same set and ask
+// give the same plan.
+//
+// Batch tasks go to the tightest fit (best fit on the dominant share, after Ghodsi
+// et al., "Dominant Resource Fairness", 2011, for the share). Service tasks are
+// spread over failure domains, then racks, then workers. Tasks of a gang are kept
+// in as few failure domains and racks as hold them.
+func Place(s *NodeSet, ask Ask) Plan {
+	plan := Plan{Unplaced: ask.Tasks}
+	if len(ask.Tasks) == 0 {
+		return plan
+	}
+	if !ask.Size.Negative() && !ask.Size.IsZero() {
+		plan.Placed = make([]Placement, 0, len(ask.Tasks))
+		placeProbes(s, &ask, &plan)
+		placeKind(s, &ask, &plan)
+	}
+	if len(plan.Unplaced) == 0 {
+		return plan
+	}
+	plan.Why = Explain(s, ask)
+	if ask.Whole {
+		plan.Placed = nil
+		plan.Unplaced = ask.Tasks
+	}
+	return plan
+}
+
+// placeKind places by the rule of the ask's kind.
+func placeKind(s *NodeSet, ask *Ask, plan *Plan) {
+	switch ask.Kind {
+	case structs.KindService:
+		placeSpread(s, ask, plan)
+	case structs.KindGang:
+		placeTogether(s, ask, plan)
+	default:
+		placeTight(s, ask, plan)
+	}
+}
+
+// placeProbes gives one task each to workers on probation whose probe is due.
+func placeProbes(s *NodeSet, ask *Ask, plan *Plan) {
+	for _, id := range ask.Probes {
+		n := s.nodes[id]
+		if n == nil || len(plan.Unplaced) == 0 || !n.probing() {
+			continue
+		}
+		if !ask.avoids(id) && ask.Size.Fits(n.freeFor(ask.Size)) {
+			plan.put(n, 1)
+		}
+	}
+}
+
+// room returns how many tasks of the ask a usable node can take.
+func (n *Node) room(ask *Ask) int {
+	if n.hold != "" && n.hold != ask.Job {
+		return 0
+	}
+	room := capacity(n.freeFor(ask.Size), ask.Size)
+	if room == 0 || ask.avoids(n.worker.ID) {
+		return 0
+	}
+	return room
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import "dotterelhitch/internal/structs"
+
+// Placement is a task with the worker chosen for it.
+type Placement struct {
+	TaskRef
+	Worker string
+}
+
+// Plan is the answer to an Ask. Nothing is counted until its allocations are
+// assigned to the NodeSet.
+type Plan struct {
+	Placed []Placement
+	// Unplaced are the tasks that got no worker.
+	Unplaced []TaskRef
+	// Why counts the workers by the first reason that kept a task off them; it
+	// is empty if every task was placed.
+	Why []Rejection
+}
+
+// Allocs returns the plan's placements as allocations in a state.
+func (p Plan) Allocs(ask Ask, state structs.AllocState) []structs.Alloc {
+	list := make([]structs.Alloc, len(p.Placed))
+	for i, placed := range p.Placed {
+		list[i] = structs.Alloc{
+			Task:    placed.Task,
+			Attempt: placed.Attempt,
+			Worker:  placed.Worker,
+			Class:   ask.Class,
+			Team:    ask.Team,
+			Size:    ask.Size,
+			State:   state,
+		}
+	}
+	return list
+}
+
+// put places the next n unplaced tasks on a node.
+func (p *Plan) put(n *Node, count int) {
+	for _, task := range p.Unplaced[:count] {
+		p.Placed = append(p.Placed, Placement{TaskRef: task, Worker: n.worker.ID})
+	}
+	p.Unplaced = p.Unplaced[count:]
+}
+
+// Block returns how an ask of which nothing was placed is told to a Round: BlockSize
+// only if every worker lacks room whatever the job.
+func (p Plan) Block() Block {
+	for _, r := range p.Why {
+		switch r.Reason {
+		case ReasonAvoided, ReasonHeld, ReasonReserve, ReasonNotWhole, ReasonInvalid:
+			return BlockOther
+		}
+	}
+	return BlockSize
+}
--- /dev/null
+++ b/internal/scheduler/queue_test.go
@@ -0,0 +1,203 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// item returns an item of one task with a slack at epoch.
+func item(job string, slack time.Duration) Item {
+	return Item{Job: job, Pending: 1, Size: size(1, 1, 0), Accepted: epoch, LatestStart: epoch.Add(slack)}
+}
+
+// drain starts every item in one round and returns the order.
+func drain(q *Queue, now time.Time) []string {
+	var order []string
+	r := q.Begin(now)
+	for i, ok := r.Next(); ok; i, ok = r.Next() {
+		order = append(order, i.Job)
+		r.Started(i.Pending)
+	}
+	r.End()
+	return order
+}
+
+func TestQueueOrdersBySlack(t *testing.T) {
+	q := NewQueue()
+	for job, slack := range map[string]time.Duration{"batch": time.Hour, "urgent": time.Second, "gang": time.Minute} {
+		q.Push(item(job, slack))
+	}
+	if got := fmt.Sprint(drain(q, epoch)); got != "[urgent gang batch]" {
+		t.Errorf("order %s", got)
+	}
+	if q.Len() != 0 || q.Tasks() != 0 {
+		t.Errorf("%d jobs and %d tasks left", q.Len(), q.Tasks())
+	}
+}
+
+func TestLateWorkGetsEveryFourthPick(t *testing.T) {
+	q := NewQueue()
+	for i := range 8 {
+		q.Push(item(fmt.Sprintf("late%d", i), -time.Duration(i+1)*time.Minute))
+		q.Push(item(fmt.Sprintf("good%d", i), time.Duration(i+1)*time.Minute))
+	}
+	got := fmt.Sprint(drain(q, epoch)[:9])
+	if got != "[good0 good1 good2 late7 good3 good4 good5 late6 good6]" {
+		t.Errorf("order %s", got)
+	}
+}
+
+// TestNothingStarves offers more urgent work than can start and checks that an old
+// job with much slack, and one that is late already, still start.
+func TestNothingStarves(t *testing.T) {
+	for seed := range uint64(5) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		q := NewQueue()
+		q.Push(item("batch", 10*time.Second))
+		q.Push(item("late", -time.Hour))
+		started := make(map[string]int)
+		for step := range 2000 {
+			now := epoch.Add(time.Duration(step) * 10 * time.Millisecond)
+			for range 1 + rng.IntN(2) {
+				i := item(fmt.Sprintf("u%d-%d", step, q.Len()), 0)
+				i.LatestStart = now.Add(1100 * time.Millisecond)
+				q.Push(i)
+			}
+			r := q.Begin(now)
+			if i, ok := r.Next(); ok {
+				r.Started(1)
+				started[i.Job] = step
+			}
+			r.End()
+		}
+		for _, job := range []string{"batch", "late"} {
+			if _, ok := started[job]; !ok {
+				t.Errorf("seed %d: %s never started", seed, job)
+			}
+		}
+	}
+}
+
+func TestBlockedItemIsOvertakenWithinBoundThenHolds(t *testing.T) {
+	q := NewQueue()
+	gang := item("gang", time.Second)
+	gang.Pending = 20
+	q.Push(gang)
+	overtaken := 0
+	for step := 0; ; step++ {
+		q.Push(item(fmt.Sprintf("s%d", step), time.Minute))
+		r := q.Begin(epoch)
+		for i, ok := r.Next(); ok; i, ok = r.Next() {
+			if i.Job == "gang" {
+				r.Blocked(BlockOther)
+				continue
+			}
+			r.Started(1)
+			overtaken++
+		}
+		if holder, ok := r.End(); ok {
+			if holder.Job != "gang" || overtaken != backfillBound(20) {
+				t.Errorf("holder %s after %d, want gang after %d", holder.Job, overtaken, backfillBound(20))
+			}
+			break
+		}
+		if step > 1000 {
+			t.Fatal("no holder")
+		}
+	}
+	q.Remove("gang")
+	if _, ok := q.Holder(); ok {
+		t.Error("a removed job is still the holder")
+	}
+}
+
+func TestRoundSkipsWhatASmallerBlockedItemRulesOut(t *testing.T) {
+	q := NewQueue()
+	q.Push(item("small", time.Second))
+	big := item("big", time.Minute)
+	big.Size = size(2, 2, 0)
+	q.Push(big)
+	narrow := item("narrow", time.Hour)
+	narrow.Size = structs.Resources{CPUMilli: 100, MemoryMiB: 1}
+	q.Push(narrow)
+	var tried []string
+	r := q.Begin(epoch)
+	for i, ok := r.Next(); ok; i, ok = r.Next() {
+		tried = append(tried, i.Job)
+		r.Blocked(BlockSize)
+	}
+	r.End()
+	if fmt.Sprint(tried) != "[small narrow]" || q.Len() != 3 {
+		t.Errorf("tried %v, %d jobs left", tried, q.Len())
+	}
+}
+
+func TestQueueRemoveParkAndReplaceKeepCounts(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := NewQueue()
+		want := make(map[string]int)
+		for step := range 3000 {
+			job := fmt.Sprintf("j%d", rng.IntN(300))
+			switch rng.IntN(5) {
+			case 0, 1:
+				i := item(job, time.Duration(rng.IntN(100)-50)*time.Second)
+				i.Pending = 1 + rng.IntN(3)
+				q.Push(i)
+				want[job] = i.Pending
+			case 2:
+				q.Remove(job)
+				delete(want, job)
+			case 3:
+				q.Park(job)
+			case 4:
+				q.Unpark(job)
+			}
+			if step%100 == 0 {
+				r := q.Begin(epoch)
+				if i, ok := r.Next(); ok {
+					q.Remove(i.Job)
+					r.Started(1)
+					delete(want, i.Job)
+				}
+				r.End()
+			}
+		}
+		tasks := 0
+		for job, n := range want {
+			q.Unpark(job)
+			tasks += n
+		}
+		if q.Len() != len(want) || q.Tasks() != tasks {
+			t.Fatalf("seed %d: %d jobs and %d tasks, want %d and %d", seed, q.Len(), q.Tasks(), len(want), tasks)
+		}
+		if got := len(drain(q, epoch)); got != len(want) {
+			t.Fatalf("seed %d: drained %d of %d", seed, got, len(want))
+		}
+	}
+}
+
+func TestLatestStart(t *testing.T) {
+	second := func(n int) structs.Duration { return structs.Duration(time.Duration(n) * time.Second) }
+	for _, c := range []struct {
+		target structs.Target
+		run    time.Duration
+		want   time.Duration
+	}{
+		{structs.Target{StartWithin: second(10)}, time.Hour, 10 * time.Second},
+		{structs.Target{FinishWithin: second(60)}, 20 * time.Second, 40 * time.Second},
+		{structs.Target{StartWithin: second(10), FinishWithin: second(60)}, 55 * time.Second, 5 * time.Second},
+		{structs.Target{FinishWithin: second(60)}, time.Hour, 0},
+		{structs.Target{AnswerWithin: second(1)}, 0, DefaultStartWithin},
+	} {
+		if got := LatestStart(epoch, c.target, c.run).Sub(epoch); got != c.want {
+			t.Errorf("%+v, run %v: %v, want %v", c.target, c.run, got, c.want)
+		}
+	}
+}
