--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,199 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/structs"
+)
+
+// attemptTimeout bounds one call to one server, so that a silent server doesn't
+// keep the next one from being tried.
+const attemptTimeout = 10 * time.Second
+
+// Client calls the operators' interface of any of several entries.
+type Client struct {
+	// Servers are base URLs, tried in turn.
+	Servers []string
+	HTTP    *http.Client
+	Keys    httpx.Keys
+}
+
+// SetClass states a class. A change that lost the race is not an error.
+func (c *Client) SetClass(ctx context.Context, class structs.Class, base int64) (Change, error) {
+	current := &structs.Class{}
+	return c.change(ctx, http.MethodPut, classesPath, class.Name, ClassChange{Base: base, Class: class}, current)
+}
+
+// Classes lists the classes.
+func (c *Client) Classes(ctx context.Context) ([]structs.Class, error) {
+	var out ClassList
+	err := c.get(ctx, classesPath, &out)
+	return out.Classes, err
+}
+
+// Class returns one class.
+func (c *Client) Class(ctx context.Context, name string) (structs.Class, error) {
+	var out structs.Class
+	err := c.get(ctx, join(classesPath, name), &out)
+	return out, err
+}
+
+// SetQuota states the quota of a team.
+func (c *Client) SetQuota(ctx context.Context, quota structs.Quota, base int64) (Change, error) {
+	current := &structs.Quota{}
+	return c.change(ctx, http.MethodPut, quotasPath, quota.Team, QuotaChange{Base: base, Quota: quota}, current)
+}
+
+// Quotas lists the quotas.
+func (c *Client) Quotas(ctx context.Context) ([]structs.Quota, error) {
+	var out QuotaList
+	err := c.get(ctx, quotasPath, &out)
+	return out.Quotas, err
+}
+
+// SetLeaving declares an instance as leaving, or takes the declaration back.
+func (c *Client) SetLeaving(ctx context.Context, l structs.Leaving, remove bool, base int64) (Change, error) {
+	method := http.MethodPut
+	if remove {
+		method = http.MethodDelete
+	}
+	current := &structs.Leaving{}
+	return c.change(ctx, method, leavingsPath, l.Instance, LeavingChange{Base: base, Gone: l.Gone}, current)
+}
+
+// Leavings lists the declarations.
+func (c *Client) Leavings(ctx context.Context) ([]structs.Leaving, error) {
+	var out LeavingList
+	err := c.get(ctx, leavingsPath, &out)
+	return out.Leavings, err
+}
+
+// Status returns the state of the cell.
+func (c *Client) Status(ctx context.Context) (structs.CellStatus, error) {
+	var out structs.CellStatus
+	err := c.get(ctx, statusPath, &out)
+	return out, err
+}
+
+// Explain says why a job waits or was refused.
+func (c *Client) Explain(ctx context.Context, jobID string) (structs.JobStatus, error) {
+	var out structs.JobStatus
+	err := c.get(ctx, join(explainPath, jobID), &out)
+	return out, err
+}
+
+func join(path, name string) string { return path + "/" + url.PathEscape(name) }
+
+func (c *Client) get(ctx context.Context, path string, out any) error {
+	return c.eachServer(func(server string) error {
+		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		client := httpx.Client{Base: server, HTTP: c.HTTP, Keys: c.Keys}
+		return client.Call(ctx, http.MethodGet, path, nil, out)
+	})
+}
+
+// change sends a change under one ID to each server in turn until one answers;
+// the ID makes it harmless that an earlier one may have taken it too.
+func (c *Client) change(ctx context.Context, method, path, name string, in, current any) (Change, error) {
+	if !structs.ValidName(name) {
+		return Change{}, structs.NewError(structs.CodeInvalid, "name %q: want 1 to 63 of a-z 0-9 . _ -", name)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return Change{}, structs.NewError(structs.CodeInvalid, "encoding the change: %v", err)
+	}
+	id := uuid.NewString()
+	var out changeBody
+	err = c.eachServer(func(server string) error {
+		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		got, err := c.send(ctx, method, server+join(path, name), id, body)
+		out = got
+		return err
+	})
+	if err != nil {
+		return Change{}, err
+	}
+	return decodeChange(out, current)
+}
+
+// send makes one attempt at a change.
+func (c *Client) send(ctx context.Context, method, target, id string, body []byte) (changeBody, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return changeBody{}, structs.NewError(structs.CodeInvalid, "%s %s: %v", method, target, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(ChangeIDHeader, id)
+	c.Keys.Sign(req.Header)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return changeBody{}, httpx.TransportError(err)
+	}
+	defer resp.Body.Close()
+	answer, err := httpx.ReadLimited(resp.Body, httpx.MaxJSONBytes)
+	if err != nil {
+		return changeBody{}, httpx.TransportError(err)
+	}
+	return decodeAnswer(resp.StatusCode, answer)
+}
+
+// decodeAnswer reads the answer to a change, accepted or beaten.
+func decodeAnswer(status int, answer []byte) (changeBody, error) {
+	if status == http.StatusOK {
+		var out changeBody
+		if err := json.Unmarshal(answer, &out); err != nil {
+			return changeBody{}, structs.NewError(structs.CodeInternal, "answer: %v", err)
+		}
+		return out, nil
+	}
+	var lost conflictBody
+	if err := json.Unmarshal(answer, &lost); err == nil && lost.Change != nil {
+		return *lost.Change, nil
+	}
+	return changeBody{}, httpx.DecodeError(status, answer)
+}
+
+// decodeChange decodes the value in force into current, a pointer.
+func decodeChange(in changeBody, current any) (Change, error) {
+	out := Change{Version: in.Version, Accepted: in.Accepted}
+	if len(in.Current) == 0 || string(in.Current) == "null" {
+		return out, nil
+	}
+	if err := json.Unmarshal(in.Current, current); err != nil {
+		return Change{}, structs.NewError(structs.CodeInternal, "answer: current value: %v", err)
+	}
+	out.Current = current
+	return out, nil
+}
+
+// eachServer calls f with one server after the other until one answers.
+func (c *Client) eachServer(f func(server string) error) error {
+	err := structs.NewError(structs.CodeInvalid, "no server address")
+	for _, server := range c.Servers {
+		err = f(strings.TrimRight(server, "/"))
+		if !tryNext(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// tryNext reports whether another server may do better.
+func tryNext(err error) bool {
+	next := []structs.Code{
+		structs.CodeUnavailable, structs.CodeDraining, structs.CodeDeadline, structs.CodeUnknown, structs.CodeBehind,
+	}
+	return slices.Contains(next, structs.CodeOf(err))
+}
