hitch: targets, quotas, leaving instances, status, explain and check

Change: thin cobra commands over the operators' client, exit codes by the type of a failure in internal/command/cli, text and JSON output.

--- /dev/null
+++ b/internal/command/cli/exit.go
@@ -0,0 +1,54 @@
+package cli
+
+import "dotterelhitch/internal/structs"
+
+// The exit codes of every program; docs/CLI.md lists them for users.
+const (
+	ExitOK           = 0
+	ExitInternal     = 1
+	ExitUsage        = 2
+	ExitConflict     = 3 // another change won the race
+	ExitNotFound     = 4
+	ExitNotRun       = 5 // refused: certainly not run
+	ExitUnknown      = 6 // may have run
+	ExitUnavailable  = 7 // no server answered in time
+	ExitUnauthorized = 8
+	ExitFailed       = 9 // the work, the check or the run itself failed
+)
+
+// exitCodes maps the type of a failure to an exit code.
+var exitCodes = map[structs.Code]int{
+	structs.CodeInvalid:      ExitUsage,
+	structs.CodeTooLarge:     ExitUsage,
+	structs.CodeKeyReused:    ExitUsage,
+	structs.CodeConflict:     ExitConflict,
+	structs.CodeNotFound:     ExitNotFound,
+	structs.CodeOverload:     ExitNotRun,
+	structs.CodeNoCapacity:   ExitNotRun,
+	structs.CodeNeverFits:    ExitNotRun,
+	structs.CodeQuota:        ExitNotRun,
+	structs.CodeDraining:     ExitNotRun,
+	structs.CodeLeaving:      ExitNotRun,
+	structs.CodeInProgress:   ExitUnknown,
+	structs.CodeTruncated:    ExitUnknown,
+	structs.CodeUnknown:      ExitUnknown,
+	structs.CodeDeadline:     ExitUnavailable,
+	structs.CodeUnavailable:  ExitUnavailable,
+	structs.CodeUnauthorized: ExitUnauthorized,
+	CodeFailed:               ExitFailed,
+}
+
+// CodeFailed is the type of a failure that a command reports of the work it was
+// asked about: a job that failed, settings with problems, a broken invariant.
+const CodeFailed structs.Code = "failed"
+
+// ExitCode returns the exit code that goes with a failure.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	if code, found := exitCodes[structs.CodeOf(err)]; found {
+		return code
+	}
+	return ExitInternal
+}
--- /dev/null
+++ b/internal/command/hitch/leaving.go
@@ -0,0 +1,107 @@
+package hitch
+
+import (
+	"context"
+	"io"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/operator"
+	"dotterelhitch/internal/structs"
+)
+
+func newLeavingCommand(g *globals) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "leaving",
+		Short: "Declare instances as leaving: they get no new work",
+		Args:  cobra.NoArgs,
+	}
+	cmd.AddCommand(newLeavingAdd(g), newLeavingRemove(g), newLeavingList(g))
+	return cmd
+}
+
+func newLeavingAdd(g *globals) *cobra.Command {
+	var gone bool
+	cmd := &cobra.Command{
+		Use:   "add INSTANCE",
+		Short: "Declare an instance as leaving",
+		Long: `Declare an instance (worker or entry) as leaving. It gets no new work a few
+seconds after the command says accepted; what it runs goes on.
+
+--gone is your word that the instance runs nothing any more, so that its tasks
+may start elsewhere. Give it only for an instance that you know is off: if it
+still runs, its tasks run twice.`,
+		Example: "  hitch leaving add casa-1-rack3-w07\n  hitch leaving add casa-1-rack3-w07 --gone",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return changeLeaving(cmd, g, structs.Leaving{Instance: args[0], Gone: gone}, false)
+		},
+	}
+	cmd.Flags().BoolVar(&gone, "gone", false, "the instance runs nothing any more")
+	return cmd
+}
+
+func newLeavingRemove(g *globals) *cobra.Command {
+	return &cobra.Command{
+		Use:   "remove INSTANCE",
+		Short: "Take a declaration back: the instance gets work again",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return changeLeaving(cmd, g, structs.Leaving{Instance: args[0]}, true)
+		},
+	}
+}
+
+func changeLeaving(cmd *cobra.Command, g *globals, l structs.Leaving, remove bool) error {
+	return withOperator(cmd, g, func(ctx context.Context, client *operator.Client) error {
+		all, err := client.Leavings(ctx)
+		if err != nil {
+			return err
+		}
+		var base int64
+		i := slices.IndexFunc(all, func(o structs.Leaving) bool { return o.Instance == l.Instance })
+		if i >= 0 {
+			base = all[i].Version
+		}
+		if i < 0 && remove {
+			return structs.NewError(structs.CodeNotFound, "instance %s is not declared as leaving", l.Instance)
+		}
+		change, err := client.SetLeaving(ctx, l, remove, base)
+		if err != nil {
+			return err
+		}
+		return printChange(cmd, "leaving "+l.Instance, change)
+	})
+}
+
+func newLeavingList(g *globals) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "Show the instances declared as leaving",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return withOperator(cmd, g, func(ctx context.Context, client *operator.Client) error {
+				all, err := client.Leavings(ctx)
+				if err != nil {
+					return err
+				}
+				return cli.Print(cmd, operator.LeavingList{Leavings: all}, func(w io.Writer) error {
+					t := cli.NewTable(w, "INSTANCE", "STATE", "VERSION")
+					for _, l := range all {
+						t.Row(l.Instance, leavingText(l), l.Version)
+					}
+					return t.Flush()
+				})
+			})
+		},
+	}
+}
+
+func leavingText(l structs.Leaving) string {
+	if l.Gone {
+		return "gone"
+	}
+	return "leaving"
+}
--- /dev/null
+++ b/internal/command/hitch/root.go
@@ -0,0 +1,87 @@
+// Package hitch is the command line of operators and callers.
+package hitch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/operator"
+)
+
+// Environment variables that stand in for flags.
+const (
+	operatorEnv    = "HITCH_OPERATOR"
+	callerEnv      = "HITCH_CALLER"
+	operatorKeyEnv = "HITCH_OPERATOR_KEY"
+)
+
+// defaultTimeout bounds one call with all of its retries.
+const defaultTimeout = 30 * time.Second
+
+// globals are the flags of every command.
+type globals struct {
+	operators []string
+	callers   []string
+	keyFile   string
+	timeout   time.Duration
+}
+
+// New returns the root command; extra commands are added to it.
+func New(extra ...*cobra.Command) *cobra.Command {
+	g := &globals{}
+	root := &cobra.Command{
+		Use:   "hitch",
+		Short: "Operate a dotterelhitch cell and give it work",
+		Long: `hitch talks to the entries of a dotterelhitch cell.
+
+Operators state a target for each class of work and declare instances as
+leaving; the system does the rest. Callers submit jobs and send requests.
+
+Any entry will do: name several addresses and they are tried in turn.
+
+  export HITCH_OPERATOR=10.1.1.10:8081,10.1.2.10:8081
+  export HITCH_CALLER=10.1.1.10:8080,10.1.2.10:8080
+  hitch class set lookups --kind service --answer-within 300ms
+  hitch job submit --class nightly --count 20 --cpu 2 --memory 1GiB --run-time 5m
+  hitch status
+
+See 'hitch COMMAND --help'; docs/CLI.md lists the exit codes.`,
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&g.operators, "operator", nil, "operators' addresses of entries, host:port or URL (default $"+operatorEnv+")")
+	flags.StringSliceVar(&g.callers, "caller", nil, "callers' addresses of entries, host:port or URL (default $"+callerEnv+")")
+	flags.StringVar(&g.keyFile, "key-file", "", "file with the operators' shared key (default $"+operatorKeyEnv+")")
+	flags.DurationVar(&g.timeout, "timeout", defaultTimeout, "give up after this time")
+	cli.AddJSONFlag(root)
+	root.AddCommand(
+		newClassCommand(g),
+		newQuotaCommand(g),
+		newLeavingCommand(g),
+		newStatusCommand(g),
+		newExplainCommand(g),
+		newCheckCommand(),
+	)
+	root.AddCommand(extra...)
+	return root
+}
+
+// operatorClient returns the client of the operators' interface.
+func (g *globals) operatorClient() (*operator.Client, error) {
+	servers, err := addresses(g.operators, operatorEnv, "--operator")
+	if err != nil {
+		return nil, err
+	}
+	keys, err := readKeys(g.keyFile, operatorKeyEnv)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.Client{Servers: servers, HTTP: newHTTPClient(), Keys: keys}, nil
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: httpx.NewTransport(nil)}
+}
--- /dev/null
+++ b/internal/command/hitch/status.go
@@ -0,0 +1,121 @@
+package hitch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/operator"
+	"dotterelhitch/internal/structs"
+)
+
+func newStatusCommand(g *globals) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show members, owners, workers, queues and what is late",
+		Long: `Show the cell as the asked entry gathered it from all: members with their epoch
+and configuration version, workers with their owner, queues, the classes that
+miss their target or will, and why. Members that did not answer are named.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return withOperator(cmd, g, func(ctx context.Context, client *operator.Client) error {
+				status, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return cli.Print(cmd, status, func(w io.Writer) error {
+					return printStatus(w, status)
+				})
+			})
+		},
+	}
+}
+
+func printStatus(w io.Writer, s structs.CellStatus) error {
+	if err := printEntries(w, s.Entries); err != nil {
+		return err
+	}
+	if err := printWorkers(w, s.Entries); err != nil {
+		return err
+	}
+	printLate(w, s.Entries)
+	for _, e := range s.Entries {
+		for _, alarm := range e.Alarms {
+			fmt.Fprintf(w, "alarm: %s: %s\n", e.Member.ID, alarm)
+		}
+	}
+	for _, m := range s.Missing {
+		fmt.Fprintf(w, "no answer: %s\n", m)
+	}
+	return nil
+}
+
+func printEntries(w io.Writer, entries []structs.EntryStatus) error {
+	t := cli.NewTable(w, "MEMBER", "REGION", "DOMAIN", "GROUP", "EPOCH", "CONFIG", "STATE",
+		"LOG AGE", "WORKERS", "JOBS", "TASKS WAIT", "REQUESTS WAIT")
+	for _, e := range entries {
+		t.Row(e.Member.ID, e.Member.Region, e.Member.Domain, e.Group, e.Epoch, e.ConfigVersion, entryState(e),
+			fmt.Sprintf("%d ms", e.LogAgeMs), len(e.Workers), e.JobsOwned, e.QueuedTasks, e.QueuedReqs)
+	}
+	return t.Flush()
+}
+
+func entryState(e structs.EntryStatus) string {
+	switch {
+	case e.Draining:
+		return "draining"
+	case !e.Authority:
+		return "no authority"
+	default:
+		return "ready"
+	}
+}
+
+func printWorkers(w io.Writer, entries []structs.EntryStatus) error {
+	fmt.Fprintln(w)
+	t := cli.NewTable(w, "WORKER", "OWNER", "DOMAIN", "RACK", "USED", "SIZE", "SLOTS", "TASKS", "STATE")
+	for _, e := range entries {
+		for _, s := range e.Workers {
+			t.Row(s.Worker.ID, s.Owner, s.Worker.Domain, s.Worker.Rack,
+				resourcesText(s.Used), resourcesText(s.Worker.Size),
+				fmt.Sprintf("%d/%d", s.SlotsUsed, s.Worker.Slots), s.Tasks, workerState(s))
+		}
+	}
+	return t.Flush()
+}
+
+// workerState joins everything that keeps a worker from getting work.
+func workerState(s structs.WorkerStatus) string {
+	var states []string
+	add := func(holds bool, name string) {
+		if holds {
+			states = append(states, name)
+		}
+	}
+	add(!s.Reachable, "unreachable")
+	add(!s.Known, "inventory unread")
+	add(s.Leaving, "leaving")
+	add(s.Probation, "probation")
+	if len(states) == 0 {
+		return "ready"
+	}
+	return strings.Join(states, ", ")
+}
+
+func printLate(w io.Writer, entries []structs.EntryStatus) {
+	fmt.Fprintln(w)
+	late := 0
+	for _, e := range entries {
+		for _, l := range e.Late {
+			late++
+			fmt.Fprintf(w, "late: class %s at %s, %d waiting: %s\n", l.Class, e.Member.ID, l.Work, l.Reason)
+		}
+	}
+	if late == 0 {
+		fmt.Fprintln(w, "late: nothing")
+	}
+}
