--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	stderrors "errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/peer/peerv1/peerv1connect"
+	"dotterelhitch/internal/structs"
+)
+
+// maxStreams bounds the calls that one peer may have open at a time.
+const maxStreams = 2048
+
+// readHeaderTimeout bounds the time a peer may take to send a request's header.
+const readHeaderTimeout = 5 * time.Second
+
+// NewServer returns the server of the peer interface: HTTP/2 without TLS, behind
+// the shared keys.
+func NewServer(svc peerv1connect.PeerServiceHandler, keys httpx.Keys, clock *event.Clock) *http.Server {
+	path, handler := peerv1connect.NewPeerServiceHandler(
+		svc,
+		connect.WithReadMaxBytes(MaxMessageBytes),
+		connect.WithSendMaxBytes(MaxMessageBytes),
+	)
+	mux := http.NewServeMux()
+	mux.Handle(path, keys.Require(handler))
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           clock.Middleware(mux),
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+			WriteByteTimeout:     writeTimeout,
+		},
+	}
+}
+
+// neverSent reports whether a call failed before any byte of it went out.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return stderrors.As(err, &op) && op.Op == "dial"
+}
+
+// FromError turns a typed failure into its message, nil into nil.
+func FromError(err error) *peerv1.Error {
+	if err == nil {
+		return nil
+	}
+	e := structs.AsError(err)
+	return &peerv1.Error{Code: string(e.Code), Message: e.Message, RetryAfterMs: e.RetryAfterMs}
+}
+
+// ToError turns a message back into a typed failure, nil into nil.
+func ToError(e *peerv1.Error) error {
+	if e == nil {
+		return nil
+	}
+	return &structs.Error{Code: structs.Code(e.Code), Message: e.Message, RetryAfterMs: e.RetryAfterMs}
+}
+
+// FromResources turns resources into their message.
+func FromResources(r structs.Resources) *peerv1.Resources {
+	return &peerv1.Resources{CpuMilli: r.CPUMilli, MemoryMib: r.MemoryMiB, Accelerators: r.Accelerators}
+}
+
+// ToResources turns a message back into resources; nil gives none.
+func ToResources(r *peerv1.Resources) structs.Resources {
+	return structs.Resources{
+		CPUMilli:     r.GetCpuMilli(),
+		MemoryMiB:    r.GetMemoryMib(),
+		Accelerators: r.GetAccelerators(),
+	}
+}
--- /dev/null
+++ b/internal/state/change.go
@@ -0,0 +1,117 @@
+// Package state folds the records of the platform's log into tables. Every
+// reader applies the same rules to the same prefix, so that all readers agree on
+// the membership table, the configuration and the accepted jobs. The package is
+// pure: it does no I/O and reads no clock.
+package state
+
+import (
+	"encoding/json"
+
+	"dotterelhitch/internal/structs"
+)
+
+// ControlStream holds membership and configuration.
+const ControlStream = "control"
+
+// JobsStream returns the stream of the jobs that a group of members decides.
+func JobsStream(group string) string { return "jobs." + group }
+
+// ChangeType names what a change does.
+type ChangeType string
+
+// The changes of the control stream, and below them those of a jobs stream.
+const (
+	MemberJoin   ChangeType = "member_join"
+	MemberLeave  ChangeType = "member_leave"
+	MemberRemove ChangeType = "member_remove"
+	ClassSet     ChangeType = "class_set"
+	QuotaSet     ChangeType = "quota_set"
+	LeavingAdd   ChangeType = "leaving_add"
+	LeavingDrop  ChangeType = "leaving_drop"
+	ControlSnap  ChangeType = "control_snapshot"
+
+	JobAccept ChangeType = "job_accept"
+	JobCancel ChangeType = "job_cancel"
+	JobPark   ChangeType = "job_park"
+	TasksEnd  ChangeType = "tasks_end"
+	JobsSnap  ChangeType = "jobs_snapshot"
+)
+
+// TaskEnd is the settled outcome of one task.
+type TaskEnd struct {
+	Index int                `json:"i"`
+	State structs.AllocState `json:"s"`
+}
+
+// Change is one change of a table. Members that its type does not use are empty.
+type Change struct {
+	// ID makes a repeated append harmless and lets its author find the result.
+	ID   string     `json:"id"`
+	Type ChangeType `json:"type"`
+	// Base is the epoch (membership), the version (configuration) or the read
+	// position (cancellation) that the change is based on.
+	Base int64 `json:"base,omitempty"`
+
+	Member *structs.Member `json:"member,omitempty"`
+	// Consents are the members that agreed to a membership change.
+	Consents []string `json:"consents,omitempty"`
+	// Forced marks a removal or join that counts Gone members instead of consent.
+	Forced bool     `json:"forced,omitempty"`
+	Gone   []string `json:"gone,omitempty"`
+
+	Class   *structs.Class   `json:"class,omitempty"`
+	Quota   *structs.Quota   `json:"quota,omitempty"`
+	Leaving *structs.Leaving `json:"leaving,omitempty"`
+
+	Job    *structs.Job       `json:"job,omitempty"`
+	JobID  string             `json:"job_id,omitempty"`
+	Ends   []TaskEnd          `json:"ends,omitempty"`
+	Filter *structs.JobFilter `json:"filter,omitempty"`
+	Reason string             `json:"reason,omitempty"`
+
+	Control *ControlSnapshot `json:"control,omitempty"`
+	Jobs    *JobsSnapshot    `json:"jobs,omitempty"`
+}
+
+// Result is what the fold made of one change.
+type Result struct {
+	Offset   int64
+	Change   Change
+	Accepted bool
+	// Err says why the change was refused.
+	Err *structs.Error
+}
+
+// batch is the JSON form of a record: several changes appended at once.
+type batch struct {
+	Changes []Change `json:"changes"`
+}
+
+// Encode returns the record that holds the changes.
+func Encode(changes []Change) ([]byte, error) {
+	b, err := json.Marshal(batch{Changes: changes})
+	if err != nil {
+		return nil, structs.NewError(structs.CodeInvalid, "encoding changes: %v", err)
+	}
+	return b, nil
+}
+
+// Decode returns the changes of a record.
+func Decode(data []byte) ([]Change, error) {
+	var b batch
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, structs.NewError(structs.CodeInvalid, "record: %v", err)
+	}
+	return b.Changes, nil
+}
+
+// refuse returns the result of a change that the rules do not accept.
+func refuse(offset int64, ch Change, code structs.Code, format string, args ...any) Result {
+	err := structs.AsError(structs.NewError(code, format, args...))
+	return Result{Offset: offset, Change: ch, Err: err}
+}
+
+// accept returns the result of a change that took effect.
+func accept(offset int64, ch Change) Result {
+	return Result{Offset: offset, Change: ch, Accepted: true}
+}
--- /dev/null
+++ b/internal/state/control.go
@@ -0,0 +1,270 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Control is the table of members and configuration, as of one log offset. It is
+// owned by one goroutine.
+type Control struct {
+	next    int64
+	epoch   int64
+	forced  int64
+	version int64
+	members map[string]structs.Member
+	classes map[string]structs.Class
+	quotas  map[string]structs.Quota
+	leaving map[string]structs.Leaving
+	// dropped keeps the version of a withdrawn leaving declaration, so that its
+	// next change still names a base.
+	dropped map[string]int64
+}
+
+// ControlSnapshot is the whole of a Control as of offset Next-1.
+type ControlSnapshot struct {
+	Next    int64             `json:"next"`
+	Epoch   int64             `json:"epoch"`
+	Forced  int64             `json:"forced,omitempty"`
+	Version int64             `json:"version"`
+	Members []structs.Member  `json:"members"`
+	Classes []structs.Class   `json:"classes"`
+	Quotas  []structs.Quota   `json:"quotas"`
+	Leaving []structs.Leaving `json:"leaving"`
+	Dropped map[string]int64  `json:"dropped,omitempty"`
+}
+
+// NewControl returns the table of an empty log.
+func NewControl() *Control {
+	return &Control{
+		next:    1,
+		members: map[string]structs.Member{},
+		classes: map[string]structs.Class{},
+		quotas:  map[string]structs.Quota{},
+		leaving: map[string]structs.Leaving{},
+		dropped: map[string]int64{},
+	}
+}
+
+// Next is the offset of the record to apply next.
+func (c *Control) Next() int64 { return c.next }
+
+// Epoch is the offset of the last accepted membership change, zero for none.
+func (c *Control) Epoch() int64 { return c.epoch }
+
+// ForcedEpoch is the epoch of the last forced change, zero for none.
+func (c *Control) ForcedEpoch() int64 { return c.forced }
+
+// Version is the offset of the last accepted configuration change.
+func (c *Control) Version() int64 { return c.version }
+
+// Members returns the members ordered by ID.
+func (c *Control) Members() []structs.Member {
+	return sorted(c.members)
+}
+
+// HasMember reports whether id is in the table.
+func (c *Control) HasMember(id string) bool {
+	_, ok := c.members[id]
+	return ok
+}
+
+// Class returns a class by name.
+func (c *Control) Class(name string) (structs.Class, bool) {
+	v, ok := c.classes[name]
+	return v, ok
+}
+
+// Classes returns all classes ordered by name.
+func (c *Control) Classes() []structs.Class { return sorted(c.classes) }
+
+// Quota returns a team's quota.
+func (c *Control) Quota(team string) (structs.Quota, bool) {
+	v, ok := c.quotas[team]
+	return v, ok
+}
+
+// Quotas returns all quotas ordered by team.
+func (c *Control) Quotas() []structs.Quota { return sorted(c.quotas) }
+
+// Leaving returns the declaration for an instance.
+func (c *Control) Leaving(instance string) (structs.Leaving, bool) {
+	v, ok := c.leaving[instance]
+	return v, ok
+}
+
+// Leavings returns all declarations ordered by instance.
+func (c *Control) Leavings() []structs.Leaving { return sorted(c.leaving) }
+
+// LeavingVersion returns the version that the next change of a declaration must
+// name as its base.
+func (c *Control) LeavingVersion(instance string) int64 {
+	if l, ok := c.leaving[instance]; ok {
+		return l.Version
+	}
+	return c.dropped[instance]
+}
+
+// Apply folds one record and returns a result for each of its changes. Records
+// before Next are ignored; the caller guarantees that none is skipped.
+func (c *Control) Apply(offset int64, data []byte) []Result {
+	if offset < c.next {
+		return nil
+	}
+	c.next = offset + 1
+	changes, err := Decode(data)
+	if err != nil {
+		return []Result{{Offset: offset, Err: structs.AsError(err)}}
+	}
+	results := make([]Result, 0, len(changes))
+	for _, ch := range changes {
+		results = append(results, c.apply(offset, ch))
+	}
+	return results
+}
+
+func (c *Control) apply(offset int64, ch Change) Result {
+	switch ch.Type {
+	case MemberJoin, MemberLeave, MemberRemove:
+		return c.applyMember(offset, ch)
+	case ClassSet:
+		return c.applyClass(offset, ch)
+	case QuotaSet:
+		return c.applyQuota(offset, ch)
+	case LeavingAdd, LeavingDrop:
+		return c.applyLeaving(offset, ch)
+	case ControlSnap:
+		return accept(offset, ch)
+	default:
+		return refuse(offset, ch, structs.CodeInvalid, "change type %q", ch.Type)
+	}
+}
+
+// applyMember accepts a change only on top of the epoch it names, so that of two
+// racing changes one takes effect.
+func (c *Control) applyMember(offset int64, ch Change) Result {
+	if ch.Member == nil || ch.Member.ID == "" {
+		return refuse(offset, ch, structs.CodeInvalid, "%s without a member", ch.Type)
+	}
+	if ch.Base != c.epoch {
+		return refuse(offset, ch, structs.CodeConflict, "based on epoch %d, current is %d", ch.Base, c.epoch)
+	}
+	_, present := c.members[ch.Member.ID]
+	if present == (ch.Type == MemberJoin) {
+		return refuse(offset, ch, structs.CodeConflict, "member %s: present is %v", ch.Member.ID, present)
+	}
+	if ch.Type == MemberJoin {
+		c.members[ch.Member.ID] = *ch.Member
+	} else {
+		delete(c.members, ch.Member.ID)
+	}
+	c.epoch = offset
+	if ch.Forced {
+		c.forced = offset
+	}
+	return accept(offset, ch)
+}
+
+func (c *Control) applyClass(offset int64, ch Change) Result {
+	if ch.Class == nil {
+		return refuse(offset, ch, structs.CodeInvalid, "class_set without a class")
+	}
+	if err := ch.Class.Validate(); err != nil {
+		return refuse(offset, ch, structs.CodeInvalid, "%v", err)
+	}
+	current := c.classes[ch.Class.Name].Version
+	if ch.Base != current {
+		return refuse(offset, ch, structs.CodeConflict, "class %s: based on version %d, current is %d", ch.Class.Name, ch.Base, current)
+	}
+	class := *ch.Class
+	class.Version = offset
+	c.classes[class.Name] = class
+	c.version = offset
+	return accept(offset, ch)
+}
+
+func (c *Control) applyQuota(offset int64, ch Change) Result {
+	if ch.Quota == nil || !structs.ValidName(ch.Quota.Team) || ch.Quota.Limit.Negative() {
+		return refuse(offset, ch, structs.CodeInvalid, "quota_set: want a team name and a limit that is not negative")
+	}
+	current := c.quotas[ch.Quota.Team].Version
+	if ch.Base != current {
+		return refuse(offset, ch, structs.CodeConflict, "quota of %s: based on version %d, current is %d", ch.Quota.Team, ch.Base, current)
+	}
+	quota := *ch.Quota
+	quota.Version = offset
+	c.quotas[quota.Team] = quota
+	c.version = offset
+	return accept(offset, ch)
+}
+
+func (c *Control) applyLeaving(offset int64, ch Change) Result {
+	if ch.Leaving == nil || ch.Leaving.Instance == "" {
+		return refuse(offset, ch, structs.CodeInvalid, "%s without an instance", ch.Type)
+	}
+	instance := ch.Leaving.Instance
+	current := c.LeavingVersion(instance)
+	if ch.Base != current {
+		return refuse(offset, ch, structs.CodeConflict, "leaving of %s: based on version %d, current is %d", instance, ch.Base, current)
+	}
+	if ch.Type == LeavingDrop {
+		delete(c.leaving, instance)
+		c.dropped[instance] = offset
+	} else {
+		declared := *ch.Leaving
+		declared.Version = offset
+		c.leaving[instance] = declared
+		delete(c.dropped, instance)
+	}
+	c.version = offset
+	return accept(offset, ch)
+}
+
+// Snapshot returns the whole table.
+func (c *Control) Snapshot() ControlSnapshot {
+	return ControlSnapshot{
+		Next:    c.next,
+		Epoch:   c.epoch,
+		Forced:  c.forced,
+		Version: c.version,
+		Members: c.Members(),
+		Classes: c.Classes(),
+		Quotas:  c.Quotas(),
+		Leaving: c.Leavings(),
+		Dropped: maps.Clone(c.dropped),
+	}
+}
+
+// RestoreControl returns the table that a snapshot describes.
+func RestoreControl(s ControlSnapshot) *Control {
+	c := NewControl()
+	c.next = s.Next
+	c.epoch = s.Epoch
+	c.forced = s.Forced
+	c.version = s.Version
+	for _, m := range s.Members {
+		c.members[m.ID] = m
+	}
+	for _, v := range s.Classes {
+		c.classes[v.Name] = v
+	}
+	for _, v := range s.Quotas {
+		c.quotas[v.Team] = v
+	}
+	for _, v := range s.Leaving {
+		c.leaving[v.Instance] = v
+	}
+	maps.Copy(c.dropped, s.Dropped)
+	return c
+}
+
+// sorted returns the values of m in the order of their keys.
+func sorted[V any](m map[string]V) []V {
+	out := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[k])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/jobs.go
@@ -0,0 +1,204 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelhitch/internal/structs"
+)
+
+// endedKept is the number of ended jobs whose state is kept for status calls.
+const endedKept = 4096
+
+// Job is an accepted job and what the log says of its tasks.
+type Job struct {
+	Job structs.Job `json:"job"`
+	// Accepted is the offset of its acceptance.
+	Accepted int64 `json:"accepted"`
+	// Ends maps a task's index to its settled state.
+	Ends      map[int]structs.AllocState `json:"ends,omitempty"`
+	Cancelled bool                       `json:"cancelled,omitempty"`
+	// Parked says why the job was given up; empty if it was not.
+	Parked string `json:"parked,omitempty"`
+	// EndedAt is the offset of the change that ended the job, zero before.
+	EndedAt int64 `json:"ended_at,omitempty"`
+}
+
+// Ended reports whether nothing more will be started for the job.
+func (j *Job) Ended() bool { return j.EndedAt != 0 }
+
+// Jobs is the table of one group's jobs. It is owned by one goroutine.
+type Jobs struct {
+	next  int64
+	jobs  map[string]*Job
+	ended []string
+	// horizon is the offset of the end of the last forgotten job. A repeat of
+	// an acceptance that is based on an older position could name a job that
+	// was forgotten, and is refused.
+	horizon int64
+}
+
+// JobsSnapshot is the whole of a Jobs table as of offset Next-1.
+type JobsSnapshot struct {
+	Next    int64    `json:"next"`
+	Horizon int64    `json:"horizon,omitempty"`
+	Jobs    []Job    `json:"jobs"`
+	Ended   []string `json:"ended,omitempty"`
+}
+
+// NewJobs returns the table of an empty stream.
+func NewJobs() *Jobs {
+	return &Jobs{next: 1, jobs: map[string]*Job{}}
+}
+
+// Next is the offset of the record to apply next.
+func (t *Jobs) Next() int64 { return t.next }
+
+// Get returns a job, nil if there is none of that ID. The caller must not change
+// it.
+func (t *Jobs) Get(id string) *Job { return t.jobs[id] }
+
+// All returns all jobs, in no particular order. The caller must not change them.
+func (t *Jobs) All() []*Job {
+	return slices.Collect(maps.Values(t.jobs))
+}
+
+// Apply folds one record and returns a result for each of its changes.
+func (t *Jobs) Apply(offset int64, data []byte) []Result {
+	if offset < t.next {
+		return nil
+	}
+	t.next = offset + 1
+	changes, err := Decode(data)
+	if err != nil {
+		return []Result{{Offset: offset, Err: structs.AsError(err)}}
+	}
+	results := make([]Result, 0, len(changes))
+	for _, ch := range changes {
+		results = append(results, t.apply(offset, ch))
+	}
+	return results
+}
+
+func (t *Jobs) apply(offset int64, ch Change) Result {
+	switch ch.Type {
+	case JobAccept:
+		return t.applyAccept(offset, ch)
+	case JobCancel:
+		return t.applyCancel(offset, ch)
+	case JobPark:
+		return t.applyPark(offset, ch)
+	case TasksEnd:
+		return t.applyEnds(offset, ch)
+	case JobsSnap:
+		return accept(offset, ch)
+	default:
+		return refuse(offset, ch, structs.CodeInvalid, "change type %q", ch.Type)
+	}
+}
+
+// applyAccept takes a job once; a repeat of the same ID is accepted and does
+// nothing.
+func (t *Jobs) applyAccept(offset int64, ch Change) Result {
+	if ch.Job == nil || ch.Job.ID == "" {
+		return refuse(offset, ch, structs.CodeInvalid, "job_accept without a job")
+	}
+	if err := ch.Job.Validate(); err != nil {
+		return refuse(offset, ch, structs.CodeInvalid, "%v", err)
+	}
+	if t.jobs[ch.Job.ID] != nil {
+		return accept(offset, ch)
+	}
+	if ch.Base < t.horizon {
+		return refuse(offset, ch, structs.CodeConflict, "job %s: based on position %d, jobs up to %d are forgotten", ch.Job.ID, ch.Base, t.horizon)
+	}
+	t.jobs[ch.Job.ID] = &Job{Job: *ch.Job, Accepted: offset, Ends: map[int]structs.AllocState{}}
+	return accept(offset, ch)
+}
+
+// applyCancel cancels the jobs that were accepted at or before the author's read
+// position, so that a late repeat does not reach jobs submitted since.
+func (t *Jobs) applyCancel(offset int64, ch Change) Result {
+	if ch.Filter == nil || ch.Filter.Validate() != nil {
+		return refuse(offset, ch, structs.CodeInvalid, "job_cancel without a filter")
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+		j := t.jobs[id]
+		if j.Ended() || j.Accepted > ch.Base || !ch.Filter.Match(j.Job) {
+			continue
+		}
+		j.Cancelled = true
+		t.end(id, j, offset)
+	}
+	return accept(offset, ch)
+}
+
+func (t *Jobs) applyPark(offset int64, ch Change) Result {
+	j := t.jobs[ch.JobID]
+	if j == nil {
+		return refuse(offset, ch, structs.CodeNotFound, "job %s", ch.JobID)
+	}
+	if !j.Ended() {
+		j.Parked = ch.Reason
+		t.end(ch.JobID, j, offset)
+	}
+	return accept(offset, ch)
+}
+
+func (t *Jobs) applyEnds(offset int64, ch Change) Result {
+	j := t.jobs[ch.JobID]
+	if j == nil {
+		return refuse(offset, ch, structs.CodeNotFound, "job %s", ch.JobID)
+	}
+	for _, e := range ch.Ends {
+		if e.Index < 0 || e.Index >= j.Job.Count {
+			continue
+		}
+		if _, settled := j.Ends[e.Index]; !settled {
+			j.Ends[e.Index] = e.State
+		}
+	}
+	if !j.Ended() && len(j.Ends) == j.Job.Count {
+		t.end(ch.JobID, j, offset)
+	}
+	return accept(offset, ch)
+}
+
+// end marks a job as ended and forgets the oldest ended ones past the bound.
+func (t *Jobs) end(id string, j *Job, offset int64) {
+	j.EndedAt = offset
+	t.ended = append(t.ended, id)
+	for len(t.ended) > endedKept {
+		oldest := t.ended[0]
+		t.horizon = max(t.horizon, t.jobs[oldest].EndedAt)
+		delete(t.jobs, oldest)
+		t.ended = t.ended[1:]
+	}
+}
+
+// Snapshot returns the whole table.
+func (t *Jobs) Snapshot() JobsSnapshot {
+	s := JobsSnapshot{Next: t.next, Horizon: t.horizon, Ended: slices.Clone(t.ended)}
+	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+		j := *t.jobs[id]
+		j.Ends = maps.Clone(j.Ends)
+		s.Jobs = append(s.Jobs, j)
+	}
+	return s
+}
+
+// RestoreJobs returns the table that a snapshot describes.
+func RestoreJobs(s JobsSnapshot) *Jobs {
+	t := NewJobs()
+	t.next = s.Next
+	t.horizon = s.Horizon
+	t.ended = slices.Clone(s.Ended)
+	for i := range s.Jobs {
+		j := s.Jobs[i]
+		if j.Ends == nil {
+			j.Ends = map[int]structs.AllocState{}
+		}
+		t.jobs[j.Job.ID] = &j
+	}
+	return t
+}
