--- /dev/null
+++ b/internal/journal/follower.go
@@ -0,0 +1,100 @@
+// Package journal follows the streams of the platform's log and appends to them:
+// a follower reads a stream in order, a committer appends changes in groups.
+package journal
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dotterelhitch/internal/platformlog"
+	"dotterelhitch/internal/structs"
+)
+
+// Bounds of a read.
+const (
+	readRecords = 256
+	readWait    = 1 * time.Second
+)
+
+// Page is the outcome of one read.
+type Page struct {
+	// Start is when the read began; what the page shows was current then.
+	Start   time.Time
+	First   int64
+	Next    int64
+	Records []platformlog.Record
+	// Tail is true if the page ends at the end of the stream.
+	Tail bool
+}
+
+// Source reads a stream; age is how long ago the answer was current when the call
+// began, zero for the log itself.
+type Source interface {
+	Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (b platformlog.Batch, age time.Duration, err error)
+}
+
+// Follower reads one stream in order.
+type Follower struct {
+	source Source
+	stream string
+	logger *slog.Logger
+	// deliver takes a page and returns the offset to read next.
+	deliver func(Page) int64
+}
+
+// NewFollower returns a follower that hands each page to deliver.
+func NewFollower(source Source, stream string, deliver func(Page) int64, logger *slog.Logger) *Follower {
+	return &Follower{source: source, stream: stream, deliver: deliver, logger: logger}
+}
+
+// Run reads from the given offset until ctx ends.
+func (f *Follower) Run(ctx context.Context, from int64) {
+	wait := retryShortest
+	poll := time.Duration(0)
+	for ctx.Err() == nil {
+		start := time.Now()
+		batch, age, err := f.source.Read(ctx, f.stream, from, readRecords, poll)
+		if err != nil {
+			f.report(ctx, err)
+			sleep(ctx, wait)
+			wait = min(2*wait, retryLongest)
+			continue
+		}
+		wait = retryShortest
+		page := Page{
+			Start:   start.Add(-age),
+			First:   batch.First,
+			Next:    batch.Next,
+			Records: batch.Records,
+			Tail:    endsAtTail(batch, from),
+		}
+		from = f.deliver(page)
+		poll = 0
+		if page.Tail {
+			poll = readWait
+		}
+	}
+}
+
+func endsAtTail(b platformlog.Batch, from int64) bool {
+	if len(b.Records) == 0 {
+		return b.Next <= max(from, b.First)
+	}
+	return b.Records[len(b.Records)-1].Offset+1 >= b.Next
+}
+
+func (f *Follower) report(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		f.logger.Warn("read failed", "stream", f.stream, "code", string(structs.CodeOf(err)), "error", err.Error())
+	}
+}
+
+// Direct reads from the log service itself.
+type Direct struct{ Log *platformlog.Client }
+
+// Read implements Source.
+func (d Direct) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (platformlog.Batch, time.Duration, error) {
+	b, err := d.Log.Read(ctx, stream, from, max, wait)
+	return b, 0, err
+}
--- /dev/null
+++ b/internal/orchestrator/collect.go
@@ -0,0 +1,123 @@
+package orchestrator
+
+import (
+	"slices"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Collection is one round of asking every worker's owner what it runs of some
+// jobs. Runs that nobody reports, when every worker is accounted for, run nowhere.
+type Collection struct {
+	// Jobs are the jobs asked about.
+	Jobs []string
+	// open holds the tasks that the round decides, as they were at its start.
+	open map[string]map[int]int
+}
+
+// Found is a run that an owner reported.
+type Found struct {
+	Job    string
+	Ref    Ref
+	State  structs.AllocState
+	Member string
+}
+
+// Collect begins a round for the jobs that need one, nil if none does. recheck
+// asks again about every task, since an owner was lost.
+func (o *Orchestrator) Collect() *Collection {
+	c := &Collection{open: map[string]map[int]int{}}
+	for id, j := range o.jobs {
+		if !j.collect {
+			continue
+		}
+		c.Jobs = append(c.Jobs, id)
+		c.open[id] = j.open()
+	}
+	if len(c.Jobs) == 0 {
+		return nil
+	}
+	slices.Sort(c.Jobs)
+	return c
+}
+
+// Recheck asks for an inventory of every job, since a worker's owner was lost and
+// may have promised a start that it did not make.
+func (o *Orchestrator) Recheck() {
+	for _, j := range o.jobs {
+		if j.count[placed]+j.count[doubt] > 0 {
+			j.collect = true
+		}
+	}
+}
+
+// open returns the attempts of the tasks that an inventory decides.
+func (j *job) open() map[int]int {
+	out := map[int]int{}
+	for i, t := range j.tasks {
+		if t.phase == doubt || t.phase == placed {
+			out[i] = t.attempt
+		}
+	}
+	return out
+}
+
+// Collected takes the outcome of a round. complete says that no worker was left
+// unaccounted for; otherwise the tasks that were not found stay in doubt and the
+// jobs need another round. Runs that have ended are to be reported as usual.
+func (o *Orchestrator) Collected(c *Collection, found []Found, complete bool) {
+	seen := map[string]map[int]bool{}
+	for _, f := range found {
+		j := o.jobs[f.Job]
+		if j == nil || f.Ref.Index < 0 || f.Ref.Index >= len(j.tasks) {
+			continue
+		}
+		if seen[f.Job] == nil {
+			seen[f.Job] = map[int]bool{}
+		}
+		if j.noteFound(f) {
+			seen[f.Job][f.Ref.Index] = true
+		}
+	}
+	for _, id := range c.Jobs {
+		if j := o.jobs[id]; j != nil {
+			j.closeRound(c.open[id], seen[id], complete)
+		}
+	}
+}
+
+// noteFound keeps a run that was found and reports whether it stands for its task.
+func (j *job) noteFound(f Found) bool {
+	t := &j.tasks[f.Ref.Index]
+	if f.Ref.Attempt > t.attempt {
+		t.attempt = f.Ref.Attempt
+	}
+	if t.phase == doubt && f.Ref.Attempt == t.attempt && !f.State.Terminal() {
+		t.worker = f.Ref.Worker
+		j.move(f.Ref.Index, placed)
+	}
+	return f.Ref.Attempt == t.attempt
+}
+
+// closeRound decides the tasks that nobody reported.
+func (j *job) closeRound(open map[int]int, seen map[int]bool, complete bool) {
+	if !complete {
+		return
+	}
+	j.collect = false
+	for index, attempt := range open {
+		t := &j.tasks[index]
+		if seen[index] || t.attempt != attempt {
+			continue
+		}
+		if t.phase == doubt || t.phase == placed {
+			j.move(index, pending)
+		}
+	}
+	if j.count[doubt] > 0 {
+		j.collect = true
+	}
+	if j.spec.Kind == structs.KindGang && j.count[pending] > 0 && j.live() > 0 {
+		j.stopAll = true
+	}
+}
--- /dev/null
+++ b/internal/orchestrator/job.go
@@ -0,0 +1,176 @@
+// Package orchestrator is the decision part of a job's owner: which tasks wait,
+// where the others are, what a lost answer leaves in doubt, and what the log has
+// to be told. It is pure: the entry's control goroutine calls it, passes the time
+// in and carries out what it returns.
+package orchestrator
+
+import (
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+// phase is where a task stands for its job's owner.
+type phase uint8
+
+const (
+	// pending: runs nowhere, waits for a placement.
+	pending phase = iota
+	// placing: a placement call is on its way.
+	placing
+	// doubt: may run somewhere; an inventory has to tell.
+	doubt
+	// placed: on a worker, as far as the worker's owner has said.
+	placed
+	// ending: ended, the log has still to be told.
+	ending
+	// ended: the log has its end.
+	ended
+	phases
+)
+
+// task is one task of an owned job.
+type task struct {
+	phase   phase
+	attempt int
+	worker  string
+	running bool
+	end     structs.AllocState
+	fails   int
+}
+
+// job is one owned job.
+type job struct {
+	spec  structs.Job
+	tasks []task
+	count [phases]int
+	// due is when the tasks have to have started to meet the class's target.
+	due time.Time
+	// retryAt is the earliest time of the next placement.
+	retryAt time.Time
+	backoff time.Duration
+	// failedOn are workers on which a task of the job failed.
+	failedOn map[string]bool
+	// collect asks for an inventory before tasks in doubt are decided.
+	collect bool
+	// stopAll is set for a gang that has to start over: its tasks are stopped
+	// before any is placed again.
+	stopAll   bool
+	cancelled bool
+	parked    string
+	started   time.Time
+	reason    string
+}
+
+func newJob(spec structs.Job, due time.Time) *job {
+	j := &job{spec: spec, due: due, tasks: make([]task, spec.Count), failedOn: map[string]bool{}}
+	j.count[pending] = spec.Count
+	return j
+}
+
+// move changes the phase of a task and keeps the counts.
+func (j *job) move(index int, to phase) {
+	t := &j.tasks[index]
+	j.count[t.phase]--
+	t.phase = to
+	j.count[to]++
+	if to == pending || to == doubt {
+		t.running = false
+	}
+}
+
+// over reports whether nothing more is to be started.
+func (j *job) over() bool { return j.cancelled || j.parked != "" }
+
+// live is the number of tasks that may run somewhere.
+func (j *job) live() int { return j.count[placing] + j.count[doubt] + j.count[placed] }
+
+// waiting reports whether tasks may be placed now.
+func (j *job) waiting() bool {
+	if j.over() || j.count[pending] == 0 || j.stopAll {
+		return false
+	}
+	if j.spec.Kind == structs.KindGang {
+		return j.live() == 0
+	}
+	return true
+}
+
+// state returns the job's state for status calls.
+func (j *job) state() structs.JobState {
+	switch {
+	case j.cancelled:
+		return structs.JobCancelled
+	case j.parked != "":
+		return structs.JobFailed
+	case j.count[ended]+j.count[ending] == len(j.tasks):
+		return structs.JobComplete
+	case j.count[placed]+j.count[ending]+j.count[ended] == len(j.tasks):
+		return structs.JobRunning
+	default:
+		return structs.JobPending
+	}
+}
+
+// status renders the job; allocations are listed up to maxAllocsShown.
+func (j *job) status(now time.Time) structs.JobStatus {
+	s := structs.JobStatus{
+		Job:     j.spec,
+		State:   j.state(),
+		Pending: j.count[pending] + j.count[placing] + j.count[doubt],
+		Running: j.count[placed],
+		Late:    j.count[pending] > 0 && !j.over() && now.After(j.due),
+	}
+	for i := range j.tasks {
+		j.addTask(&s, i)
+	}
+	if !j.started.IsZero() {
+		s.StartedMs = j.started.UnixMilli()
+	}
+	if j.reason != "" && s.Pending > 0 {
+		s.Reasons = append(s.Reasons, j.reason)
+	}
+	if j.parked != "" {
+		s.Reasons = append(s.Reasons, j.parked)
+	}
+	if j.count[doubt] > 0 {
+		s.Reasons = append(s.Reasons, "some tasks may run on workers that do not answer")
+	}
+	return s
+}
+
+// maxAllocsShown bounds the allocations in a status answer.
+const maxAllocsShown = 200
+
+func (j *job) addTask(s *structs.JobStatus, index int) {
+	t := j.tasks[index]
+	switch {
+	case t.phase == ending || t.phase == ended:
+		countEnd(s, t.end)
+	case t.phase == placed && len(s.Allocs) < maxAllocsShown:
+		state := structs.AllocStarting
+		if t.running {
+			state = structs.AllocRunning
+		}
+		s.Allocs = append(s.Allocs, structs.Alloc{
+			Task:    structs.NewTaskID(j.spec.ID, index),
+			Attempt: t.attempt,
+			Worker:  t.worker,
+			Class:   j.spec.Class,
+			Team:    j.spec.Team,
+			Size:    j.spec.Size,
+			State:   state,
+		})
+	}
+}
+
+func countEnd(s *structs.JobStatus, end structs.AllocState) {
+	switch end {
+	case structs.AllocComplete:
+		s.Complete++
+	case structs.AllocFailed:
+		s.Failed++
+	default:
+		s.Cancelled++
+	}
+}
--- /dev/null
+++ b/internal/orchestrator/orchestrator.go
@@ -0,0 +1,414 @@
+package orchestrator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// Rules of retries.
+const (
+	// MaxFailures is the number of failed runs of one task after which its job
+	// is parked.
+	MaxFailures     = 3
+	backoffShortest = 20 * time.Millisecond
+	backoffLongest  = time.Second
+	// DefaultStartWithin stands in for a class that states no start target.
+	DefaultStartWithin = time.Minute
+)
+
+// Orchestrator holds the jobs that this entry owns. It belongs to the control
+// goroutine.
+type Orchestrator struct {
+	jobs map[string]*job
+}
+
+// New returns an orchestrator that owns nothing.
+func New() *Orchestrator { return &Orchestrator{jobs: map[string]*job{}} }
+
+// Ref is one run of a task, with its worker where it is known.
+type Ref struct {
+	Index   int
+	Attempt int
+	Worker  string
+}
+
+// Order is a placement to ask for.
+type Order struct {
+	Job   structs.Job
+	Tasks []Ref
+	// Slack is the time left to the class's target, negative if late.
+	Slack time.Duration
+	// Avoid are workers on which tasks of the job failed.
+	Avoid []string
+}
+
+// Gain takes over a job. fresh says that nobody can have placed a task of it
+// before, so that no inventory is needed.
+func (o *Orchestrator) Gain(sj *state.Job, class structs.Class, fresh bool) {
+	if o.jobs[sj.Job.ID] != nil || sj.Ended() {
+		return
+	}
+	j := newJob(sj.Job, dueTime(sj.Job, class))
+	for index, end := range sj.Ends {
+		j.tasks[index].end = end
+		j.move(index, ended)
+	}
+	if !fresh {
+		j.collect = true
+		for i := range j.tasks {
+			if j.tasks[i].phase == pending {
+				j.move(i, doubt)
+			}
+		}
+	}
+	o.jobs[sj.Job.ID] = j
+}
+
+// dueTime is when the tasks of a job have to have started.
+func dueTime(spec structs.Job, class structs.Class) time.Time {
+	accepted := time.UnixMilli(spec.AcceptedMs)
+	target := class.Target
+	switch {
+	case target.StartWithin > 0:
+		return accepted.Add(target.StartWithin.D())
+	case target.FinishWithin > 0:
+		return accepted.Add(target.FinishWithin.D() - spec.RunTime.D())
+	default:
+		return accepted.Add(DefaultStartWithin)
+	}
+}
+
+// Drop forgets a job that is another's or has ended.
+func (o *Orchestrator) Drop(id string) { delete(o.jobs, id) }
+
+// Owns reports whether the job is held.
+func (o *Orchestrator) Owns(id string) bool { return o.jobs[id] != nil }
+
+// IDs returns the held jobs in order.
+func (o *Orchestrator) IDs() []string { return slices.Sorted(maps.Keys(o.jobs)) }
+
+// Len is the number of held jobs.
+func (o *Orchestrator) Len() int { return len(o.jobs) }
+
+// Waiting is the number of tasks that wait for a placement.
+func (o *Orchestrator) Waiting() int {
+	n := 0
+	for _, j := range o.jobs {
+		if !j.over() {
+			n += j.count[pending]
+		}
+	}
+	return n
+}
+
+// Status returns the state of a held job.
+func (o *Orchestrator) Status(id string, now time.Time) (structs.JobStatus, bool) {
+	j := o.jobs[id]
+	if j == nil {
+		return structs.JobStatus{}, false
+	}
+	return j.status(now), true
+}
+
+// Late counts the tasks of each class that wait past their target.
+func (o *Orchestrator) Late(now time.Time) map[string]int {
+	late := map[string]int{}
+	for _, j := range o.jobs {
+		if j.count[pending] > 0 && !j.over() && now.After(j.due) {
+			late[j.spec.Class] += j.count[pending]
+		}
+	}
+	return late
+}
+
+// Due returns placements to ask for now, the least slack first, at most limit
+// tasks in all (a gang counts whole). Their tasks are taken as being placed until
+// Placed is called.
+func (o *Orchestrator) Due(now time.Time, limit int) []Order {
+	var ready []*job
+	for _, j := range o.jobs {
+		if j.waiting() && !now.Before(j.retryAt) {
+			ready = append(ready, j)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *job) int {
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.spec.ID, b.spec.ID))
+	})
+	var orders []Order
+	for _, j := range ready {
+		if limit <= 0 {
+			break
+		}
+		order := j.order(now, limit)
+		limit -= len(order.Tasks)
+		orders = append(orders, order)
+	}
+	return orders
+}
+
+func (j *job) order(now time.Time, limit int) Order {
+	order := Order{
+		Job:   j.spec,
+		Slack: j.due.Sub(now),
+		Avoid: slices.Sorted(maps.Keys(j.failedOn)),
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase != pending {
+			continue
+		}
+		if len(order.Tasks) >= limit && j.spec.Kind != structs.KindGang {
+			break
+		}
+		t.attempt++
+		j.move(i, placing)
+		order.Tasks = append(order.Tasks, Ref{Index: i, Attempt: t.attempt})
+	}
+	return order
+}
+
+// Placed takes the answer to a placement: placed tasks are on their worker, those
+// in doubt may be, the others certainly are not.
+func (o *Orchestrator) Placed(id string, asked, done, inDoubt []Ref, reason error, now time.Time) {
+	j := o.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, r := range done {
+		j.settlePlacing(r, placed)
+	}
+	for _, r := range inDoubt {
+		j.settlePlacing(r, doubt)
+	}
+	if j.count[doubt] > 0 {
+		j.collect = true
+	}
+	back := 0
+	for _, r := range asked {
+		if j.settlePlacing(r, pending) {
+			back++
+		}
+	}
+	j.noteBackoff(back, len(done), reason, now)
+	if j.spec.Kind == structs.KindGang && back > 0 && j.live() > 0 {
+		j.stopAll = true
+	}
+}
+
+// settlePlacing moves a task out of placing if it still is the same run.
+func (j *job) settlePlacing(r Ref, to phase) bool {
+	t := &j.tasks[r.Index]
+	if t.phase != placing || t.attempt != r.Attempt {
+		return false
+	}
+	t.worker = r.Worker
+	j.move(r.Index, to)
+	return true
+}
+
+func (j *job) noteBackoff(back, done int, reason error, now time.Time) {
+	if back == 0 {
+		j.backoff = 0
+		return
+	}
+	if reason != nil {
+		j.reason = structs.AsError(reason).Error()
+	}
+	if done > 0 {
+		j.backoff = 0
+	}
+	j.backoff = min(max(2*j.backoff, backoffShortest), backoffLongest)
+	j.retryAt = now.Add(j.backoff)
+}
+
+// Verdict is what to do with a report.
+type Verdict uint8
+
+// The verdicts on a report.
+const (
+	// Wait: keep reporting, the end is not in the log yet.
+	Wait Verdict = iota
+	// Forget: the worker may forget the run.
+	Forget
+	// Stop: the run should not exist; stop it.
+	Stop
+	// Noted: the run goes on.
+	Noted
+)
+
+// Report takes what a worker's owner says of a run. An end to be written to the
+// log is returned with settle set.
+func (o *Orchestrator) Report(id string, r Ref, st structs.AllocState, now time.Time) (v Verdict, settle bool) {
+	j := o.jobs[id]
+	if j == nil || r.Index < 0 || r.Index >= len(j.tasks) {
+		return Wait, false
+	}
+	t := &j.tasks[r.Index]
+	if !st.Terminal() {
+		return j.reportRunning(r, now), false
+	}
+	if t.attempt != r.Attempt {
+		return j.reportOther(r, st)
+	}
+	switch t.phase {
+	case ended:
+		return Forget, false
+	case ending:
+		return Wait, false
+	case pending:
+		return Forget, false
+	}
+	return j.reportEnd(r, st)
+}
+
+// reportOther takes the end of a run other than the latest known. While the task
+// is in doubt, a later run than the known one may exist, so only a good end counts.
+func (j *job) reportOther(r Ref, st structs.AllocState) (Verdict, bool) {
+	t := &j.tasks[r.Index]
+	if t.phase != doubt || r.Attempt < t.attempt {
+		return Forget, false
+	}
+	if st == structs.AllocComplete && j.spec.Kind != structs.KindService {
+		return j.reportEnd(r, st)
+	}
+	return Wait, false
+}
+
+func (j *job) reportRunning(r Ref, now time.Time) Verdict {
+	t := &j.tasks[r.Index]
+	switch {
+	case j.over():
+		return Stop
+	case t.phase == doubt && r.Attempt >= t.attempt:
+		t.attempt = r.Attempt
+		j.move(r.Index, placed)
+	case t.phase == placing && r.Attempt == t.attempt:
+		return Noted
+	case t.phase != placed || t.attempt != r.Attempt:
+		return Stop
+	}
+	t.worker = r.Worker
+	t.running = true
+	j.noteStarted(now)
+	return Noted
+}
+
+func (j *job) noteStarted(now time.Time) {
+	if j.started.IsZero() && j.count[pending]+j.count[placing]+j.count[doubt] == 0 {
+		j.started = now
+	}
+}
+
+// reportEnd decides between an end for good and another run.
+func (j *job) reportEnd(r Ref, st structs.AllocState) (Verdict, bool) {
+	t := &j.tasks[r.Index]
+	t.attempt = max(t.attempt, r.Attempt)
+	if j.over() {
+		j.move(r.Index, pending)
+		return Forget, false
+	}
+	if st == structs.AllocComplete && j.spec.Kind != structs.KindService {
+		t.end = st
+		j.move(r.Index, ending)
+		return Wait, true
+	}
+	if st != structs.AllocStopped {
+		t.fails++
+		j.failedOn[r.Worker] = true
+	}
+	j.move(r.Index, pending)
+	if j.spec.Kind == structs.KindGang && j.live() > 0 {
+		j.stopAll = true
+	}
+	return Forget, false
+}
+
+// Settled takes the ends that the log now holds.
+func (o *Orchestrator) Settled(id string, ends []state.TaskEnd) {
+	j := o.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, e := range ends {
+		if e.Index < 0 || e.Index >= len(j.tasks) {
+			continue
+		}
+		j.tasks[e.Index].end = e.State
+		j.move(e.Index, ended)
+	}
+}
+
+// End marks a job as cancelled or parked: what still runs has to be stopped.
+func (o *Orchestrator) End(id string, cancelled bool, parked string) {
+	j := o.jobs[id]
+	if j == nil {
+		return
+	}
+	j.cancelled = cancelled
+	j.parked = parked
+}
+
+// Park returns a job's reason to be given up, empty if there is none.
+func (o *Orchestrator) Park(id string) string {
+	j := o.jobs[id]
+	if j == nil || j.over() {
+		return ""
+	}
+	for i := range j.tasks {
+		if j.tasks[i].fails >= MaxFailures {
+			return fmt.Sprintf("task %d failed %d times, last on worker %s", i, j.tasks[i].fails, j.tasks[i].worker)
+		}
+	}
+	return ""
+}
+
+// Finished returns the jobs for which nothing is left to do.
+func (o *Orchestrator) Finished() []string {
+	var out []string
+	for id, j := range o.jobs {
+		gone := j.live() == 0 && j.count[ending] == 0
+		if gone && (j.over() || j.count[ended] == len(j.tasks)) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Stops returns runs that have to be stopped, by job.
+func (o *Orchestrator) Stops() map[string][]Ref {
+	out := map[string][]Ref{}
+	for id, j := range o.jobs {
+		if !j.over() && !j.stopAll {
+			continue
+		}
+		if j.stopAll && j.live() == 0 {
+			j.stopAll = false
+			continue
+		}
+		for i, t := range j.tasks {
+			if t.phase == placed {
+				out[id] = append(out[id], Ref{Index: i, Attempt: t.attempt, Worker: t.worker})
+			}
+		}
+	}
+	return out
+}
+
+// Stopped takes the word that a run certainly does not run any more.
+func (o *Orchestrator) Stopped(id string, r Ref) {
+	j := o.jobs[id]
+	if j == nil || r.Index < 0 || r.Index >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[r.Index]
+	if t.attempt == r.Attempt && (t.phase == placed || t.phase == doubt) {
+		j.move(r.Index, pending)
+	}
+}
