--- /dev/null
+++ b/internal/caller/options.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/httpx"
+)
+
+// Bounds of the callers' interface.
+const (
+	// MaxDeadline bounds the time that a caller may ask the system to try.
+	MaxDeadline = 60 * time.Second
+	// MaxJobWait bounds the wait of one job status call.
+	MaxJobWait = 60 * time.Second
+
+	defaultDeadline    = 5 * time.Second
+	defaultConnections = 2048
+	defaultInFlight    = 1024
+	defaultWaiting     = 512
+	defaultBodyWithin  = 5 * time.Second
+	defaultWriteWithin = 5 * time.Second
+
+	maxJobBytes      = 64 << 10
+	maxClientIDBytes = 128
+	maxJobIDBytes    = 128
+	retryWhenFull    = 200 * time.Millisecond
+)
+
+// Options configure a Server. A zero member takes its default.
+type Options struct {
+	// Connections bounds the open connections.
+	Connections int
+	// InFlight bounds the requests and changes that the backend works on.
+	InFlight int
+	// Waiting bounds the job status calls that wait.
+	Waiting int
+	// BodyWithin bounds the time in which a caller must send its body.
+	BodyWithin time.Duration
+	// WriteWithin bounds the time in which a caller must take its answer.
+	WriteWithin time.Duration
+	// Deadline is that of a request that names none.
+	Deadline time.Duration
+	// Keys are the shared keys asked of callers; empty for none.
+	Keys httpx.Keys
+	// Ready tells whether the entry serves; nil for always.
+	Ready func() error
+	// NewID makes request IDs and change IDs.
+	NewID func() string
+	// Clock stamps the answers; nil for no stamps.
+	Clock *event.Clock
+	// Metrics gets the counters; nil for a set of its own.
+	Metrics *metrics.Set
+}
+
+func (o Options) withDefaults() Options {
+	o.Connections = orDefault(o.Connections, defaultConnections)
+	o.InFlight = orDefault(o.InFlight, defaultInFlight)
+	o.Waiting = orDefault(o.Waiting, defaultWaiting)
+	o.BodyWithin = orDefault(o.BodyWithin, defaultBodyWithin)
+	o.WriteWithin = orDefault(o.WriteWithin, defaultWriteWithin)
+	o.Deadline = orDefault(o.Deadline, defaultDeadline)
+	if o.Ready == nil {
+		o.Ready = func() error { return nil }
+	}
+	if o.NewID == nil {
+		o.NewID = uuid.NewString
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	return o
+}
+
+func orDefault[T int | time.Duration](v, def T) T {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
