--- a/internal/command/cli/exit.go
+++ b/internal/command/cli/exit.go
@@ -36,11 +36,17 @@
 	structs.CodeUnavailable:  ExitUnavailable,
 	structs.CodeUnauthorized: ExitUnauthorized,
 	CodeFailed:               ExitFailed,
+	CodeNotRun:               ExitNotRun,
 }
 
-// CodeFailed is the type of a failure that a command reports of the work it was
-// asked about: a job that failed, settings with problems, a broken invariant.
-const CodeFailed structs.Code = "failed"
+// The types of failure that arise in a command only.
+const (
+	// CodeFailed is a failure of the work that a command was asked about: a job
+	// that failed, settings with problems, a broken invariant.
+	CodeFailed structs.Code = "failed"
+	// CodeNotRun is a request that certainly was not run.
+	CodeNotRun structs.Code = "not_run"
+)
 
 // ExitCode returns the exit code that goes with a failure.
 func ExitCode(err error) int {
--- /dev/null
+++ b/internal/command/hitch/caller_client.go
@@ -0,0 +1,59 @@
+package hitch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/structs"
+)
+
+// callerClients returns a client for each of the callers' addresses.
+func (g *globals) callerClients() ([]*caller.Client, error) {
+	servers, err := addresses(g.callers, callerEnv, "--caller")
+	if err != nil {
+		return nil, err
+	}
+	client := newHTTPClient()
+	clients := make([]*caller.Client, len(servers))
+	for i, server := range servers {
+		clients[i] = &caller.Client{Base: server, HTTP: client}
+	}
+	return clients, nil
+}
+
+// withCaller calls f with one entry after the other until one answers, within
+// the timeout. f must be harmless when repeated.
+func withCaller(cmd *cobra.Command, g *globals, f func(context.Context, *caller.Client) error) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), g.timeout)
+	defer cancel()
+	clients, err := g.callerClients()
+	if err != nil {
+		return err
+	}
+	for i, client := range clients {
+		err = f(ctx, client)
+		if !otherEntryMayAnswer(err) || i == len(clients)-1 {
+			return err
+		}
+	}
+	return err
+}
+
+// otherEntryMayAnswer reports whether the failure is of the entry that was
+// asked, not of the thing that was asked for.
+func otherEntryMayAnswer(err error) bool {
+	codes := []structs.Code{structs.CodeUnavailable, structs.CodeDraining, structs.CodeBehind, structs.CodeNotOwner}
+	return slices.Contains(codes, structs.CodeOf(err))
+}
+
+// readBody returns the body from an argument or, for "-", from the input.
+func readBody(cmd *cobra.Command, arg string) ([]byte, error) {
+	if arg != "-" {
+		return []byte(arg), nil
+	}
+	return httpx.ReadLimited(cmd.InOrStdin(), structs.MaxRequestBytes)
+}
--- a/internal/command/hitch/root.go
+++ b/internal/command/hitch/root.go
@@ -62,6 +62,8 @@
 		newQuotaCommand(g),
 		newLeavingCommand(g),
 		newStatusCommand(g),
+		newJobCommand(g),
+		newRequestCommand(g),
 		newExplainCommand(g),
 		newCheckCommand(),
 	)
