--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -47,6 +47,10 @@
 		c.pool.drop(cn)
 		return unsent(err), false
 	}
+	if err := f.check(); err != nil {
+		c.pool.drop(cn)
+		return unsent(err), false
+	}
 	end := cn.begin(ctx, deadline)
 	if err := req.Write(cn); err != nil {
 		end()
--- a/internal/endpoint/result.go
+++ b/internal/endpoint/result.go
@@ -20,6 +20,17 @@
 type Fence struct {
 	Epoch int64
 	Owner string
+	// Check is called after a connection is there and before the first byte is
+	// sent; its failure is not run. Nil for none. It keeps the time between the
+	// check of an owner's authority and the dispatch short.
+	Check func() error
+}
+
+func (f Fence) check() error {
+	if f.Check == nil {
+		return nil
+	}
+	return f.Check()
 }
 
 // Result is what became of one attempt.
