--- /dev/null
+++ b/internal/entry/agent.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/worker"
+)
+
+// Bounds of an agent's calls.
+const (
+	agentCallTimeout = 2 * time.Second
+	inventoryWait    = 2 * time.Second
+	inventoryPause   = 20 * time.Millisecond
+	agentRetry       = 200 * time.Millisecond
+)
+
+// agent carries the traffic between one owned worker and the control goroutine:
+// it raises the fence, reads inventories, renews leases, and sends what is to be
+// started, stopped and forgotten, several tasks to a call.
+type agent struct {
+	e      *Entry
+	info   structs.Worker
+	client *worker.Client
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	epoch   int64
+	fenced  bool
+	starts  []startJob
+	stops   []stopJob
+	forgets []worker.TaskRef
+	wake    chan struct{}
+	// refence asks for the fence to be raised anew.
+	refence chan struct{}
+}
+
+type startJob struct {
+	task worker.TaskStart
+	done func(fleet.Key, error)
+}
+
+type stopJob struct {
+	task       worker.TaskRef
+	checkpoint bool
+	done       func(fleet.Key, error)
+}
+
+func newAgent(e *Entry, w structs.Worker, cancel context.CancelFunc) *agent {
+	return &agent{
+		e:       e,
+		info:    w,
+		client:  worker.New(worker.Config{Addr: w.Addr, Keys: e.settings.Auth.PlatformKeys, Clock: e.clock, Timeout: agentCallTimeout}),
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		refence: make(chan struct{}, 1),
+	}
+}
+
+// run works for the worker until ctx ends.
+func (a *agent) run(ctx context.Context, epoch int64) {
+	a.epoch = epoch
+	var loops sync.WaitGroup
+	loops.Go(func() { a.commandLoop(ctx) })
+	loops.Go(func() { a.leaseLoop(ctx) })
+	for ctx.Err() == nil {
+		seq, ok := a.fence(ctx)
+		if !ok {
+			pause(ctx, agentRetry)
+			continue
+		}
+		a.watch(ctx, seq)
+	}
+	loops.Wait()
+	a.drop()
+}
+
+// command returns what every command bears, and whether the fence is raised.
+func (a *agent) command() (worker.Command, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return worker.Command{Epoch: a.epoch, Owner: a.e.member.ID}, a.fenced
+}
+
+// fence raises the fence and hands the inventory to the control goroutine.
+func (a *agent) fence(ctx context.Context) (seq int64, ok bool) {
+	cmd, _ := a.command()
+	start := time.Now()
+	inv, err := a.client.Fence(ctx, cmd)
+	if structs.CodeOf(err) == structs.CodeStaleEpoch {
+		a.stale()
+		return 0, false
+	}
+	if err != nil {
+		return 0, false
+	}
+	held := false
+	a.e.do(func() {
+		if held = a.e.core.holds(a.info.ID, cmd.Epoch); held {
+			a.e.core.fleet.Show(a.info.ID, inv, true, start, time.Now())
+		}
+	})
+	if !held {
+		return 0, false
+	}
+	a.e.events.Record(event.Event{Type: event.WorkerGained, Member: a.e.member.ID, Worker: a.info.ID, Epoch: cmd.Epoch})
+	a.setFenced(true)
+	a.kick()
+	return inv.Seq, true
+}
+
+// watch reads inventories until the fence has to be raised anew.
+func (a *agent) watch(ctx context.Context, seq int64) {
+	defer a.setFenced(false)
+	for ctx.Err() == nil {
+		select {
+		case <-a.refence:
+			return
+		default:
+		}
+		cmd, _ := a.command()
+		start := time.Now()
+		inv, err := a.client.Inventory(ctx, seq, inventoryWait)
+		if err != nil {
+			pause(ctx, agentRetry)
+			continue
+		}
+		if inv.Fence != cmd.Epoch || inv.Owner != cmd.Owner {
+			a.stale()
+			return
+		}
+		seq = inv.Seq
+		a.e.do(func() {
+			if a.e.core.holds(a.info.ID, cmd.Epoch) {
+				a.e.core.fleet.Show(a.info.ID, inv, false, start, time.Now())
+			}
+		})
+		pause(ctx, inventoryPause)
+	}
+}
+
+// leaseLoop renews the leases while the worker answers and the entry may.
+func (a *agent) leaseLoop(ctx context.Context) {
+	ticker := time.NewTicker(a.e.timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.renew(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *agent) renew(ctx context.Context) {
+	cmd, fenced := a.command()
+	if !fenced || !a.e.mayGrant() {
+		return
+	}
+	start := time.Now()
+	_, err := a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
+	if structs.CodeOf(err) == structs.CodeStaleEpoch {
+		a.stale()
+		return
+	}
+	if err == nil {
+		a.e.post(func() { a.e.core.fleet.Heard(a.info.ID, start, time.Now()) })
+	}
+}
+
+// stale asks the control goroutine what to do about a refused epoch.
+func (a *agent) stale() {
+	a.e.do(func() {
+		if next, ok := a.e.core.staleFence(a.info.ID, a.current()); ok {
+			a.regain(next)
+		}
+	})
+}
+
+func (a *agent) current() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch
+}
+
+// regain makes the agent raise the fence anew under an epoch.
+func (a *agent) regain(epoch int64) {
+	a.mu.Lock()
+	a.epoch = epoch
+	a.fenced = false
+	a.mu.Unlock()
+	select {
+	case a.refence <- struct{}{}:
+	default:
+	}
+}
+
+func (a *agent) setFenced(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fenced = on
+}
+
+func (a *agent) kick() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/orchestrator"
+	"dotterelhitch/internal/ownership"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// core is the control state of an entry. Only the control goroutine touches it.
+type core struct {
+	e *Entry
+
+	control *state.Control
+	bridge  *state.Bridge
+	// controlRead is when the last read of the control stream's tail began.
+	controlRead time.Time
+	caughtUp    bool
+	table       *ownership.Map
+	// tableSince is when this process read the record of the present epoch.
+	tableSince time.Time
+	joined     bool
+	draining   bool
+
+	// instances is the platform's list by ID, listed is its version.
+	instances map[string]structs.Worker
+	listed    int64
+	// goneEntries are members that the list shows as gone.
+	goneEntries map[string]bool
+
+	fleet  *fleet.Fleet
+	agents map[string]*agent
+
+	streams map[string]*jobStream
+	jobs    *orchestrator.Orchestrator
+	round   *round
+	// seq numbers this member's placement and inventory calls.
+	seq int64
+	// barrier is the seq of the last inventory call of each member.
+	barrier map[string]int64
+	stopped map[string]time.Time
+
+	peers map[string]*peerState
+	// waiters wait for the fold's result of a change.
+	waiters map[string][]chan state.Result
+	// jobWaiters wait for a job to end.
+	jobWaiters map[string][]chan struct{}
+
+	nextSchedule time.Time
+	alarms       map[structs.Code]string
+}
+
+// peerState is what is known of another member.
+type peerState struct {
+	digest   *peerv1.Digest
+	heard    time.Time
+	first    time.Time
+	draining bool
+	epoch    int64
+	// roundTrip is a smoothed time of an exchange.
+	roundTrip time.Duration
+	busy      bool
+}
+
+func newCore(e *Entry) *core {
+	t := e.timing
+	return &core{
+		e:           e,
+		control:     state.NewControl(),
+		table:       ownership.NewMap(ownership.Table{}),
+		instances:   map[string]structs.Worker{},
+		goneEntries: map[string]bool{},
+		fleet: fleet.New(fleet.Timing{
+			Lease:       t.Lease,
+			Authority:   t.Authority,
+			ClockMargin: t.ClockMargin,
+			Silent:      2 * t.Heartbeat,
+			ReportRetry: time.Second,
+		}),
+		agents:     map[string]*agent{},
+		streams:    map[string]*jobStream{},
+		jobs:       orchestrator.New(),
+		barrier:    map[string]int64{},
+		stopped:    map[string]time.Time{},
+		peers:      map[string]*peerState{},
+		waiters:    map[string][]chan state.Result{},
+		jobWaiters: map[string][]chan struct{}{},
+		alarms:     map[structs.Code]string{},
+	}
+}
+
+// tick is the periodic work of the control goroutine.
+func (c *core) tick(now time.Time) {
+	c.lapse(now)
+	c.report(now)
+	c.collect(now)
+	c.stopTasks(now)
+	c.schedule(now)
+	c.parkJobs()
+	c.dropFinished()
+}
+
+// alarm records a condition that an operator should look at; it is recorded once
+// until cleared.
+func (c *core) alarm(code structs.Code, detail string) {
+	if c.alarms[code] == detail {
+		return
+	}
+	c.alarms[code] = detail
+	c.e.events.Record(event.Event{Type: event.Alarm, Code: code, Detail: detail})
+	c.e.logger.Error("alarm", "code", string(code), "detail", detail)
+}
+
+func (c *core) clearAlarm(code structs.Code) { delete(c.alarms, code) }
+
+// self is this entry's member ID.
+func (c *core) self() string { return c.e.member.ID }
+
+// ownsJob reports whether this entry decides a job.
+func (c *core) ownsJob(id string) bool {
+	owner, ok := c.table.OwnerOfJob(id)
+	return ok && owner.ID == c.self()
+}
+
+// wait registers for the fold's result of a change.
+func (c *core) wait(changeID string) chan state.Result {
+	ch := make(chan state.Result, 1)
+	c.waiters[changeID] = append(c.waiters[changeID], ch)
+	return ch
+}
+
+func (c *core) resolve(r state.Result) {
+	for _, ch := range c.waiters[r.Change.ID] {
+		ch <- r
+	}
+	delete(c.waiters, r.Change.ID)
+}
+
+func (c *core) unwait(changeID string, ch chan state.Result) {
+	list := c.waiters[changeID]
+	for i, other := range list {
+		if other == ch {
+			c.waiters[changeID] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(c.waiters[changeID]) == 0 {
+		delete(c.waiters, changeID)
+	}
+}
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/journal"
+	"dotterelhitch/internal/ownership"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// followControl reads the control stream and joins the table once the end of the
+// stream was seen.
+func (e *Entry) followControl() {
+	committer := journal.NewCommitter(e.log, state.ControlStream, 0, e.logger)
+	e.traffic.control = committer
+	e.spawn(func() { committer.Run(e.ctx) })
+	follower := journal.NewFollower(journal.Direct{Log: e.log}, state.ControlStream, e.deliverControl, e.logger)
+	e.spawn(e.join)
+	follower.Run(e.ctx, 1)
+}
+
+// deliverControl folds a page of the control stream and returns the next offset.
+func (e *Entry) deliverControl(p journal.Page) int64 {
+	next := int64(1)
+	e.do(func() { next = e.core.takeControl(p) })
+	return next
+}
+
+func (c *core) takeControl(p journal.Page) int64 {
+	if p.First > c.control.Next() {
+		c.startBridge(p.First)
+	}
+	if c.bridge != nil {
+		return c.bridgeControl(p)
+	}
+	for _, r := range p.Records {
+		for _, result := range c.control.Apply(r.Offset, r.Data) {
+			c.noteControl(result)
+		}
+	}
+	if p.Tail {
+		c.controlRead = p.Start
+		c.caughtUp = true
+		c.clearAlarm(structs.CodeBehind)
+	}
+	return c.control.Next()
+}
+
+// startBridge begins the search for a snapshot, since records were removed before
+// they were read.
+func (c *core) startBridge(first int64) {
+	if c.bridge == nil || c.bridge.First < first {
+		c.bridge = &state.Bridge{First: first}
+	}
+}
+
+func (c *core) bridgeControl(p journal.Page) int64 {
+	for _, r := range p.Records {
+		table := c.bridge.Control(r.Data)
+		if table == nil {
+			continue
+		}
+		c.bridge = nil
+		c.control = table
+		c.retable()
+		return table.Next()
+	}
+	if p.Tail {
+		c.alarm(structs.CodeBehind, "the log has removed control records that no snapshot covers")
+	}
+	return max(p.First, lastOffset(p)+1)
+}
+
+func lastOffset(p journal.Page) int64 {
+	if len(p.Records) == 0 {
+		return 0
+	}
+	return p.Records[len(p.Records)-1].Offset
+}
+
+// noteControl acts on one folded change.
+func (c *core) noteControl(r state.Result) {
+	defer c.resolve(r)
+	if !r.Accepted {
+		return
+	}
+	switch r.Change.Type {
+	case state.MemberJoin:
+		c.noteMember(event.MemberJoined, r)
+	case state.MemberLeave:
+		c.noteMember(event.MemberLeft, r)
+	case state.MemberRemove:
+		c.noteMember(event.MemberRemoved, r)
+	case state.ClassSet, state.QuotaSet:
+		c.noteConfig(r)
+	case state.LeavingAdd, state.LeavingDrop:
+		c.noteConfig(r)
+		c.noteLeaving(r)
+	}
+}
+
+func (c *core) noteMember(t event.Type, r state.Result) {
+	c.e.events.Record(event.Event{Type: t, Member: r.Change.Member.ID, Epoch: r.Offset})
+	c.retable()
+}
+
+func (c *core) noteConfig(r state.Result) {
+	c.e.events.Record(event.Event{
+		Type:    event.ConfigInForce,
+		Member:  c.self(),
+		Version: r.Offset,
+		Detail:  string(r.Change.Type),
+	})
+}
+
+func (c *core) noteLeaving(r state.Result) {
+	instance := r.Change.Leaving.Instance
+	c.applyLeaving(instance)
+	if r.Change.Type == state.LeavingAdd {
+		c.e.events.Record(event.Event{Type: event.LeavingSeen, Member: c.self(), Worker: instance, Version: r.Offset})
+	}
+}
+
+// retable works out ownership anew after a change of the table.
+func (c *core) retable() {
+	now := time.Now()
+	before := c.table
+	c.table = ownership.NewMap(ownership.Table{Epoch: c.control.Epoch(), Members: c.control.Members()})
+	c.tableSince = now
+	wasIn := c.joined
+	c.joined = c.control.HasMember(c.self())
+	if wasIn && !c.joined {
+		c.expelled()
+		return
+	}
+	c.e.pool.Keep(c.control.Members())
+	c.forgetPeers()
+	if !c.joined {
+		return
+	}
+	c.assignWorkers(now)
+	c.assignStreams()
+	c.assignJobs()
+	c.fleet.Rereport(now)
+	if lost(before, c.table) {
+		c.jobs.Recheck()
+	}
+	c.round = nil
+}
+
+// lost reports whether a member of the table before is not in the one after.
+func lost(before, after *ownership.Map) bool {
+	for _, m := range before.Table().Members {
+		if !after.Table().Has(m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// expelled ends the process: a removed member is never taken back under its ID.
+func (c *core) expelled() {
+	if c.draining {
+		return
+	}
+	c.e.logger.Error("removed from the membership table", "epoch", c.control.Epoch())
+	c.e.stop()
+}
+
+func (c *core) forgetPeers() {
+	for id := range c.peers {
+		if !c.control.HasMember(id) {
+			delete(c.peers, id)
+			delete(c.barrier, id)
+		}
+	}
+	now := time.Now()
+	for _, m := range c.control.Members() {
+		if m.ID != c.self() && c.peers[m.ID] == nil {
+			c.peers[m.ID] = &peerState{first: now, heard: now}
+		}
+	}
+}
+
+// joinRetry is the pause after a lost race to join.
+const joinRetry = 100 * time.Millisecond
+
+// join appends this member's record until the fold shows it in the table.
+func (e *Entry) join() {
+	for e.ctx.Err() == nil {
+		var caughtUp, joined bool
+		var epoch int64
+		if !e.do(func() { caughtUp, joined, epoch = e.core.caughtUp, e.core.joined, e.core.control.Epoch() }) || joined {
+			return
+		}
+		if caughtUp {
+			member := e.member
+			ctx, cancel := context.WithTimeout(e.ctx, 5*time.Second)
+			_, _ = e.commitControl(ctx, state.Change{ID: uuid.NewString(), Type: state.MemberJoin, Base: epoch, Member: &member})
+			cancel()
+		}
+		pause(e.ctx, joinRetry)
+	}
+}
+
+// commitControl appends a change to the control stream and waits for the fold's
+// result. After an error of any type but CodeUnknown the change certainly has no
+// effect.
+func (e *Entry) commitControl(ctx context.Context, ch state.Change) (state.Result, error) {
+	return e.commit(ctx, e.traffic.control, ch)
+}
+
+func (e *Entry) commit(ctx context.Context, to *journal.Committer, ch state.Change) (state.Result, error) {
+	var wait chan state.Result
+	if !e.do(func() { wait = e.core.wait(ch.ID) }) {
+		return state.Result{}, errEnding()
+	}
+	defer e.post(func() { e.core.unwait(ch.ID, wait) })
+	if err := to.Submit(ctx, ch); err != nil {
+		return state.Result{}, err
+	}
+	select {
+	case r := <-wait:
+		return r, nil
+	case <-ctx.Done():
+		return state.Result{}, structs.NewError(structs.CodeUnknown, "change %s: not read back in time; it may still take effect", ch.ID)
+	case <-e.ctx.Done():
+		return state.Result{}, structs.NewError(structs.CodeUnknown, "change %s: the entry is shutting down; it may still take effect", ch.ID)
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// ready tells whether the entry may serve callers.
+func (e *Entry) ready() error {
+	var ok bool
+	e.do(func() { ok = e.core.joined && e.core.caughtUp && !e.core.draining })
+	if !ok {
+		return structs.NewError(structs.CodeBehind, "the entry has not joined the membership table")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/streams.go
@@ -0,0 +1,297 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/journal"
+	"dotterelhitch/internal/orchestrator"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// jobStream is a jobs stream that this entry's group decides: its own, and those
+// of groups that exist no more.
+type jobStream struct {
+	group     string
+	table     *state.Jobs
+	bridge    *state.Bridge
+	committer *journal.Committer
+	cancel    context.CancelFunc
+	caughtUp  bool
+	// mineSince is the offset from which on every accepted job was read under a
+	// table by which this entry decides the stream.
+	mineSince int64
+}
+
+// assignStreams follows the streams that the table gives to this entry's group.
+func (c *core) assignStreams() {
+	own, ok := c.table.GroupOfMember(c.self())
+	if !ok {
+		return
+	}
+	for _, group := range c.knownGroups() {
+		decider, ok := c.table.GroupOfJobs(group)
+		mine := ok && decider.Name == own.Name
+		held := c.streams[group] != nil
+		switch {
+		case mine && !held:
+			c.openStream(group)
+		case !mine && held:
+			c.closeStream(group)
+		}
+	}
+}
+
+// knownGroups are the groups of the present table, those whose streams are held,
+// and the first group of each region that the settings name, which exists as long
+// as the region ever had members.
+func (c *core) knownGroups() []string {
+	seen := map[string]bool{}
+	for _, g := range c.table.Groups() {
+		seen[g.Name] = true
+	}
+	for g := range c.streams {
+		seen[g] = true
+	}
+	for _, region := range c.e.settings.Regions.Names {
+		seen[region+"-0"] = true
+	}
+	out := make([]string, 0, len(seen))
+	for g := range seen {
+		out = append(out, g)
+	}
+	return out
+}
+
+func (c *core) openStream(group string) {
+	ctx, cancel := context.WithCancel(c.e.ctx)
+	stream := state.JobsStream(group)
+	s := &jobStream{
+		group:     group,
+		table:     state.NewJobs(),
+		committer: journal.NewCommitter(c.e.log, stream, c.e.timing.AppendLinger, c.e.logger),
+		cancel:    cancel,
+	}
+	c.streams[group] = s
+	c.e.spawn(func() { s.committer.Run(ctx) })
+	follower := journal.NewFollower(journal.Direct{Log: c.e.log}, stream, func(p journal.Page) int64 {
+		next := int64(1)
+		c.e.do(func() { next = c.takeJobs(s, p) })
+		return next
+	}, c.e.logger)
+	c.e.spawn(func() { follower.Run(ctx, 1) })
+}
+
+func (c *core) closeStream(group string) {
+	s := c.streams[group]
+	s.cancel()
+	delete(c.streams, group)
+	for _, j := range s.table.All() {
+		c.jobs.Drop(j.Job.ID)
+	}
+}
+
+// takeJobs folds a page of a jobs stream and returns the next offset.
+func (c *core) takeJobs(s *jobStream, p journal.Page) int64 {
+	if c.streams[s.group] != s {
+		return s.table.Next()
+	}
+	if p.First > s.table.Next() && s.bridge == nil {
+		s.bridge = &state.Bridge{First: p.First}
+	}
+	if s.bridge != nil {
+		return c.bridgeJobs(s, p)
+	}
+	for _, r := range p.Records {
+		for _, result := range s.table.Apply(r.Offset, r.Data) {
+			c.noteJobs(s, result)
+		}
+	}
+	if p.Tail && !s.caughtUp {
+		s.caughtUp = true
+		s.mineSince = s.table.Next()
+		c.assignJobs()
+	}
+	return s.table.Next()
+}
+
+func (c *core) bridgeJobs(s *jobStream, p journal.Page) int64 {
+	for _, r := range p.Records {
+		table := s.bridge.Jobs(r.Data)
+		if table == nil {
+			continue
+		}
+		s.bridge = nil
+		s.table = table
+		return table.Next()
+	}
+	if p.Tail {
+		c.alarm(structs.CodeBehind, "the log has removed job records of "+s.group+" that no snapshot covers")
+	}
+	return max(p.First, lastOffset(p)+1)
+}
+
+// noteJobs acts on one folded change of a jobs stream.
+func (c *core) noteJobs(s *jobStream, r state.Result) {
+	defer c.resolve(r)
+	if !r.Accepted || !s.caughtUp {
+		return
+	}
+	switch r.Change.Type {
+	case state.JobAccept:
+		c.noteAccepted(s, r)
+	case state.TasksEnd:
+		c.noteEnds(s, r)
+	case state.JobPark:
+		c.noteOver(s.table.Get(r.Change.JobID), r.Offset)
+	case state.JobCancel:
+		for _, j := range s.table.All() {
+			if j.EndedAt == r.Offset {
+				c.noteOver(j, r.Offset)
+			}
+		}
+	}
+}
+
+func (c *core) noteAccepted(s *jobStream, r state.Result) {
+	j := s.table.Get(r.Change.Job.ID)
+	if j == nil || j.Accepted != r.Offset {
+		return
+	}
+	if !c.ownsJob(j.Job.ID) {
+		return
+	}
+	c.e.events.Record(event.Event{
+		Type:  event.JobAccepted,
+		Job:   j.Job.ID,
+		Class: j.Job.Class,
+		Count: j.Job.Count,
+	})
+	c.gainJob(j, true)
+	c.nextSchedule = time.Time{}
+}
+
+func (c *core) gainJob(j *state.Job, fresh bool) {
+	class, _ := c.control.Class(j.Job.Class)
+	c.jobs.Gain(j, class, fresh)
+}
+
+// noteEnds tells the orchestrator, and whoever waits, of settled tasks.
+func (c *core) noteEnds(s *jobStream, r state.Result) {
+	id := r.Change.JobID
+	for _, e := range r.Change.Ends {
+		if c.jobs.Owns(id) {
+			c.e.events.Record(event.Event{Type: event.TaskSettled, Job: id, Task: structs.NewTaskID(id, e.Index), State: string(e.State)})
+		}
+	}
+	c.jobs.Settled(id, r.Change.Ends)
+	c.noteOver(s.table.Get(id), r.Offset)
+}
+
+// noteOver acts on a job that a change has ended.
+func (c *core) noteOver(j *state.Job, offset int64) {
+	if j == nil || j.EndedAt != offset {
+		return
+	}
+	id := j.Job.ID
+	if c.jobs.Owns(id) {
+		c.e.events.Record(event.Event{Type: event.JobEnded, Job: id, State: string(jobState(j))})
+	}
+	if j.Cancelled || j.Parked != "" {
+		c.jobs.End(id, j.Cancelled, j.Parked)
+	}
+	for _, ch := range c.jobWaiters[id] {
+		close(ch)
+	}
+	delete(c.jobWaiters, id)
+}
+
+// jobState is the state of an ended job as the log has it.
+func jobState(j *state.Job) structs.JobState {
+	switch {
+	case j.Cancelled:
+		return structs.JobCancelled
+	case j.Parked != "":
+		return structs.JobFailed
+	case j.Ended():
+		return structs.JobComplete
+	default:
+		return structs.JobPending
+	}
+}
+
+// assignJobs takes over the jobs that the present table gives to this entry, and
+// drops those that it gives to another.
+func (c *core) assignJobs() {
+	for _, s := range c.streams {
+		if !s.caughtUp {
+			continue
+		}
+		for _, j := range s.table.All() {
+			id := j.Job.ID
+			switch {
+			case !c.ownsJob(id):
+				c.jobs.Drop(id)
+			case !j.Ended():
+				c.gainJob(j, false)
+			}
+		}
+	}
+}
+
+// jobRecord returns a job of any held stream, nil if there is none.
+func (c *core) jobRecord(id string) (*jobStream, *state.Job) {
+	s := c.streams[structs.JobGroup(id)]
+	if s == nil {
+		return nil, nil
+	}
+	return s, s.table.Get(id)
+}
+
+// settle appends the end of a task to the log.
+func (c *core) settle(id string, r orchestrator.Ref, st structs.AllocState) {
+	s, _ := c.jobRecord(id)
+	if s == nil {
+		return
+	}
+	change := state.Change{
+		ID:    changeID("end", structs.NewTaskID(id, r.Index)),
+		Type:  state.TasksEnd,
+		JobID: id,
+		Ends:  []state.TaskEnd{{Index: r.Index, State: st}},
+	}
+	if err := s.committer.Submit(c.e.ctx, change); err != nil {
+		c.e.logger.Warn("end of a task waits for the log", "task", string(structs.NewTaskID(id, r.Index)), "error", err.Error())
+		c.jobs.Unsettle(id, r)
+	}
+}
+
+// changeID names a change by what it does, so that a repeat has the same ID.
+func changeID(what string, task structs.TaskID) string { return what + "/" + string(task) }
+
+// parkJobs gives up the jobs whose tasks fail everywhere.
+func (c *core) parkJobs() {
+	for _, id := range c.jobs.IDs() {
+		reason := c.jobs.Park(id)
+		s, _ := c.jobRecord(id)
+		if reason == "" || s == nil {
+			continue
+		}
+		c.jobs.End(id, false, reason)
+		change := state.Change{ID: "park/" + id, Type: state.JobPark, JobID: id, Reason: reason}
+		if err := s.committer.Submit(c.e.ctx, change); err != nil {
+			c.e.logger.Warn("parking waits for the log", "job", id, "error", err.Error())
+		}
+	}
+}
+
+// dropFinished forgets jobs for which nothing is left to do.
+func (c *core) dropFinished() {
+	for _, id := range c.jobs.Finished() {
+		if _, j := c.jobRecord(id); j == nil || j.Ended() {
+			c.jobs.Drop(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/workers.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/instancelist"
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/structs"
+)
+
+// Periods of reading the instance list.
+const (
+	listWait  = 1 * time.Second
+	listRetry = 500 * time.Millisecond
+)
+
+// followList reads the platform's list of instances.
+func (e *Entry) followList() {
+	var after int64
+	for e.ctx.Err() == nil {
+		list, err := e.list.Read(e.ctx, after, listWait)
+		if err != nil {
+			pause(e.ctx, listRetry)
+			continue
+		}
+		if list.Version == after {
+			continue
+		}
+		after = list.Version
+		e.do(func() { e.core.takeList(list) })
+	}
+}
+
+// takeList takes a newer version of the platform's list.
+func (c *core) takeList(list instancelist.List) {
+	now := time.Now()
+	c.listed = list.Version
+	for _, w := range list.Instances {
+		c.instances[w.ID] = w
+		c.fleet.Update(w)
+		c.applyLeaving(w.ID)
+	}
+	for _, entry := range list.Entries {
+		c.goneEntries[entry.ID] = entry.State == structs.WorkerGone
+	}
+	c.assignWorkers(now)
+}
+
+// gone reports whether an instance certainly runs nothing any more: by the
+// platform's list, or by the operator's word.
+func (c *core) gone(w structs.Worker) bool {
+	declared, ok := c.control.Leaving(w.ID)
+	return w.State == structs.WorkerGone || (ok && declared.Gone)
+}
+
+// applyLeaving brings an instance's declarations into the placement view.
+func (c *core) applyLeaving(id string) {
+	w := c.fleet.Worker(id)
+	if w == nil {
+		return
+	}
+	_, declared := c.control.Leaving(id)
+	c.fleet.Nodes().SetFlag(id, scheduler.FlagLeaving, declared || w.Info.State != structs.WorkerLive)
+	if c.gone(w.Info) {
+		c.fleet.Gone(id, time.Now())
+	}
+}
+
+// assignWorkers gains and gives up workers as the table and the list say.
+func (c *core) assignWorkers(now time.Time) {
+	if !c.joined {
+		return
+	}
+	for id, w := range c.instances {
+		owner, ok := c.table.OwnerOfWorker(w)
+		mine := ok && owner.ID == c.self()
+		held := c.fleet.Worker(id) != nil
+		switch {
+		case mine && !held:
+			c.gainWorker(w, now)
+		case !mine && held:
+			c.loseWorker(id)
+		}
+	}
+}
+
+func (c *core) gainWorker(w structs.Worker, now time.Time) {
+	c.fleet.Gain(w, c.table.Epoch(), now)
+	c.applyLeaving(w.ID)
+	if c.gone(w) {
+		return
+	}
+	c.startAgent(w)
+}
+
+func (c *core) startAgent(w structs.Worker) {
+	ctx, cancel := context.WithCancel(c.e.ctx)
+	a := newAgent(c.e, w, cancel)
+	c.agents[w.ID] = a
+	epoch := c.fleet.Worker(w.ID).Epoch
+	c.e.spawn(func() { a.run(ctx, epoch) })
+}
+
+func (c *core) loseWorker(id string) {
+	c.stopAgent(id)
+	c.fleet.Lose(id)
+	c.e.events.Record(event.Event{Type: event.WorkerLost, Member: c.self(), Worker: id})
+}
+
+func (c *core) stopAgent(id string) {
+	if a := c.agents[id]; a != nil {
+		a.cancel()
+		delete(c.agents, id)
+	}
+}
+
+// lapse ends what time has ended.
+func (c *core) lapse(now time.Time) {
+	byTime := c.control.ForcedEpoch() == 0
+	for _, id := range c.fleet.Tick(now, byTime) {
+		c.e.logger.Warn("worker silent past its leases", "worker", id)
+		if a := c.agents[id]; a != nil {
+			a.regain(c.table.Epoch())
+		}
+	}
+}
+
+// holds reports whether a worker is still owned under the epoch that an agent
+// works with, so that late news of an agent is dropped.
+func (c *core) holds(id string, epoch int64) bool {
+	w := c.fleet.Worker(id)
+	return w != nil && w.Epoch == epoch
+}
+
+// staleFence is called when a worker refused the epoch of this entry: another
+// owner has been there since. If the worker is still owned by the present table
+// it is gained anew under that epoch.
+func (c *core) staleFence(id string, epoch int64) (next int64, ok bool) {
+	if !c.holds(id, epoch) {
+		return 0, false
+	}
+	if c.table.Epoch() > epoch {
+		c.fleet.Regain(id, c.table.Epoch())
+		return c.table.Epoch(), true
+	}
+	c.fleet.Regain(id, epoch)
+	return epoch, true
+}
+
+// startTasks hands runs to the agents of their workers. done is called on the
+// control goroutine for each run, with CodeUnknown if the worker gave no answer.
+func (c *core) startTasks(list []*fleet.Alloc, done func(fleet.Key, error)) {
+	for _, a := range list {
+		c.e.events.Record(event.Event{
+			Type:    event.TaskPlaced,
+			Task:    a.Task,
+			Attempt: a.Attempt,
+			Worker:  a.Worker,
+			Class:   a.Class,
+		})
+		agent := c.agents[a.Worker]
+		if agent == nil {
+			c.startDone(a.Key(), structs.NewError(structs.CodeUnavailable, "worker %s is gone", a.Worker), done)
+			continue
+		}
+		agent.start(a, func(k fleet.Key, err error) { c.startDone(k, err, done) })
+	}
+}
+
+// startDone takes the outcome of a start. A start without an answer stays counted;
+// the agent goes on asking.
+func (c *core) startDone(k fleet.Key, err error, done func(fleet.Key, error)) {
+	if structs.CodeOf(err) != structs.CodeUnknown {
+		c.fleet.StartDone(k, err, time.Now())
+	}
+	if done != nil {
+		done(k, err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/alloc.go
@@ -0,0 +1,51 @@
+// Package fleet is the decision part of a worker's owner: which workers it owns,
+// what runs on them as far as is known, when a silent worker's tasks have
+// certainly ended, and what the owners of jobs have to be told. It is pure: the
+// entry's control goroutine calls it and passes the time in.
+package fleet
+
+import (
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Key names one run of a task.
+type Key struct {
+	Task    structs.TaskID
+	Attempt int
+}
+
+// Alloc is one run of a task on an owned worker.
+type Alloc struct {
+	structs.Alloc
+	// RunMs and Payload are handed to the worker at the start.
+	RunMs   int64
+	Payload string
+	// Slack is the time left to the class's target when the run was placed.
+	Slack time.Duration
+	// Due is when the class's target passes.
+	Due time.Time
+	// confirmed is when the worker first showed or acknowledged the run; zero
+	// before.
+	confirmed time.Time
+	// epoch is the worker's epoch when the run was placed.
+	epoch int64
+	// reserveUntil is when the room for a gang's task is given up.
+	reserveUntil time.Time
+	// reportAt is the earliest time of the next report to the job's owner.
+	reportAt time.Time
+	// reported is the last state that the job's owner has taken note of.
+	reported structs.AllocState
+	// forget is set once the job's owner needs the run no more.
+	forget bool
+}
+
+// Key returns the name of the run.
+func (a *Alloc) Key() Key { return Key{Task: a.Task, Attempt: a.Attempt} }
+
+func (a *Alloc) confirm(now time.Time) {
+	if a.confirmed.IsZero() {
+		a.confirmed = now
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/structs"
+)
+
+// Timing holds the bounds that decide when a silent worker's tasks have ended.
+type Timing struct {
+	// Lease is how long a task runs after the last renewal.
+	Lease time.Duration
+	// Authority is how long a former owner may go on renewing after it was
+	// removed from the table.
+	Authority time.Duration
+	// ClockMargin covers the difference in rate of two monotonic clocks.
+	ClockMargin time.Duration
+	// Silent is how long a worker may be silent before it gets no new work.
+	Silent time.Duration
+	// ReportRetry is the period of unacknowledged reports.
+	ReportRetry time.Duration
+}
+
+// Fleet holds the owned workers and their runs. It belongs to the control
+// goroutine.
+type Fleet struct {
+	timing  Timing
+	nodes   *scheduler.NodeSet
+	workers map[string]*Worker
+	allocs  map[Key]*Alloc
+}
+
+// New returns a fleet without workers.
+func New(timing Timing) *Fleet {
+	return &Fleet{
+		timing:  timing,
+		nodes:   scheduler.NewNodeSet(),
+		workers: map[string]*Worker{},
+		allocs:  map[Key]*Alloc{},
+	}
+}
+
+// Nodes returns the placement view of the fleet.
+func (f *Fleet) Nodes() *scheduler.NodeSet { return f.nodes }
+
+// Worker returns an owned worker, nil for any other.
+func (f *Fleet) Worker(id string) *Worker { return f.workers[id] }
+
+// Workers returns the owned workers ordered by ID.
+func (f *Fleet) Workers() []*Worker {
+	out := make([]*Worker, 0, len(f.workers))
+	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+		out = append(out, f.workers[id])
+	}
+	return out
+}
+
+// Alloc returns a run, nil if it is not known.
+func (f *Fleet) Alloc(k Key) *Alloc { return f.allocs[k] }
+
+// Gain takes over a worker under an epoch. Nothing is placed on it before Show.
+func (f *Fleet) Gain(w structs.Worker, epoch int64, now time.Time) {
+	f.workers[w.ID] = &Worker{Info: w, Epoch: epoch, gainedAt: now}
+	f.nodes.Upsert(w)
+	f.nodes.SetFlag(w.ID, scheduler.FlagKnown, false)
+}
+
+// Update takes a newer description of an owned worker.
+func (f *Fleet) Update(w structs.Worker) {
+	if own := f.workers[w.ID]; own != nil {
+		own.Info = w
+		f.nodes.Upsert(w)
+	}
+}
+
+// Regain asks for the inventory of an owned worker anew, under a newer epoch.
+func (f *Fleet) Regain(id string, epoch int64) {
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	w.Epoch = epoch
+	w.Known = false
+	f.nodes.SetFlag(id, scheduler.FlagKnown, false)
+}
+
+// Lose gives up a worker that is another's now; its runs are no longer known here.
+func (f *Fleet) Lose(id string) {
+	for k, a := range f.allocs {
+		if a.Worker == id {
+			delete(f.allocs, k)
+		}
+	}
+	f.nodes.Remove(id)
+	delete(f.workers, id)
+}
+
+// Gone ends everything on a worker that certainly runs nothing any more. The runs
+// stay until the owners of their jobs have taken note.
+func (f *Fleet) Gone(id string, now time.Time) {
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	w.accounted = true
+	f.endAll(id, now)
+}
+
+func (f *Fleet) endAll(id string, now time.Time) {
+	for _, a := range f.allocs {
+		if a.Worker == id && !a.State.Terminal() {
+			f.setState(a, structs.AllocStopped, now)
+		}
+	}
+}
+
+// setState moves a run to a state and frees its room when it has ended.
+func (f *Fleet) setState(a *Alloc, st structs.AllocState, now time.Time) {
+	if a.State.Terminal() || a.State == st {
+		return
+	}
+	a.State = st
+	a.reportAt = now
+	if st.Terminal() {
+		f.nodes.Release(a.Task, a.Attempt)
+		return
+	}
+	f.nodes.SetState(a.Task, a.Attempt, st)
+}
+
+// Unaccounted returns the workers whose runs are not known: gained and not yet
+// inventoried, or silent for less than it takes their leases to end.
+func (f *Fleet) Unaccounted() []string {
+	var out []string
+	for id, w := range f.workers {
+		if !w.Known && !w.accounted {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Heard notes that a worker's answer to a call begun at start arrived at now.
+func (f *Fleet) Heard(id string, start, now time.Time) {
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	if start.After(w.heard) {
+		w.heard = start
+	}
+	if now.After(w.answered) {
+		w.answered = now
+	}
+	f.nodes.SetFlag(id, scheduler.FlagUnreachable, false)
+}
+
+// Tick gives up what time has ended: reservations, and the runs of workers that
+// have been silent for longer than any lease of theirs can last. lapseByTime is
+// false where a forced membership change forbids to count on time. It returns
+// the workers that were accounted for by time.
+func (f *Fleet) Tick(now time.Time, lapseByTime bool) []string {
+	f.expireReservations(now)
+	var lapsed []string
+	for id, w := range f.workers {
+		silent := now.Sub(w.heard) > f.timing.Silent
+		if !silent {
+			continue
+		}
+		f.nodes.SetFlag(id, scheduler.FlagUnreachable, true)
+		if w.accounted || !lapseByTime || now.Before(f.leasesEnd(w)) {
+			continue
+		}
+		w.accounted = true
+		w.Known = false
+		f.nodes.SetFlag(id, scheduler.FlagKnown, false)
+		f.endAll(id, now)
+		lapsed = append(lapsed, id)
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
+// leasesEnd is when every lease on a silent worker has certainly ended: one lease
+// after the last answer to this owner, and to any former one.
+func (f *Fleet) leasesEnd(w *Worker) time.Time {
+	last := w.gainedAt.Add(f.timing.Authority)
+	if w.answered.After(last) {
+		last = w.answered
+	}
+	return last.Add(f.timing.Lease + f.timing.ClockMargin)
+}
+
+func (f *Fleet) expireReservations(now time.Time) {
+	for k, a := range f.allocs {
+		if a.State == structs.AllocReserved && now.After(a.reserveUntil) {
+			f.nodes.Release(k.Task, k.Attempt)
+			delete(f.allocs, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/place.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"time"
+
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/structs"
+)
+
+// Request is a wish of a job's owner to start or reserve tasks here.
+type Request struct {
+	Ask     scheduler.Ask
+	RunMs   int64
+	Payload string
+	Slack   time.Duration
+	// Reserve holds room for that long instead of starting; zero starts.
+	Reserve time.Duration
+}
+
+// Place chooses workers and counts the runs on them at once. The returned runs are
+// to be started (or are reserved); why explains those that found no room. Runs
+// that are here already, by a repeat of the call, are not chosen again.
+func (f *Fleet) Place(r Request, now time.Time) (chosen []*Alloc, why error) {
+	ask := r.Ask
+	ask.Tasks = f.unknownTasks(ask.Tasks)
+	if len(ask.Tasks) == 0 {
+		return nil, nil
+	}
+	plan := scheduler.Place(f.nodes, ask)
+	state := structs.AllocStarting
+	if r.Reserve > 0 {
+		state = structs.AllocReserved
+	}
+	for _, a := range plan.Allocs(ask, state) {
+		if err := f.nodes.Assign(a); err != nil {
+			why = err
+			continue
+		}
+		chosen = append(chosen, f.record(a, r, now))
+	}
+	if why == nil && len(plan.Unplaced) > 0 {
+		why = noCapacity(plan)
+	}
+	return chosen, why
+}
+
+func (f *Fleet) unknownTasks(tasks []scheduler.TaskRef) []scheduler.TaskRef {
+	var out []scheduler.TaskRef
+	for _, t := range tasks {
+		if f.allocs[Key{Task: t.Task, Attempt: t.Attempt}] == nil {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (f *Fleet) record(a structs.Alloc, r Request, now time.Time) *Alloc {
+	alloc := &Alloc{
+		Alloc:    a,
+		RunMs:    r.RunMs,
+		Payload:  r.Payload,
+		Slack:    r.Slack,
+		Due:      now.Add(r.Slack),
+		reported: a.State,
+		epoch:    f.workers[a.Worker].Epoch,
+	}
+	if r.Reserve > 0 {
+		alloc.reserveUntil = now.Add(r.Reserve)
+	}
+	f.allocs[alloc.Key()] = alloc
+	return alloc
+}
+
+func noCapacity(p scheduler.Plan) error {
+	msg := "no worker"
+	for _, why := range p.Why {
+		msg += ", " + why.String()
+	}
+	return structs.NewError(structs.CodeNoCapacity, "%s", msg)
+}
+
+// Commit turns reserved runs into starting ones. Runs whose room was given up are
+// left out.
+func (f *Fleet) Commit(keys []Key, now time.Time) []*Alloc {
+	var out []*Alloc
+	for _, k := range keys {
+		a := f.allocs[k]
+		if a == nil || a.State != structs.AllocReserved || !f.startable(a.Worker) {
+			continue
+		}
+		a.State = structs.AllocStarting
+		a.reported = a.State
+		f.nodes.SetState(k.Task, k.Attempt, a.State)
+		out = append(out, a)
+	}
+	return out
+}
+
+// startable reports whether a reserved run may still be started on its worker.
+func (f *Fleet) startable(id string) bool {
+	n := f.nodes.Node(id)
+	return n != nil && n.Usable()
+}
+
+// Release gives up reserved runs.
+func (f *Fleet) Release(keys []Key) {
+	for _, k := range keys {
+		if a := f.allocs[k]; a != nil && a.State == structs.AllocReserved {
+			f.nodes.Release(k.Task, k.Attempt)
+			delete(f.allocs, k)
+		}
+	}
+}
+
+// StartDone takes a worker's word on a start: confirmed, or certainly refused. A
+// refused run is forgotten.
+func (f *Fleet) StartDone(k Key, err error, now time.Time) {
+	a := f.allocs[k]
+	if a == nil {
+		return
+	}
+	if err != nil {
+		f.nodes.Release(k.Task, k.Attempt)
+		delete(f.allocs, k)
+		return
+	}
+	a.confirm(now)
+	f.setState(a, structs.AllocRunning, now)
+}
--- /dev/null
+++ b/internal/fleet/worker.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Worker is an owned worker.
+type Worker struct {
+	Info structs.Worker
+	// Epoch is that under which the worker was gained; commands bear it.
+	Epoch int64
+	// Known is true once the inventory was read under Epoch.
+	Known bool
+	// Boot is that of the last inventory.
+	Boot string
+	// Draining is what the worker says of itself.
+	Draining bool
+
+	// heard is the start of the last call that the worker answered.
+	heard time.Time
+	// answered is when its last answer arrived. The answer bears a reading of
+	// the worker's clock, every lease ends one lease after the reading that its
+	// renewal names, so none outlasts answered plus one lease.
+	answered time.Time
+	// accounted is set when a silent worker's tasks have certainly ended.
+	accounted bool
+	gainedAt  time.Time
+}
+
+// Reachable reports whether the worker answered within the bound.
+func (w *Worker) Reachable(now time.Time, within time.Duration) bool {
+	return w.Known && now.Sub(w.heard) <= within
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -344,6 +344,16 @@
 	}
 }
 
+// Unsettle takes back the end of a task that could not be handed to the log; the
+// next report of it brings it again.
+func (o *Orchestrator) Unsettle(id string, r Ref) {
+	j := o.jobs[id]
+	if j != nil && r.Index < len(j.tasks) && j.tasks[r.Index].phase == ending {
+		j.tasks[r.Index].worker = r.Worker
+		j.move(r.Index, placed)
+	}
+}
+
 // End marks a job as cancelled or parked: what still runs has to be stopped.
 func (o *Orchestrator) End(id string, cancelled bool, parked string) {
 	j := o.jobs[id]
