--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,131 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/platformhttp"
+	"dotterelhitch/internal/structs"
+)
+
+// Bounds on the time of a call.
+const (
+	commandTimeout = 3 * time.Second
+	pollSlack      = 3 * time.Second
+)
+
+// Config says which worker to use.
+type Config struct {
+	// Addr is the worker's host:port.
+	Addr string
+	// Keys are the shared keys; empty turns authentication off.
+	Keys httpx.Keys
+	// Clock stamps the calls; it may be nil.
+	Clock *event.Clock
+	// Timeout bounds a command; zero means 3 s.
+	Timeout time.Duration
+}
+
+// Client commands one worker. It is safe for concurrent use. A failed command
+// whose error is not one of the worker's refusals may have taken effect.
+type Client struct {
+	http    *platformhttp.Client
+	timeout time.Duration
+}
+
+// New returns a client of the worker at cfg.Addr.
+func New(cfg Config) *Client {
+	c := &Client{
+		http:    platformhttp.New(platformhttp.Config{Base: "http://" + cfg.Addr, Keys: cfg.Keys, Clock: cfg.Clock}),
+		timeout: cfg.Timeout,
+	}
+	if c.timeout <= 0 {
+		c.timeout = commandTimeout
+	}
+	return c
+}
+
+// Fence raises the worker's fence to cmd.Epoch and returns the inventory.
+func (c *Client) Fence(ctx context.Context, cmd Command) (Inventory, error) {
+	var out Inventory
+	err := c.post(ctx, "/v1/fence", cmd, &out)
+	return out, err
+}
+
+// StartTasks starts tasks. A repeat of the same task and attempt does nothing.
+func (c *Client) StartTasks(ctx context.Context, cmd Command, tasks []TaskStart) ([]TaskResult, error) {
+	var out Results
+	if err := c.post(ctx, "/v1/tasks", StartTasks{Command: cmd, Tasks: tasks}, &out); err != nil {
+		return nil, err
+	}
+	return out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+}
+
+// RenewLeases renews the lease of every running task and returns their number.
+func (c *Client) RenewLeases(ctx context.Context, cmd Command, lease time.Duration) (int, error) {
+	var out Renewed
+	err := c.post(ctx, "/v1/leases", RenewLeases{Command: cmd, LeaseMs: lease.Milliseconds()}, &out)
+	return out.Renewed, err
+}
+
+// StopTasks stops tasks. A result without an error says that the run certainly
+// has ended and will not start.
+func (c *Client) StopTasks(ctx context.Context, cmd Command, tasks []TaskRef, checkpoint bool) ([]TaskResult, error) {
+	var out Results
+	if err := c.post(ctx, "/v1/stops", StopTasks{Command: cmd, Tasks: tasks, Checkpoint: checkpoint}, &out); err != nil {
+		return nil, err
+	}
+	return out.check(len(tasks), func(i int) TaskRef { return tasks[i] })
+}
+
+// Throttle bounds the processor time of tasks.
+func (c *Client) Throttle(ctx context.Context, cmd Command, tasks []TaskThrottle) ([]TaskResult, error) {
+	var out Results
+	if err := c.post(ctx, "/v1/throttles", ThrottleTasks{Command: cmd, Tasks: tasks}, &out); err != nil {
+		return nil, err
+	}
+	return out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+}
+
+// Forget drops ended tasks from the inventory.
+func (c *Client) Forget(ctx context.Context, cmd Command, tasks []TaskRef) error {
+	return c.post(ctx, "/v1/forgets", ForgetTasks{Command: cmd, Tasks: tasks}, nil)
+}
+
+// Inventory returns the worker's inventory. If its sequence number does not pass
+// after, it waits up to wait for one that does and then returns what there is.
+func (c *Client) Inventory(ctx context.Context, after int64, wait time.Duration) (Inventory, error) {
+	path := fmt.Sprintf("/v1/inventory?after=%d&wait_ms=%d", after, wait.Milliseconds())
+	var out Inventory
+	err := c.http.Call(ctx, wait+pollSlack, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
+// Probe asks whether the worker answers.
+func (c *Client) Probe(ctx context.Context) (ProbeAnswer, error) {
+	var out ProbeAnswer
+	err := c.http.Call(ctx, c.timeout, http.MethodGet, "/v1/probe", nil, &out)
+	return out, err
+}
+
+func (c *Client) post(ctx context.Context, path string, in, out any) error {
+	return c.http.Call(ctx, c.timeout, http.MethodPost, path, in, out)
+}
+
+// check refuses results that are not those of the n tasks asked for.
+func (r Results) check(n int, ref func(int) TaskRef) ([]TaskResult, error) {
+	if len(r.Results) != n {
+		return nil, structs.NewError(structs.CodeInternal, "worker answer: %d results for %d tasks", len(r.Results), n)
+	}
+	for i, got := range r.Results {
+		if got.TaskRef != ref(i) {
+			return nil, structs.NewError(structs.CodeInternal, "worker answer: result of %s/%d for %s/%d",
+				got.Task, got.Attempt, ref(i).Task, ref(i).Attempt)
+		}
+	}
+	return r.Results, nil
+}
--- /dev/null
+++ b/internal/worker/wire.go
@@ -0,0 +1,126 @@
+// Package worker is the client of the platform's workers for tasks: fences,
+// leases, starts, stops and inventories. docs/PLATFORM.md states the protocol and
+// what the system assumes of it.
+package worker
+
+import "dotterelhitch/internal/structs"
+
+// Command is what every command bears: who gives it and under which epoch.
+type Command struct {
+	// Epoch is the owner's epoch, a log offset.
+	Epoch int64 `json:"epoch"`
+	// Owner is the member ID of the owner.
+	Owner string `json:"owner"`
+}
+
+// TaskRef names one run of a task.
+type TaskRef struct {
+	Task    structs.TaskID `json:"task"`
+	Attempt int            `json:"attempt"`
+}
+
+// TaskStart is a task to run.
+type TaskStart struct {
+	TaskRef
+	Class string            `json:"class"`
+	Size  structs.Resources `json:"size"`
+	// RunMs is the declared run time in milliseconds; zero runs until stopped.
+	RunMs int64 `json:"run_ms"`
+	// LeaseMs is the lease in milliseconds from the receipt.
+	LeaseMs int64  `json:"lease_ms"`
+	Payload string `json:"payload,omitempty"`
+	// Checkpoint resumes what an earlier run of the task had saved.
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// StartTasks is the body of a start call.
+type StartTasks struct {
+	Command
+	Tasks []TaskStart `json:"tasks"`
+}
+
+// RenewLeases is the body of a lease call.
+type RenewLeases struct {
+	Command
+	// LeaseMs is the new lease of every task in milliseconds from the receipt.
+	LeaseMs int64 `json:"lease_ms"`
+}
+
+// Renewed is the answer to a lease call.
+type Renewed struct {
+	Renewed int `json:"renewed"`
+}
+
+// StopTasks is the body of a stop call.
+type StopTasks struct {
+	Command
+	Tasks []TaskRef `json:"tasks"`
+	// Checkpoint asks each task to save its progress first.
+	Checkpoint bool `json:"checkpoint"`
+}
+
+// TaskThrottle bounds the processor time of one task.
+type TaskThrottle struct {
+	TaskRef
+	// CPUPercent is the share of its declared processor time; 100 is no bound.
+	CPUPercent int `json:"cpu_percent"`
+}
+
+// ThrottleTasks is the body of a throttle call.
+type ThrottleTasks struct {
+	Command
+	Tasks []TaskThrottle `json:"tasks"`
+}
+
+// ForgetTasks is the body of a forget call.
+type ForgetTasks struct {
+	Command
+	Tasks []TaskRef `json:"tasks"`
+}
+
+// TaskResult is what became of a command for one task.
+type TaskResult struct {
+	TaskRef
+	// Error is nil if the command was obeyed.
+	Error *structs.Error `json:"error"`
+}
+
+// Results is the answer to a command on tasks, one for each in the same order.
+type Results struct {
+	Results []TaskResult `json:"results"`
+}
+
+// TaskInfo is what a worker knows of one run of a task.
+type TaskInfo struct {
+	TaskRef
+	Class string             `json:"class"`
+	Size  structs.Resources  `json:"size"`
+	State structs.AllocState `json:"state"`
+	// Usage is what the task was last seen to use; zero if not seen yet.
+	Usage structs.Resources `json:"usage"`
+	// Checkpoint is what the task saved, empty if nothing.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// LeaseLeftMs is what is left of the lease in milliseconds.
+	LeaseLeftMs int64 `json:"lease_left_ms"`
+	// Reason says why the task ended.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Inventory is all that a worker runs and the ended tasks not yet forgotten.
+type Inventory struct {
+	// Seq rises with every change of a task's state or usage, of the fence and
+	// of Draining.
+	Seq   int64  `json:"seq"`
+	Fence int64  `json:"fence"`
+	Owner string `json:"owner"`
+	// Boot is new at every start of the worker.
+	Boot     string     `json:"boot"`
+	Draining bool       `json:"draining"`
+	Tasks    []TaskInfo `json:"tasks"`
+}
+
+// ProbeAnswer is the answer to a probe.
+type ProbeAnswer struct {
+	Boot     string `json:"boot"`
+	Draining bool   `json:"draining"`
+}
