--- /dev/null
+++ b/internal/entry/peerserver.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/orchestrator"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/structs"
+)
+
+// peerServer answers the other entries. Its methods run on many goroutines and
+// hand all decisions to the control goroutine.
+type peerServer struct {
+	e *Entry
+}
+
+// checkCaller refuses a call of a member that the present table does not hold, and
+// one that is ahead of it.
+func (c *core) checkCaller(member string, epoch int64) error {
+	if !c.joined {
+		return structs.NewError(structs.CodeBehind, "not a member")
+	}
+	if epoch > c.table.Epoch() {
+		return structs.NewError(structs.CodeBehind, "at epoch %d, the caller is at %d", c.table.Epoch(), epoch)
+	}
+	if !c.control.HasMember(member) {
+		return structs.NewError(structs.CodeStaleEpoch, "member %s is not in the table of epoch %d", member, c.table.Epoch())
+	}
+	return nil
+}
+
+// checkJobOwner refuses a call about a job by anyone but its owner.
+func (c *core) checkJobOwner(member string, epoch int64, job string) error {
+	if err := c.checkCaller(member, epoch); err != nil {
+		return err
+	}
+	owner, ok := c.table.OwnerOfJob(job)
+	if !ok || owner.ID != member {
+		return structs.NewError(structs.CodeNotOwner, "job %s: owner is %s at epoch %d", job, owner.ID, c.table.Epoch())
+	}
+	return nil
+}
+
+// Place implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Place(ctx context.Context, r *peerv1.PlaceRequest) (*peerv1.PlaceResponse, error) {
+	resp := &peerv1.PlaceResponse{}
+	var starting *startGroup
+	ok := s.e.do(func() {
+		if err := s.e.core.checkPlace(r); err != nil {
+			resp.Error = fromError(err)
+			return
+		}
+		starting = s.e.core.place(r, resp)
+	})
+	if !ok {
+		return nil, errEnding()
+	}
+	if starting != nil {
+		started, doubt, refused := starting.await(ctx)
+		resp.Placed = append(resp.Placed, started...)
+		resp.Doubt = append(resp.Doubt, doubt...)
+		if refused != nil && resp.Error == nil {
+			resp.Error = fromError(refused)
+		}
+	}
+	return resp, nil
+}
+
+func (c *core) checkPlace(r *peerv1.PlaceRequest) error {
+	if err := c.checkJobOwner(r.Member, r.Epoch, r.Job); err != nil {
+		return err
+	}
+	if r.Seq < c.barrier[r.Member] {
+		return structs.NewError(structs.CodeStaleEpoch, "placement %d is older than inventory %d", r.Seq, c.barrier[r.Member])
+	}
+	if c.draining {
+		return structs.NewError(structs.CodeDraining, "the entry is handing its workers over")
+	}
+	if !c.mayGrant(time.Now()) {
+		return structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
+	}
+	return nil
+}
+
+// place chooses workers; a reservation is answered at once, starts are awaited.
+func (c *core) place(r *peerv1.PlaceRequest, resp *peerv1.PlaceResponse) *startGroup {
+	now := time.Now()
+	request := fleet.Request{
+		Ask:     askOf(r),
+		RunMs:   r.RunMs,
+		Payload: r.Payload,
+		Slack:   time.Duration(r.SlackMs) * time.Millisecond,
+	}
+	if r.Reserve {
+		request.Reserve = time.Duration(r.ReserveMs) * time.Millisecond
+	}
+	chosen, why := c.fleet.Place(request, now)
+	resp.Error = fromError(why)
+	if r.Reserve {
+		resp.Placed = placementsOf(chosen)
+		return nil
+	}
+	return c.startGroup(chosen)
+}
+
+func placementsOf(list []*fleet.Alloc) []*peerv1.Placement {
+	var out []*peerv1.Placement
+	for _, a := range list {
+		out = append(out, placementOf(a.Alloc))
+	}
+	return out
+}
+
+func placementOf(a structs.Alloc) *peerv1.Placement {
+	return &peerv1.Placement{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker}
+}
+
+// Commit implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Commit(ctx context.Context, r *peerv1.CommitRequest) (*peerv1.CommitResponse, error) {
+	resp := &peerv1.CommitResponse{}
+	var starting *startGroup
+	ok := s.e.do(func() {
+		if err := s.e.core.checkJobOwner(r.Member, r.Epoch, r.Job); err != nil {
+			resp.Error = fromError(err)
+			return
+		}
+		starting = s.e.core.commitReserved(r, resp)
+	})
+	if !ok {
+		return nil, errEnding()
+	}
+	if starting != nil {
+		started, doubt, refused := starting.await(ctx)
+		resp.Started, resp.Doubt = started, doubt
+		if refused != nil && resp.Error == nil {
+			resp.Error = fromError(refused)
+		}
+	}
+	return resp, nil
+}
+
+// commitReserved starts a gang's reserved tasks only if all of them still have
+// their room.
+func (c *core) commitReserved(r *peerv1.CommitRequest, resp *peerv1.CommitResponse) *startGroup {
+	keys := make([]fleet.Key, len(r.Tasks))
+	for i, t := range r.Tasks {
+		keys[i] = fleet.Key{Task: structs.TaskID(t.Task), Attempt: int(t.Attempt)}
+	}
+	if !r.Start {
+		c.fleet.Release(keys)
+		return nil
+	}
+	if !c.fleet.HoldsAll(keys) {
+		c.fleet.Release(keys)
+		resp.Error = fromError(structs.NewError(structs.CodeNoCapacity, "the room of job %s was given up", r.Job))
+		return nil
+	}
+	return c.startGroup(c.fleet.Commit(keys, time.Now()))
+}
+
+// Stop implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Stop(ctx context.Context, r *peerv1.StopRequest) (*peerv1.StopResponse, error) {
+	resp := &peerv1.StopResponse{}
+	var stopping *stopGroup
+	ok := s.e.do(func() {
+		if err := s.e.core.checkCaller(r.Member, r.Epoch); err != nil {
+			resp.Error = fromError(err)
+			return
+		}
+		stopping = s.e.core.stopRuns(r)
+	})
+	if !ok {
+		return nil, errEnding()
+	}
+	if stopping != nil {
+		resp.Stopped = stopping.await(ctx)
+	}
+	return resp, nil
+}
+
+// Inventory implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Inventory(_ context.Context, r *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error) {
+	resp := &peerv1.InventoryResponse{}
+	ok := s.e.do(func() { s.e.core.inventory(r, resp) })
+	if !ok {
+		return nil, errEnding()
+	}
+	return resp, nil
+}
+
+// inventory lists the runs of the caller's jobs. From here on older placements of
+// the caller are refused, so that what is not listed can't start any more.
+func (c *core) inventory(r *peerv1.InventoryRequest, resp *peerv1.InventoryResponse) {
+	if err := c.checkCaller(r.Member, r.Epoch); err != nil {
+		resp.Error = fromError(err)
+		return
+	}
+	c.barrier[r.Member] = max(c.barrier[r.Member], r.Seq)
+	wanted := make(map[string]bool, len(r.Jobs))
+	for _, id := range r.Jobs {
+		wanted[id] = true
+	}
+	for _, a := range c.fleet.Of(wanted) {
+		resp.Tasks = append(resp.Tasks, taskState(a))
+	}
+	resp.UnknownWorkers = c.fleet.Unaccounted()
+	if c.listed == 0 {
+		resp.Error = fromError(structs.NewError(structs.CodeBehind, "the list of instances was not read yet"))
+	}
+}
+
+func taskState(a *fleet.Alloc) *peerv1.TaskState {
+	return &peerv1.TaskState{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker, State: string(a.State)}
+}
+
+// Report implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	resp := &peerv1.ReportResponse{}
+	ok := s.e.do(func() { s.e.core.takeReport(r, resp) })
+	if !ok {
+		return nil, errEnding()
+	}
+	return resp, nil
+}
+
+// JobStatus implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) JobStatus(_ context.Context, r *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error) {
+	resp := &peerv1.JobStatusResponse{}
+	var status structs.JobStatus
+	var err error
+	if !s.e.do(func() { status, err = s.e.core.jobStatus(r.Job) }) {
+		return nil, errEnding()
+	}
+	if err != nil {
+		resp.Error = fromError(err)
+		return resp, nil
+	}
+	resp.Json, err = json.Marshal(status)
+	return resp, err
+}
+
+// Status implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	var status structs.EntryStatus
+	if !s.e.do(func() { status = s.e.core.status(time.Now()) }) {
+		return nil, errEnding()
+	}
+	b, err := json.Marshal(status)
+	return &peerv1.StatusResponse{Json: b}, err
+}
+
+// refOf splits a task's message for the orchestrator.
+func refOf(t *peerv1.TaskState) (job string, ref orchestrator.Ref, err error) {
+	job, index, err := structs.TaskID(t.Task).Split()
+	return job, orchestrator.Ref{Index: index, Attempt: int(t.Attempt), Worker: t.Worker}, err
+}
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -58,6 +58,8 @@
 	stopAll   bool
 	cancelled bool
 	parked    string
+	// hopeless says why the job should be parked; empty while it should not.
+	hopeless string
 	started   time.Time
 	reason    string
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -319,8 +319,7 @@
 		return Wait, true
 	}
 	if st != structs.AllocStopped {
-		t.fails++
-		j.failedOn[r.Worker] = true
+		j.noteFailure(r)
 	}
 	j.move(r.Index, pending)
 	if j.spec.Kind == structs.KindGang && j.live() > 0 {
@@ -329,6 +328,16 @@
 	return Forget, false
 }
 
+// noteFailure counts a bad end; too many of one task make the job hopeless.
+func (j *job) noteFailure(r Ref) {
+	t := &j.tasks[r.Index]
+	t.fails++
+	j.failedOn[r.Worker] = true
+	if t.fails >= MaxFailures {
+		j.hopeless = fmt.Sprintf("task %d failed %d times, last on worker %s", r.Index, t.fails, r.Worker)
+	}
+}
+
 // Settled takes the ends that the log now holds.
 func (o *Orchestrator) Settled(id string, ends []state.TaskEnd) {
 	j := o.jobs[id]
@@ -370,12 +379,7 @@
 	if j == nil || j.over() {
 		return ""
 	}
-	for i := range j.tasks {
-		if j.tasks[i].fails >= MaxFailures {
-			return fmt.Sprintf("task %d failed %d times, last on worker %s", i, j.tasks[i].fails, j.tasks[i].worker)
-		}
-	}
-	return ""
+	return j.hopeless
 }
 
 // Finished returns the jobs for which nothing is left to do.
