--- a/internal/endpoint/linger.go
+++ b/internal/endpoint/linger.go
@@ -11,9 +11,7 @@
 // answer is counted; it is dropped in any case. The number of such connections
 // is bounded; past the bound the connection is closed at once.
 func (p *pool) linger(c *conn, req *http.Request) {
-	select {
-	case p.lingering <- struct{}{}:
-	default:
+	if !p.addLingering(c) {
 		p.drop(c)
 		return
 	}
@@ -21,9 +19,26 @@
 	go p.awaitLate(c, req)
 }
 
+func (p *pool) addLingering(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.lingering) >= p.opts.Lingering {
+		return false
+	}
+	p.lingering[c] = struct{}{}
+	return true
+}
+
+func (p *pool) removeLingering(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.lingering, c)
+}
+
+// awaitLate runs as a goroutine until the connection's deadline at the latest.
 func (p *pool) awaitLate(c *conn, req *http.Request) {
-	defer func() { <-p.lingering }()
 	defer p.drop(c)
+	defer p.removeLingering(c)
 	resp, err := readResponse(c, req)
 	if err != nil {
 		return
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -12,12 +12,12 @@
 type pool struct {
 	opts Options
 	late func(Late)
-	// lingering holds one element for each connection that is read on.
-	lingering chan struct{}
 
-	mu     sync.Mutex
-	hosts  map[string]*host
-	closed bool
+	mu    sync.Mutex
+	hosts map[string]*host
+	// lingering are the connections that are read on after their attempt.
+	lingering map[*conn]struct{}
+	closed    bool
 }
 
 // host is the connections to one address. The pool's lock guards it.
@@ -32,8 +32,8 @@
 	return &pool{
 		opts:      o,
 		late:      late,
-		lingering: make(chan struct{}, o.Lingering),
 		hosts:     make(map[string]*host),
+		lingering: make(map[*conn]struct{}),
 	}
 }
 
@@ -207,11 +207,14 @@
 	p.unreserve(c.target.Addr)
 }
 
-// close closes every idle connection and refuses new ones.
+// close closes every idle and lingering connection and refuses new ones.
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	for c := range p.lingering {
+		_ = c.Close()
+	}
 	for addr, h := range p.hosts {
 		for _, c := range h.idle {
 			_ = c.Close()
