--- /dev/null
+++ b/internal/timeline/filter.go
@@ -0,0 +1,68 @@
+package timeline
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dotterelhitch/internal/event"
+)
+
+// Filter selects events. An empty member matches everything.
+type Filter struct {
+	// Request is a request's ID, the caller's own or the system's.
+	Request string
+	Key     string
+	Task    string
+	Worker  string
+	// Job matches its tasks' events too.
+	Job    string
+	Member string
+	Proc   string
+	Types  []event.Type
+	// From and To bound the wall-clock part of the time; To is excluded.
+	From time.Time
+	To   time.Time
+}
+
+// Match reports whether the filter selects e.
+func (f Filter) Match(e event.Event) bool {
+	return f.matchNames(e) && f.matchJob(e) && f.matchTime(e) &&
+		(len(f.Types) == 0 || slices.Contains(f.Types, e.Type))
+}
+
+func (f Filter) matchNames(e event.Event) bool {
+	return f.matchRequest(e) &&
+		(f.Key == "" || f.Key == e.Key) &&
+		(f.Task == "" || f.Task == string(e.Task)) &&
+		(f.Worker == "" || f.Worker == e.Worker) &&
+		(f.Member == "" || f.Member == e.Member) &&
+		(f.Proc == "" || f.Proc == e.Proc)
+}
+
+// matchRequest also matches what a caller got, which names the system's ID in
+// its detail.
+func (f Filter) matchRequest(e event.Event) bool {
+	return f.Request == "" || f.Request == e.Request ||
+		(e.Type == event.RequestGot && f.Request == e.Detail)
+}
+
+func (f Filter) matchJob(e event.Event) bool {
+	return f.Job == "" || f.Job == e.Job || strings.HasPrefix(string(e.Task), f.Job+"#")
+}
+
+func (f Filter) matchTime(e event.Event) bool {
+	at := time.UnixMicro(e.Time.Micros)
+	return (f.From.IsZero() || !at.Before(f.From)) && (f.To.IsZero() || at.Before(f.To))
+}
+
+// Select returns the events that the filter selects.
+func (f Filter) Select(events []event.Event) []event.Event {
+	var selected []event.Event
+	for _, e := range events {
+		if f.Match(e) {
+			selected = append(selected, e)
+		}
+	}
+	return selected
+}
--- /dev/null
+++ b/internal/timeline/read.go
@@ -0,0 +1,104 @@
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	stderrors "errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/structs"
+)
+
+// Log is the content of one event log.
+type Log struct {
+	File   string
+	Events []event.Event
+	// Truncated is true if the last line was cut off, as a killed process
+	// leaves it.
+	Truncated bool
+}
+
+// LineError is a line of an event log that can't be read.
+type LineError struct {
+	File string
+	Line int
+	Err  *structs.Error
+}
+
+// Error implements error.
+func (e *LineError) Error() string {
+	return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Err.Message)
+}
+
+// Unwrap returns the typed failure.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// maxLineBytes bounds one event.
+const maxLineBytes = 1 << 20
+
+// ReadFile reads the event log at path.
+func ReadFile(path string) (*Log, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, structs.NewError(structs.CodeNotFound, "event log: %v", err)
+	}
+	defer f.Close()
+	return Read(path, f)
+}
+
+// Read reads an event log; name is used in errors only. An incomplete last line
+// is dropped, any other line that is no event gives a *LineError.
+func Read(name string, r io.Reader) (*Log, error) {
+	log := &Log{File: name}
+	in := bufio.NewReader(r)
+	for number := 1; ; number++ {
+		line, whole, err := readLine(in)
+		if err != nil {
+			return nil, lineError(name, number, err)
+		}
+		if !whole && len(line) == 0 {
+			return log, nil
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		e, err := Decode(line)
+		if err != nil && !whole {
+			log.Truncated = true
+			return log, nil
+		}
+		if err != nil {
+			return nil, lineError(name, number, err)
+		}
+		log.Events = append(log.Events, e)
+	}
+}
+
+func lineError(name string, number int, err error) error {
+	return &LineError{File: name, Line: number, Err: structs.AsError(err)}
+}
+
+// readLine returns a line without its end; whole is false for one that the end
+// of the file cut off.
+func readLine(in *bufio.Reader) (line []byte, whole bool, err error) {
+	for {
+		part, err := in.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxLineBytes {
+			return nil, false, structs.NewError(structs.CodeTooLarge, "more than %d bytes", maxLineBytes)
+		}
+		switch {
+		case err == nil:
+			return line[:len(line)-1], true, nil
+		case stderrors.Is(err, io.EOF):
+			return line, false, nil
+		case !stderrors.Is(err, bufio.ErrBufferFull):
+			return nil, false, errors.Trace(err)
+		}
+	}
+}
