--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -13,9 +13,9 @@
 // Table is the membership table after a prefix of the log.
 type Table struct {
 	// Epoch is the log offset of the last accepted change, zero for none.
-	Epoch int64
+	Epoch int64 `json:"epoch"`
 	// Members are the entry instances that have joined, in any order.
-	Members []structs.Member
+	Members []structs.Member `json:"members"`
 }
 
 // Member returns the member with the given ID.
