The whole path, thin: requests, batch jobs and gangs through an entry

Three entries over the stand-ins answer a request and run a batch job and a gang to the end (TestWholePath).

--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/state"
+)
+
+// drainLinger is the time in which the balancer turns callers away.
+const drainLinger = 500 * time.Millisecond
+
+// drain ends the entry gracefully: no new callers, every request in flight is
+// answered, then the table is left, so that others take over.
+func (e *Entry) drain(callers *caller.Server) {
+	e.events.Record(event.Event{Type: event.EntryDrain, Member: e.member.ID})
+	ctx, cancel := context.WithTimeout(e.ctx, e.timing.Drain)
+	defer cancel()
+	e.do(func() { e.core.draining = true })
+	e.do(func() { e.core.exchange() })
+	_ = callers.Drain(ctx, drainLinger)
+	_ = e.traffic.dispatcher.Drain(ctx)
+	e.awaitSlots(ctx)
+	e.leaveTable(ctx)
+}
+
+// slotPoll is the period at which the drain looks for open slots.
+const slotPoll = 20 * time.Millisecond
+
+// awaitSlots waits until no request is at an endpoint, forwarded ones included.
+func (e *Entry) awaitSlots(ctx context.Context) {
+	for ctx.Err() == nil {
+		open := 0
+		if !e.do(func() { open = len(e.traffic.slots.open) }) || open == 0 {
+			return
+		}
+		pause(ctx, slotPoll)
+	}
+}
+
+// leaveTable appends the member's leave until the table shows it.
+func (e *Entry) leaveTable(ctx context.Context) {
+	for ctx.Err() == nil {
+		var joined bool
+		var epoch int64
+		if !e.do(func() { joined, epoch = e.core.joined, e.core.control.Epoch() }) || !joined {
+			return
+		}
+		member := e.member
+		_, _ = e.commitControl(ctx, state.Change{ID: uuid.NewString(), Type: state.MemberLeave, Base: epoch, Member: &member})
+		pause(ctx, joinRetry)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"dotterelhitch/internal/peer"
 	"dotterelhitch/internal/platformlog"
 	"dotterelhitch/internal/settings"
+	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
 )
 
@@ -53,6 +54,8 @@
 	list    *instancelist.Client
 	pool    *peer.Pool
 	traffic *traffic
+	// controlLog appends to the control stream.
+	controlLog *journal.Committer
 
 	// control runs closures on the control goroutine, in order.
 	control chan func()
@@ -110,6 +113,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.core = newCore(e)
 	e.traffic = newTraffic(e)
+	e.controlLog = journal.NewCommitter(e.log, state.ControlStream, 0, e.logger)
 	e.registerMetrics()
 	return e, nil
 }
@@ -199,7 +203,9 @@
 	e.spawn(func() { e.serve(operators, e.operatorListener) })
 	e.spawn(func() { e.serve(observers, e.metricsListener) })
 	e.spawn(func() { _ = callers.Serve(e.callerListener) })
+	e.spawn(func() { e.controlLog.Run(e.ctx) })
 	e.spawn(e.followControl)
+	e.spawn(e.join)
 	e.spawn(e.followList)
 	e.spawn(e.exchangeLoop)
 
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/structs"
+)
+
+// exchangeLoop sends the heartbeat to every other member.
+func (e *Entry) exchangeLoop() {
+	ticker := time.NewTicker(e.timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.do(func() { e.core.exchange() })
+		case <-e.ctx.Done():
+			return
+		}
+	}
+}
+
+// exchange begins a heartbeat to each member that has answered its last one.
+func (c *core) exchange() {
+	if !c.joined {
+		return
+	}
+	req := &peerv1.ExchangeRequest{
+		Member:      c.self(),
+		Epoch:       c.table.Epoch(),
+		ControlNext: c.control.Next(),
+		Digest:      c.digest(),
+		Draining:    c.draining,
+		Attest:      true,
+	}
+	for _, m := range c.control.Members() {
+		p := c.peers[m.ID]
+		if p == nil || p.busy {
+			continue
+		}
+		p.busy = true
+		c.e.spawn(func() { c.e.heartbeat(m, req) })
+	}
+}
+
+func (e *Entry) heartbeat(m structs.Member, req *peerv1.ExchangeRequest) {
+	ctx, cancel := context.WithTimeout(e.ctx, 2*e.timing.Heartbeat)
+	defer cancel()
+	start := time.Now()
+	resp, err := e.pool.Client(m).Exchange(ctx, req)
+	if err != nil {
+		e.pool.Reset(m)
+	}
+	e.post(func() { e.core.heartbeatDone(m, resp, err, start) })
+}
+
+func (c *core) heartbeatDone(m structs.Member, resp *peerv1.ExchangeResponse, err error, start time.Time) {
+	p := c.peers[m.ID]
+	if p == nil {
+		return
+	}
+	p.busy = false
+	if err != nil || resp.Member != m.ID {
+		return
+	}
+	took := time.Since(start)
+	p.take(resp.Digest, resp.Epoch, resp.Draining, start)
+	p.roundTrip = smooth(p.roundTrip, took)
+}
+
+func (p *peerState) take(d *peerv1.Digest, epoch int64, draining bool, heard time.Time) {
+	p.digest = d
+	p.epoch = epoch
+	p.draining = draining
+	if heard.After(p.heard) {
+		p.heard = heard
+	}
+}
+
+// smoothWeight is the weight of the old value in a smoothed time.
+const smoothWeight = 3
+
+func smooth(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return (smoothWeight*old + sample) / (smoothWeight + 1)
+}
+
+// digest is this entry's load as it is told to peers.
+func (c *core) digest() *peerv1.Digest {
+	d := c.fleet.Nodes().Free()
+	return &peerv1.Digest{
+		Free:           fromResources(d.Free),
+		Total:          fromResources(d.Total),
+		Largest:        fromResources(d.Largest),
+		FreeSlots:      uint32(d.FreeSlots),
+		TotalSlots:     uint32(d.TotalSlots),
+		QueuedRequests: uint32(c.e.traffic.queued()),
+		QueuedTasks:    uint32(c.jobs.Waiting()),
+		Workers:        uint32(d.Workers),
+		UnknownWorkers: uint32(d.Unknown),
+		ServiceMicros:  uint32(c.e.traffic.service().Microseconds()),
+	}
+}
+
+// Exchange implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Exchange(_ context.Context, r *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	var resp *peerv1.ExchangeResponse
+	if !s.e.do(func() { resp = s.e.core.takeExchange(r) }) {
+		return nil, errEnding()
+	}
+	return resp, nil
+}
+
+func (c *core) takeExchange(r *peerv1.ExchangeRequest) *peerv1.ExchangeResponse {
+	if p := c.peers[r.Member]; p != nil {
+		p.take(r.Digest, r.Epoch, r.Draining, time.Now())
+	}
+	return &peerv1.ExchangeResponse{
+		Member:      c.self(),
+		Epoch:       c.table.Epoch(),
+		ControlNext: c.control.Next(),
+		Digest:      c.digest(),
+		Draining:    c.draining,
+	}
+}
+
+// status is this entry's view of itself.
+func (c *core) status(now time.Time) structs.EntryStatus {
+	group, _ := c.table.GroupOfMember(c.self())
+	s := structs.EntryStatus{
+		Member:        c.e.member,
+		Epoch:         c.table.Epoch(),
+		Group:         group.Name,
+		ConfigVersion: c.control.Version(),
+		Authority:     c.mayGrant(now),
+		Draining:      c.draining,
+		LogAgeMs:      now.Sub(c.controlRead).Milliseconds(),
+		JobsOwned:     c.jobs.Len(),
+		QueuedTasks:   c.jobs.Waiting(),
+		QueuedReqs:    c.e.traffic.queued(),
+	}
+	for _, w := range c.fleet.Workers() {
+		s.Workers = append(s.Workers, c.workerStatus(w.Info.ID, now))
+	}
+	for class, n := range c.jobs.Late(now) {
+		s.Late = append(s.Late, structs.LateClass{Class: class, Work: n, Reason: "tasks wait past the start target"})
+	}
+	for code, detail := range c.alarms {
+		s.Alarms = append(s.Alarms, string(code)+": "+detail)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/entry/jobbackend.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// Bounds of the callers' job interface.
+const (
+	submitTimeout = 10 * time.Second
+	statusPoll    = 100 * time.Millisecond
+)
+
+// jobBackend is the job half of caller.Backend.
+type jobBackend struct {
+	e *Entry
+}
+
+// SubmitJob accepts a job: its record is in the log, and was read back, before the
+// caller is told so. A repeat of the change ID finds the same job.
+func (b *jobBackend) SubmitJob(ctx context.Context, j structs.Job, changeID string) (string, error) {
+	if err := j.Validate(); err != nil {
+		return "", err
+	}
+	if changeID == "" {
+		changeID = uuid.NewString()
+	}
+	var s *jobStream
+	var base int64
+	var err error
+	if !b.e.do(func() { s, base, err = b.e.core.prepareJob(&j, changeID) }) {
+		return "", errEnding()
+	}
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	r, err := b.e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base, Job: &j})
+	if err != nil {
+		return "", err
+	}
+	if !r.Accepted {
+		return "", r.Err
+	}
+	return j.ID, nil
+}
+
+// prepareJob completes a job from its class and names its stream.
+func (c *core) prepareJob(j *structs.Job, changeID string) (*jobStream, int64, error) {
+	class, ok := c.control.Class(j.Class)
+	if !ok {
+		return nil, 0, structs.NewError(structs.CodeNotFound, "class %s", j.Class)
+	}
+	if !c.joined || c.draining {
+		return nil, 0, errEnding()
+	}
+	if err := c.everFits(j.Size); err != nil {
+		return nil, 0, err
+	}
+	group, _ := c.table.GroupOfMember(c.self())
+	s := c.streams[group.Name]
+	if s == nil || !s.caughtUp {
+		return nil, 0, structs.NewError(structs.CodeBehind, "the jobs of group %s were not read yet", group.Name)
+	}
+	j.Kind = class.Kind
+	if j.Team == "" {
+		j.Team = class.Team
+	}
+	j.AcceptedMs = time.Now().UnixMilli()
+	j.ID = group.Name + ":" + strconv.FormatUint(xxhash.Sum64String(changeID), 36)
+	return s, s.table.Next() - 1, nil
+}
+
+// everFits refuses a task size that no listed worker could ever hold.
+func (c *core) everFits(size structs.Resources) error {
+	for _, w := range c.instances {
+		if w.State != structs.WorkerGone && size.Fits(w.Size) {
+			return nil
+		}
+	}
+	return structs.NewError(structs.CodeNeverFits, "no worker could ever hold a task of %d mCPU, %d MiB, %d accelerators",
+		size.CPUMilli, size.MemoryMiB, size.Accelerators)
+}
+
+// JobStatus returns the state of a job, after at most wait if it has not ended.
+func (b *jobBackend) JobStatus(ctx context.Context, id string, wait time.Duration) (structs.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+submitTimeout)
+	defer cancel()
+	until := time.Now().Add(wait)
+	for {
+		status, err := b.once(ctx, id)
+		if err != nil || over(status.State) || time.Now().After(until) {
+			return status, err
+		}
+		pause(ctx, statusPoll)
+		if ctx.Err() != nil {
+			return status, nil
+		}
+	}
+}
+
+func over(s structs.JobState) bool {
+	return s == structs.JobComplete || s == structs.JobFailed || s == structs.JobCancelled
+}
+
+// once asks the owner of a job for its state.
+func (b *jobBackend) once(ctx context.Context, id string) (structs.JobStatus, error) {
+	var owner structs.Member
+	var ok bool
+	if !b.e.do(func() { owner, ok = b.e.core.table.OwnerOfJob(id) }) {
+		return structs.JobStatus{}, errEnding()
+	}
+	if !ok || structs.JobGroup(id) == "" {
+		return structs.JobStatus{}, structs.NewError(structs.CodeNotFound, "job %s", id)
+	}
+	resp, err := b.e.peerOf(owner).JobStatus(ctx, &peerv1.JobStatusRequest{Job: id})
+	if err != nil {
+		return structs.JobStatus{}, callError(err)
+	}
+	if resp.Error != nil {
+		return structs.JobStatus{}, toError(resp.Error)
+	}
+	var status structs.JobStatus
+	if err := json.Unmarshal(resp.Json, &status); err != nil {
+		return structs.JobStatus{}, structs.NewError(structs.CodeInternal, "status of job %s: %v", id, err)
+	}
+	return status, nil
+}
+
+// jobStatus is what this entry knows of a job that it owns or owned.
+func (c *core) jobStatus(id string) (structs.JobStatus, error) {
+	if s, ok := c.jobs.Status(id, time.Now()); ok {
+		s.Owner = c.self()
+		if c.round != nil && c.round.incomplete {
+			s.Reasons = append(s.Reasons, c.round.reason)
+		}
+		return s, nil
+	}
+	s, j := c.jobRecord(id)
+	if s == nil || !s.caughtUp {
+		return structs.JobStatus{}, structs.NewError(structs.CodeNotOwner, "job %s is not decided here", id)
+	}
+	if j == nil {
+		return structs.JobStatus{}, structs.NewError(structs.CodeNotFound, "job %s", id)
+	}
+	return endedStatus(c.self(), j), nil
+}
+
+// endedStatus renders a job as the log has it.
+func endedStatus(owner string, j *state.Job) structs.JobStatus {
+	s := structs.JobStatus{Job: j.Job, Owner: owner, State: jobState(j)}
+	for _, end := range j.Ends {
+		switch end {
+		case structs.AllocComplete:
+			s.Complete++
+		case structs.AllocFailed:
+			s.Failed++
+		}
+	}
+	if j.Cancelled {
+		s.Cancelled = j.Job.Count - len(j.Ends)
+	}
+	if j.Parked != "" {
+		s.Reasons = append(s.Reasons, j.Parked)
+	}
+	return s
+}
+
+// CancelJobs cancels the jobs that a filter selects in every group whose jobs this
+// entry reads, and hands the filter to a member of each other group.
+func (b *jobBackend) CancelJobs(ctx context.Context, f structs.JobFilter, changeID string) (int, error) {
+	if err := f.Validate(); err != nil {
+		return 0, err
+	}
+	if changeID == "" {
+		changeID = uuid.NewString()
+	}
+	var s *jobStream
+	var base int64
+	var n int
+	if !b.e.do(func() { s, base, n = b.e.core.prepareCancel(f) }) {
+		return 0, errEnding()
+	}
+	if s == nil {
+		return 0, structs.NewError(structs.CodeNotOwner, "the jobs of group %q are not decided here", structs.JobGroup(f.ID))
+	}
+	if n == 0 {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	r, err := b.e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobCancel, Base: base, Filter: &f})
+	if err != nil {
+		return 0, err
+	}
+	if !r.Accepted {
+		return 0, r.Err
+	}
+	return n, nil
+}
+
+// prepareCancel counts what a filter selects now.
+func (c *core) prepareCancel(f structs.JobFilter) (*jobStream, int64, int) {
+	group := structs.JobGroup(f.ID)
+	if group == "" {
+		own, _ := c.table.GroupOfMember(c.self())
+		group = own.Name
+	}
+	s := c.streams[group]
+	if s == nil || !s.caughtUp {
+		return nil, 0, 0
+	}
+	n := 0
+	for _, j := range s.table.All() {
+		if !j.Ended() && f.Match(j.Job) {
+			n++
+		}
+	}
+	return s, s.table.Next() - 1, n
+}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -13,14 +13,9 @@
 	"dotterelhitch/internal/structs"
 )
 
-// followControl reads the control stream and joins the table once the end of the
-// stream was seen.
+// followControl reads the control stream.
 func (e *Entry) followControl() {
-	committer := journal.NewCommitter(e.log, state.ControlStream, 0, e.logger)
-	e.traffic.control = committer
-	e.spawn(func() { committer.Run(e.ctx) })
 	follower := journal.NewFollower(journal.Direct{Log: e.log}, state.ControlStream, e.deliverControl, e.logger)
-	e.spawn(e.join)
 	follower.Run(e.ctx, 1)
 }
 
@@ -190,7 +185,8 @@
 // joinRetry is the pause after a lost race to join.
 const joinRetry = 100 * time.Millisecond
 
-// join appends this member's record until the fold shows it in the table.
+// join appends this member's record, once the end of the stream was seen, until
+// the fold shows it in the table.
 func (e *Entry) join() {
 	for e.ctx.Err() == nil {
 		var caughtUp, joined bool
@@ -212,7 +208,7 @@
 // result. After an error of any type but CodeUnknown the change certainly has no
 // effect.
 func (e *Entry) commitControl(ctx context.Context, ch state.Change) (state.Result, error) {
-	return e.commit(ctx, e.traffic.control, ch)
+	return e.commit(ctx, e.controlLog, ch)
 }
 
 func (e *Entry) commit(ctx context.Context, to *journal.Committer, ch state.Change) (state.Result, error) {
--- /dev/null
+++ b/internal/entry/observe.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"dotterelhitch/internal/httpx"
+)
+
+// observerMux serves metrics and health to the platform.
+func (e *Entry) observerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		e.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			httpx.WriteError(w, err)
+			return
+		}
+		_, _ = fmt.Fprintln(w, "ready")
+	})
+	return mux
+}
+
+// registerMetrics adds the gauges of the control state and the byte counts.
+func (e *Entry) registerMetrics() {
+	gauge := func(name string, f func(c *core) float64) {
+		e.metrics.NewGauge(name, func() (v float64) {
+			e.do(func() { v = f(e.core) })
+			return v
+		})
+	}
+	gauge("hitch_workers_owned", func(c *core) float64 { return float64(len(c.fleet.Workers())) })
+	gauge("hitch_jobs_owned", func(c *core) float64 { return float64(c.jobs.Len()) })
+	gauge("hitch_tasks_waiting", func(c *core) float64 { return float64(c.jobs.Waiting()) })
+	gauge("hitch_epoch", func(c *core) float64 { return float64(c.table.Epoch()) })
+	gauge("hitch_config_version", func(c *core) float64 { return float64(c.control.Version()) })
+	counter := func(name string, f func() int64) {
+		e.metrics.NewGauge(name, func() float64 { return float64(f()) })
+	}
+	counter(`hitch_peer_bytes{dir="out",link="local"}`, e.pool.Local.Out.Load)
+	counter(`hitch_peer_bytes{dir="in",link="local"}`, e.pool.Local.In.Load)
+	counter(`hitch_peer_bytes{dir="out",link="cross"}`, e.pool.Cross.Out.Load)
+	counter(`hitch_peer_bytes{dir="in",link="cross"}`, e.pool.Cross.In.Load)
+	counter(`hitch_peer_bytes{dir="out",link="served"}`, e.inbound.Out.Load)
+	counter(`hitch_peer_bytes{dir="in",link="served"}`, e.inbound.In.Load)
+}
--- /dev/null
+++ b/internal/entry/operatorbackend.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/operator"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// changeTimeout bounds the wait for a change to be read back.
+const changeTimeout = 10 * time.Second
+
+// operatorBackend implements operator.Backend.
+type operatorBackend struct {
+	e *Entry
+}
+
+// change appends a change and tells whether it or another one is in force.
+func (b *operatorBackend) change(ctx context.Context, ch state.Change, current func() (any, int64)) (operator.Change, error) {
+	if ch.ID == "" {
+		ch.ID = uuid.NewString()
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	r, err := b.e.commitControl(ctx, ch)
+	if err != nil {
+		return operator.Change{}, err
+	}
+	if !r.Accepted && r.Err != nil && r.Err.Code != structs.CodeConflict {
+		return operator.Change{}, r.Err
+	}
+	out := operator.Change{Accepted: r.Accepted}
+	b.e.do(func() { out.Current, out.Version = current() })
+	if r.Accepted {
+		out.Version = r.Offset
+	}
+	return out, nil
+}
+
+// SetClass implements operator.Backend.
+func (b *operatorBackend) SetClass(ctx context.Context, c structs.Class, base int64, changeID string) (operator.Change, error) {
+	if err := c.Validate(); err != nil {
+		return operator.Change{}, err
+	}
+	ch := state.Change{ID: changeID, Type: state.ClassSet, Base: base, Class: &c}
+	return b.change(ctx, ch, func() (any, int64) {
+		v, _ := b.e.core.control.Class(c.Name)
+		return v, v.Version
+	})
+}
+
+// Classes implements operator.Backend.
+func (b *operatorBackend) Classes(context.Context) (out []structs.Class) {
+	b.e.do(func() { out = b.e.core.control.Classes() })
+	return out
+}
+
+// SetQuota implements operator.Backend.
+func (b *operatorBackend) SetQuota(ctx context.Context, q structs.Quota, base int64, changeID string) (operator.Change, error) {
+	ch := state.Change{ID: changeID, Type: state.QuotaSet, Base: base, Quota: &q}
+	return b.change(ctx, ch, func() (any, int64) {
+		v, _ := b.e.core.control.Quota(q.Team)
+		return v, v.Version
+	})
+}
+
+// Quotas implements operator.Backend.
+func (b *operatorBackend) Quotas(context.Context) (out []structs.Quota) {
+	b.e.do(func() { out = b.e.core.control.Quotas() })
+	return out
+}
+
+// SetLeaving implements operator.Backend.
+func (b *operatorBackend) SetLeaving(ctx context.Context, l structs.Leaving, remove bool, base int64, changeID string) (operator.Change, error) {
+	ch := state.Change{ID: changeID, Type: state.LeavingAdd, Base: base, Leaving: &l}
+	if remove {
+		ch.Type = state.LeavingDrop
+	}
+	return b.change(ctx, ch, func() (any, int64) {
+		v, ok := b.e.core.control.Leaving(l.Instance)
+		version := b.e.core.control.LeavingVersion(l.Instance)
+		if !ok {
+			return nil, version
+		}
+		return v, version
+	})
+}
+
+// Leavings implements operator.Backend.
+func (b *operatorBackend) Leavings(context.Context) (out []structs.Leaving) {
+	b.e.do(func() { out = b.e.core.control.Leavings() })
+	return out
+}
+
+// statusTimeout bounds the time in which a member has to tell its state.
+const statusTimeout = 2 * time.Second
+
+// Status implements operator.Backend: it asks every member.
+func (b *operatorBackend) Status(ctx context.Context) (structs.CellStatus, error) {
+	var cell structs.CellStatus
+	if !b.e.do(func() { cell.Members = b.e.core.control.Members() }) {
+		return cell, errEnding()
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answers := make([]*structs.EntryStatus, len(cell.Members))
+	done := make(chan struct{})
+	for i, m := range cell.Members {
+		go func() {
+			answers[i] = b.statusOf(ctx, m)
+			done <- struct{}{}
+		}()
+	}
+	for range cell.Members {
+		<-done
+	}
+	for i, a := range answers {
+		if a == nil {
+			cell.Missing = append(cell.Missing, cell.Members[i].ID)
+			continue
+		}
+		cell.Entries = append(cell.Entries, *a)
+	}
+	return cell, nil
+}
+
+func (b *operatorBackend) statusOf(ctx context.Context, m structs.Member) *structs.EntryStatus {
+	resp, err := b.e.peerOf(m).Status(ctx, &peerv1.StatusRequest{})
+	if err != nil {
+		return nil
+	}
+	var s structs.EntryStatus
+	if json.Unmarshal(resp.Json, &s) != nil {
+		return nil
+	}
+	return &s
+}
+
+// Explain implements operator.Backend.
+func (b *operatorBackend) Explain(ctx context.Context, jobID string) (structs.JobStatus, error) {
+	return b.e.traffic.JobStatus(ctx, jobID, 0)
+}
+
+// workerStatus is what this entry knows of an owned worker.
+func (c *core) workerStatus(id string, now time.Time) structs.WorkerStatus {
+	w := c.fleet.Worker(id)
+	n := c.fleet.Nodes().Node(id)
+	return structs.WorkerStatus{
+		Worker:    w.Info,
+		Owner:     c.self(),
+		Used:      n.Used(),
+		SlotsUsed: n.SlotsUsed(),
+		Tasks:     n.Tasks(),
+		Known:     w.Known,
+		Reachable: w.Reachable(now, 2*c.e.timing.Heartbeat),
+		Leaving:   c.isLeaving(id),
+	}
+}
+
+func (c *core) isLeaving(id string) bool {
+	_, declared := c.control.Leaving(id)
+	return declared || c.instances[id].State != structs.WorkerLive
+}
--- /dev/null
+++ b/internal/entry/traffic.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/dispatch"
+	"dotterelhitch/internal/endpoint"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/structs"
+)
+
+// traffic carries requests: it stands between the callers' interface, the
+// dispatcher and the control goroutine.
+type traffic struct {
+	jobBackend
+	e          *Entry
+	dispatcher *dispatch.Dispatcher
+	sender     *endpoint.Client
+	slots      *slots
+	// serviceMicros is a smoothed time of a request at an endpoint.
+	serviceMicros atomic.Int64
+}
+
+var _ caller.Backend = (*traffic)(nil)
+
+func newTraffic(e *Entry) *traffic {
+	t := &traffic{jobBackend: jobBackend{e: e}, e: e, slots: newSlots()}
+	t.sender = endpoint.NewClient(endpoint.Options{
+		Keys:    e.settings.Auth.PlatformKeys,
+		Clock:   e.clock,
+		Metrics: e.metrics,
+		OnLate: func(l endpoint.Late) {
+			e.events.Record(event.Event{Type: event.LateAnswer, Request: l.Request, Worker: l.Worker, Bytes: l.Bytes})
+		},
+	})
+	t.dispatcher = dispatch.New(dispatch.Options{
+		Member:   e.member.ID,
+		Epoch:    t.epoch,
+		Slots:    t,
+		Peers:    t,
+		Keys:     t,
+		Sender:   t.sender,
+		Classes:  t,
+		Queue:    e.settings.Limits.RequestQueue,
+		FarBytes: int(e.settings.Regions.LinkBytesPerSecond),
+		Events:   e.events,
+		Metrics:  e.metrics,
+	})
+	return t
+}
+
+// Request implements caller.Backend.
+func (t *traffic) Request(ctx context.Context, r structs.Request) structs.Answer {
+	return t.dispatcher.Request(ctx, r)
+}
+
+func (t *traffic) queued() int { return t.dispatcher.Queued() }
+
+func (t *traffic) service() time.Duration {
+	return time.Duration(t.serviceMicros.Load()) * time.Microsecond
+}
+
+func (t *traffic) epoch() (epoch int64) {
+	t.e.do(func() { epoch = t.e.core.table.Epoch() })
+	return epoch
+}
+
+// Class implements dispatch.Classes.
+func (t *traffic) Class(name string) (class structs.Class, ok bool) {
+	t.e.do(func() { class, ok = t.e.core.control.Class(name) })
+	return class, ok
+}
+
+// Acquire implements dispatch.Slots.
+func (t *traffic) Acquire(_ context.Context, a dispatch.Ask) (dispatch.Lease, error) {
+	var lease dispatch.Lease
+	err := errEnding()
+	t.e.do(func() { lease, err = t.e.core.acquireSlot(a) })
+	return lease, err
+}
+
+// Release implements dispatch.Slots.
+func (t *traffic) Release(l dispatch.Lease, u dispatch.Usage) {
+	if u.Outcome == structs.OutcomeAnswered {
+		old := time.Duration(t.serviceMicros.Load()) * time.Microsecond
+		t.serviceMicros.Store(smooth(old, u.Took).Microseconds())
+	}
+	t.e.do(func() { t.e.core.releaseSlot(l) })
+}
+
+// Loads implements dispatch.Peers.
+func (t *traffic) Loads() (self dispatch.Load, peers []dispatch.Load) {
+	t.e.do(func() { self, peers = t.e.core.loads() })
+	return self, peers
+}
+
+// Dispatch implements dispatch.Peers.
+func (t *traffic) Dispatch(ctx context.Context, member string, r *peerv1.DispatchRequest) (*peerv1.DispatchResponse, error) {
+	var m structs.Member
+	var ok bool
+	t.e.do(func() { m, ok = t.e.core.table.Table().Member(member) })
+	if !ok {
+		return nil, &dispatch.NotSentError{Cause: structs.NewError(structs.CodeUnavailable, "member %s has left", member)}
+	}
+	resp, err := t.e.pool.Client(m).Dispatch(ctx, r)
+	if err == nil {
+		return resp, nil
+	}
+	typed := callError(err)
+	if structs.CodeOf(typed) != structs.CodeUnknown {
+		return nil, &dispatch.NotSentError{Cause: typed}
+	}
+	t.e.pool.Reset(m)
+	return nil, typed
+}
+
+// Dispatch implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) Dispatch(ctx context.Context, r *peerv1.DispatchRequest) (*peerv1.DispatchResponse, error) {
+	return s.e.traffic.dispatcher.Serve(ctx, r), nil
+}
+
+// slots remembers which leases are open. It belongs to the control goroutine.
+type slots struct {
+	next uint64
+	open map[uint64]string
+}
+
+func newSlots() *slots { return &slots{open: map[uint64]string{}} }
+
+// acquireSlot takes a slot of the least loaded usable worker.
+func (c *core) acquireSlot(a dispatch.Ask) (dispatch.Lease, error) {
+	if !c.mayGrant(time.Now()) {
+		return dispatch.Lease{}, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
+	}
+	id := c.chooseEndpoint(a.Exclude)
+	if id == "" || !c.fleet.Nodes().TakeSlot(id) {
+		return dispatch.Lease{}, structs.NewError(structs.CodeNoCapacity, "no free slot")
+	}
+	w := c.fleet.Worker(id)
+	s := c.e.traffic.slots
+	s.next++
+	s.open[s.next] = id
+	return dispatch.Lease{
+		ID:     s.next,
+		Target: endpoint.Target{Worker: id, Addr: w.Info.Addr, Connections: w.Info.Connections},
+		Fence:  endpoint.Fence{Epoch: w.Epoch, Owner: c.self()},
+	}, nil
+}
+
+func (c *core) releaseSlot(l dispatch.Lease) {
+	s := c.e.traffic.slots
+	id, open := s.open[l.ID]
+	if !open {
+		return
+	}
+	delete(s.open, l.ID)
+	if w := c.fleet.Worker(id); w != nil && w.Epoch == l.Fence.Epoch {
+		c.fleet.Nodes().ReturnSlot(id)
+	}
+}
+
+// chooseEndpoint returns the usable worker with the smallest share of its slots
+// taken, empty if none has a free one.
+func (c *core) chooseEndpoint(exclude []string) string {
+	best, bestShare := "", 2.0
+	for _, n := range c.fleet.Nodes().Nodes() {
+		w := n.Worker()
+		if !n.Usable() || n.SlotsUsed() >= w.Slots || contains(exclude, w.ID) {
+			continue
+		}
+		share := float64(n.SlotsUsed()) / float64(w.Slots)
+		if share < bestShare {
+			best, bestShare = w.ID, share
+		}
+	}
+	return best
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// loads returns the dispatcher's view of this entry and its peers.
+func (c *core) loads() (self dispatch.Load, peers []dispatch.Load) {
+	d := c.fleet.Nodes().Free()
+	self = dispatch.Load{
+		SameRegion: true,
+		FreeSlots:  d.FreeSlots,
+		TotalSlots: d.TotalSlots,
+		Service:    c.e.traffic.service(),
+	}
+	now := time.Now()
+	for _, m := range c.control.Members() {
+		p := c.peers[m.ID]
+		if p == nil || p.digest == nil || p.draining || now.Sub(p.heard) > 4*c.e.timing.Heartbeat {
+			continue
+		}
+		peers = append(peers, dispatch.Load{
+			Member:     m.ID,
+			SameRegion: m.Region == c.e.member.Region,
+			FreeSlots:  int(p.digest.FreeSlots),
+			TotalSlots: int(p.digest.TotalSlots),
+			Queued:     int(p.digest.QueuedRequests),
+			Service:    time.Duration(p.digest.ServiceMicros) * time.Microsecond,
+			RoundTrip:  p.roundTrip,
+		})
+	}
+	return self, peers
+}
--- /dev/null
+++ b/internal/entry/whole_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/settings"
+	"dotterelhitch/internal/standin"
+	"dotterelhitch/internal/standin/workersvc"
+	"dotterelhitch/internal/structs"
+)
+
+const testTopology = `
+[[workers]]
+prefix = "w"
+count = 6
+region = "casa"
+domain = "casa-a"
+cores = 4
+memory_gib = 8
+`
+
+// testCell is a cell of stand-ins with entries in this process.
+type testCell struct {
+	t       *testing.T
+	cell    *standin.Cell
+	entries []*Entry
+}
+
+func newTestCell(t *testing.T, entries int) *testCell {
+	t.Helper()
+	topology, err := standin.ParseTopology([]byte(testTopology))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cell, err := standin.Start(topology, standin.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cell.Close)
+	c := &testCell{t: t, cell: cell}
+	for range entries {
+		c.start()
+	}
+	return c
+}
+
+func (c *testCell) start() *Entry {
+	c.t.Helper()
+	s := settings.Default()
+	s.Identity.Region = "casa"
+	s.Identity.Domain = "casa-a"
+	s.Regions.Names = []string{"casa"}
+	s.Regions.Store = "casa"
+	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
+	s.Platform.Log = "http://" + c.cell.Addr(standin.LogName)
+	s.Platform.List = "http://" + c.cell.Addr(standin.ListName)
+	s.Auth.Insecure = true
+	logs := io.Discard
+	if os.Getenv("HITCH_TEST_LOGS") != "" {
+		logs = os.Stderr
+	}
+	e, err := New(Config{Settings: s, Logger: slog.New(slog.NewJSONHandler(logs, nil))})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = e.Run(context.Background())
+		close(ended)
+	}()
+	c.t.Cleanup(func() {
+		e.Kill()
+		<-ended
+	})
+	c.entries = append(c.entries, e)
+	return e
+}
+
+// await polls until ok holds.
+func (c *testCell) await(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not seen in time: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (c *testCell) awaitReady() {
+	c.t.Helper()
+	for _, e := range c.entries {
+		c.await("entry ready", func() bool { return e.ready() == nil })
+	}
+}
+
+func (c *testCell) setClass(class structs.Class) {
+	c.t.Helper()
+	b := &operatorBackend{e: c.entries[0]}
+	got, err := b.SetClass(context.Background(), class, 0, "")
+	if err != nil || !got.Accepted {
+		c.t.Fatalf("class %s: %+v, %v", class.Name, got, err)
+	}
+	for _, e := range c.entries {
+		c.await("class everywhere", func() bool {
+			_, ok := e.traffic.Class(class.Name)
+			return ok
+		})
+	}
+}
+
+func within(d time.Duration) structs.Duration { return structs.Duration(d) }
+
+func TestWholePath(t *testing.T) {
+	c := newTestCell(t, 3)
+	c.awaitReady()
+	c.setClass(structs.Class{Name: "lookup", Kind: structs.KindService, Target: structs.Target{AnswerWithin: within(time.Second)}})
+	c.setClass(structs.Class{Name: "reconcile", Kind: structs.KindBatch, Target: structs.Target{StartWithin: within(time.Second)}})
+	c.setClass(structs.Class{Name: "summary", Kind: structs.KindGang, Target: structs.Target{StartWithin: within(time.Second)}})
+
+	callers := &caller.Client{Base: "http://" + c.entries[1].CallerAddr()}
+	body := []byte("range 1-100")
+	var answer structs.Answer
+	c.await("an answered request", func() bool {
+		answer = callers.Do(context.Background(), caller.Call{Class: "lookup", Idempotent: true, Body: body})
+		return answer.Outcome == structs.OutcomeAnswered
+	})
+	if string(answer.Body) != string(workersvc.Answer(body)) {
+		t.Errorf("answer %q, want %q", answer.Body, workersvc.Answer(body))
+	}
+	for _, class := range []string{"reconcile", "summary"} {
+		id, err := callers.SubmitJob(context.Background(), structs.Job{
+			Class:   class,
+			Count:   10,
+			Size:    structs.Resources{CPUMilli: 500, MemoryMiB: 256},
+			RunTime: within(100 * time.Millisecond),
+		}, "")
+		if err != nil {
+			t.Fatalf("submit %s: %v", class, err)
+		}
+		status, err := callers.JobStatus(context.Background(), id, 20*time.Second)
+		if err != nil || status.State != structs.JobComplete || status.Complete != 10 {
+			t.Errorf("job of %s: %+v, %v", class, status, err)
+		}
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -127,3 +127,22 @@
 	a.confirm(now)
 	f.setState(a, structs.AllocRunning, now)
 }
+
+// HoldsAll reports whether all runs still have their reserved room.
+func (f *Fleet) HoldsAll(keys []Key) bool {
+	for _, k := range keys {
+		a := f.allocs[k]
+		if a == nil || a.State != structs.AllocReserved || !f.startable(a.Worker) {
+			return false
+		}
+	}
+	return true
+}
+
+// StopDone takes a worker's word that a run certainly does not run any more.
+func (f *Fleet) StopDone(k Key, now time.Time) {
+	if a := f.allocs[k]; a != nil {
+		a.confirm(now)
+		f.setState(a, structs.AllocStopped, now)
+	}
+}
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -60,8 +60,8 @@
 	parked    string
 	// hopeless says why the job should be parked; empty while it should not.
 	hopeless string
-	started   time.Time
-	reason    string
+	started  time.Time
+	reason   string
 }
 
 func newJob(spec structs.Job, due time.Time) *job {
