--- a/internal/scheduler/accounting.go
+++ b/internal/scheduler/accounting.go
@@ -121,36 +121,20 @@
 	return list
 }
 
-// AllocsOn returns a worker's allocations ordered by task and attempt. It reads the
-// whole set.
+// AllocsOn returns a worker's allocations ordered by task and attempt.
 func (s *NodeSet) AllocsOn(id string) []structs.Alloc {
 	n := s.nodes[id]
 	if n == nil {
 		return nil
 	}
 	var list []structs.Alloc
-	for _, h := range s.on(n) {
+	for _, h := range n.allocs {
 		list = append(list, h.alloc)
 	}
 	slices.SortFunc(list, compareAllocs)
 	return list
 }
 
-// on returns what is counted on a node.
-func (s *NodeSet) on(n *Node) []*held {
-	var list []*held
-	for job := range n.perJob {
-		for task := range s.jobs[job].tasks {
-			for h := s.held[task]; h != nil; h = h.next {
-				if h.node == n {
-					list = append(list, h)
-				}
-			}
-		}
-	}
-	return list
-}
-
 // find returns the entry of an attempt on a node, nil if there is none.
 func (s *NodeSet) find(task structs.TaskID, attempt int, n *Node) *held {
 	for h := s.held[task]; h != nil; h = h.next {
@@ -165,12 +149,14 @@
 func (s *NodeSet) link(h *held) {
 	h.next = s.held[h.alloc.Task]
 	s.held[h.alloc.Task] = h
+	h.attach()
 	s.account(h, 1)
 }
 
 // unlink ends the counting of h.
 func (s *NodeSet) unlink(h *held) {
 	s.account(h, -1)
+	h.detach()
 	first := s.held[h.alloc.Task]
 	if first == h && h.next == nil {
 		delete(s.held, h.alloc.Task)
@@ -206,7 +192,6 @@
 	if s.lasting[h.alloc.Class] {
 		n.lasting = n.lasting.Add(size)
 	}
-	n.tasks += by
 	job := jobOf(h.alloc.Task)
 	addCount(n.perJob, job, by)
 	addCount(n.class, h.alloc.Class, by)
--- /dev/null
+++ b/internal/scheduler/evict.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"dotterelhitch/internal/structs"
+)
+
+const (
+	// evictWorkers is the number of workers with enough to evict that are compared
+	// before the cheapest is taken.
+	evictWorkers = 128
+	// evictTasks is the largest number of tasks evicted for one task.
+	evictTasks = 8
+)
+
+// EvictCost returns the cost of stopping an allocation to make room, and false for
+// one that must not be stopped for it.
+type EvictCost func(structs.Alloc) (cost float64, ok bool)
+
+// Eviction is a set of allocations on one worker that make room for a task.
+type Eviction struct {
+	For    TaskRef
+	Worker string
+	Allocs []structs.Alloc
+	Cost   float64
+}
+
+// PlanEvict chooses the cheapest allocations to stop so that each task of the ask
+// fits, at most one eviction a worker; tasks for which nothing is found are left
+// out. The caller holds the workers for the job, has the allocations stopped and
+// places once their stops are confirmed.
+func PlanEvict(s *NodeSet, ask Ask, cost EvictCost) []Eviction {
+	if ask.Size.Negative() || ask.Size.IsZero() {
+		return nil
+	}
+	found := s.evictions(&ask, cost)
+	slices.SortFunc(found, func(a, b Eviction) int {
+		return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Worker, b.Worker))
+	})
+	found = found[:min(len(found), len(ask.Tasks))]
+	for i := range found {
+		found[i].For = ask.Tasks[i]
+	}
+	return found
+}
+
+// evictions collects candidates from racks in an order that differs by task.
+func (s *NodeSet) evictions(ask *Ask, cost EvictCost) []Eviction {
+	var found []Eviction
+	racks := s.topo.racks
+	if len(racks) == 0 {
+		return nil
+	}
+	want := max(evictWorkers, len(ask.Tasks))
+	first := int(ask.seed() % uint64(len(racks)))
+	for i := range racks {
+		for _, n := range racks[(first+i)%len(racks)].nodes {
+			if e, ok := n.evict(ask, cost); ok {
+				found = append(found, e)
+			}
+		}
+		if len(found) >= want {
+			break
+		}
+	}
+	return found
+}
+
+// priced is an allocation with the cost of stopping it.
+type priced struct {
+	alloc structs.Alloc
+	cost  float64
+}
+
+// evict returns the cheapest few allocations whose end makes room on the node.
+func (n *Node) evict(ask *Ask, cost EvictCost) (Eviction, bool) {
+	if !n.Usable() || n.hold != "" && n.hold != ask.Job || !ask.Size.Fits(n.worker.Size) || ask.avoids(n.worker.ID) {
+		return Eviction{}, false
+	}
+	list := n.priced(cost)
+	free := n.worker.Size.Sub(n.used)
+	var chosen []priced
+	for _, p := range list {
+		if ask.Size.Fits(n.beside(ask.Size, free)) || len(chosen) == evictTasks {
+			break
+		}
+		chosen = append(chosen, p)
+		free = free.Add(p.alloc.Size)
+	}
+	if len(chosen) == 0 || !ask.Size.Fits(n.beside(ask.Size, free)) {
+		return Eviction{}, false
+	}
+	return n.spare(ask, chosen, free), true
+}
+
+// priced lists what may be stopped on the node, the cheapest first.
+func (n *Node) priced(cost EvictCost) []priced {
+	var list []priced
+	for _, h := range n.allocs {
+		if c, ok := cost(h.alloc); ok {
+			list = append(list, priced{alloc: h.alloc, cost: c})
+		}
+	}
+	slices.SortFunc(list, func(a, b priced) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), compareAllocs(a.alloc, b.alloc))
+	})
+	return list
+}
+
+// spare leaves out what need not be stopped after all, the dearest first.
+func (n *Node) spare(ask *Ask, chosen []priced, free structs.Resources) Eviction {
+	e := Eviction{Worker: n.worker.ID}
+	for _, p := range slices.Backward(chosen) {
+		without := free.Sub(p.alloc.Size)
+		if ask.Size.Fits(n.beside(ask.Size, without)) {
+			free = without
+			continue
+		}
+		e.Allocs = append(e.Allocs, p.alloc)
+		e.Cost += p.cost
+	}
+	return e
+}
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -85,6 +85,8 @@
 	node *Node
 	room int
 	busy float64
+	// special is 1 for a node with accelerators if the ask needs none.
+	special int
 }
 
 // PlanHold chooses workers which, once the work on them that ends by itself has
@@ -101,6 +103,7 @@
 	seed := ask.seed()
 	slices.SortFunc(found, func(a, b holdCandidate) int {
 		return cmp.Or(
+			cmp.Compare(a.special, b.special),
 			cmp.Compare(a.busy, b.busy),
 			cmp.Compare(rank(a.node.seed, seed), rank(b.node.seed, seed)),
 		)
@@ -122,15 +125,16 @@
 	if !n.Usable() || ask.avoids(n.worker.ID) || n.hold != "" && n.hold != ask.Job {
 		return holdCandidate{}
 	}
-	if ask.Size.Accelerators == 0 && n.worker.Size.Accelerators > 0 {
-		return holdCandidate{}
-	}
 	later := clampPositive(n.worker.Size.Sub(n.lasting))
-	return holdCandidate{
+	c := holdCandidate{
 		node: n,
-		room: capacity(later, ask.Size),
+		room: capacity(n.beside(ask.Size, later), ask.Size),
 		busy: s.index.share(n.used.Sub(n.lasting)),
 	}
+	if ask.Size.Accelerators == 0 && n.worker.Size.Accelerators > 0 {
+		c.special = 1
+	}
+	return c
 }
 
 // HeldIdle returns what is free on held workers, which nobody uses meanwhile.
--- a/internal/scheduler/jobindex.go
+++ b/internal/scheduler/jobindex.go
@@ -8,6 +8,24 @@
 	node  *Node
 	alloc structs.Alloc
 	next  *held
+	// at is the position in the node's list.
+	at int
+}
+
+// attach adds h to the list of its node.
+func (h *held) attach() {
+	h.at = len(h.node.allocs)
+	h.node.allocs = append(h.node.allocs, h)
+}
+
+// detach takes h out of the list of its node by moving the last one into its place.
+func (h *held) detach() {
+	list := h.node.allocs
+	last := len(list) - 1
+	list[h.at] = list[last]
+	list[h.at].at = h.at
+	list[last] = nil
+	h.node.allocs = list[:last]
 }
 
 // jobIndex counts the tasks of one job by rack and failure domain.
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -9,7 +9,7 @@
 	flags   Flag
 	used    structs.Resources
 	lasting structs.Resources
-	tasks   int
+	allocs  []*held
 	slots   int
 	perJob  map[string]int
 	class   map[string]int
@@ -38,7 +38,7 @@
 }
 
 // Tasks returns the number of allocations counted on the worker.
-func (n *Node) Tasks() int { return n.tasks }
+func (n *Node) Tasks() int { return len(n.allocs) }
 
 // JobTasks returns how many of them belong to a job.
 func (n *Node) JobTasks(job string) int { return n.perJob[job] }
@@ -67,7 +67,11 @@
 // leaves part of the worker for each accelerator that is free, unless it is so
 // large that it could then never run there.
 func (n *Node) freeFor(size structs.Resources) structs.Resources {
-	free := n.Free()
+	return n.beside(size, n.Free())
+}
+
+// beside returns the part of free that a task of a size may take.
+func (n *Node) beside(size, free structs.Resources) structs.Resources {
 	total := n.worker.Size.Accelerators
 	if size.Accelerators > 0 || total == 0 || free.Accelerators == 0 {
 		return free
--- a/internal/scheduler/nodeset.go
+++ b/internal/scheduler/nodeset.go
@@ -77,18 +77,17 @@
 		n.worker = w
 		return
 	}
-	tasks := s.on(n)
-	s.countJobs(tasks, -1)
+	s.countJobs(n, -1)
 	s.topo.remove(n)
 	n.worker = w
 	s.topo.add(n)
-	s.countJobs(tasks, 1)
+	s.countJobs(n, 1)
 }
 
-// countJobs adds or takes away tasks in the counters by rack.
-func (s *NodeSet) countJobs(tasks []*held, by int) {
-	for _, h := range tasks {
-		s.jobs[jobOf(h.alloc.Task)].count(h.alloc.Task, h.node.rack, by)
+// countJobs adds or takes away a node's tasks in the counters by rack.
+func (s *NodeSet) countJobs(n *Node, by int) {
+	for _, h := range n.allocs {
+		s.jobs[jobOf(h.alloc.Task)].count(h.alloc.Task, n.rack, by)
 	}
 }
 
@@ -113,8 +112,8 @@
 		return nil
 	}
 	lost := s.AllocsOn(id)
-	for _, h := range s.on(n) {
-		s.unlink(h)
+	for len(n.allocs) > 0 {
+		s.unlink(n.allocs[0])
 	}
 	if n.bucket != nil {
 		n.bucket.remove(n)
--- a/internal/scheduler/place_together.go
+++ b/internal/scheduler/place_together.go
@@ -49,8 +49,13 @@
 func gangDomains(s *NodeSet, ask *Ask, special bool) []*gangDomain {
 	var domains []*gangDomain
 	seed := ask.seed()
-	for _, r := range s.topo.racks {
-		g := newGangRack(s, ask, special, r, seed)
+	racks := make([]gangRack, len(s.topo.racks))
+	nodes := make([]candidate, 0, len(s.nodes))
+	for i, r := range s.topo.racks {
+		g := &racks[i]
+		g.rack = r
+		g.rank = rank(r.seed, seed)
+		nodes = g.count(s, ask, special, nodes)
 		if g.room == 0 {
 			continue
 		}
@@ -65,10 +70,11 @@
 	return domains
 }
 
-// newGangRack counts the room of a rack.
-func newGangRack(s *NodeSet, ask *Ask, special bool, r *rack, seed uint64) *gangRack {
-	g := &gangRack{rack: r, rank: rank(r.seed, seed)}
-	for _, n := range r.nodes {
+// count counts the room of a rack. It appends the rack's nodes to a slice with room
+// for all and returns that.
+func (g *gangRack) count(s *NodeSet, ask *Ask, special bool, nodes []candidate) []candidate {
+	from := len(nodes)
+	for _, n := range g.rack.nodes {
 		if !n.Usable() || !special && n.worker.Size.Accelerators > 0 {
 			continue
 		}
@@ -77,10 +83,15 @@
 			continue
 		}
 		g.room += room
-		score := s.index.share(n.Free())
-		g.nodes = append(g.nodes, candidate{node: n, score: score, rank: rank(n.seed, seed), room: room})
+		nodes = append(nodes, candidate{
+			node:  n,
+			score: s.index.share(n.Free()),
+			rank:  rank(n.seed, g.rank),
+			room:  room,
+		})
 	}
-	return g
+	g.nodes = nodes[from:len(nodes):len(nodes)]
+	return nodes
 }
 
 // fill places tasks on the rack's nodes, the tightest first.
@@ -96,13 +107,13 @@
 	slices.SortFunc(d.racks, func(a, b *gangRack) int {
 		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.rank, b.rank))
 	})
-	for i, r := range d.racks {
-		rest := &gangDomain{racks: d.racks[i:]}
-		if last := smallestRack([]*gangDomain{rest}, len(plan.Unplaced)); last != nil {
-			last.fill(plan)
+	for _, r := range d.racks {
+		if r.room >= len(plan.Unplaced) {
+			smallestRack([]*gangDomain{d}, len(plan.Unplaced)).fill(plan)
 			return
 		}
 		r.fill(plan)
+		r.room = 0
 	}
 }
 
--- a/internal/scheduler/reason.go
+++ b/internal/scheduler/reason.go
@@ -41,13 +41,11 @@
 // Explain counts the workers of a set by the first reason that keeps a task of the
 // ask off them, most frequent first. It reads every node.
 func Explain(s *NodeSet, ask Ask) []Rejection {
-	counts := make(map[Reason]int)
-	for _, n := range s.nodes {
-		counts[n.reject(&ask)]++
-	}
-	list := make([]Rejection, 0, len(counts))
-	for reason, workers := range counts {
-		list = append(list, Rejection{Reason: reason, Workers: workers})
+	var list []Rejection
+	for _, r := range s.topo.racks {
+		for _, n := range r.nodes {
+			list = countReason(list, n.reject(&ask))
+		}
 	}
 	slices.SortFunc(list, func(a, b Rejection) int {
 		return cmp.Or(cmp.Compare(b.Workers, a.Workers), cmp.Compare(a.Reason, b.Reason))
@@ -55,6 +53,17 @@
 	return list
 }
 
+// countReason adds one worker to a reason. The list is short.
+func countReason(list []Rejection, reason Reason) []Rejection {
+	for i := range list {
+		if list[i].Reason == reason {
+			list[i].Workers++
+			return list
+		}
+	}
+	return append(list, Rejection{Reason: reason, Workers: 1})
+}
+
 // reject returns the first reason that keeps a task of the ask off the node. A node
 // that could take one was left out because the whole ask did not fit.
 func (n *Node) reject(ask *Ask) Reason {
