--- /dev/null
+++ b/internal/checker/fault.go
@@ -0,0 +1,19 @@
+package checker
+
+import "dotterelhitch/internal/event"
+
+// States of a Fault event that names a Worker or a Member. A process that was
+// killed or frozen can't record it, so whoever does it records it, after it has
+// taken effect.
+const (
+	FaultKilled = "killed"
+	FaultFrozen = "frozen"
+	FaultThawed = "thawed"
+)
+
+// StateRemoved marks a LeavingSaid event that took a declaration back.
+const StateRemoved = "removed"
+
+func isFault(e event.Event, state string) bool {
+	return e.Type == event.Fault && e.State == state
+}
--- a/internal/timeline/read.go
+++ b/internal/timeline/read.go
@@ -27,13 +27,12 @@
 type LineError struct {
 	File string
 	Line int
-	Err  *structs.Error
+	// Err is the typed failure; its message names the file and line.
+	Err *structs.Error
 }
 
 // Error implements error.
-func (e *LineError) Error() string {
-	return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Err.Message)
-}
+func (e *LineError) Error() string { return e.Err.Error() }
 
 // Unwrap returns the typed failure.
 func (e *LineError) Unwrap() error { return e.Err }
@@ -80,7 +79,9 @@
 }
 
 func lineError(name string, number int, err error) error {
-	return &LineError{File: name, Line: number, Err: structs.AsError(err)}
+	typed := *structs.AsError(err)
+	typed.Message = fmt.Sprintf("%s:%d: %s", name, number, typed.Message)
+	return &LineError{File: name, Line: number, Err: &typed}
 }
 
 // readLine returns a line without its end; whole is false for one that the end
