--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -26,12 +26,12 @@
 	tableSince time.Time
 	joined     bool
 	draining   bool
+	rights     *rights
+	recent     recentRecords
 
 	// instances is the platform's list by ID, listed is its version.
 	instances map[string]structs.Worker
 	listed    int64
-	// goneEntries are members that the list shows as gone.
-	goneEntries map[string]bool
 
 	fleet  *fleet.Fleet
 	agents map[string]*agent
@@ -71,13 +71,12 @@
 	t := e.timing
 	return &core{
 		e:           e,
+		rights:      newRights(e, time.Now()),
 		control:     state.NewControl(),
 		table:       ownership.NewMap(ownership.Table{}),
 		instances:   map[string]structs.Worker{},
-		goneEntries: map[string]bool{},
 		fleet: fleet.New(fleet.Timing{
 			Lease:       t.Lease,
-			Authority:   t.Authority,
 			ClockMargin: t.ClockMargin,
 			Silent:      2 * t.Heartbeat,
 			ReportRetry: time.Second,
@@ -96,6 +95,7 @@
 
 // tick is the periodic work of the control goroutine.
 func (c *core) tick(now time.Time) {
+	c.noteAuthority(now)
 	c.lapse(now)
 	c.report(now)
 	c.collect(now)
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -4,11 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
-
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/event"
-	"dotterelhitch/internal/state"
 )
 
 // drainLinger is the time in which the balancer turns callers away.
@@ -41,17 +38,3 @@
 		pause(ctx, slotPoll)
 	}
 }
-
-// leaveTable appends the member's leave until the table shows it.
-func (e *Entry) leaveTable(ctx context.Context) {
-	for ctx.Err() == nil {
-		var joined bool
-		var epoch int64
-		if !e.do(func() { joined, epoch = e.core.joined, e.core.control.Epoch() }) || !joined {
-			return
-		}
-		member := e.member
-		_, _ = e.commitControl(ctx, state.Change{ID: uuid.NewString(), Type: state.MemberLeave, Base: epoch, Member: &member})
-		pause(ctx, joinRetry)
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -245,8 +245,11 @@
 	for {
 		select {
 		case f := <-e.control:
+			e.core.turn(time.Now())
 			f()
-		case now := <-tick.C:
+		case <-tick.C:
+			now := time.Now()
+			e.core.turn(now)
 			e.core.tick(now)
 		case <-e.ctx.Done():
 			return
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/peer/peerv1"
 	"dotterelhitch/internal/structs"
 )
@@ -15,7 +16,10 @@
 	for {
 		select {
 		case <-ticker.C:
-			e.do(func() { e.core.exchange() })
+			e.do(func() {
+				e.core.exchange()
+				e.core.guardMembership(time.Now())
+			})
 		case <-e.ctx.Done():
 			return
 		}
@@ -65,6 +69,13 @@
 	if err != nil || resp.Member != m.ID {
 		return
 	}
+	c.heardMember(m.ID, resp.Epoch, start)
+	if resp.Attested {
+		c.rights.authority.ObserveAttestation(m.ID, resp.Epoch, start)
+	}
+	if resp.ControlNext > c.control.Next() && !c.readLately(time.Now()) {
+		c.e.spawn(func() { c.e.fetchRecords(m) })
+	}
 	took := time.Since(start)
 	p.take(resp.Digest, resp.Epoch, resp.Draining, start)
 	p.roundTrip = smooth(p.roundTrip, took)
@@ -116,10 +127,14 @@
 }
 
 func (c *core) takeExchange(r *peerv1.ExchangeRequest) *peerv1.ExchangeResponse {
+	now := time.Now()
 	if p := c.peers[r.Member]; p != nil {
-		p.take(r.Digest, r.Epoch, r.Draining, time.Now())
+		p.take(r.Digest, r.Epoch, r.Draining, now)
+		c.heardMember(r.Member, r.Epoch, now)
 	}
+	attested := r.Attest && c.rights.attester.Answer(r.Epoch) == authority.Attested
 	return &peerv1.ExchangeResponse{
+		Attested:    attested,
 		Member:      c.self(),
 		Epoch:       c.table.Epoch(),
 		ControlNext: c.control.Next(),
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
+	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/journal"
 	"dotterelhitch/internal/ownership"
@@ -15,7 +15,7 @@
 
 // followControl reads the control stream.
 func (e *Entry) followControl() {
-	follower := journal.NewFollower(journal.Direct{Log: e.log}, state.ControlStream, e.deliverControl, e.logger)
+	follower := journal.NewFollower(controlSource{e: e}, state.ControlStream, e.deliverControl, e.logger)
 	follower.Run(e.ctx, 1)
 }
 
@@ -33,6 +33,7 @@
 	if c.bridge != nil {
 		return c.bridgeControl(p)
 	}
+	c.recent.keep(p.Records)
 	for _, r := range p.Records {
 		for _, result := range c.control.Apply(r.Offset, r.Data) {
 			c.noteControl(result)
@@ -41,6 +42,7 @@
 	if p.Tail {
 		c.controlRead = p.Start
 		c.caughtUp = true
+		c.observeTail(p)
 		c.clearAlarm(structs.CodeBehind)
 	}
 	return c.control.Next()
@@ -62,6 +64,7 @@
 		}
 		c.bridge = nil
 		c.control = table
+		c.rights.handover = authority.NewHandover(c.e.authorityConfig(), c.self(), table.Membership(), time.Now())
 		c.retable()
 		return table.Next()
 	}
@@ -85,12 +88,8 @@
 		return
 	}
 	switch r.Change.Type {
-	case state.MemberJoin:
-		c.noteMember(event.MemberJoined, r)
-	case state.MemberLeave:
-		c.noteMember(event.MemberLeft, r)
-	case state.MemberRemove:
-		c.noteMember(event.MemberRemoved, r)
+	case state.Membership:
+		c.noteMembers(r)
 	case state.ClassSet, state.QuotaSet:
 		c.noteConfig(r)
 	case state.LeavingAdd, state.LeavingDrop:
@@ -99,8 +98,23 @@
 	}
 }
 
-func (c *core) noteMember(t event.Type, r state.Result) {
-	c.e.events.Record(event.Event{Type: t, Member: r.Change.Member.ID, Epoch: r.Offset})
+func (c *core) noteMembers(r state.Result) {
+	change := r.Change.Members
+	for _, m := range change.Join {
+		c.e.events.Record(event.Event{Type: event.MemberJoined, Member: m.ID, Epoch: r.Offset})
+	}
+	for _, id := range change.Remove {
+		e := event.Event{Type: event.MemberRemoved, Member: id, Epoch: r.Offset}
+		switch {
+		case slices.Contains(change.Consents, id):
+			e.Type = event.MemberLeft
+		case change.Forced:
+			e.Detail = "forced"
+		default:
+			e.Detail = "by consent"
+		}
+		c.e.events.Record(e)
+	}
 	c.retable()
 }
 
@@ -129,6 +143,7 @@
 	c.tableSince = now
 	wasIn := c.joined
 	c.joined = c.control.HasMember(c.self())
+	c.newTable(before, now)
 	if wasIn && !c.joined {
 		c.expelled()
 		return
@@ -161,12 +176,23 @@
 // expelled ends the process: a removed member is never taken back under its ID.
 func (c *core) expelled() {
 	if c.draining {
+		c.dropAll()
 		return
 	}
 	c.e.logger.Error("removed from the membership table", "epoch", c.control.Epoch())
 	c.e.stop()
 }
 
+// dropAll gives up every worker and job after a graceful leave.
+func (c *core) dropAll() {
+	for _, w := range c.fleet.Workers() {
+		c.loseWorker(w.Info.ID)
+	}
+	for _, id := range c.jobs.IDs() {
+		c.jobs.Drop(id)
+	}
+}
+
 func (c *core) forgetPeers() {
 	for id := range c.peers {
 		if !c.control.HasMember(id) {
@@ -182,28 +208,9 @@
 	}
 }
 
-// joinRetry is the pause after a lost race to join.
+// joinRetry is the pause between two tries to join or to leave.
 const joinRetry = 100 * time.Millisecond
 
-// join appends this member's record, once the end of the stream was seen, until
-// the fold shows it in the table.
-func (e *Entry) join() {
-	for e.ctx.Err() == nil {
-		var caughtUp, joined bool
-		var epoch int64
-		if !e.do(func() { caughtUp, joined, epoch = e.core.caughtUp, e.core.joined, e.core.control.Epoch() }) || joined {
-			return
-		}
-		if caughtUp {
-			member := e.member
-			ctx, cancel := context.WithTimeout(e.ctx, 5*time.Second)
-			_, _ = e.commitControl(ctx, state.Change{ID: uuid.NewString(), Type: state.MemberJoin, Base: epoch, Member: &member})
-			cancel()
-		}
-		pause(e.ctx, joinRetry)
-	}
-}
-
 // commitControl appends a change to the control stream and waits for the fold's
 // result. After an error of any type but CodeUnknown the change certainly has no
 // effect.
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -7,6 +7,7 @@
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/fleet"
 	"dotterelhitch/internal/instancelist"
+	"dotterelhitch/internal/ownership"
 	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/structs"
 )
@@ -43,9 +44,13 @@
 		c.fleet.Update(w)
 		c.applyLeaving(w.ID)
 	}
+	var gone []string
 	for _, entry := range list.Entries {
-		c.goneEntries[entry.ID] = entry.State == structs.WorkerGone
+		if entry.State == structs.WorkerGone {
+			gone = append(gone, entry.ID)
+		}
 	}
+	c.rights.goneList.Observe(gone, time.Duration(list.LagMs)*time.Millisecond, now)
 	c.assignWorkers(now)
 }
 
@@ -119,8 +124,7 @@
 
 // lapse ends what time has ended.
 func (c *core) lapse(now time.Time) {
-	byTime := c.control.ForcedEpoch() == 0
-	for _, id := range c.fleet.Tick(now, byTime) {
+	for _, id := range c.fleet.Tick(now, c.formerLapsed) {
 		c.e.logger.Warn("worker silent past its leases", "worker", id)
 		if a := c.agents[id]; a != nil {
 			a.regain(c.table.Epoch())
@@ -128,6 +132,16 @@
 	}
 }
 
+// formerLapsed reports whether the leases that former owners of a worker may have
+// renewed have certainly ended.
+func (c *core) formerLapsed(w structs.Worker, now time.Time) bool {
+	lapse := c.rights.handover.TasksLapse(func(m *ownership.Map) string {
+		owner, _ := m.OwnerOfWorker(w)
+		return owner.ID
+	})
+	return lapse.Over(now)
+}
+
 // holds reports whether a worker is still owned under the epoch that an agent
 // works with, so that late news of an agent is dropped.
 func (c *core) holds(id string, epoch int64) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,9 +13,6 @@
 type Timing struct {
 	// Lease is how long a task runs after the last renewal.
 	Lease time.Duration
-	// Authority is how long a former owner may go on renewing after it was
-	// removed from the table.
-	Authority time.Duration
 	// ClockMargin covers the difference in rate of two monotonic clocks.
 	ClockMargin time.Duration
 	// Silent is how long a worker may be silent before it gets no new work.
@@ -160,19 +157,18 @@
 }
 
 // Tick gives up what time has ended: reservations, and the runs of workers that
-// have been silent for longer than any lease of theirs can last. lapseByTime is
-// false where a forced membership change forbids to count on time. It returns
-// the workers that were accounted for by time.
-func (f *Fleet) Tick(now time.Time, lapseByTime bool) []string {
+// have been silent for longer than any lease of theirs can last. former tells
+// whether the leases that former owners of a worker renewed have ended. It
+// returns the workers that were accounted for by time.
+func (f *Fleet) Tick(now time.Time, former func(w structs.Worker, now time.Time) bool) []string {
 	f.expireReservations(now)
 	var lapsed []string
 	for id, w := range f.workers {
-		silent := now.Sub(w.heard) > f.timing.Silent
-		if !silent {
+		if now.Sub(w.heard) <= f.timing.Silent {
 			continue
 		}
 		f.nodes.SetFlag(id, scheduler.FlagUnreachable, true)
-		if w.accounted || !lapseByTime || now.Before(f.leasesEnd(w)) {
+		if w.accounted || now.Before(f.leasesEnd(w)) || !former(w.Info, now) {
 			continue
 		}
 		w.accounted = true
@@ -185,14 +181,13 @@
 	return lapsed
 }
 
-// leasesEnd is when every lease on a silent worker has certainly ended: one lease
-// after the last answer to this owner, and to any former one.
+// leasesEnd is when every lease that this owner renewed on a silent worker has
+// certainly ended.
 func (f *Fleet) leasesEnd(w *Worker) time.Time {
-	last := w.gainedAt.Add(f.timing.Authority)
-	if w.answered.After(last) {
-		last = w.answered
+	if w.answered.IsZero() {
+		return w.gainedAt
 	}
-	return last.Add(f.timing.Lease + f.timing.ClockMargin)
+	return w.answered.Add(f.timing.Lease + f.timing.ClockMargin)
 }
 
 func (f *Fleet) expireReservations(now time.Time) {
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 
+	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/structs"
 )
 
@@ -21,14 +22,12 @@
 
 // The changes of the control stream, and below them those of a jobs stream.
 const (
-	MemberJoin   ChangeType = "member_join"
-	MemberLeave  ChangeType = "member_leave"
-	MemberRemove ChangeType = "member_remove"
-	ClassSet     ChangeType = "class_set"
-	QuotaSet     ChangeType = "quota_set"
-	LeavingAdd   ChangeType = "leaving_add"
-	LeavingDrop  ChangeType = "leaving_drop"
-	ControlSnap  ChangeType = "control_snapshot"
+	Membership  ChangeType = "membership"
+	ClassSet    ChangeType = "class_set"
+	QuotaSet    ChangeType = "quota_set"
+	LeavingAdd  ChangeType = "leaving_add"
+	LeavingDrop ChangeType = "leaving_drop"
+	ControlSnap ChangeType = "control_snapshot"
 
 	JobAccept ChangeType = "job_accept"
 	JobCancel ChangeType = "job_cancel"
@@ -48,16 +47,11 @@
 	// ID makes a repeated append harmless and lets its author find the result.
 	ID   string     `json:"id"`
 	Type ChangeType `json:"type"`
-	// Base is the epoch (membership), the version (configuration) or the read
-	// position (cancellation) that the change is based on.
+	// Base is the version (configuration) or the read position (jobs) that the
+	// change is based on.
 	Base int64 `json:"base,omitempty"`
 
-	Member *structs.Member `json:"member,omitempty"`
-	// Consents are the members that agreed to a membership change.
-	Consents []string `json:"consents,omitempty"`
-	// Forced marks a removal or join that counts Gone members instead of consent.
-	Forced bool     `json:"forced,omitempty"`
-	Gone   []string `json:"gone,omitempty"`
+	Members *authority.Change `json:"members,omitempty"`
 
 	Class   *structs.Class   `json:"class,omitempty"`
 	Quota   *structs.Quota   `json:"quota,omitempty"`
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/structs"
 )
 
@@ -11,10 +12,8 @@
 // owned by one goroutine.
 type Control struct {
 	next    int64
-	epoch   int64
-	forced  int64
 	version int64
-	members map[string]structs.Member
+	members authority.State
 	classes map[string]structs.Class
 	quotas  map[string]structs.Quota
 	leaving map[string]structs.Leaving
@@ -26,10 +25,8 @@
 // ControlSnapshot is the whole of a Control as of offset Next-1.
 type ControlSnapshot struct {
 	Next    int64             `json:"next"`
-	Epoch   int64             `json:"epoch"`
-	Forced  int64             `json:"forced,omitempty"`
 	Version int64             `json:"version"`
-	Members []structs.Member  `json:"members"`
+	Members authority.State   `json:"members"`
 	Classes []structs.Class   `json:"classes"`
 	Quotas  []structs.Quota   `json:"quotas"`
 	Leaving []structs.Leaving `json:"leaving"`
@@ -40,7 +37,6 @@
 func NewControl() *Control {
 	return &Control{
 		next:    1,
-		members: map[string]structs.Member{},
 		classes: map[string]structs.Class{},
 		quotas:  map[string]structs.Quota{},
 		leaving: map[string]structs.Leaving{},
@@ -52,24 +48,19 @@
 func (c *Control) Next() int64 { return c.next }
 
 // Epoch is the offset of the last accepted membership change, zero for none.
-func (c *Control) Epoch() int64 { return c.epoch }
+func (c *Control) Epoch() int64 { return c.members.Table.Epoch }
 
-// ForcedEpoch is the epoch of the last forced change, zero for none.
-func (c *Control) ForcedEpoch() int64 { return c.forced }
+// Membership returns the membership table with its doubtful members.
+func (c *Control) Membership() authority.State { return c.members }
 
 // Version is the offset of the last accepted configuration change.
 func (c *Control) Version() int64 { return c.version }
 
 // Members returns the members ordered by ID.
-func (c *Control) Members() []structs.Member {
-	return sorted(c.members)
-}
+func (c *Control) Members() []structs.Member { return c.members.Table.Members }
 
 // HasMember reports whether id is in the table.
-func (c *Control) HasMember(id string) bool {
-	_, ok := c.members[id]
-	return ok
-}
+func (c *Control) HasMember(id string) bool { return c.members.Table.Has(id) }
 
 // Class returns a class by name.
 func (c *Control) Class(name string) (structs.Class, bool) {
@@ -127,8 +118,8 @@
 
 func (c *Control) apply(offset int64, ch Change) Result {
 	switch ch.Type {
-	case MemberJoin, MemberLeave, MemberRemove:
-		return c.applyMember(offset, ch)
+	case Membership:
+		return c.applyMembers(offset, ch)
 	case ClassSet:
 		return c.applyClass(offset, ch)
 	case QuotaSet:
@@ -142,28 +133,15 @@
 	}
 }
 
-// applyMember accepts a change only on top of the epoch it names, so that of two
-// racing changes one takes effect.
-func (c *Control) applyMember(offset int64, ch Change) Result {
-	if ch.Member == nil || ch.Member.ID == "" {
-		return refuse(offset, ch, structs.CodeInvalid, "%s without a member", ch.Type)
-	}
-	if ch.Base != c.epoch {
-		return refuse(offset, ch, structs.CodeConflict, "based on epoch %d, current is %d", ch.Base, c.epoch)
-	}
-	_, present := c.members[ch.Member.ID]
-	if present == (ch.Type == MemberJoin) {
-		return refuse(offset, ch, structs.CodeConflict, "member %s: present is %v", ch.Member.ID, present)
+func (c *Control) applyMembers(offset int64, ch Change) Result {
+	if ch.Members == nil {
+		return refuse(offset, ch, structs.CodeInvalid, "membership without a change")
 	}
-	if ch.Type == MemberJoin {
-		c.members[ch.Member.ID] = *ch.Member
-	} else {
-		delete(c.members, ch.Member.ID)
-	}
-	c.epoch = offset
-	if ch.Forced {
-		c.forced = offset
+	next, err := authority.Apply(c.members, offset, *ch.Members)
+	if err != nil {
+		return Result{Offset: offset, Change: ch, Err: structs.AsError(err)}
 	}
+	c.members = next
 	return accept(offset, ch)
 }
 
@@ -217,6 +195,9 @@
 		declared.Version = offset
 		c.leaving[instance] = declared
 		delete(c.dropped, instance)
+		if declared.Gone {
+			c.members = authority.Settle(c.members, instance)
+		}
 	}
 	c.version = offset
 	return accept(offset, ch)
@@ -226,10 +207,8 @@
 func (c *Control) Snapshot() ControlSnapshot {
 	return ControlSnapshot{
 		Next:    c.next,
-		Epoch:   c.epoch,
-		Forced:  c.forced,
 		Version: c.version,
-		Members: c.Members(),
+		Members: c.members,
 		Classes: c.Classes(),
 		Quotas:  c.Quotas(),
 		Leaving: c.Leavings(),
@@ -241,12 +220,8 @@
 func RestoreControl(s ControlSnapshot) *Control {
 	c := NewControl()
 	c.next = s.Next
-	c.epoch = s.Epoch
-	c.forced = s.Forced
 	c.version = s.Version
-	for _, m := range s.Members {
-		c.members[m.ID] = m
-	}
+	c.members = s.Members
 	for _, v := range s.Classes {
 		c.classes[v.Name] = v
 	}
