--- /dev/null
+++ b/internal/scheduler/admission/admission_test.go
@@ -0,0 +1,107 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func request(id string, dueMs int) Request {
+	return Request{ID: id, Class: "lookup", Deadline: at(dueMs), Within: 200 * time.Millisecond}
+}
+
+// trained returns a controller that has seen requests of 20 ms.
+func trained(slots int) *Controller {
+	c := NewController()
+	c.SetSlots(slots)
+	for range 100 {
+		c.ServiceTime("lookup").Record(20 * time.Millisecond)
+	}
+	return c
+}
+
+func TestRunsWaitsThenRefusesEarly(t *testing.T) {
+	c := trained(2)
+	counts := make(map[Verdict]int)
+	for i := range 100 {
+		d := c.Offer(start, request(fmt.Sprint(i), 200))
+		counts[d.Verdict]++
+		if d.Verdict == Refuse && d.RetryAfter < 100*time.Millisecond {
+			t.Errorf("retry after %v", d.RetryAfter)
+		}
+	}
+	// 180 ms may be filled: 20 ms of its own and 10 ms for each one before it.
+	if counts[Run] != 2 || counts[Wait] < 14 || counts[Wait] > 16 {
+		t.Errorf("ran %d and kept %d waiting", counts[Run], counts[Wait])
+	}
+}
+
+func TestLineIsInOrderOfDeadlines(t *testing.T) {
+	c := trained(1)
+	c.Offer(start, request("first", 200))
+	for _, due := range []int{190, 120, 150} {
+		c.Offer(start, Request{ID: fmt.Sprint(due), Class: fmt.Sprint("c", due%100), Deadline: at(due)})
+	}
+	for _, want := range []string{"120", "150", "190"} {
+		c.Done(at(20), "lookup", 20*time.Millisecond)
+		r, ok := c.Next(at(20))
+		if !ok || r.ID != want {
+			t.Fatalf("next %q, want %s", r.ID, want)
+		}
+	}
+}
+
+func TestDropsWhatCannotBeAnsweredInTime(t *testing.T) {
+	c := trained(1)
+	c.Offer(start, request("a", 200))
+	c.Offer(start, request("b", 100))
+	c.Offer(start, request("c", 200))
+	c.Expire(at(90))
+	dropped := c.Dropped(at(90))
+	if len(dropped) != 1 || dropped[0].ID != "b" || dropped[0].RetryAfter == 0 {
+		t.Fatalf("dropped %+v", dropped)
+	}
+	c.Done(at(195), "lookup", 0)
+	if _, ok := c.Next(at(195)); ok {
+		t.Fatal("started a request that can't meet its deadline")
+	}
+	if c.Waiting() != 0 || len(c.Dropped(at(195))) != 1 {
+		t.Fatal("the late request is not reported as dropped")
+	}
+}
+
+func TestRemovedRequestNeverComesBack(t *testing.T) {
+	c := trained(1)
+	c.Offer(start, request("a", 200))
+	c.Offer(start, request("b", 200))
+	if !c.Remove("b") || c.Remove("b") || c.Waiting() != 0 {
+		t.Fatal("Remove")
+	}
+	c.Done(at(20), "lookup", 20*time.Millisecond)
+	if r, ok := c.Next(at(20)); ok {
+		t.Fatalf("got %q", r.ID)
+	}
+}
+
+// TestRecoversFromASlowPeriod checks that an estimate above the target does not shut
+// a class out for ever.
+func TestRecoversFromASlowPeriod(t *testing.T) {
+	c := trained(4)
+	for range 300 {
+		c.ServiceTime("lookup").Record(2 * time.Second)
+	}
+	for i := range 200 {
+		now := at(i * 100)
+		r := request(fmt.Sprint(i), i*100+200)
+		if c.Offer(now, r).Verdict == Run {
+			c.Done(now.Add(20*time.Millisecond), "lookup", 20*time.Millisecond)
+		}
+	}
+	if got := c.ServiceTime("lookup").Mean(); got > 200*time.Millisecond {
+		t.Errorf("mean still %v", got)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/health/picker.go
@@ -0,0 +1,142 @@
+package health
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// pickTries is the number of random draws before the whole list is read.
+const pickTries = 6
+
+// Picker chooses endpoints for requests by two random choices (Mitzenmacher, "The
+// Power of Two Choices in Randomized Load Balancing", 2001), compared by latency
+// times requests in flight.
+type Picker struct {
+	rng  *rand.Rand
+	list []*Endpoint
+	byID map[string]*Endpoint
+	// typical is the moving latency over all endpoints.
+	typical time.Duration
+}
+
+// NewPicker returns an empty picker that draws from rng.
+func NewPicker(rng *rand.Rand) *Picker {
+	return &Picker{rng: rng, byID: make(map[string]*Endpoint)}
+}
+
+// Upsert returns the endpoint of a name, adding it if it is new.
+func (p *Picker) Upsert(id string, slots int) *Endpoint {
+	e := p.byID[id]
+	if e == nil {
+		e = &Endpoint{ID: id, Usable: true}
+		p.byID[id] = e
+		p.list = append(p.list, e)
+	}
+	e.Slots = slots
+	return e
+}
+
+// Remove drops an endpoint.
+func (p *Picker) Remove(id string) {
+	e := p.byID[id]
+	delete(p.byID, id)
+	p.list = slices.DeleteFunc(p.list, func(o *Endpoint) bool { return o == e })
+}
+
+// Endpoint returns the endpoint of a name, nil if there is none.
+func (p *Picker) Endpoint(id string) *Endpoint { return p.byID[id] }
+
+// Pick chooses an endpoint with a free slot and counts a request on it; nil if there
+// is none. Endpoints in avoid are left out. The caller tells the end by Done.
+func (p *Picker) Pick(now time.Time, avoid ...string) *Endpoint {
+	best := p.draw(now, avoid)
+	if best == nil {
+		best = p.scan(now, avoid)
+	}
+	if best == nil || !best.Breaker.Allow(now) {
+		return nil
+	}
+	best.inFlight++
+	return best
+}
+
+// draw compares two endpoints that random draws find ready.
+func (p *Picker) draw(now time.Time, avoid []string) *Endpoint {
+	var best *Endpoint
+	for range pickTries {
+		if len(p.list) == 0 {
+			return nil
+		}
+		e := p.list[p.rng.IntN(len(p.list))]
+		if e == best || !e.ready(now) || slices.Contains(avoid, e.ID) {
+			continue
+		}
+		if best != nil {
+			return p.better(now, best, e)
+		}
+		best = e
+	}
+	return best
+}
+
+// scan reads all endpoints from a random one on.
+func (p *Picker) scan(now time.Time, avoid []string) *Endpoint {
+	if len(p.list) == 0 {
+		return nil
+	}
+	var best *Endpoint
+	first := p.rng.IntN(len(p.list))
+	for i := range p.list {
+		e := p.list[(first+i)%len(p.list)]
+		if !e.ready(now) || slices.Contains(avoid, e.ID) {
+			continue
+		}
+		if best == nil {
+			best = e
+			continue
+		}
+		best = p.better(now, best, e)
+	}
+	return best
+}
+
+// better returns the one with the smaller load.
+func (p *Picker) better(now time.Time, a, b *Endpoint) *Endpoint {
+	if b.load(now, p.typical) < a.load(now, p.typical) {
+		return b
+	}
+	return a
+}
+
+// Result is how an attempt at an endpoint ended.
+type Result uint8
+
+const (
+	// Answered is a whole answer.
+	Answered Result = iota + 1
+	// Failed is an error, a timeout or a cut connection.
+	Failed
+	// Refused is a refusal that tells nothing of the endpoint's health.
+	Refused
+)
+
+// Done ends a request that Pick counted.
+func (p *Picker) Done(now time.Time, id string, took time.Duration, result Result) {
+	e := p.byID[id]
+	if e == nil {
+		return
+	}
+	e.inFlight = max(e.inFlight-1, 0)
+	switch result {
+	case Answered:
+		e.Breaker.Success()
+		e.observe(now, took)
+		p.typical += (took - p.typical) >> latencyShift
+	case Failed:
+		e.Breaker.Failure(now)
+		e.observe(now, max(took, e.latency))
+	default:
+		e.Breaker.Abandon()
+	}
+}
--- a/internal/scheduler/nodeset_test.go
+++ b/internal/scheduler/nodeset_test.go
@@ -117,10 +117,26 @@
 				live = append(live, p.Allocs(a, structs.AllocStarting)...)
 			}
 			checkSums(t, s, live)
+			checkFinds(t, s, kinds[rng.IntN(3)], structs.Resources{
+				CPUMilli: 1 + rng.Int64N(9000), MemoryMiB: 1 + rng.Int64N(30000), Accelerators: rng.Int64N(2),
+			})
 		}
 	}
 }
 
+// checkFinds checks that a task is placed if and only if some worker has room.
+func checkFinds(t *testing.T, s *NodeSet, kind structs.Kind, sz structs.Resources) {
+	t.Helper()
+	room := false
+	for _, n := range s.Nodes() {
+		room = room || sz.Fits(n.freeFor(sz))
+	}
+	p := Place(s, ask("find", kind, 1, sz))
+	if placed := len(p.Placed) == 1; placed != room {
+		t.Fatalf("%s %+v: placed %v, some worker has room %v", kind, sz, placed, room)
+	}
+}
+
 func checkSums(t *testing.T, s *NodeSet, live []structs.Alloc) {
 	t.Helper()
 	sums := make(map[string]structs.Resources)
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -112,8 +112,9 @@
 		}
 	}
 	q.Remove("gang")
+	q.Push(gang)
 	if _, ok := q.Holder(); ok {
-		t.Error("a removed job is still the holder")
+		t.Error("a job that was removed and came back is still the holder")
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/sizing/guard.go
@@ -0,0 +1,138 @@
+package sizing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+const (
+	// throttleAbove is the reported processor use of a worker, in percent of its
+	// size, above which tasks that use more than their grant are throttled.
+	throttleAbove = 95
+	// stopAbove is the reported memory use, in percent, above which tasks are
+	// checkpointed and stopped until it is down to stopDownTo.
+	stopAbove  = 92
+	stopDownTo = 85
+	// throttleFull is the processor share in percent of a task that is not
+	// throttled.
+	throttleFull = 100
+)
+
+// TaskUse is a running task with its grant and what it was last seen to use.
+type TaskUse struct {
+	Task    structs.TaskID
+	Attempt int
+	Granted structs.Resources
+	Used    structs.Resources
+	// Service tasks are stopped after all others.
+	Service bool
+	// Slack is the time left to the target; the most slack is stopped first.
+	Slack time.Duration
+	// Throttled is the processor share in percent that the task is held to now;
+	// zero means no bound.
+	Throttled int
+}
+
+// over returns how much memory the task uses above its grant.
+func (t TaskUse) over() int64 { return max(t.Used.MemoryMiB-t.Granted.MemoryMiB, 0) }
+
+// ActionKind is what is done to a task.
+type ActionKind uint8
+
+const (
+	// Throttle bounds the task's processor share to Percent of its grant.
+	Throttle ActionKind = iota + 1
+	// Unthrottle lifts the bound.
+	Unthrottle
+	// Checkpoint stops the task with a checkpoint.
+	Checkpoint
+)
+
+// Action is an order to a worker.
+type Action struct {
+	Kind    ActionKind
+	Task    structs.TaskID
+	Attempt int
+	// Percent is the processor share for Throttle.
+	Percent int
+}
+
+// Guard returns what is to be done on a worker of a size whose tasks were last seen
+// to use what is given. Processor is taken back by throttling those above their
+// grant; memory by checkpointing tasks, batch before services, those above their
+// grant first, then those with the most slack.
+func Guard(size structs.Resources, tasks []TaskUse) []Action {
+	actions := guardProcessor(size, tasks)
+	return append(actions, guardMemory(size, tasks)...)
+}
+
+// guardProcessor throttles while the worker is short and lifts it after.
+func guardProcessor(size structs.Resources, tasks []TaskUse) []Action {
+	short := sum(tasks).CPUMilli*100 > size.CPUMilli*throttleAbove
+	var actions []Action
+	for _, t := range tasks {
+		over := t.Used.CPUMilli > t.Granted.CPUMilli
+		switch {
+		case short && over && t.Throttled == 0:
+			actions = append(actions, Action{Kind: Throttle, Task: t.Task, Attempt: t.Attempt, Percent: throttleFull})
+		case !short && t.Throttled > 0 && fitsUnbound(size, tasks):
+			actions = append(actions, Action{Kind: Unthrottle, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	return actions
+}
+
+// unthrottleBelow is the processor use in percent of the size below which bounds are
+// lifted; the gap to throttleAbove keeps them from flapping.
+const unthrottleBelow = 80
+
+// fitsUnbound reports whether there is room to lift bounds.
+func fitsUnbound(size structs.Resources, tasks []TaskUse) bool {
+	return sum(tasks).CPUMilli*100 <= size.CPUMilli*unthrottleBelow
+}
+
+// guardMemory stops tasks until the rest is below the lower mark.
+func guardMemory(size structs.Resources, tasks []TaskUse) []Action {
+	used := sum(tasks).MemoryMiB
+	if used*100 <= size.MemoryMiB*stopAbove {
+		return nil
+	}
+	order := slices.Clone(tasks)
+	slices.SortFunc(order, compareStops)
+	var actions []Action
+	for _, t := range order {
+		if used*100 <= size.MemoryMiB*stopDownTo {
+			break
+		}
+		actions = append(actions, Action{Kind: Checkpoint, Task: t.Task, Attempt: t.Attempt})
+		used -= t.Used.MemoryMiB
+	}
+	return actions
+}
+
+// compareStops orders by who is stopped first.
+func compareStops(a, b TaskUse) int {
+	if a.Service != b.Service {
+		if b.Service {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(b.over(), a.over()),
+		cmp.Compare(b.Slack, a.Slack),
+		cmp.Compare(a.Task, b.Task),
+	)
+}
+
+// sum returns what all tasks use.
+func sum(tasks []TaskUse) structs.Resources {
+	var used structs.Resources
+	for _, t := range tasks {
+		used = used.Add(t.Used)
+	}
+	return used
+}
--- /dev/null
+++ b/internal/scheduler/sizing/sizing_test.go
@@ -0,0 +1,100 @@
+package sizing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func amount(cpu, mem int64) structs.Resources {
+	return structs.Resources{CPUMilli: cpu, MemoryMiB: mem}
+}
+
+func TestGrantIsDeclaredThenLearnt(t *testing.T) {
+	s := NewSizer()
+	rng := rand.New(rand.NewPCG(1, 1))
+	declared := structs.Resources{CPUMilli: 4000, MemoryMiB: 8000, Accelerators: 1}
+	limit := amount(16000, 64000)
+	for i := range 200 {
+		if i == minTasks-1 && s.Grant("c", declared, limit) != declared {
+			t.Fatal("learnt from too few tasks")
+		}
+		task := structs.NewTaskID("j", i)
+		for range 3 {
+			s.Report(start, "c", task, amount(800+rng.Int64N(200), 1500+rng.Int64N(500)))
+		}
+		s.Ended(task, true)
+	}
+	got := s.Grant("c", declared, limit)
+	if got.CPUMilli < 1000 || got.CPUMilli > 1300 || got.MemoryMiB < 2000 || got.MemoryMiB > 2600 || got.Accelerators != 1 {
+		t.Errorf("grant %+v", got)
+	}
+	if got := s.Grant("c", declared, amount(500, 600)); got.CPUMilli != 500 || got.MemoryMiB != 600 {
+		t.Errorf("grant %+v passes the largest worker", got)
+	}
+	if got := s.Grant("other", declared, limit); got != declared {
+		t.Errorf("grant of an unknown class %+v", got)
+	}
+}
+
+func TestCutShortAndUnreportedTasksTeachNothing(t *testing.T) {
+	s := NewSizer()
+	for i := range 100 {
+		task := structs.NewTaskID("j", i)
+		s.Report(start, "c", task, amount(1, 1))
+		s.Ended(task, false)
+		s.Report(start, "c", task, amount(0, 0))
+		s.Ended(task, true)
+	}
+	if s.Learnt("c") || len(s.tasks) != 0 {
+		t.Error("learnt from tasks that were cut short or not reported")
+	}
+}
+
+func TestLongRunningTasksTeach(t *testing.T) {
+	s := NewSizer()
+	for h := range 3 {
+		for i := range minTasks {
+			s.Report(start.Add(time.Duration(h)*time.Hour), "svc", structs.NewTaskID("s", i), amount(100, 200))
+		}
+	}
+	if !s.Learnt("svc") {
+		t.Error("services never end and taught nothing")
+	}
+}
+
+func TestGuard(t *testing.T) {
+	size := amount(16000, 64000)
+	use := func(id string, granted, used structs.Resources) TaskUse {
+		return TaskUse{Task: structs.TaskID(id), Granted: granted, Used: used}
+	}
+	service := use("service", amount(1000, 1000), amount(1000, 30000))
+	service.Service = true
+	patient := use("patient", amount(1000, 10000), amount(1000, 10000))
+	patient.Slack = time.Hour
+	throttled := use("throttled", amount(1000, 100), amount(1000, 100))
+	throttled.Throttled = 100
+	for name, c := range map[string]struct {
+		tasks []TaskUse
+		want  string
+	}{
+		"calm":      {[]TaskUse{use("a", amount(1000, 1000), amount(900, 900))}, "[]"},
+		"processor": {[]TaskUse{use("a", amount(8000, 1), amount(12000, 1)), use("b", amount(8000, 1), amount(4000, 1))}, "[{1 a 0 100}]"},
+		"lifted":    {[]TaskUse{throttled}, "[{2 throttled 0 0}]"},
+		"memory takes the overuser": {
+			[]TaskUse{service, patient, use("greedy", amount(1, 1000), amount(1, 20000))}, "[{3 greedy 0 0}]",
+		},
+		"memory takes the patient one, not the service": {
+			[]TaskUse{service, patient, use("a", amount(1, 20000), amount(1, 20000))}, "[{3 patient 0 0}]",
+		},
+	} {
+		if got := fmt.Sprint(Guard(size, c.tasks)); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
