--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -58,8 +58,10 @@
 	stopAll   bool
 	cancelled bool
 	parked    string
-	started   time.Time
-	reason    string
+	// hopeless says why the job should be parked; empty while it should not.
+	hopeless string
+	started  time.Time
+	reason   string
 }
 
 func newJob(spec structs.Job, due time.Time) *job {
