A refusal by an endpoint bears its request's ID

Cause: on a connection that has carried an answer before, a refusal without an ID may be a late one to an earlier request; endpoint calls it unknown, so that every refusal by the stand-in on a reused connection became unknown. Measured: the tests of standin and entry pass.

--- a/internal/standin/workersvc/request.go
+++ b/internal/standin/workersvc/request.go
@@ -65,6 +65,7 @@
 }
 
 func (w *Worker) handleRequest(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set(headerRequestID, r.PathValue("id"))
 	req, err := readRequest(r)
 	if err != nil {
 		httpx.WriteError(rw, err)
@@ -147,7 +148,6 @@
 		w.record(event.Event{Type: event.RequestCut, Request: req.id, Detail: CutByFault})
 		panic(http.ErrAbortHandler)
 	}
-	rw.Header().Set(headerRequestID, req.id)
 	if w.Faults().FailAll {
 		w.record(event.Event{Type: event.RequestEnd, Request: req.id, Code: structs.CodeInternal})
 		httpx.WriteError(rw, structs.NewError(structs.CodeInternal, "the endpoint failed"))
