peer: an answer that can't be decoded leaves the call's effect unknown

Cause: connect gives invalid_argument both to a call that the peer refused and to an answer that this side can't decode; CallError said that neither had taken effect, so that a forwarded request that ran could be called not run. Change: invalid_argument counts only if the peer sent it. Measured: TestAnswerThatCannotBeDecodedIsUnknown fails before with 'no message: invalid, want unknown_state' and passes after.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -151,8 +151,14 @@
 	switch connect.CodeOf(err) {
 	case connect.CodeUnauthenticated:
 		return structs.NewError(structs.CodeUnauthorized, "%v", err)
-	case connect.CodeUnimplemented, connect.CodeInvalidArgument:
+	case connect.CodeUnimplemented:
 		return structs.NewError(structs.CodeInvalid, "%v", err)
+	case connect.CodeInvalidArgument:
+		// The same code is given to an answer that can't be decoded, which comes
+		// from this side.
+		if connect.IsWireError(err) {
+			return structs.NewError(structs.CodeInvalid, "%v", err)
+		}
 	}
 	if neverSent(err) {
 		return structs.NewError(structs.CodeUnavailable, "%v", err)
