--- a/internal/checker/drain.go
+++ b/internal/checker/drain.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/standin/workersvc"
 )
 
 // drainRule finds requests that a graceful shutdown cut off, of a worker by the
@@ -64,9 +65,13 @@
 	c.draining[process] = e
 }
 
+// cut finds a request that the worker itself cut off while it shut down.
 func (c *drainRule) cut(e event.Event) {
 	began := c.open[e.Worker][e.Request]
 	delete(c.open[e.Worker], e.Request)
+	if e.Detail == workersvc.CutByPeer || e.Detail == workersvc.CutByFault {
+		return
+	}
 	if drain, draining := c.draining[e.Worker]; draining {
 		message := fmt.Sprintf("request %s was cut off in the graceful shutdown of worker %s", e.Request, e.Worker)
 		c.report.add(CutOff, message, began, drain, e)
