Worker protocol: leases count from a reading of the worker's uptime

Cause: a start or renewal that lay in a socket buffer (worker paused, connection silent) could take effect after its sender had counted the leases as ended, and a task would run twice. Ruled out: closing the connection, which does not take back what was written. Commands now name the latest uptime reading their sender holds; the worker refuses one older than the lease. TestLateCommandDoesNothing.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -31,6 +31,8 @@
 	mu      sync.Mutex
 	epoch   int64
 	fenced  bool
+	// uptimeMs is the latest reading of the worker's uptime.
+	uptimeMs int64
 	starts  []startJob
 	stops   []stopJob
 	forgets []worker.TaskRef
@@ -83,7 +85,18 @@
 func (a *agent) command() (worker.Command, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return worker.Command{Epoch: a.epoch, Owner: a.e.member.ID}, a.fenced
+	return worker.Command{Epoch: a.epoch, Owner: a.e.member.ID, AsOfMs: a.uptimeMs}, a.fenced
+}
+
+// noteUptime keeps a reading of the worker's uptime. It is called after the control
+// goroutine has taken note of the answer, so that no lease outlasts what it counts
+// on. fresh is set after a fence call, since the worker may have restarted.
+func (a *agent) noteUptime(ms int64, fresh bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fresh || ms > a.uptimeMs {
+		a.uptimeMs = ms
+	}
 }
 
 // fence raises the fence and hands the inventory to the control goroutine.
@@ -107,6 +120,7 @@
 	if !held {
 		return 0, false
 	}
+	a.noteUptime(inv.UptimeMs, true)
 	a.e.events.Record(event.Event{Type: event.WorkerGained, Member: a.e.member.ID, Worker: a.info.ID, Epoch: cmd.Epoch})
 	a.setFenced(true)
 	a.kick()
@@ -139,6 +153,7 @@
 				a.e.core.fleet.Show(a.info.ID, inv, false, start, time.Now())
 			}
 		})
+		a.noteUptime(inv.UptimeMs, false)
 		pause(ctx, inventoryPause)
 	}
 }
@@ -163,13 +178,14 @@
 		return
 	}
 	start := time.Now()
-	_, err := a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
+	renewed, err := a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
 		a.stale()
 		return
 	}
 	if err == nil {
-		a.e.post(func() { a.e.core.fleet.Heard(a.info.ID, start, time.Now()) })
+		a.e.do(func() { a.e.core.fleet.Heard(a.info.ID, start, time.Now()) })
+		a.noteUptime(renewed.UptimeMs, false)
 	}
 }
 
--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -98,7 +98,7 @@
 	for i, s := range starts {
 		tasks[i] = s.task
 	}
-	results, err := a.client.StartTasks(ctx, cmd, tasks)
+	results, uptime, err := a.client.StartTasks(ctx, cmd, tasks)
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
 		a.stale()
 	}
@@ -107,6 +107,9 @@
 		err = structs.NewError(structs.CodeUnknown, "worker %s: %v", a.info.ID, err)
 	}
 	a.answerStarts(starts, results, err)
+	if err == nil {
+		a.noteUptime(uptime, false)
+	}
 }
 
 // wantedStarts drops the starts of runs that were given up since they were queued.
@@ -148,7 +151,7 @@
 
 func (a *agent) answerStarts(starts []startJob, results []worker.TaskResult, err error) {
 	now := time.Now()
-	a.e.post(func() {
+	a.e.do(func() {
 		if err == nil {
 			a.e.core.fleet.Heard(a.info.ID, now, now)
 		}
--- a/internal/standin/cell_test.go
+++ b/internal/standin/cell_test.go
@@ -113,7 +113,7 @@
 		TaskRef: worker.TaskRef{Task: "g:j#0", Attempt: 1},
 		Class:   "batch", Size: structs.Resources{CPUMilli: 500}, RunMs: 30, LeaseMs: 5000,
 	}
-	results, err := w.StartTasks(ctx, cmd, []worker.TaskStart{start})
+	results, _, err := w.StartTasks(ctx, cmd, []worker.TaskStart{start})
 	if err != nil || results[0].Error != nil {
 		t.Fatalf("start: %+v, %v", results, err)
 	}
--- a/internal/standin/workersvc/commands.go
+++ b/internal/standin/workersvc/commands.go
@@ -43,15 +43,15 @@
 	if err := w.admit(in.Command); err != nil {
 		return worker.Results{}, err
 	}
-	out := worker.Results{Results: make([]worker.TaskResult, len(in.Tasks))}
+	out := worker.Results{Results: make([]worker.TaskResult, len(in.Tasks)), UptimeMs: w.uptime(now)}
 	for i, start := range in.Tasks {
-		out.Results[i] = result(start.TaskRef, w.start(start, in.Epoch, now))
+		out.Results[i] = result(start.TaskRef, w.start(start, in.Command, now))
 	}
 	return out, nil
 }
 
 // start needs the lock.
-func (w *Worker) start(start worker.TaskStart, epoch int64, now time.Time) error {
+func (w *Worker) start(start worker.TaskStart, cmd worker.Command, now time.Time) error {
 	if _, known := w.tasks[start.TaskRef]; known {
 		return nil
 	}
@@ -61,7 +61,12 @@
 	if start.Task == "" || start.Attempt < 1 || start.LeaseMs < 1 || start.RunMs < 0 || start.Size.Negative() {
 		return structs.NewError(structs.CodeInvalid, "task %q attempt %d: want a name, an attempt and a lease, and no negative size", start.Task, start.Attempt)
 	}
+	leaseEnd, err := w.leaseEnd(cmd, start.LeaseMs, now)
+	if err != nil {
+		return err
+	}
 	t := newTask(start, now)
+	t.leaseEnd = leaseEnd
 	if w.faults.FailAll || t.payload.failsOn(w.ID()) {
 		t.fail()
 	}
@@ -74,7 +79,7 @@
 		Attempt: start.Attempt,
 		Class:   start.Class,
 		Size:    &size,
-		Epoch:   epoch,
+		Epoch:   cmd.Epoch,
 	})
 	w.bump()
 	return nil
@@ -96,15 +101,38 @@
 	if in.LeaseMs < 1 {
 		return worker.Renewed{}, structs.NewError(structs.CodeInvalid, "lease_ms %d: want 1 or more", in.LeaseMs)
 	}
+	leaseEnd, err := w.leaseEnd(in.Command, in.LeaseMs, now)
+	if err != nil {
+		return worker.Renewed{}, err
+	}
 	renewed := 0
 	for _, t := range w.tasks {
 		if !t.running() {
 			continue
 		}
-		t.leaseEnd = now.Add(millis(in.LeaseMs))
+		if leaseEnd.After(t.leaseEnd) {
+			t.leaseEnd = leaseEnd
+		}
 		renewed++
 	}
-	return worker.Renewed{Renewed: renewed}, nil
+	return worker.Renewed{Renewed: renewed, UptimeMs: w.uptime(now)}, nil
+}
+
+// uptime is the time since the worker's start in milliseconds.
+func (w *Worker) uptime(now time.Time) int64 { return now.Sub(w.booted).Milliseconds() }
+
+// leaseEnd returns the end of a lease that counts from the reading of the uptime
+// that the command names. A command that names one older than the lease, or one of
+// an earlier start, was under way for too long and is refused.
+func (w *Worker) leaseEnd(cmd worker.Command, leaseMs int64, now time.Time) (time.Time, error) {
+	if cmd.AsOfMs == 0 {
+		return now.Add(millis(leaseMs)), nil
+	}
+	end := w.booted.Add(millis(cmd.AsOfMs + leaseMs))
+	if cmd.AsOfMs > w.uptime(now) || !now.Before(end) {
+		return time.Time{}, structs.NewError(structs.CodeDeadline, "as of %d ms, uptime is %d ms: the command is too old", cmd.AsOfMs, w.uptime(now))
+	}
+	return end, nil
 }
 
 // StopTasks stops tasks. A run that is not known is remembered as stopped, so
@@ -223,6 +251,7 @@
 		Owner:    w.owner,
 		Boot:     w.boot,
 		Draining: w.draining,
+		UptimeMs: w.uptime(now),
 		Tasks:    make([]worker.TaskInfo, 0, len(w.order)),
 	}
 	for _, ref := range w.order {
--- a/internal/standin/workersvc/worker.go
+++ b/internal/standin/workersvc/worker.go
@@ -42,6 +42,7 @@
 type Worker struct {
 	cfg     Config
 	boot    string
+	booted  time.Time
 	handler http.Handler
 	// wake tells the loop to look at the next due time again.
 	wake   chan struct{}
@@ -69,6 +70,7 @@
 	w := &Worker{
 		cfg:     cfg,
 		boot:    uuid.NewString(),
+		booted:  time.Now(),
 		wake:    make(chan struct{}, 1),
 		closed:  make(chan struct{}),
 		tasks:   make(map[worker.TaskRef]*task),
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -56,20 +56,22 @@
 	return out, err
 }
 
-// StartTasks starts tasks. A repeat of the same task and attempt does nothing.
-func (c *Client) StartTasks(ctx context.Context, cmd Command, tasks []TaskStart) ([]TaskResult, error) {
+// StartTasks starts tasks. A repeat of the same task and attempt does nothing. It
+// returns a result for each task, and the worker's uptime in milliseconds.
+func (c *Client) StartTasks(ctx context.Context, cmd Command, tasks []TaskStart) ([]TaskResult, int64, error) {
 	var out Results
 	if err := c.post(ctx, "/v1/tasks", StartTasks{Command: cmd, Tasks: tasks}, &out); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+	results, err := out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+	return results, out.UptimeMs, err
 }
 
-// RenewLeases renews the lease of every running task and returns their number.
-func (c *Client) RenewLeases(ctx context.Context, cmd Command, lease time.Duration) (int, error) {
+// RenewLeases renews the lease of every running task.
+func (c *Client) RenewLeases(ctx context.Context, cmd Command, lease time.Duration) (Renewed, error) {
 	var out Renewed
 	err := c.post(ctx, "/v1/leases", RenewLeases{Command: cmd, LeaseMs: lease.Milliseconds()}, &out)
-	return out.Renewed, err
+	return out, err
 }
 
 // StopTasks stops tasks. A result without an error says that the run certainly
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -11,6 +11,11 @@
 	Epoch int64 `json:"epoch"`
 	// Owner is the member ID of the owner.
 	Owner string `json:"owner"`
+	// AsOfMs is the latest reading of the worker's uptime that the owner holds.
+	// Leases count from it, and a start that names a reading older than its lease
+	// is refused, so that a command that was long under way does nothing. Zero
+	// counts from the receipt.
+	AsOfMs int64 `json:"as_of_ms,omitempty"`
 }
 
 // TaskRef names one run of a task.
@@ -48,7 +53,8 @@
 
 // Renewed is the answer to a lease call.
 type Renewed struct {
-	Renewed int `json:"renewed"`
+	Renewed  int   `json:"renewed"`
+	UptimeMs int64 `json:"uptime_ms"`
 }
 
 // StopTasks is the body of a stop call.
@@ -87,7 +93,8 @@
 
 // Results is the answer to a command on tasks, one for each in the same order.
 type Results struct {
-	Results []TaskResult `json:"results"`
+	Results  []TaskResult `json:"results"`
+	UptimeMs int64        `json:"uptime_ms"`
 }
 
 // TaskInfo is what a worker knows of one run of a task.
@@ -116,6 +123,8 @@
 	// Boot is new at every start of the worker.
 	Boot     string     `json:"boot"`
 	Draining bool       `json:"draining"`
+	// UptimeMs is the worker's monotonic clock since its start, in milliseconds.
+	UptimeMs int64      `json:"uptime_ms"`
 	Tasks    []TaskInfo `json:"tasks"`
 }
 
