--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -28,15 +28,15 @@
 	client *worker.Client
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	epoch   int64
-	fenced  bool
+	mu     sync.Mutex
+	epoch  int64
+	fenced bool
 	// uptimeMs is the latest reading of the worker's uptime.
 	uptimeMs int64
-	starts  []startJob
-	stops   []stopJob
-	forgets []worker.TaskRef
-	wake    chan struct{}
+	starts   []startJob
+	stops    []stopJob
+	forgets  []worker.TaskRef
+	wake     chan struct{}
 	// refence asks for the fence to be raised anew.
 	refence chan struct{}
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -70,11 +70,11 @@
 func newCore(e *Entry) *core {
 	t := e.timing
 	return &core{
-		e:           e,
-		rights:      newRights(e, time.Now()),
-		control:     state.NewControl(),
-		table:       ownership.NewMap(ownership.Table{}),
-		instances:   map[string]structs.Worker{},
+		e:         e,
+		rights:    newRights(e, time.Now()),
+		control:   state.NewControl(),
+		table:     ownership.NewMap(ownership.Table{}),
+		instances: map[string]structs.Worker{},
 		fleet: fleet.New(fleet.Timing{
 			Lease:       t.Lease,
 			ClockMargin: t.ClockMargin,
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -121,8 +121,8 @@
 	Fence int64  `json:"fence"`
 	Owner string `json:"owner"`
 	// Boot is new at every start of the worker.
-	Boot     string     `json:"boot"`
-	Draining bool       `json:"draining"`
+	Boot     string `json:"boot"`
+	Draining bool   `json:"draining"`
 	// UptimeMs is the worker's monotonic clock since its start, in milliseconds.
 	UptimeMs int64      `json:"uptime_ms"`
 	Tasks    []TaskInfo `json:"tasks"`
