authority: walk with pauses and larger models behind -full-walk

go test -race ./internal/authority walks join+removal with a bound of two ticks and the raised-epoch and forced models with one; -full-walk adds two ticks for these, pauses and three racing changes.

--- a/internal/authority/walk_test.go
+++ b/internal/authority/walk_test.go
@@ -1,7 +1,7 @@
 package authority
 
 import (
-	"fmt"
+	"flag"
 	"reflect"
 	"strings"
 	"testing"
@@ -28,24 +28,30 @@
 // table: it holds nothing against a newer epoch from then on.
 //
 // Time is kept as ages up to the bound, so that the walk is over all times, not up
-// to a horizon. One tick is the bound: old authority that began at s and a read at r
-// overlap at some time exactly if s is after r, which a tick between the two shows;
-// steps of the same tick come in any order.
+// to a horizon. Steps of the same tick come in any order.
 
 const (
-	walkBound   = 1 // ticks of one second
 	walkMembers = 4
-	walkLog     = 2
+	// walkLog is the greatest number of records, and walkChanges of changes.
+	walkLog     = 3
 	walkChanges = 3
 )
 
+// fullWalk adds larger models, which take minutes.
+var fullWalk = flag.Bool("full-walk", false, "also walk the larger models")
+
 var walkNames = [walkMembers]string{"a", "b", "c", "d"}
 
 // variant switches one rule off.
 type variant struct {
 	name string
-	// changes are those that may race.
+	// changes are those that may race, and records how many may take effect.
 	changes []Change
+	records uint8
+	// bound is Config.Bound in seconds; a tick is one.
+	bound uint8
+	// pauses lets a member wake after a pause longer than the bound.
+	pauses bool
 	// old and new are the pair to follow.
 	old, new int
 	// listedGone are members that the platform's list shows as gone, wrongly.
@@ -69,6 +75,8 @@
 	given uint8
 	// freed says that a variant made it forget them.
 	freed bool
+	// paused says that it woke from a pause and has not read the log since.
+	paused bool
 }
 
 // walkState is a node of the walk.
@@ -91,8 +99,8 @@
 	orders [][]int
 	states map[walkPrefix]State
 	maps   map[walkPrefix]*ownership.Map
-	// records are the changes that were ready, by recordID.
-	records []Change
+	// known are the changes that were ready, by recordID.
+	known []Change
 	// follows are the prefixes that the records are based on.
 	follows []walkPrefix
 	ready   map[walkProposal]recordID
@@ -110,7 +118,7 @@
 }
 
 func newWalker(v variant) *walker {
-	cfg := Config{Bound: walkBound * time.Second}
+	cfg := Config{Bound: time.Duration(v.bound) * time.Second}
 	return &walker{
 		variant: v, cfg: cfg, now: at(1000), orders: permutations(walkMembers),
 		states: make(map[walkPrefix]State),
@@ -168,7 +176,7 @@
 		before.n--
 		before.log[before.n] = 0
 		base := w.stateAt(before)
-		c := w.records[p.log[p.n-1]-1]
+		c := w.known[p.log[p.n-1]-1]
 		next, err := Apply(base, c.Base+1, c)
 		if err != nil {
 			next.Table, err = nextTable(base.Table, c.Base+1, c)
@@ -197,13 +205,16 @@
 	a := NewAttester(w.cfg, w.now)
 	a.TableChanged(state.Table.Epoch, state.Table.Has(walkNames[i]))
 	a.consented = s.m[i].given != 0 && !s.m[i].freed
+	if s.m[i].paused {
+		a.Tick(w.now.Add(w.cfg.Bound + time.Second))
+	}
 	return a
 }
 
 // instant returns the time of an observation of the given age, zero for one that
 // is as old as the bound.
 func (w *walker) instant(age uint8) time.Time {
-	if age >= walkBound {
+	if age >= w.bound {
 		return time.Time{}
 	}
 	return w.now.Add(-time.Duration(age) * time.Second)
@@ -277,6 +288,11 @@
 		w.readTail(s, i, yield)
 		w.consent(s, i, yield)
 		w.attest(s, i, yield)
+		if w.pauses && !s.m[i].paused {
+			to := s
+			to.m[i].paused = true
+			yield("wakes from a pause", [2]int{i}, to)
+		}
 		if w.restartForgets && s.m[i].given != 0 {
 			to := s
 			to.m[i].freed = true
@@ -292,7 +308,7 @@
 type yielder = func(step string, args [2]int, to walkState)
 
 func (w *walker) tick(s walkState) walkState {
-	older := func(age *uint8) { *age = min(*age+1, walkBound) }
+	older := func(age *uint8) { *age = min(*age+1, w.bound) }
 	older(&s.tail)
 	for i := range s.attested {
 		older(&s.attested[i])
@@ -311,14 +327,21 @@
 	if i == w.new {
 		s.read[s.m[i].epoch] = 0
 	}
-	s.m[i] = walkMember{epoch: s.m[i].epoch + 1}
+	s.m[i] = walkMember{epoch: s.m[i].epoch + 1, paused: s.m[i].paused}
 	if i == w.old {
-		s.tail = walkBound
-		s.attested = [walkMembers]uint8{walkBound, walkBound, walkBound, walkBound}
+		w.forget(&s)
 	}
 	yield("learns a record", [2]int{i}, s)
 }
 
+// forget sets the old member's observations to none.
+func (w *walker) forget(s *walkState) {
+	s.tail = w.bound
+	for i := range s.attested {
+		s.attested[i] = w.bound
+	}
+}
+
 // readTail is a read that shows no record which the member has not applied.
 func (w *walker) readTail(s walkState, i int, yield yielder) {
 	if s.m[i].epoch != s.length() {
@@ -327,6 +350,7 @@
 	if i == w.old {
 		s.tail = 0
 	}
+	s.m[i].paused = false
 	if w.readFrees && s.m[i].given != 0 {
 		s.m[i].freed = true
 	}
@@ -334,7 +358,7 @@
 }
 
 func (w *walker) consent(s walkState, i int, yield yielder) {
-	if s.m[i].epoch != s.length() || s.length() == walkLog {
+	if s.m[i].epoch != s.length() || s.length() == w.records {
 		return
 	}
 	attester := w.attester(&s, i)
@@ -376,7 +400,7 @@
 
 // appendChange sends a change that has its consents; the answer does not matter.
 func (w *walker) appendChange(s walkState, c int, yield yielder) {
-	if s.pending[c] != 0 || s.length() == walkLog {
+	if s.pending[c] != 0 || s.length() == w.records {
 		return
 	}
 	p := walkProposal{prefix: s.prefix(s.length()), change: c}
@@ -421,15 +445,15 @@
 // record returns the ID of a record. Who consented matters only where a forced
 // change may have left members in doubt; else the sets of consents count as one.
 func (w *walker) record(prefix walkPrefix, c Change) recordID {
-	for i, known := range w.records {
+	for i, known := range w.known {
 		same := known.ID == c.ID && known.Base == c.Base && w.follows[i] == prefix
 		if same && (len(w.listedGone) == 0 || reflect.DeepEqual(known, c)) {
 			return recordID(i + 1)
 		}
 	}
-	w.records = append(w.records, c)
+	w.known = append(w.known, c)
 	w.follows = append(w.follows, prefix)
-	return recordID(len(w.records))
+	return recordID(len(w.known))
 }
 
 // takeEffect lets a sent record land. Others of the same base are void from then on.
@@ -447,7 +471,7 @@
 	epoch := s.m[w.old].epoch
 	left := epoch > 0 && w.stateAt(s.prefix(epoch-1)).Table.Has(walkNames[w.old]) &&
 		!w.stateAt(s.prefix(epoch)).Table.Has(walkNames[w.old])
-	return epoch == walkLog || left
+	return epoch == w.records || left
 }
 
 // walkResult is what a walk found.
@@ -459,8 +483,8 @@
 // walk visits every state that can be reached and stops at the first conflict.
 func walk(v variant) walkResult {
 	w := newWalker(v)
-	first := walkState{tail: walkBound, read: [walkLog]uint8{walkBound, walkBound}}
-	first.attested = [walkMembers]uint8{walkBound, walkBound, walkBound, walkBound}
+	var first walkState
+	w.forget(&first)
 	seen := map[walkState]int32{first: 0}
 	queue := []walkState{first}
 	parent := []int32{-1}
@@ -528,20 +552,34 @@
 )
 
 func TestWalkFindsNoTwoOwners(t *testing.T) {
-	for _, changes := range [][]Change{{joinD, removeC}, {raise, removeC}, {removeBC, joinD}} {
+	walks := []variant{
+		{name: "join and removal", changes: []Change{joinD, removeC}, records: 2, bound: 2},
+		{name: "raised epoch and removal", changes: []Change{raise, removeC}, records: 2, bound: 1},
+		{name: "forced removal and join", changes: []Change{removeBC, joinD}, listedGone: removeBC.Remove, records: 2, bound: 1},
+	}
+	if *fullWalk {
+		walks = append(
+			walks,
+			variant{name: "raised epoch and removal, bound 2", changes: []Change{raise, removeC}, records: 2, bound: 2},
+			variant{name: "forced removal and join, bound 2", changes: []Change{removeBC, joinD}, listedGone: removeBC.Remove, records: 2, bound: 2},
+			variant{name: "join, removal and pauses", changes: []Change{joinD, removeC}, records: 2, bound: 1, pauses: true},
+			variant{name: "three changes", changes: []Change{joinD, removeC, raise}, records: 3, bound: 1},
+		)
+	}
+	for _, v := range walks {
 		for _, pair := range walkPairs {
-			name := fmt.Sprintf("%s+%s/%s", changes[0].ID, changes[1].ID, pair.name)
-			t.Run(name, func(t *testing.T) {
+			v := v
+			v.old, v.new = pair.old, pair.new
+			t.Run(v.name+"/"+pair.name, func(t *testing.T) {
 				t.Parallel()
-				v := variant{changes: changes, old: pair.old, new: pair.new}
-				if changes[0].ID == removeBC.ID {
-					v.listedGone = removeBC.Remove
-				}
 				r := walk(v)
-				t.Logf("%d states, %d steps, in %d the old member held at an older epoch", r.states, r.steps, r.held)
+				t.Logf("%d states, %d steps; in %d the old member held at an older epoch", r.states, r.steps, r.held)
 				if r.trace != nil {
 					t.Errorf("two owners after:\n%s", strings.Join(r.trace, "\n"))
 				}
+				if r.held == 0 {
+					t.Error("the old member never held at an older epoch: the walk shows nothing")
+				}
 			})
 		}
 	}
@@ -550,13 +588,20 @@
 func TestWalkFindsEachRuleLeftOut(t *testing.T) {
 	ordinary := []Change{joinD, removeC}
 	for _, v := range []variant{
-		{name: "a read frees a member that consented", changes: ordinary, old: 2, new: 0, readFrees: true},
-		{name: "a restart keeps the ID and forgets consent", changes: ordinary, old: 2, new: 0, restartForgets: true},
-		{name: "a join needs no consent", changes: ordinary, old: 0, new: 3, joinNeedsNoOne: true},
-		{name: "attestations of any epoch count", changes: ordinary, old: 2, new: 0, anyEpoch: true},
-		{name: "the gainer does not wait", changes: ordinary, old: 2, new: 0, gainerDoesNotWait: true},
-		{name: "a forced change lapses by time", changes: []Change{removeBC, joinD}, old: 2, new: 0, listedGone: []string{"b", "c"}, forcedLapses: true},
+		{name: "a read frees a member that consented", old: 2, new: 0, readFrees: true},
+		{name: "a restart keeps the ID and forgets consent", old: 2, new: 0, restartForgets: true},
+		{name: "a join needs no consent", old: 0, new: 3, joinNeedsNoOne: true},
+		{name: "attestations of any epoch count", old: 2, new: 0, anyEpoch: true},
+		{name: "the gainer does not wait", old: 2, new: 0, gainerDoesNotWait: true},
+		{
+			name: "a forced change lapses by time", old: 2, new: 0,
+			changes: []Change{removeBC, joinD}, listedGone: removeBC.Remove, forcedLapses: true,
+		},
 	} {
+		v.records, v.bound = 2, 2
+		if v.changes == nil {
+			v.changes = ordinary
+		}
 		t.Run(v.name, func(t *testing.T) {
 			r := walk(v)
 			if r.trace == nil {
