Demo of a whole cell, embedded cell for failure tests

TestEntryDiesWhileJobsRun found a data race: a closure handed to the control goroutine could still run after its caller had given up as the entry ended. A closure is now claimed by one side only.

--- a/internal/command/hitch/root.go
+++ b/internal/command/hitch/root.go
@@ -58,6 +58,7 @@
 	flags.DurationVar(&g.timeout, "timeout", defaultTimeout, "give up after this time")
 	cli.AddJSONFlag(root)
 	root.AddCommand(
+		newDemo(),
 		newClassCommand(g),
 		newQuotaCommand(g),
 		newLeavingCommand(g),
--- /dev/null
+++ b/internal/embedded/failure_test.go
@@ -0,0 +1,255 @@
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/checker"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/standin"
+	"dotterelhitch/internal/standin/logsvc"
+	"dotterelhitch/internal/structs"
+)
+
+const topology = `
+[[workers]]
+prefix = "w"
+count = 8
+region = "casa"
+domain = "casa-a"
+cores = 4
+memory_gib = 8
+`
+
+// testBound is the time after which a test gives up; no verdict rests on it being
+// short.
+const testBound = 60 * time.Second
+
+type failureTest struct {
+	t    *testing.T
+	ctx  context.Context
+	cell *Cell
+}
+
+func newFailureTest(t *testing.T, entries int) *failureTest {
+	t.Helper()
+	top, err := standin.ParseTopology([]byte(topology))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var logger *slog.Logger
+	if os.Getenv("HITCH_TEST_LOGS") != "" {
+		logger = slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	}
+	cell, err := Start(Config{Topology: top, Regions: []string{"casa"}, Logger: logger})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cell.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	t.Cleanup(cancel)
+	f := &failureTest{t: t, ctx: ctx, cell: cell}
+	for range entries {
+		f.startEntry()
+	}
+	f.must(cell.AwaitReady(ctx))
+	for _, c := range []structs.Class{
+		{Name: "lookup", Kind: structs.KindService, Target: structs.Target{AnswerWithin: structs.Duration(2 * time.Second)}},
+		{Name: "reconcile", Kind: structs.KindBatch, Target: structs.Target{StartWithin: structs.Duration(time.Second)}},
+		{Name: "summary", Kind: structs.KindGang, Target: structs.Target{StartWithin: structs.Duration(time.Second)}},
+	} {
+		_, err := cell.Operator().SetClass(ctx, c, 0)
+		f.must(err)
+	}
+	f.await("classes in force", func() bool {
+		seen := map[string]int{}
+		for _, e := range cell.Events() {
+			if e.Type == event.ConfigInForce {
+				seen[e.Proc]++
+			}
+		}
+		for _, e := range cell.Live() {
+			if seen[e.Member().ID] < 3 {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *failureTest) startEntry() *Entry {
+	f.t.Helper()
+	e, err := f.cell.StartEntry("casa", "casa-a")
+	f.must(err)
+	return e
+}
+
+func (f *failureTest) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *failureTest) await(what string, ok func() bool) {
+	f.t.Helper()
+	f.must(Await(f.ctx, what, ok))
+}
+
+func (f *failureTest) count(typ event.Type) int {
+	n := 0
+	for _, e := range f.cell.Events() {
+		if e.Type == typ {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *failureTest) change(c logsvc.Change) {
+	f.t.Helper()
+	f.must(f.cell.Standins.Log().Change(c))
+}
+
+// submit submits n jobs of a class and returns their IDs.
+func (f *failureTest) submit(c *Caller, class string, n, tasks int, run time.Duration) []string {
+	f.t.Helper()
+	var ids []string
+	for range n {
+		id, err := c.Submit(f.ctx, structs.Job{
+			Class:   class,
+			Count:   tasks,
+			Size:    structs.Resources{CPUMilli: 400, MemoryMiB: 128},
+			RunTime: structs.Duration(run),
+		})
+		f.must(err)
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// complete waits for jobs to end well.
+func (f *failureTest) complete(c *Caller, ids []string) {
+	f.t.Helper()
+	for _, id := range ids {
+		status, err := c.Wait(f.ctx, id)
+		f.must(err)
+		if status.State != structs.JobComplete {
+			f.t.Errorf("job %s: %s, want complete: %v", id, status.State, status.Reasons)
+		}
+	}
+}
+
+// requests sends requests of a class until stop is closed and returns the number
+// of each outcome.
+func (f *failureTest) requests(c *Caller, stop chan struct{}, idempotent bool) func() map[structs.Outcome]int {
+	var mu sync.Mutex
+	var senders sync.WaitGroup
+	outcomes := map[structs.Outcome]int{}
+	for s := range 4 {
+		senders.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := c.Request(f.ctx, caller.Call{
+					Class:      "lookup",
+					Idempotent: idempotent,
+					Body:       fmt.Appendf(nil, "request %d of %s-%d", i, c.name, s),
+					Deadline:   3 * time.Second,
+				})
+				mu.Lock()
+				outcomes[a.Outcome]++
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() map[structs.Outcome]int {
+		senders.Wait()
+		return outcomes
+	}
+}
+
+// check runs the checker and fails on any violation.
+func (f *failureTest) check() *checker.Report {
+	f.t.Helper()
+	r := f.cell.Check(checker.Options{LeavingBound: 3 * time.Second, ConfigBound: 15 * time.Second, Complete: true})
+	for _, v := range r.Violations {
+		f.t.Errorf("%s: %s: %+v", v.Kind, v.Message, v.Events)
+	}
+	if r.Empty() {
+		f.t.Error("nothing was checked")
+	}
+	f.t.Logf("checked %+v", r.Checked)
+	return r
+}
+
+func TestEntryDiesWhileJobsRun(t *testing.T) {
+	f := newFailureTest(t, 3)
+	c := f.cell.NewCaller("caller")
+	stop := make(chan struct{})
+	wait := f.requests(c, stop, false)
+	ids := f.submit(c, "reconcile", 6, 12, 1500*time.Millisecond)
+	ids = append(ids, f.submit(c, "summary", 2, 8, time.Second)...)
+	f.await("some tasks run", func() bool { return f.count(event.TaskRun) > 20 })
+	f.cell.Live()[0].Kill()
+	f.await("the dead member is removed", func() bool { return f.count(event.MemberRemoved) > 0 })
+	f.startEntry()
+	f.complete(c, ids)
+	close(stop)
+	if got := wait(); got[structs.OutcomeAnswered] == 0 {
+		t.Errorf("outcomes %v: want some answered", got)
+	}
+	f.check()
+}
+
+func TestEveryEntryIsReplacedInTurn(t *testing.T) {
+	f := newFailureTest(t, 3)
+	c := f.cell.NewCaller("caller")
+	stop := make(chan struct{})
+	wait := f.requests(c, stop, false)
+	ids := f.submit(c, "reconcile", 4, 10, 4*time.Second)
+	for _, e := range f.cell.Live() {
+		f.startEntry()
+		f.must(f.cell.AwaitReady(f.ctx))
+		e.Leave()
+		<-e.Ended()
+	}
+	f.complete(c, ids)
+	close(stop)
+	if got := wait(); got[structs.OutcomeUnknown] > 0 {
+		t.Errorf("outcomes %v: a graceful leave left requests unknown", got)
+	}
+	f.check()
+}
+
+func TestLogOutageWhileAnEntryDies(t *testing.T) {
+	f := newFailureTest(t, 3)
+	c := f.cell.NewCaller("caller")
+	ids := f.submit(c, "reconcile", 4, 10, time.Second)
+	down, up := logsvc.OutageRefuse, logsvc.OutageNone
+	f.change(logsvc.Change{Outage: &down})
+	stop := make(chan struct{})
+	wait := f.requests(c, stop, false)
+	time.Sleep(5 * time.Second)
+	if off := f.count(event.AuthorityOff); off > 0 {
+		t.Errorf("authority was lost %d times in an outage with all members alive", off)
+	}
+	f.cell.Live()[0].Kill()
+	time.Sleep(5 * time.Second)
+	f.change(logsvc.Change{Outage: &up})
+	f.complete(c, ids)
+	close(stop)
+	wait()
+	f.check()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -190,7 +191,7 @@
 
 	callers := caller.NewServer(e.traffic, caller.Options{
 		Connections: e.settings.Limits.CallerConnections,
-		Ready:       e.ready,
+		Ready:       e.Ready,
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 	})
@@ -265,23 +266,45 @@
 	}
 }
 
-// do runs a closure on the control goroutine and waits for it. It returns false if
-// the entry ended first.
+// States of a closure that do has handed over.
+const (
+	closureWaits int32 = iota
+	closureTaken
+	closureDropped
+)
+
+// do runs a closure on the control goroutine and waits for it. It returns false,
+// and the closure never runs, if the entry ended first.
 func (e *Entry) do(f func()) bool {
+	var state atomic.Int32
 	done := make(chan struct{})
 	e.post(func() {
-		f()
-		close(done)
+		if state.CompareAndSwap(closureWaits, closureTaken) {
+			f()
+			close(done)
+		}
 	})
 	select {
 	case <-done:
 		return true
 	case <-e.ctx.Done():
+	}
+	if state.CompareAndSwap(closureWaits, closureDropped) {
 		return false
 	}
+	<-done
+	return true
 }
 
 // errEnding is what a call gets that comes while the entry ends.
 func errEnding() error {
 	return structs.NewError(structs.CodeDraining, "the entry is shutting down")
 }
+
+// PeerBytes returns the bytes that this entry has received from and sent to other
+// entries, in calls that it made and in calls that it served.
+func (e *Entry) PeerBytes() (in, out int64) {
+	in = e.pool.Local.In.Load() + e.pool.Cross.In.Load() + e.inbound.In.Load()
+	out = e.pool.Local.Out.Load() + e.pool.Cross.Out.Load() + e.inbound.Out.Load()
+	return in, out
+}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -247,8 +247,8 @@
 	}
 }
 
-// ready tells whether the entry may serve callers.
-func (e *Entry) ready() error {
+// Ready tells whether the entry may serve callers.
+func (e *Entry) Ready() error {
 	var ok bool
 	e.do(func() { ok = e.core.joined && e.core.caughtUp && !e.core.draining })
 	if !ok {
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -20,7 +20,7 @@
 		_, _ = fmt.Fprintln(w, "ok")
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := e.ready(); err != nil {
+		if err := e.Ready(); err != nil {
 			httpx.WriteError(w, err)
 			return
 		}
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -97,7 +97,7 @@
 func (c *testCell) awaitReady() {
 	c.t.Helper()
 	for _, e := range c.entries {
-		c.await("entry ready", func() bool { return e.ready() == nil })
+		c.await("entry ready", func() bool { return e.Ready() == nil })
 	}
 }
 
