keyhome: at-most-once for request keys by a home and its backup

The home writes the intent to its backup before it permits; a backup at a newer epoch refuses. Keys are handled by partition: a member tracks below which epoch it knows every permit, hands that on to later holders, and says unknown where it cannot be certain until the retention has passed.

--- /dev/null
+++ b/internal/keyhome/permit.go
@@ -0,0 +1,267 @@
+package keyhome
+
+import (
+	"time"
+
+	"dotterelhitch/internal/ownership"
+	"dotterelhitch/internal/structs"
+)
+
+// Kind is the kind of a decision.
+type Kind uint8
+
+const (
+	// Refused: nothing may be dispatched; Err says why.
+	Refused Kind = iota
+	// Granted: the request may be dispatched once.
+	Granted
+	// AwaitCopy: Copy goes to the backup first; CopyAcked or CopyFailed decides.
+	AwaitCopy
+	// Replay: the key's request has ended; Answer is what it gave.
+	Replay
+)
+
+// Decision is a home's word on a request with a key.
+type Decision struct {
+	Kind Kind
+	// Within is how long a grant may be used, counted from the start of the call.
+	Within time.Duration
+	Copy   *Copy
+	Answer *structs.Answer
+	// Err has CodeUnknown if an earlier request of the key may have run. With every
+	// other code this request was not run and the key is as it was before it.
+	Err error
+}
+
+// Copy is a state of a key on its way from the home to the backup.
+type Copy struct {
+	From, To string
+	Epoch    int64
+	Entry    Entry
+}
+
+// Retry times of refusals.
+const (
+	retrySoon     = 50 * time.Millisecond
+	retryProgress = 250 * time.Millisecond
+)
+
+func refuse(err error) Decision { return Decision{Kind: Refused, Err: err} }
+
+// Permit decides on a request at the key's home. A repeat with the same request ID
+// is granted again: the entry that gave the ID dispatches it once.
+func (s *Store) Permit(now time.Time, key, requestID, fingerprint string) Decision {
+	if key == "" || len(key) > structs.MaxKeyBytes {
+		return refuse(structs.NewError(structs.CodeInvalid, "key of %d bytes: want 1 to %d", len(key), structs.MaxKeyBytes))
+	}
+	p := ownership.PartitionOf(key)
+	if len(s.terms) == 0 || s.current().holders[p].home != s.self {
+		return refuse(structs.NewError(structs.CodeNotOwner, "this member is not the home of the key"))
+	}
+	e := s.live(now, p, key)
+	if e != nil && e.State != Free {
+		return s.known(now, e, requestID, fingerprint)
+	}
+	if err := s.mayGrant(now, p); err != nil {
+		return refuse(err)
+	}
+	if e == nil {
+		if err := s.room(); err != nil {
+			return refuse(err)
+		}
+	}
+	return s.intend(now, p, &Entry{Key: key, RequestID: requestID, Fingerprint: fingerprint, At: now})
+}
+
+// live returns the key's entry unless it has expired.
+func (s *Store) live(now time.Time, p int, key string) *Entry {
+	e := s.parts[p].entries[key]
+	if e == nil || now.Sub(e.At) >= s.limits.Retention {
+		return nil
+	}
+	return e
+}
+
+// known decides on a request whose key has a state. What is known is a fact whoever
+// is home now, so only a new grant needs authority.
+func (s *Store) known(now time.Time, e *Entry, requestID, fingerprint string) Decision {
+	if e.Fingerprint != fingerprint {
+		return refuse(structs.NewError(structs.CodeKeyReused, "the key was used with another class or body"))
+	}
+	switch e.State {
+	case Settled:
+		return replay(e)
+	case Unknown:
+		return refuse(unknownRun())
+	case Copying:
+		return refuse(structs.RetryAfter(structs.CodeInProgress, retrySoon, "the key's request is being permitted"))
+	}
+	age := now.Sub(e.At)
+	if age >= s.limits.Running {
+		return refuse(unknownRun())
+	}
+	if e.RequestID != requestID {
+		return refuse(structs.RetryAfter(structs.CodeInProgress, retryProgress, "the key's first request has not ended"))
+	}
+	if age >= s.limits.Dispatch {
+		return refuse(unknownRun())
+	}
+	if err := s.mayGrant(now, ownership.PartitionOf(e.Key)); err != nil {
+		return refuse(err)
+	}
+	return Decision{Kind: Granted, Within: s.limits.Dispatch - age}
+}
+
+func unknownRun() error {
+	return structs.NewError(structs.CodeUnknown, "a request with this key may have run; its outcome is not known")
+}
+
+func replay(e *Entry) Decision {
+	answer := *e.Answer
+	return Decision{Kind: Replay, Answer: &answer}
+}
+
+// mayGrant returns an error unless this home may permit a key that it does not know.
+func (s *Store) mayGrant(now time.Time, p int) error {
+	if !s.rights.Holds(now) {
+		return structs.RetryAfter(structs.CodeNoAuthority, retryProgress, "the home has no authority at epoch %d", s.Epoch())
+	}
+	lapse := s.rights.KeysLapse(p)
+	if now.Before(lapse.At) {
+		return structs.RetryAfter(structs.CodeNoAuthority, lapse.At.Sub(now), "an older home of the key may still permit")
+	}
+	if !s.complete(p) {
+		return structs.RetryAfter(structs.CodeUnknown, s.untilCertain(now, p), "the home does not know all older requests with keys like this one")
+	}
+	return nil
+}
+
+func (s *Store) untilCertain(now time.Time, p int) time.Duration {
+	return max(retrySoon, s.parts[p].certainAt.Sub(now))
+}
+
+// intend writes the intent and sends it to the backup, if there is one.
+func (s *Store) intend(now time.Time, p int, e *Entry) Decision {
+	e.Version = s.nextVersion()
+	backup := s.current().holders[p].backup
+	if backup == "" {
+		e.State = Intended
+		s.put(p, e)
+		return Decision{Kind: Granted, Within: s.limits.Dispatch}
+	}
+	e.State = Copying
+	s.put(p, e)
+	return Decision{Kind: AwaitCopy, Copy: s.copyOf(backup, *e, Intended)}
+}
+
+// copyOf returns the copy of an entry in the given state.
+func (s *Store) copyOf(backup string, e Entry, state State) *Copy {
+	e.State = state
+	return &Copy{From: s.self, To: backup, Epoch: s.Epoch(), Entry: e}
+}
+
+// CopyAcked is called when the backup has kept the copy. Authority is checked again:
+// the answer may have been long in coming.
+func (s *Store) CopyAcked(now time.Time, c *Copy) Decision {
+	p := ownership.PartitionOf(c.Entry.Key)
+	e := s.parts[p].entries[c.Entry.Key]
+	if e == nil || e.State != Copying || e.Version != c.Entry.Version {
+		return refuse(structs.RetryAfter(structs.CodeStaleEpoch, retrySoon, "the table changed while the key was copied"))
+	}
+	err := s.mayGrant(now, p)
+	if err == nil && now.Sub(e.At) >= s.limits.Dispatch {
+		err = structs.RetryAfter(structs.CodeDeadline, retrySoon, "the copy of the key took too long")
+	}
+	if err != nil {
+		s.release(e)
+		return refuse(notRun(err))
+	}
+	e.State = Intended
+	return Decision{Kind: Granted, Within: s.limits.Dispatch - now.Sub(e.At)}
+}
+
+// CopyFailed is called when the backup refused the copy or did not answer. The
+// request was not permitted.
+func (s *Store) CopyFailed(_ time.Time, c *Copy, err error) Decision {
+	e := s.parts[ownership.PartitionOf(c.Entry.Key)].entries[c.Entry.Key]
+	if e != nil && e.State == Copying && e.Version == c.Entry.Version {
+		s.release(e)
+	}
+	return refuse(structs.RetryAfter(structs.CodeUnavailable, retryProgress, "the key could not be copied: %v", err))
+}
+
+// release frees a key whose request was certainly not run.
+func (s *Store) release(e *Entry) {
+	e.State = Free
+	e.Version = s.nextVersion()
+}
+
+// notRun gives a refusal after the intent was written a code that does not say that
+// an earlier request may have run: there was none.
+func notRun(err error) error {
+	typed := structs.AsError(err)
+	if typed.Code != structs.CodeUnknown {
+		return err
+	}
+	return structs.NewError(structs.CodeNoAuthority, "%s", typed.Message)
+}
+
+// Settle takes the outcome of a permitted request from the entry that dispatched it,
+// at the key's home. A copy is returned for the backup, nil without one; whether it
+// arrives decides only what a repeat is told after the home is lost.
+//
+// An outcome of not run frees the key. An entry whose Permit ended without a grant
+// settles the request as not run too, as its intent may have reached the backup.
+func (s *Store) Settle(now time.Time, key, requestID, fingerprint string, answer structs.Answer) (*Copy, error) {
+	p := ownership.PartitionOf(key)
+	if len(s.terms) == 0 || s.current().holders[p].home != s.self {
+		return nil, structs.NewError(structs.CodeNotOwner, "this member is not the home of the key")
+	}
+	e := s.live(now, p, key)
+	switch {
+	case e != nil && e.RequestID != requestID:
+		return nil, structs.NewError(structs.CodeConflict, "the key belongs to another request")
+	case e != nil && (e.State == Settled || e.State == Free):
+		return nil, nil
+	case e == nil && answer.Outcome == structs.OutcomeNotRun:
+		return nil, nil
+	case e == nil:
+		if err := s.room(); err != nil {
+			return nil, err
+		}
+		e = &Entry{Key: key, RequestID: requestID, Fingerprint: fingerprint, At: now}
+	}
+	return s.settle(p, *e, answer), nil
+}
+
+// settle keeps the outcome and returns the copy for the backup.
+func (s *Store) settle(p int, e Entry, answer structs.Answer) *Copy {
+	e.Version = s.nextVersion()
+	switch answer.Outcome {
+	case structs.OutcomeNotRun:
+		e.State = Free
+	case structs.OutcomeAnswered:
+		e.State = Settled
+		e.Answer = s.trim(answer)
+	default:
+		e.State = Unknown
+	}
+	s.put(p, &e)
+	backup := s.current().holders[p].backup
+	if backup == "" {
+		return nil
+	}
+	return s.copyOf(backup, e, e.State)
+}
+
+// trim drops a body that is too large to keep. The repeat is then told that the
+// request ran and that its answer is not kept, never a part of it.
+func (s *Store) trim(answer structs.Answer) *structs.Answer {
+	if len(answer.Body) <= s.limits.AnswerBytes && s.bytes+len(answer.Body) <= s.limits.Bytes {
+		return &answer
+	}
+	size := len(answer.Body)
+	answer.Body = nil
+	answer.Err = structs.AsError(structs.NewError(structs.CodeTooLarge, "the request has run; its answer of %d bytes was not kept", size))
+	return &answer
+}
