dispatch: admission by internal/scheduler, second attempts beside silent ones

Cause: requests that would miss their target waited until their deadline, and an idempotent request on a silent connection lost half of its time before a retry. Change: the request queue is the admission controller behind a lock (gate.go); retries draw on health.RetryBudget; a request that may run twice is sent a second time, within the budget, once the first attempt is silent for three times the usual time. SetSlots takes the place of SlotsFreed. The old queue and budget are gone, with the tests of their own; the admission and budget have theirs in scheduler.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,42 +1,28 @@
 package dispatch
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// The shares of a RatioBudget.
-const (
-	retryPercent   = 10
-	retryBurst     = 20
-	depositPerFull = 100
+	"dotterelhitch/internal/scheduler/health"
 )
 
-// RatioBudget allows retries up to a share of the requests: every request puts a
-// tenth of a token in, every retry takes one out. It starts full and holds at
-// most retryBurst tokens. It is safe for concurrent use.
-type RatioBudget struct {
-	mu sync.Mutex
-	// hundredths of a token.
-	hundredths int
+// budget is a retry budget that is safe for concurrent use.
+type budget struct {
+	mu     sync.Mutex
+	budget health.RetryBudget
 }
 
-// NewRatioBudget returns a full budget.
-func NewRatioBudget() *RatioBudget {
-	return &RatioBudget{hundredths: retryBurst * depositPerFull}
-}
-
-// Deposit counts a request.
-func (b *RatioBudget) Deposit() {
+// earn counts a request.
+func (b *budget) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hundredths = min(b.hundredths+retryPercent, retryBurst*depositPerFull)
+	b.budget.Earn(time.Now())
 }
 
-// Withdraw takes a token if there is a whole one.
-func (b *RatioBudget) Withdraw() bool {
+// spend reports whether a retry may be made, and counts it.
+func (b *budget) spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.hundredths < depositPerFull {
-		return false
-	}
-	b.hundredths -= depositPerFull
-	return true
+	return b.budget.Spend(time.Now())
 }
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -10,6 +10,7 @@
 type counters struct {
 	answered, notRun, unknown   *metrics.Counter
 	retries, refused, served    *metrics.Counter
+	hedges                      *metrics.Counter
 	replayed, unsettled         *metrics.Counter
 	nearForwarded, farForwarded *metrics.Counter
 }
@@ -20,6 +21,7 @@
 		notRun:        set.GetOrCreateCounter(`hitch_requests_total{outcome="not_run"}`),
 		unknown:       set.GetOrCreateCounter(`hitch_requests_total{outcome="unknown"}`),
 		retries:       set.GetOrCreateCounter(`hitch_request_retries_total`),
+		hedges:        set.GetOrCreateCounter(`hitch_request_hedges_total`),
 		refused:       set.GetOrCreateCounter(`hitch_request_admission_refused_total`),
 		served:        set.GetOrCreateCounter(`hitch_requests_forwarded_in_total`),
 		replayed:      set.GetOrCreateCounter(`hitch_request_key_replays_total`),
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -21,17 +21,20 @@
 	Outcome structs.Outcome
 	Body    []byte
 	Worker  string
-	Err     *structs.Error
+	// Peer is the member that was asked; empty for an own worker.
+	Peer string
+	Err  *structs.Error
 	// Unsent is true if certainly no byte left the entry.
 	Unsent bool
 }
 
+func (r Result) answered() bool { return r.Outcome == structs.OutcomeAnswered }
+
 // History is what is known of a request after some attempts.
 type History struct {
 	Idempotent bool
 	// RetryUnknown allows another attempt after one of unknown outcome.
 	RetryUnknown bool
-	Attempts     int
 	// InDoubt is the first attempt of unknown outcome; nil if there is none.
 	InDoubt *Result
 	Last    Result
@@ -39,19 +42,18 @@
 
 // Add records an attempt.
 func (h *History) Add(r Result) {
-	h.Attempts++
 	h.Last = r
 	if r.Outcome == structs.OutcomeUnknown && h.InDoubt == nil {
 		h.InDoubt = &r
 	}
 }
 
-// Retry reports whether another attempt may follow, with left until the
-// deadline. A request that may have reached an endpoint is tried again only if
+// Retry reports whether another attempt may follow the last one, with left until
+// the deadline. A request that may have reached an endpoint is tried again only if
 // it is idempotent; withdraw is asked only when everything else allows a retry,
 // and not for a failure before the first byte.
 func (h *History) Retry(left time.Duration, withdraw func() bool) bool {
-	if h.Attempts >= maxAttempts || left < minAttempt {
+	if left < minAttempt {
 		return false
 	}
 	switch h.Last.Outcome {
@@ -72,7 +74,7 @@
 // Outcome is the verdict over all attempts: a whole answer if there is one, else
 // unknown if any attempt is in doubt, else not run.
 func (h *History) Outcome() Result {
-	if h.Last.Outcome != structs.OutcomeAnswered && h.InDoubt != nil {
+	if !h.Last.answered() && h.InDoubt != nil {
 		return *h.InDoubt
 	}
 	return h.Last
@@ -92,13 +94,19 @@
 	return false
 }
 
-// attemptDeadline bounds one attempt. An idempotent request leaves half of the
-// time for another attempt, in case the connection has gone silent.
-func attemptDeadline(now, deadline time.Time, h *History) time.Time {
-	half := deadline.Sub(now) / 2
-	last := h.Attempts+1 >= maxAttempts
-	if !h.Idempotent || !h.RetryUnknown || last || half < minAttempt {
-		return deadline
+// Bounds on the silence after which a second attempt starts beside the first.
+const (
+	// usualTimes is that silence in multiples of the usual time.
+	usualTimes = 3
+	minHedge   = 50 * time.Millisecond
+)
+
+// hedgeAfter is the silence after which a request that may run twice is sent a
+// second time: well past the usual time, but early enough to meet the target.
+func hedgeAfter(usual, slack, left time.Duration) time.Duration {
+	latest := slack / 2
+	if latest <= 0 {
+		latest = left / 2
 	}
-	return now.Add(half)
+	return min(max(usualTimes*usual, minHedge), latest)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,7 +21,13 @@
 	defaultSettleWithin = 5 * time.Second
 	defaultFarBytes     = 64 << 10 // per second
 	defaultDeadline     = 5 * time.Second
-	recheckEvery        = 250 * time.Millisecond
+	// recheckEvery is how often a waiting request looks at the peers again.
+	recheckEvery = 250 * time.Millisecond
+	// refreshEvery is how often the number of own slots is read.
+	refreshEvery = 100 * time.Millisecond
+	// blockedPause is the pause of a request whose turn it is, but for which no
+	// slot is free after all.
+	blockedPause = 20 * time.Millisecond
 )
 
 // Options configure a Dispatcher. Slots, Peers, Keys, Sender and Classes are
@@ -35,10 +42,6 @@
 	Keys    Keys
 	Sender  Sender
 	Classes Classes
-	// Admission refuses early; nil admits all that the queue holds.
-	Admission Admission
-	// Budget bounds retries; nil for a RatioBudget.
-	Budget Budget
 	// Queue bounds the requests that wait for a slot.
 	Queue int
 	// FarBytes is the bytes a second that requests may send over the link
@@ -64,12 +67,6 @@
 	if o.Epoch == nil {
 		o.Epoch = func() int64 { return 0 }
 	}
-	if o.Admission == nil {
-		o.Admission = admitAll{}
-	}
-	if o.Budget == nil {
-		o.Budget = NewRatioBudget()
-	}
 	if o.Random == nil {
 		o.Random = rand.IntN
 	}
@@ -86,24 +83,21 @@
 	return v
 }
 
-// admitAll is the admission of an entry without a policy.
-type admitAll struct{}
-
-func (admitAll) Admit(string, time.Duration, int) error { return nil }
-
-func (admitAll) Observe(string, time.Duration) {}
-
 // Dispatcher is the request path of an entry. It is safe for concurrent use.
 type Dispatcher struct {
 	opts     Options
-	queue    *queue
+	gate     *gate
+	budget   budget
 	far      *rate.Limiter
 	forwards *forwardCount
 	counts   counters
+	// refreshed is when the number of own slots was read, in Unix nanoseconds.
+	refreshed atomic.Int64
 
 	// settling holds one element for each settlement in the background.
 	settling chan struct{}
-	settled  sync.WaitGroup
+	// background counts attempts and settlements.
+	background sync.WaitGroup
 }
 
 // New returns a dispatcher. It starts no goroutine until requests come.
@@ -111,7 +105,7 @@
 	o = o.withDefaults()
 	d := &Dispatcher{
 		opts:     o,
-		queue:    newQueue(o.Queue),
+		gate:     newGate(o.Queue),
 		far:      rate.NewLimiter(rate.Limit(o.FarBytes), max(o.FarBytes, minFarBurst)),
 		forwards: newForwardCount(),
 		settling: make(chan struct{}, o.Settling),
@@ -121,28 +115,25 @@
 }
 
 // Queued returns the number of requests that wait for a slot, for the digest.
-func (d *Dispatcher) Queued() int { return d.queue.len() }
+func (d *Dispatcher) Queued() int { return d.gate.length() }
 
-// SlotsFreed wakes up to n waiting requests. The control goroutine calls it when
-// slots become free by other ways than Release.
-func (d *Dispatcher) SlotsFreed(n int) {
-	for range min(n, d.queue.len()) {
-		d.queue.wake()
-	}
-}
+// SetSlots tells how many requests may be at own workers at a time. The
+// dispatcher also reads it from Peers.Loads now and then; the control goroutine
+// calls SetSlots for a change to count at once.
+func (d *Dispatcher) SetSlots(n int) { d.gate.setSlots(n) }
 
-// Drain waits until the settlements in the background have ended, or ctx has.
+// Drain waits until attempts and settlements have ended, or ctx has.
 // The entry calls it after it has stopped taking requests.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
-		d.settled.Wait()
+		d.background.Wait()
 		close(done)
 	}()
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return structs.NewError(structs.CodeDeadline, "settlements are still under way")
+		return structs.NewError(structs.CodeDeadline, "attempts or settlements are still under way")
 	}
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -23,46 +23,42 @@
 
 // choose finds the place for a request that got no own slot for the given
 // reason.
-func (d *Dispatcher) choose(j *job, reason error) Choice {
-	if j.forwarded {
+func (d *Dispatcher) choose(a *attempt, reason error) Choice {
+	if a.forwarded {
 		return Choice{}
 	}
 	self, peers := d.opts.Peers.Loads()
 	self.Member = ""
 	self.FreeSlots = 0
-	self.Queued = d.queue.len()
+	self.Queued = d.gate.length()
 	if structs.CodeOf(reason) != structs.CodeNoCapacity {
 		self.TotalSlots = 0
 	}
-	return choose(self, d.forwards.adjust(peers), j.avoidPeers, d.opts.Random, func() bool {
-		return d.far.AllowN(time.Now(), len(j.req.Body)+farOverhead+expectedAnswer)
+	return choose(self, d.forwards.adjust(peers), a.avoidPeers, d.opts.Random, func() bool {
+		return d.far.AllowN(time.Now(), len(a.req.Body)+farOverhead+expectedAnswer)
 	})
 }
 
 // forward makes one attempt at a peer.
-func (d *Dispatcher) forward(ctx context.Context, j *job, c Choice) Result {
+func (d *Dispatcher) forward(ctx context.Context, a *attempt, c Choice) Result {
 	member := c.Peer.Member
-	d.forwards.add(member, 1)
-	defer d.forwards.add(member, -1)
-	d.counts.forwards(c.Far).Inc()
-	deadline := attemptDeadline(time.Now(), j.deadline, &j.history)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	left := time.Until(deadline) - peerMargin - c.Peer.RoundTrip
+	left := a.left() - peerMargin - c.Peer.RoundTrip
 	if left < time.Millisecond {
 		return notRun(structs.NewError(structs.CodeDeadline, "too little time is left to ask a peer"))
 	}
+	d.forwards.add(member, 1)
+	defer d.forwards.add(member, -1)
+	d.counts.forwards(c.Far).Inc()
+	a.sent(place{peer: member})
 	resp, err := d.opts.Peers.Dispatch(ctx, member, &peerv1.DispatchRequest{
-		Member: d.opts.Member, Epoch: d.opts.Epoch(), Id: j.req.ID, Class: j.req.Class, Key: j.req.Key,
-		Idempotent: j.req.Idempotent, Body: j.req.Body, DeadlineMs: left.Milliseconds(),
+		Member: d.opts.Member, Epoch: d.opts.Epoch(), Id: a.req.ID, Class: a.req.Class, Key: a.req.Key,
+		Idempotent: a.req.Idempotent, Body: a.req.Body, DeadlineMs: left.Milliseconds(),
 	})
-	res := fromPeer(j.req.ID, resp, err)
+	res := fromPeer(a.req.ID, resp, err)
+	res.Peer = member
 	if c.Far {
 		d.far.ReserveN(time.Now(), max(len(res.Body)-expectedAnswer, 0))
 	}
-	if res.Outcome != structs.OutcomeAnswered {
-		j.avoidPeers = append(j.avoidPeers, member)
-	}
 	return res
 }
 
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -55,7 +55,7 @@
 		d.tellHome(key, a)
 		return
 	}
-	d.settled.Go(func() {
+	d.background.Go(func() {
 		defer func() { <-d.settling }()
 		d.tellHome(key, a)
 	})
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -40,6 +40,9 @@
 	Code structs.Code
 	// Unsent is true if certainly no byte reached the endpoint.
 	Unsent bool
+	// Abandoned is true if the attempt was given up because another one had
+	// answered, so that it says little about the worker.
+	Abandoned bool
 	// Took is the time of the attempt.
 	Took time.Duration
 }
@@ -110,23 +113,6 @@
 	Class(name string) (structs.Class, bool)
 }
 
-// Admission decides early which requests would miss their target.
-type Admission interface {
-	// Admit refuses, with CodeOverload and a retry time, a request that would
-	// miss its target if it waited behind queued others.
-	Admit(class string, slack time.Duration, queued int) error
-	// Observe tells what an answered request took at the endpoint.
-	Observe(class string, took time.Duration)
-}
-
-// Budget bounds retries to a share of the requests.
-type Budget interface {
-	// Deposit counts a request.
-	Deposit()
-	// Withdraw reports whether a retry may be made, and counts it.
-	Withdraw() bool
-}
-
 // NotSentError marks a failure before a peer can have got a request.
 type NotSentError struct {
 	Cause error
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -36,7 +36,6 @@
 		return notRun(err)
 	}
 	j.forwarded = true
-	j.history.RetryUnknown = false
 	d.counts.served.Inc()
 	return d.run(ctx, j)
 }
