caller: time limits that hold on kept connections and unread bodies

Cause: a write deadline outlived its answer, so that a later answer on the same connection could fail; a refused request whose body never came held its connection for ever. Change: the write deadline is set as each answer begins; the read deadline is set for every request with a body, read or not.

--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -56,7 +56,6 @@
 	apply func(context.Context, string) (any, error),
 ) {
 	out, err := s.tryChange(w, r, v, apply)
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.opts.WriteWithin))
 	if err != nil {
 		writeError(w, err)
 		return
@@ -99,7 +98,6 @@
 // handleStatus returns a job's state, on request after waiting for its end.
 func (s *Server) handleStatus(w http.ResponseWriter, r *http.Request) {
 	status, err := s.status(r)
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.opts.WriteWithin))
 	if err != nil {
 		writeError(w, err)
 		return
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -19,7 +19,6 @@
 	w.Header().Set(HeaderRequestID, id)
 	answer := s.answer(w, r, id, arrived)
 	s.counts.outcome(answer.Outcome)
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.opts.WriteWithin))
 	writeAnswer(w, answer)
 }
 
--- a/internal/caller/routes.go
+++ b/internal/caller/routes.go
@@ -30,7 +30,7 @@
 	return h
 }
 
-// prepare sets what every answer bears.
+// prepare sets what every answer bears and the times of its body and answer.
 func (s *Server) prepare(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if id := r.Header.Get(HeaderClientID); id != "" && len(id) <= maxClientIDBytes {
@@ -39,7 +39,8 @@
 		if s.crowded() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		limitBody(w, r, s.opts.BodyWithin)
+		next.ServeHTTP(&answerWriter{ResponseWriter: w, within: s.opts.WriteWithin}, r)
 	})
 }
 
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -325,3 +325,29 @@
 		}
 	})
 }
+
+// TestKeptConnection uses one connection again after the time that an answer may
+// take to be written, and a connection whose caller never sends its body.
+func TestKeptConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, l := start(t, newBackend(), Options{})
+		c := l.dial()
+		r := bufio.NewReader(c)
+		for _, call := range []string{post + "0123456789", "GET /readyz HTTP/1.1\r\nHost: e\r\n\r\n", post + "0123456789"} {
+			go func() { _, _ = io.WriteString(c, call) }()
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("%q: %v %v", call[:10], resp, err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			time.Sleep(2 * defaultWriteWithin)
+		}
+		const refused = "POST /v1/none HTTP/1.1\r\nHost: e\r\nContent-Length: 10\r\n\r\nhalf"
+		go func() { _, _ = io.WriteString(c, refused) }()
+		began := time.Now()
+		_, _ = io.Copy(io.Discard, r)
+		if took := time.Since(began); took > defaultBodyWithin+time.Second {
+			t.Errorf("a caller that does not send its body held the connection for %v", took)
+		}
+	})
+}
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -54,20 +54,19 @@
 	h.Set("Retry-After", strconv.FormatInt((e.RetryAfterMs+msPerSecond-1)/msPerSecond, 10))
 }
 
-// readBody reads a body whole, in bounded time and of a bounded size. Nothing is
+// readBody reads a body whole, within the time that limitBody set and of a bounded
+// size. Nothing is
 // dispatched before it returns.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, structs.NewError(structs.CodeTooLarge, "body of %d bytes: at most %d", r.ContentLength, limit)
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(s.opts.BodyWithin))
 	body, err := httpx.ReadLimited(r.Body, limit)
 	if err != nil {
 		s.counts.badBody.Inc()
 		return nil, bodyError(err)
 	}
-	_ = rc.SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
