--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,8 +44,8 @@
 	Classes Classes
 	// Queue bounds the requests that wait for a slot.
 	Queue int
-	// FarBytes is the bytes a second that requests may send over the link
-	// between regions, both ways together.
+	// FarBytes is the bytes a second that this entry's requests may send over the
+	// link between regions, both ways together.
 	FarBytes int
 	// Settling bounds the settlements under way in the background.
 	Settling int
@@ -122,6 +122,13 @@
 // calls SetSlots for a change to count at once.
 func (d *Dispatcher) SetSlots(n int) { d.gate.setSlots(n) }
 
+// SetFarBytes sets this entry's share of the link between regions, in bytes a
+// second. The control goroutine calls it when the number of members changes.
+func (d *Dispatcher) SetFarBytes(n int) {
+	d.far.SetLimit(rate.Limit(n))
+	d.far.SetBurst(max(n, minFarBurst))
+}
+
 // Drain waits until attempts and settlements have ended, or ctx has.
 // The entry calls it after it has stopped taking requests.
 func (d *Dispatcher) Drain(ctx context.Context) error {
--- a/internal/entry/separation_test.go
+++ b/internal/entry/separation_test.go
@@ -25,7 +25,7 @@
 	}
 	paths := map[string][]string{
 		"caller":   {"POST /v1/classes/tickets/requests", "POST /v1/jobs", "GET /v1/jobs/g:j", "POST /v1/jobs/cancel"},
-		"operator": {"PUT /v1/classes/tickets", "GET /v1/leavings", "PUT /v1/leavings/w1", "PUT /v1/quotas/a", "GET /v1/status"},
+		"operator": {"PUT /v1/classes/tickets", "GET /v1/leaving", "PUT /v1/leaving/w1", "PUT /v1/quotas/a", "GET /v1/status"},
 		"peer":     {"POST " + peerv1connect.PeerServiceDispatchProcedure, "POST " + peerv1connect.PeerServiceConsentProcedure},
 	}
 	ask := func(h http.Handler, call, key string) int {
