--- /dev/null
+++ b/internal/load/schedule.go
@@ -0,0 +1,56 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// arrival is one piece of work that is to be sent at a time after the start.
+type arrival struct {
+	number int
+	after  time.Duration
+	// target is the index of the entry to which it goes first.
+	target int
+	// salt makes the body differ from every other.
+	salt uint64
+}
+
+// newSource returns the random source of a stream: a function of the seed and
+// the stream's position alone.
+func newSource(seed uint64, stream int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, uint64(stream)+1))
+}
+
+// schedule draws all arrivals of a window in order.
+func schedule(w Window, targets int, src *rand.Rand) []arrival {
+	var out []arrival
+	add := func(after time.Duration) {
+		out = append(out, arrival{
+			number: len(out),
+			after:  after,
+			target: src.IntN(targets),
+			salt:   src.Uint64(),
+		})
+	}
+	if w.Arrivals == AtOnce {
+		for range w.Count {
+			add(w.From.D())
+		}
+		return out
+	}
+	at := w.From.D() + gap(w, src)
+	for at < w.Until.D() && len(out) < maxArrivals {
+		add(at)
+		at += gap(w, src)
+	}
+	return out
+}
+
+// gap draws the time to the next arrival.
+func gap(w Window, src *rand.Rand) time.Duration {
+	mean := float64(time.Second) / w.Rate
+	if w.Arrivals == Uniform {
+		return time.Duration(mean)
+	}
+	return time.Duration(src.ExpFloat64() * mean)
+}
