--- a/internal/load/job.go
+++ b/internal/load/job.go
@@ -15,6 +15,8 @@
 	outcomeStarted = "started"
 	outcomeRefused = "refused"
 	outcomeOpen    = "open"
+	// outcomeUntimed is a job that ended well, but whose start isn't known.
+	outcomeUntimed = "complete, start not known"
 )
 
 // Times of the calls that follow a job.
@@ -49,21 +51,32 @@
 	}
 	r.options.Events.Record(event.Event{Type: event.JobSent, Job: id, Class: s.Class, Count: s.Tasks})
 	status := r.follow(ctx, id, a)
-	out := result{after: a.after, outcome: outcomeOpen, within: s.Within.D()}
-	if status.StartedMs > 0 {
-		out.outcome = outcomeStarted
-		out.wait = time.UnixMilli(status.StartedMs).Sub(r.start.Add(a.after))
-	}
 	if ended(status.State) {
 		stats.end(r.waited(a))
 		r.options.Events.Record(event.Event{Type: event.JobGot, Job: id, Class: s.Class, State: string(status.State)})
 	}
-	if ended(status.State) && status.State != structs.JobComplete {
-		out.outcome = string(status.State)
+	out := result{after: a.after, outcome: jobOutcome(status), within: s.Within.D()}
+	if status.StartedMs > 0 {
+		out.wait = time.UnixMilli(status.StartedMs).Sub(r.start.Add(a.after))
 	}
 	stats.done(out)
 }
 
+// jobOutcome is the state of a job that ended otherwise than well, else whether
+// its tasks are known to have started.
+func jobOutcome(s structs.JobStatus) string {
+	switch {
+	case ended(s.State) && s.State != structs.JobComplete:
+		return string(s.State)
+	case s.StartedMs > 0:
+		return outcomeStarted
+	case ended(s.State):
+		return outcomeUntimed
+	default:
+		return outcomeOpen
+	}
+}
+
 // submit tries each entry until one has answered; the change ID makes it one job.
 func (r *runner) submit(ctx context.Context, s JobStream, a arrival, stats *stats) (string, error) {
 	changeID := fmt.Sprintf("%s-%s-%d", r.id, s.Name, a.number)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -49,7 +49,7 @@
 
 // Answered returns the number that got what they asked for.
 func (s StreamReport) Answered() int {
-	return s.Outcomes[string(structs.OutcomeAnswered)] + s.Outcomes[outcomeStarted]
+	return s.Outcomes[string(structs.OutcomeAnswered)] + s.Outcomes[outcomeStarted] + s.Outcomes[outcomeUntimed]
 }
 
 // Waits is a distribution of times in milliseconds.
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -108,6 +108,8 @@
 	switch {
 	case r.answered():
 		s.answer(r, second)
+	case r.outcome == outcomeUntimed:
+		second.Answered++
 	case r.outcome == string(structs.OutcomeNotRun):
 		second.NotRun++
 	default:
