--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -21,6 +21,9 @@
 	// controlRead is when the last read of the control stream's tail began.
 	controlRead time.Time
 	caughtUp    bool
+	// snapshotAt is when the last snapshot of the control stream was read, or the
+	// process started.
+	snapshotAt time.Time
 	table       *ownership.Map
 	// tableSince is when this process read the record of the present epoch.
 	tableSince time.Time
@@ -103,6 +106,7 @@
 	c.schedule(now)
 	c.parkJobs()
 	c.dropFinished()
+	c.takeSnapshots(now)
 }
 
 // alarm records a condition that an operator should look at; it is recorded once
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -246,8 +246,10 @@
 	for {
 		select {
 		case f := <-e.control:
-			e.core.turn(time.Now())
+			now := time.Now()
+			e.core.turn(now)
 			f()
+			e.core.scheduleSoon(now)
 		case <-tick.C:
 			now := time.Now()
 			e.core.turn(now)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -15,7 +15,7 @@
 
 // followControl reads the control stream.
 func (e *Entry) followControl() {
-	follower := journal.NewFollower(controlSource{e: e}, state.ControlStream, e.deliverControl, e.logger)
+	follower := journal.NewFollower(controlSource{e: e}, state.ControlStream, e.timing.Heartbeat, e.deliverControl, e.logger)
 	follower.Run(e.ctx, 1)
 }
 
@@ -52,7 +52,7 @@
 // they were read.
 func (c *core) startBridge(first int64) {
 	if c.bridge == nil || c.bridge.First < first {
-		c.bridge = &state.Bridge{First: first}
+		c.bridge = state.NewBridge(first)
 	}
 }
 
@@ -88,6 +88,8 @@
 		return
 	}
 	switch r.Change.Type {
+	case state.ControlSnap:
+		c.snapshotAt = time.Now()
 	case state.Membership:
 		c.noteMembers(r)
 	case state.ClassSet, state.QuotaSet:
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// scheduleSoon schedules at once if something has become placeable.
+func (c *core) scheduleSoon(now time.Time) {
+	if c.nextSchedule.IsZero() {
+		c.schedule(now)
+	}
+}
+
 // placement is what an order came to.
 type placement struct {
 	placed []orchestrator.Ref
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -20,11 +20,13 @@
 	committer *journal.Committer
 	cancel    context.CancelFunc
 	caughtUp  bool
-	// mineSince is the offset from which on every accepted job was read under a
-	// table by which this entry decides the stream.
-	mineSince int64
+	// snapshotAt is when the last snapshot was read or the stream opened.
+	snapshotAt time.Time
 }
 
+// jobsWait is how long a read of a jobs stream waits for a record.
+const jobsWait = 2 * time.Second
+
 // assignStreams follows the streams that the table gives to this entry's group.
 func (c *core) assignStreams() {
 	own, ok := c.table.GroupOfMember(c.self())
@@ -76,11 +78,12 @@
 	}
 	c.streams[group] = s
 	c.e.spawn(func() { s.committer.Run(ctx) })
-	follower := journal.NewFollower(journal.Direct{Log: c.e.log}, stream, func(p journal.Page) int64 {
+	follower := journal.NewFollower(journal.Direct{Log: c.e.log}, stream, jobsWait, func(p journal.Page) int64 {
 		next := int64(1)
 		c.e.do(func() { next = c.takeJobs(s, p) })
 		return next
 	}, c.e.logger)
+	s.snapshotAt = time.Now()
 	c.e.spawn(func() { follower.Run(ctx, 1) })
 }
 
@@ -99,7 +102,7 @@
 		return s.table.Next()
 	}
 	if p.First > s.table.Next() && s.bridge == nil {
-		s.bridge = &state.Bridge{First: p.First}
+		s.bridge = state.NewBridge(p.First)
 	}
 	if s.bridge != nil {
 		return c.bridgeJobs(s, p)
@@ -111,7 +114,6 @@
 	}
 	if p.Tail && !s.caughtUp {
 		s.caughtUp = true
-		s.mineSince = s.table.Next()
 		c.assignJobs()
 	}
 	return s.table.Next()
@@ -140,6 +142,8 @@
 		return
 	}
 	switch r.Change.Type {
+	case state.JobsSnap:
+		s.snapshotAt = time.Now()
 	case state.JobAccept:
 		c.noteAccepted(s, r)
 	case state.TasksEnd:
--- a/internal/journal/committer.go
+++ b/internal/journal/committer.go
@@ -168,8 +168,8 @@
 	if ch.Job != nil {
 		n += len(ch.Job.Payload)
 	}
-	if ch.Control != nil || ch.Jobs != nil {
-		n += batchBytes
+	if ch.Part != nil {
+		n += 2 * len(ch.Part.Data)
 	}
 	return n
 }
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -11,11 +11,8 @@
 	"dotterelhitch/internal/structs"
 )
 
-// Bounds of a read.
-const (
-	readRecords = 256
-	readWait    = 1 * time.Second
-)
+// readRecords bounds the records of one read.
+const readRecords = 256
 
 // Page is the outcome of one read.
 type Page struct {
@@ -38,30 +35,32 @@
 type Follower struct {
 	source Source
 	stream string
+	wait   time.Duration
 	logger *slog.Logger
 	// deliver takes a page and returns the offset to read next.
 	deliver func(Page) int64
 }
 
-// NewFollower returns a follower that hands each page to deliver.
-func NewFollower(source Source, stream string, deliver func(Page) int64, logger *slog.Logger) *Follower {
-	return &Follower{source: source, stream: stream, deliver: deliver, logger: logger}
+// NewFollower returns a follower that hands each page to deliver. At the end of the
+// stream a read waits for up to wait for a record.
+func NewFollower(source Source, stream string, wait time.Duration, deliver func(Page) int64, logger *slog.Logger) *Follower {
+	return &Follower{source: source, stream: stream, wait: wait, deliver: deliver, logger: logger}
 }
 
 // Run reads from the given offset until ctx ends.
 func (f *Follower) Run(ctx context.Context, from int64) {
-	wait := retryShortest
+	retry := retryShortest
 	poll := time.Duration(0)
 	for ctx.Err() == nil {
 		start := time.Now()
 		batch, age, err := f.source.Read(ctx, f.stream, from, readRecords, poll)
 		if err != nil {
 			f.report(ctx, err)
-			sleep(ctx, wait)
-			wait = min(2*wait, retryLongest)
+			sleep(ctx, retry)
+			retry = min(2*retry, retryLongest)
 			continue
 		}
-		wait = retryShortest
+		retry = retryShortest
 		page := Page{
 			Start:   start.Add(-age),
 			First:   batch.First,
@@ -72,7 +71,7 @@
 		from = f.deliver(page)
 		poll = 0
 		if page.Tail {
-			poll = readWait
+			poll = f.wait
 		}
 	}
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -56,6 +56,7 @@
 		{"timing.authority", false, duration(&e.Timing.Authority)},
 		{"timing.clock_margin", false, duration(&e.Timing.ClockMargin)},
 		{"timing.append_linger", false, duration(&e.Timing.AppendLinger)},
+		{"timing.snapshot", false, duration(&e.Timing.Snapshot)},
 		{"timing.leaving_bound", false, duration(&e.Timing.LeavingBound)},
 		{"timing.drain", false, duration(&e.Timing.Drain)},
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,6 +108,9 @@
 	ClockMargin time.Duration
 	// AppendLinger is how long an append waits for others to share its record.
 	AppendLinger time.Duration
+	// Snapshot is the period at which each stream's table is appended as a whole.
+	// It must be well below the log's retention time.
+	Snapshot time.Duration
 	// LeavingBound is when an endpoint declared as leaving gets no new work.
 	LeavingBound time.Duration
 	// Drain bounds a graceful shutdown of the entry.
@@ -138,6 +141,7 @@
 			Authority:    3 * time.Second,
 			ClockMargin:  300 * time.Millisecond,
 			AppendLinger: 20 * time.Millisecond,
+			Snapshot:     5 * time.Minute,
 			LeavingBound: 5 * time.Second,
 			Drain:        20 * time.Second,
 		},
--- a/internal/state/bridge.go
+++ b/internal/state/bridge.go
@@ -5,33 +5,71 @@
 type Bridge struct {
 	// First is the oldest kept offset when the gap was found.
 	First int64
+	open  map[string][][]byte
 }
 
-// Control returns the table of the first snapshot in a record that covers all
-// removed records, nil if the record holds none.
-func (b Bridge) Control(data []byte) *Control {
+// NewBridge returns a bridge for a stream whose oldest kept record is at first.
+func NewBridge(first int64) *Bridge {
+	return &Bridge{First: first, open: map[string][][]byte{}}
+}
+
+// Control returns the table of the first snapshot that covers all removed records,
+// once the last of its parts was fed, and nil before.
+func (b *Bridge) Control(data []byte) *Control {
+	var s ControlSnapshot
+	if !b.feed(data, ControlSnap, &s) {
+		return nil
+	}
+	return RestoreControl(s)
+}
+
+// Jobs is Control for a jobs stream.
+func (b *Bridge) Jobs(data []byte) *Jobs {
+	var s JobsSnapshot
+	if !b.feed(data, JobsSnap, &s) {
+		return nil
+	}
+	return RestoreJobs(s)
+}
+
+// feed adds the parts that a record holds and unpacks the snapshot that they
+// complete into v.
+func (b *Bridge) feed(data []byte, t ChangeType, v any) bool {
 	changes, err := Decode(data)
 	if err != nil {
-		return nil
+		return false
 	}
 	for _, ch := range changes {
-		if ch.Type == ControlSnap && ch.Control != nil && ch.Control.Next >= b.First {
-			return RestoreControl(*ch.Control)
+		if ch.Type != t || ch.Part == nil || ch.Part.Next < b.First {
+			continue
+		}
+		if whole := b.add(ch.Part); whole != nil && unpack(whole, v) == nil {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
-// Jobs is Control for a jobs stream.
-func (b Bridge) Jobs(data []byte) *Jobs {
-	changes, err := Decode(data)
-	if err != nil {
+// maxParts bounds the parts of one snapshot.
+const maxParts = 4096
+
+// add keeps a part and returns the packed snapshot if it was the last one missing.
+func (b *Bridge) add(p *SnapshotPart) []byte {
+	if p.Parts < 1 || p.Parts > maxParts || p.Part < 0 || p.Part >= p.Parts {
 		return nil
 	}
-	for _, ch := range changes {
-		if ch.Type == JobsSnap && ch.Jobs != nil && ch.Jobs.Next >= b.First {
-			return RestoreJobs(*ch.Jobs)
+	parts := b.open[p.Snapshot]
+	if len(parts) != p.Parts {
+		parts = make([][]byte, p.Parts)
+		b.open[p.Snapshot] = parts
+	}
+	parts[p.Part] = p.Data
+	var whole []byte
+	for _, part := range parts {
+		if part == nil {
+			return nil
 		}
+		whole = append(whole, part...)
 	}
-	return nil
+	return whole
 }
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -63,8 +63,7 @@
 	Filter *structs.JobFilter `json:"filter,omitempty"`
 	Reason string             `json:"reason,omitempty"`
 
-	Control *ControlSnapshot `json:"control,omitempty"`
-	Jobs    *JobsSnapshot    `json:"jobs,omitempty"`
+	Part *SnapshotPart `json:"part,omitempty"`
 }
 
 // Result is what the fold made of one change.
