--- a/internal/load/markdown.go
+++ b/internal/load/markdown.go
@@ -44,10 +44,10 @@
 }
 
 func withinText(s StreamReport) string {
-	if s.WithinMs == 0 || s.Answered() == 0 {
+	if s.WithinMs == 0 || s.Waits.Count == 0 {
 		return "-"
 	}
-	return fmt.Sprintf("%.2f%% in %g ms", 100*float64(s.Within)/float64(s.Answered()), s.WithinMs)
+	return fmt.Sprintf("%.2f%% in %g ms", 100*float64(s.Within)/float64(s.Waits.Count), s.WithinMs)
 }
 
 func waitsText(w Waits) string {
