--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -24,7 +24,7 @@
 	// snapshotAt is when the last snapshot of the control stream was read, or the
 	// process started.
 	snapshotAt time.Time
-	table       *ownership.Map
+	table      *ownership.Map
 	// tableSince is when this process read the record of the present epoch.
 	tableSince time.Time
 	joined     bool
