Record of what operators and callers were told by the command line

Cause: the bounds for leaving endpoints and configuration begin when an operator is told, which no process recorded outside the demo. Checked: tests of the recorded types.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/operator"
 	"dotterelhitch/internal/structs"
 )
 
@@ -192,7 +193,7 @@
 		sent("b", "k", false), got("b", "s", answered))},
 	{name: "work within the bound", events: line(boot("w"), on(event.LeavingSaid, "w"), at(4*time.Second, taskRun("w", "g:j#0", 1)))},
 	{name: "declaration taken back", events: line(boot("w"), on(event.LeavingSaid, "w"),
-		event.Event{Type: event.LeavingSaid, Worker: "w", State: StateRemoved}, at(9*time.Second, taskRun("w", "g:j#0", 1)))},
+		event.Event{Type: event.LeavingSaid, Worker: "w", State: operator.StateRemoved}, at(9*time.Second, taskRun("w", "g:j#0", 1)))},
 	{name: "request ended in the drain", events: line(ran("w", "r", ""), on(event.WorkerDrain, "w"), done("w", "r"), on(event.WorkerExit, "w"))},
 	{name: "given up by its peer in the drain", events: line(ran("w", "r", ""), on(event.WorkerDrain, "w"),
 		event.Event{Type: event.RequestCut, Worker: "w", Request: "r", Detail: "peer"}, on(event.WorkerExit, "w"))},
--- a/internal/checker/fault.go
+++ b/internal/checker/fault.go
@@ -15,9 +15,6 @@
 	FaultThawed = "thawed"
 )
 
-// StateRemoved marks a LeavingSaid event that took a declaration back.
-const StateRemoved = "removed"
-
 func isFault(e event.Event, state string) bool {
 	return e.Type == event.Fault && e.State == state
 }
--- a/internal/checker/leaving.go
+++ b/internal/checker/leaving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/operator"
 )
 
 // leavingRule finds new work on an endpoint past the bound after an operator was
@@ -31,7 +32,7 @@
 func (c *leavingRule) finish() {}
 
 func (c *leavingRule) said(e event.Event) {
-	if e.State == StateRemoved {
+	if e.State == operator.StateRemoved {
 		delete(c.leaving, e.Worker)
 		return
 	}
--- a/internal/command/hitch/caller_client.go
+++ b/internal/command/hitch/caller_client.go
@@ -17,7 +17,10 @@
 	if err != nil {
 		return nil, err
 	}
-	client := newHTTPClient()
+	if err := g.openEvents(); err != nil {
+		return nil, err
+	}
+	client := g.httpClient()
 	clients := make([]*caller.Client, len(servers))
 	for i, server := range servers {
 		clients[i] = &caller.Client{Base: server, HTTP: client}
--- a/internal/command/hitch/hitch_test.go
+++ b/internal/command/hitch/hitch_test.go
@@ -3,16 +3,21 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
 	"dotterelhitch/internal/operator"
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/timeline"
 )
 
 // fakeOperator has one class and lets every change of another base lose.
@@ -86,6 +91,8 @@
 	t.Setenv(callerEnv, down.URL+","+callers.URL)
 	t.Setenv(operatorKeyEnv, "the-operators-key")
 
+	events := filepath.Join(t.TempDir(), "events.jsonl")
+
 	for _, c := range []struct {
 		args string
 		code int
@@ -118,7 +125,7 @@
 		{"class list --key-file /dev/null", cli.ExitUnauthorized, "unauthorized"},
 	} {
 		var out bytes.Buffer
-		args := strings.Fields(c.args)
+		args := append(strings.Fields(c.args), "--events", events)
 		code := cli.Run(context.Background(), New(), args, cli.Streams{In: strings.NewReader(""), Out: &out, Err: &out})
 		if code != c.code || !strings.Contains(out.String(), c.want) {
 			t.Errorf("hitch %s: exit code %d, want %d with %q; output:\n%s", c.args, code, c.code, c.want, &out)
@@ -126,6 +133,28 @@
 	}
 }
 
+func TestCommandsKeepTheirRecord(t *testing.T) {
+	callers := httptest.NewServer(fakeCaller())
+	defer callers.Close()
+	file := filepath.Join(t.TempDir(), "events.jsonl")
+	for _, args := range []string{"request lookups --key k", "request not_run --key l", "job submit --class nightly --cpu 1 --wait"} {
+		args := append(strings.Fields(args), "--caller", callers.URL, "--events", file)
+		cli.Run(context.Background(), New(), args, cli.Streams{Out: io.Discard, Err: io.Discard})
+	}
+	log, err := timeline.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []event.Type
+	for _, e := range log.Events {
+		got = append(got, e.Type)
+	}
+	want := []event.Type{event.RequestSent, event.RequestGot, event.RequestSent, event.RequestGot, event.JobSent, event.JobGot}
+	if !slices.Equal(got, want) {
+		t.Errorf("recorded %v, want %v", got, want)
+	}
+}
+
 func TestParseMemory(t *testing.T) {
 	for text, want := range map[string]int64{"512MiB": 512, "4GiB": 4096, "0MiB": 0, "4GB": -1, "-1MiB": -1, "": -1} {
 		got, err := parseMemory(text)
--- a/internal/command/hitch/job.go
+++ b/internal/command/hitch/job.go
@@ -11,6 +11,7 @@
 
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 )
 
@@ -93,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	g.events.Record(event.Event{Type: event.JobSent, Job: id, Class: job.Class, Count: job.Count})
 	if f.wait {
 		return waitJob(cmd, g, id)
 	}
@@ -149,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	g.events.Record(event.Event{Type: event.JobGot, Job: id, Class: status.Job.Class, State: string(status.State)})
 	if err := printJob(cmd, status); err != nil {
 		return err
 	}
--- a/internal/command/hitch/request.go
+++ b/internal/command/hitch/request.go
@@ -6,10 +6,12 @@
 	"io"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/command/cli"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 )
 
@@ -59,13 +61,37 @@
 	ctx, cancel := context.WithTimeout(cmd.Context(), g.timeout)
 	defer cancel()
 	call := caller.Call{Class: class, Key: f.key, Idempotent: f.idempotent, Body: body, Deadline: f.deadline}
+	call.ClientID = uuid.NewString()
+	g.events.Record(event.Event{Type: event.RequestSent, Request: call.ClientID, Key: f.key, Class: class, Idempotent: f.idempotent})
 	answer := sendInTurn(ctx, clients, call)
+	g.events.Record(gotEvent(call, answer))
 	if err := printAnswer(cmd, answer); err != nil {
 		return err
 	}
 	return answerError(answer)
 }
 
+// gotEvent is the record of what the caller was told; it can't know which answer
+// to expect.
+func gotEvent(call caller.Call, a structs.Answer) event.Event {
+	e := event.Event{
+		Type:    event.RequestGot,
+		Request: call.ClientID,
+		Key:     call.Key,
+		Class:   call.Class,
+		Outcome: a.Outcome,
+		Detail:  a.RequestID,
+	}
+	if a.Err != nil {
+		e.Code = a.Err.Code
+	}
+	if a.Outcome == structs.OutcomeAnswered {
+		e.Digest = event.Digest(a.Body)
+		e.Bytes = len(a.Body)
+	}
+	return e
+}
+
 // sendInTurn tries another entry only after a certain not run that is the
 // entry's own trouble.
 func sendInTurn(ctx context.Context, clients []*caller.Client, call caller.Call) structs.Answer {
--- a/internal/command/hitch/root.go
+++ b/internal/command/hitch/root.go
@@ -2,13 +2,12 @@
 package hitch
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"dotterelhitch/internal/command/cli"
-	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/operator"
 )
 
@@ -28,6 +27,9 @@
 	callers   []string
 	keyFile   string
 	timeout   time.Duration
+	// eventsFile is where events go, which is nil without one.
+	eventsFile string
+	events     *event.Recorder
 }
 
 // New returns the root command; extra commands are added to it.
@@ -56,6 +58,7 @@
 	flags.StringSliceVar(&g.callers, "caller", nil, "callers' addresses of entries, host:port or URL (default $"+callerEnv+")")
 	flags.StringVar(&g.keyFile, "key-file", "", "file with the operators' shared key (default $"+operatorKeyEnv+")")
 	flags.DurationVar(&g.timeout, "timeout", defaultTimeout, "give up after this time")
+	flags.StringVar(&g.eventsFile, "events", "", "append what was sent and told to this event log, for hitch-timeline")
 	cli.AddJSONFlag(root)
 	root.AddCommand(
 		newDemo(),
@@ -82,9 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &operator.Client{Servers: servers, HTTP: newHTTPClient(), Keys: keys}, nil
-}
-
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: httpx.NewTransport(nil)}
+	if err := g.openEvents(); err != nil {
+		return nil, err
+	}
+	return &operator.Client{Servers: servers, HTTP: g.httpClient(), Keys: keys, Events: g.events}, nil
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -110,7 +110,7 @@
 	if len(r.experiment.Classes) == 0 {
 		return nil
 	}
-	client := &operator.Client{HTTP: r.http, Keys: r.options.OperatorKeys}
+	client := &operator.Client{HTTP: r.http, Keys: r.options.OperatorKeys, Events: r.options.Events}
 	for _, address := range r.experiment.Operators {
 		client.Servers = append(client.Servers, baseURL(address))
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
 	"dotterelhitch/internal/structs"
 )
@@ -26,12 +27,15 @@
 	Servers []string
 	HTTP    *http.Client
 	Keys    httpx.Keys
+	// Events gets the changes that are told to be accepted; nil drops them.
+	Events *event.Recorder
 }
 
 // SetClass states a class. A change that lost the race is not an error.
 func (c *Client) SetClass(ctx context.Context, class structs.Class, base int64) (Change, error) {
-	current := &structs.Class{}
-	return c.change(ctx, http.MethodPut, classesPath, class.Name, ClassChange{Base: base, Class: class}, current)
+	out, err := c.change(ctx, http.MethodPut, classesPath, class.Name, ClassChange{Base: base, Class: class}, &structs.Class{})
+	c.record(out, event.Event{Type: event.ClassAccepted, Class: class.Name})
+	return out, err
 }
 
 // Classes lists the classes.
@@ -50,8 +54,9 @@
 
 // SetQuota states the quota of a team.
 func (c *Client) SetQuota(ctx context.Context, quota structs.Quota, base int64) (Change, error) {
-	current := &structs.Quota{}
-	return c.change(ctx, http.MethodPut, quotasPath, quota.Team, QuotaChange{Base: base, Quota: quota}, current)
+	out, err := c.change(ctx, http.MethodPut, quotasPath, quota.Team, QuotaChange{Base: base, Quota: quota}, &structs.Quota{})
+	c.record(out, event.Event{Type: event.ClassAccepted, Detail: "quota of " + quota.Team})
+	return out, err
 }
 
 // Quotas lists the quotas.
@@ -64,11 +69,26 @@
 // SetLeaving declares an instance as leaving, or takes the declaration back.
 func (c *Client) SetLeaving(ctx context.Context, l structs.Leaving, remove bool, base int64) (Change, error) {
 	method := http.MethodPut
+	said := event.Event{Type: event.LeavingSaid, Worker: l.Instance}
 	if remove {
 		method = http.MethodDelete
+		said.State = StateRemoved
+	}
+	out, err := c.change(ctx, method, leavingsPath, l.Instance, LeavingChange{Base: base, Gone: l.Gone}, &structs.Leaving{})
+	c.record(out, said)
+	return out, err
+}
+
+// StateRemoved marks the event of a declaration that was taken back.
+const StateRemoved = "removed"
+
+// record notes a change that an operator was told is accepted.
+func (c *Client) record(change Change, e event.Event) {
+	if !change.Accepted {
+		return
 	}
-	current := &structs.Leaving{}
-	return c.change(ctx, method, leavingsPath, l.Instance, LeavingChange{Base: base, Gone: l.Gone}, current)
+	e.Version = change.Version
+	c.Events.Record(e)
 }
 
 // Leavings lists the declarations.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
 	"dotterelhitch/internal/structs"
 )
@@ -145,6 +146,9 @@
 func TestLeavingAddListRemove(t *testing.T) {
 	ctx := context.Background()
 	c := startServer(t, newFakeBackend())
+	var said []event.Event
+	c.Events = event.NewRecorder("test", &event.Clock{}, nil)
+	c.Events.OnEvent(func(e event.Event) { said = append(said, e) })
 	if _, err := c.SetLeaving(ctx, structs.Leaving{Instance: "w-1", Gone: true}, false, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -156,6 +160,9 @@
 	if err != nil || !change.Accepted || change.Current != nil {
 		t.Errorf("removal: %+v, %v", change, err)
 	}
+	if len(said) != 2 || said[0].Type != event.LeavingSaid || said[0].State != "" || said[1].State != StateRemoved {
+		t.Errorf("recorded %+v, want both declarations", said)
+	}
 }
 
 func TestReadCalls(t *testing.T) {
