--- a/internal/command/timeline/timeline.go
+++ b/internal/command/timeline/timeline.go
@@ -22,13 +22,14 @@
 		Short: "Merge the event logs of all processes into one time line",
 		Long: `hitch-timeline reads the event logs (JSON lines) of entries, workers and tools and
 puts them into one order by the hybrid logical clock that travels on every
-message. 'show' prints it, 'check' finds broken promises in it.
+message. 'show' prints it, 'check' finds broken promises in it,
+'measure' prints waits and packing.
 
 A last line that a killed process cut off is skipped and told; any other line
 that is no event is an error with its file and line.`,
 	}
 	cli.AddJSONFlag(root)
-	root.AddCommand(newShowCommand(), newCheckCommand())
+	root.AddCommand(newShowCommand(), newCheckCommand(), newMeasureCommand())
 	return root
 }
 
--- a/internal/command/timeline/timeline_test.go
+++ b/internal/command/timeline/timeline_test.go
@@ -50,6 +50,7 @@
 		{[]string{"check", worker, entry}, cli.ExitOK, "task runs                1"},
 		{[]string{"check", twice}, cli.ExitFailed, "task_in_two_places: task g:j#0 runs twice on worker w\n    00:00:03"},
 		{[]string{"check", twice, "--json"}, cli.ExitFailed, `"kind": "task_in_two_places"`},
+		{[]string{"measure", worker}, cli.ExitOK, "processors"},
 		{[]string{"check", empty}, cli.ExitFailed, "nothing was checked"},
 	} {
 		var out bytes.Buffer
