--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -132,7 +132,7 @@
 }
 
 // Settle implements Keys.
-func (c *cell) Settle(_ context.Context, key string, a structs.Answer) error {
+func (c *cell) Settle(_ context.Context, key string, _ []byte, a structs.Answer) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.settled[key] = a
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -23,9 +23,14 @@
 		d.counts.replayed.Inc()
 		return decision.Answer
 	}
+	if !decision.Until.IsZero() && decision.Until.Before(j.deadline) {
+		j.deadline = decision.Until
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
 	a := d.run(ctx, j).answer()
 	a.RequestID = j.req.ID
-	d.settle(j.req.Key, a)
+	d.settle(j.req, a)
 	return a
 }
 
@@ -42,33 +47,33 @@
 	}
 	a := notRunAnswer(err)
 	a.RequestID = r.ID
-	d.settle(r.Key, a)
+	d.settle(r, a)
 	return a
 }
 
 // settle tells the home of a key in the background; if too many settlements are
 // under way it does so at once.
-func (d *Dispatcher) settle(key string, a structs.Answer) {
+func (d *Dispatcher) settle(r structs.Request, a structs.Answer) {
 	select {
 	case d.settling <- struct{}{}:
 	default:
-		d.tellHome(key, a)
+		d.tellHome(r, a)
 		return
 	}
 	d.background.Go(func() {
 		defer func() { <-d.settling }()
-		d.tellHome(key, a)
+		d.tellHome(r, a)
 	})
 }
 
 // tellHome repeats until the home has heard or SettleWithin has passed. A home
 // that never hears keeps the key as in progress, then unknown; nothing runs
 // again.
-func (d *Dispatcher) tellHome(key string, a structs.Answer) {
+func (d *Dispatcher) tellHome(r structs.Request, a structs.Answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), d.opts.SettleWithin)
 	defer cancel()
 	for {
-		err := d.opts.Keys.Settle(ctx, key, a)
+		err := d.opts.Keys.Settle(ctx, r.Key, Fingerprint(r), a)
 		if err == nil {
 			return
 		}
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -88,6 +88,8 @@
 type Decision struct {
 	// Granted is leave to dispatch this request.
 	Granted bool
+	// Until is when the leave ends; zero for no bound.
+	Until time.Time
 	// Answer is that of the key's earlier request, if leave is not granted.
 	Answer structs.Answer
 }
@@ -99,7 +101,7 @@
 	// fingerprint differs; after any failure nothing may be dispatched.
 	Permit(ctx context.Context, key, requestID string, fingerprint []byte) (Decision, error)
 	// Settle tells what became of a request that had leave, or may have had it.
-	Settle(ctx context.Context, key string, a structs.Answer) error
+	Settle(ctx context.Context, key string, fingerprint []byte, a structs.Answer) error
 }
 
 // Sender makes one attempt at an endpoint; *endpoint.Client is one.
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -253,3 +253,66 @@
 	wait()
 	f.check()
 }
+
+// keyed sends requests that bear a key, each up to three times with the same key
+// through different entries, as a caller does that got no answer.
+func (f *failureTest) keyed(c *Caller, stop chan struct{}) func() map[structs.Outcome]int {
+	var mu sync.Mutex
+	var senders sync.WaitGroup
+	outcomes := map[structs.Outcome]int{}
+	for s := range 4 {
+		senders.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				call := caller.Call{
+					Class:    "lookup",
+					Key:      fmt.Sprintf("%s-%d-%d", c.name, s, i),
+					Body:     fmt.Appendf(nil, "ticket %d of %s-%d", i, c.name, s),
+					Deadline: 2 * time.Second,
+				}
+				var a structs.Answer
+				for range 3 {
+					a = c.Request(f.ctx, call)
+					if a.Outcome == structs.OutcomeAnswered && i%2 == 0 {
+						break
+					}
+				}
+				mu.Lock()
+				outcomes[a.Outcome]++
+				mu.Unlock()
+			}
+		})
+	}
+	return func() map[structs.Outcome]int {
+		senders.Wait()
+		return outcomes
+	}
+}
+
+func TestKeyedRequestsThroughDeathAndReplacement(t *testing.T) {
+	f := newFailureTest(t, 3)
+	c := f.cell.NewCaller("caller")
+	stop := make(chan struct{})
+	wait := f.keyed(c, stop)
+	f.await("some requests run", func() bool { return f.count(event.RequestRun) > 200 })
+	f.cell.Live()[0].Kill()
+	f.await("the dead member is removed", func() bool { return f.count(event.MemberRemoved) > 0 })
+	f.startEntry()
+	f.must(f.cell.AwaitReady(f.ctx))
+	leaving := f.cell.Live()[0]
+	leaving.Leave()
+	<-leaving.Ended()
+	n := f.count(event.RequestRun)
+	f.await("more requests run", func() bool { return f.count(event.RequestRun) > n+200 })
+	close(stop)
+	got := wait()
+	if got[structs.OutcomeAnswered] == 0 {
+		t.Errorf("outcomes %v: want some answered", got)
+	}
+	t.Logf("outcomes %v", got)
+	f.check()
+}
--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -109,6 +109,7 @@
 	r.attester.TableChanged(c.table.Epoch(), c.joined)
 	r.authority.TableChanged(c.table.Epoch(), ids)
 	r.handover.TableChanged(base, c.control.Membership(), now)
+	c.keys.TableChanged(now, c.table, base.Epoch() == 0 && !c.bridged)
 	r.watch.TableChanged(ids, now)
 	if !r.attester.Consented() {
 		r.consentedAt = time.Time{}
@@ -318,6 +319,7 @@
 			return
 		}
 		if !joined {
+			e.handKeysOver(ctx)
 			e.sendRelease(ctx, members)
 			return
 		}
@@ -326,6 +328,21 @@
 	}
 }
 
+// handKeysOver stays until the others know the keys that this member held.
+func (e *Entry) handKeysOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		drained := true
+		e.do(func() {
+			e.core.transferKeys(time.Now())
+			drained = e.core.keys.Drained()
+		})
+		if drained {
+			return
+		}
+		pause(ctx, permitRetry)
+	}
+}
+
 // releaseTimeout bounds the word to one member that this one holds nothing more.
 const releaseTimeout = time.Second
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -5,6 +5,7 @@
 
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/keyhome"
 	"dotterelhitch/internal/orchestrator"
 	"dotterelhitch/internal/ownership"
 	"dotterelhitch/internal/peer/peerv1"
@@ -18,6 +19,8 @@
 
 	control *state.Control
 	bridge  *state.Bridge
+	// bridged is true if records were removed before this process read them.
+	bridged bool
 	// controlRead is when the last read of the control stream's tail began.
 	controlRead time.Time
 	caughtUp    bool
@@ -30,6 +33,9 @@
 	joined     bool
 	draining   bool
 	rights     *rights
+	keys       *keyhome.Store
+	// transferring are the members to which a transfer of keys is under way.
+	transferring map[string]bool
 	recent     recentRecords
 
 	// instances is the platform's list by ID, listed is its version.
@@ -72,7 +78,7 @@
 
 func newCore(e *Entry) *core {
 	t := e.timing
-	return &core{
+	c := &core{
 		e:         e,
 		rights:    newRights(e, time.Now()),
 		control:   state.NewControl(),
@@ -93,7 +99,11 @@
 		waiters:    map[string][]chan state.Result{},
 		jobWaiters: map[string][]chan struct{}{},
 		alarms:     map[structs.Code]string{},
+
+		transferring: map[string]bool{},
 	}
+	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
+	return c
 }
 
 // tick is the periodic work of the control goroutine.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -19,6 +19,7 @@
 			e.do(func() {
 				e.core.exchange()
 				e.core.guardMembership(time.Now())
+				e.core.transferKeys(time.Now())
 			})
 		case <-e.ctx.Done():
 			return
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -53,6 +53,7 @@
 func (c *core) startBridge(first int64) {
 	if c.bridge == nil || c.bridge.First < first {
 		c.bridge = state.NewBridge(first)
+		c.bridged = true
 	}
 }
 
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -64,6 +64,9 @@
 	PeerServiceSettleProcedure = "/dotterelhitch.peer.v1.PeerService/Settle"
 	// PeerServiceCopyKeyProcedure is the fully-qualified name of the PeerService's CopyKey RPC.
 	PeerServiceCopyKeyProcedure = "/dotterelhitch.peer.v1.PeerService/CopyKey"
+	// PeerServiceTransferKeysProcedure is the fully-qualified name of the PeerService's TransferKeys
+	// RPC.
+	PeerServiceTransferKeysProcedure = "/dotterelhitch.peer.v1.PeerService/TransferKeys"
 )
 
 // PeerServiceClient is a client for the dotterelhitch.peer.v1.PeerService service.
@@ -98,6 +101,8 @@
 	Settle(context.Context, *peerv1.SettleRequest) (*peerv1.SettleResponse, error)
 	// CopyKey stores a home's intent at the next member in the hash order.
 	CopyKey(context.Context, *peerv1.CopyKeyRequest) (*peerv1.CopyKeyResponse, error)
+	// TransferKeys hands partitions of the keys to a member that may not know them.
+	TransferKeys(context.Context, *peerv1.TransferKeysRequest) (*peerv1.TransferKeysResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the dotterelhitch.peer.v1.PeerService service. By
@@ -201,26 +206,33 @@
 			connect.WithSchema(peerServiceMethods.ByName("CopyKey")),
 			connect.WithClientOptions(opts...),
 		),
+		transferKeys: connect.NewClient[peerv1.TransferKeysRequest, peerv1.TransferKeysResponse](
+			httpClient,
+			baseURL+PeerServiceTransferKeysProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("TransferKeys")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange  *connect.Client[peerv1.ExchangeRequest, peerv1.ExchangeResponse]
-	records   *connect.Client[peerv1.RecordsRequest, peerv1.RecordsResponse]
-	consent   *connect.Client[peerv1.ConsentRequest, peerv1.ConsentResponse]
-	release   *connect.Client[peerv1.ReleaseRequest, peerv1.ReleaseResponse]
-	place     *connect.Client[peerv1.PlaceRequest, peerv1.PlaceResponse]
-	commit    *connect.Client[peerv1.CommitRequest, peerv1.CommitResponse]
-	stop      *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
-	inventory *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
-	report    *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
-	jobStatus *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
-	status    *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
-	dispatch  *connect.Client[peerv1.DispatchRequest, peerv1.DispatchResponse]
-	permit    *connect.Client[peerv1.PermitRequest, peerv1.PermitResponse]
-	settle    *connect.Client[peerv1.SettleRequest, peerv1.SettleResponse]
-	copyKey   *connect.Client[peerv1.CopyKeyRequest, peerv1.CopyKeyResponse]
+	exchange     *connect.Client[peerv1.ExchangeRequest, peerv1.ExchangeResponse]
+	records      *connect.Client[peerv1.RecordsRequest, peerv1.RecordsResponse]
+	consent      *connect.Client[peerv1.ConsentRequest, peerv1.ConsentResponse]
+	release      *connect.Client[peerv1.ReleaseRequest, peerv1.ReleaseResponse]
+	place        *connect.Client[peerv1.PlaceRequest, peerv1.PlaceResponse]
+	commit       *connect.Client[peerv1.CommitRequest, peerv1.CommitResponse]
+	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
+	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
+	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
+	status       *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
+	dispatch     *connect.Client[peerv1.DispatchRequest, peerv1.DispatchResponse]
+	permit       *connect.Client[peerv1.PermitRequest, peerv1.PermitResponse]
+	settle       *connect.Client[peerv1.SettleRequest, peerv1.SettleResponse]
+	copyKey      *connect.Client[peerv1.CopyKeyRequest, peerv1.CopyKeyResponse]
+	transferKeys *connect.Client[peerv1.TransferKeysRequest, peerv1.TransferKeysResponse]
 }
 
 // Exchange calls dotterelhitch.peer.v1.PeerService.Exchange.
@@ -358,6 +370,15 @@
 	return nil, err
 }
 
+// TransferKeys calls dotterelhitch.peer.v1.PeerService.TransferKeys.
+func (c *peerServiceClient) TransferKeys(ctx context.Context, req *peerv1.TransferKeysRequest) (*peerv1.TransferKeysResponse, error) {
+	response, err := c.transferKeys.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the dotterelhitch.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange is the heartbeat: load digests, configuration version, attestation.
@@ -390,6 +411,8 @@
 	Settle(context.Context, *peerv1.SettleRequest) (*peerv1.SettleResponse, error)
 	// CopyKey stores a home's intent at the next member in the hash order.
 	CopyKey(context.Context, *peerv1.CopyKeyRequest) (*peerv1.CopyKeyResponse, error)
+	// TransferKeys hands partitions of the keys to a member that may not know them.
+	TransferKeys(context.Context, *peerv1.TransferKeysRequest) (*peerv1.TransferKeysResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -489,6 +512,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("CopyKey")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTransferKeysHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceTransferKeysProcedure,
+		svc.TransferKeys,
+		connect.WithSchema(peerServiceMethods.ByName("TransferKeys")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dotterelhitch.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -521,6 +550,8 @@
 			peerServiceSettleHandler.ServeHTTP(w, r)
 		case PeerServiceCopyKeyProcedure:
 			peerServiceCopyKeyHandler.ServeHTTP(w, r)
+		case PeerServiceTransferKeysProcedure:
+			peerServiceTransferKeysHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -589,3 +620,7 @@
 func (UnimplementedPeerServiceHandler) CopyKey(context.Context, *peerv1.CopyKeyRequest) (*peerv1.CopyKeyResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.CopyKey is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) TransferKeys(context.Context, *peerv1.TransferKeysRequest) (*peerv1.TransferKeysResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.TransferKeys is not implemented"))
+}
