--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -314,5 +314,33 @@
 		t.Errorf("outcomes %v: want some answered", got)
 	}
 	t.Logf("outcomes %v", got)
+	f.logRefusals()
 	f.check()
 }
+
+// logRefusals prints how many requests were refused or left unknown, by second and
+// reason.
+func (f *failureTest) logRefusals() {
+	events := f.cell.Events()
+	start := events[0].Time.Micros
+	counts := map[string]int{}
+	var order []string
+	for _, e := range events {
+		line := ""
+		switch e.Type {
+		case event.RequestGot:
+			line = fmt.Sprintf("%3ds %s %s", (e.Time.Micros-start)/1e6, e.Outcome, e.Code)
+		case event.MemberJoined, event.MemberLeft, event.MemberRemoved, event.AuthorityOff, event.AuthorityOn, event.EntryDrain:
+			line = fmt.Sprintf("%3ds %s %s at %s", (e.Time.Micros-start)/1e6, e.Type, e.Member, e.Proc)
+		default:
+			continue
+		}
+		if counts[line] == 0 {
+			order = append(order, line)
+		}
+		counts[line]++
+	}
+	for _, line := range order {
+		f.t.Logf("%s: %d", line, counts[line])
+	}
+}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -15,7 +15,7 @@
 const (
 	permitTimeout = 1500 * time.Millisecond
 	permitRetry   = 50 * time.Millisecond
-	permitTries   = 20
+	permitTries   = 100
 	copyTimeout   = 800 * time.Millisecond
 	copyTries     = 3
 )
@@ -44,7 +44,7 @@
 			pause(ctx, permitRetry)
 		}
 		var d dispatch.Decision
-		if d, err = t.permitOnce(ctx, req); err == nil || !passing(err) {
+		if d, err = t.permitOnce(ctx, req); err == nil || !passing(ctx, err) {
 			return d, err
 		}
 	}
@@ -55,12 +55,16 @@
 }
 
 // passing reports whether a home's refusal may be over soon: the table is changing,
-// or the call was lost.
-func passing(err error) bool {
+// an older home has still to lapse, or the call was lost.
+func passing(ctx context.Context, err error) bool {
 	switch structs.CodeOf(err) {
 	case structs.CodeNotOwner, structs.CodeBehind, structs.CodeStaleEpoch,
 		structs.CodeUnavailable, structs.CodeDraining, structs.CodeDeadline:
 		return true
+	case structs.CodeNoAuthority:
+		deadline, ok := ctx.Deadline()
+		retry := time.Duration(structs.AsError(err).RetryAfterMs) * time.Millisecond
+		return !ok || time.Until(deadline) > retry
 	}
 	return false
 }
@@ -128,9 +132,7 @@
 // Permit implements peerv1connect.PeerServiceHandler.
 func (s *peerServer) Permit(ctx context.Context, r *peerv1.PermitRequest) (*peerv1.PermitResponse, error) {
 	var d keyhome.Decision
-	ok := s.e.do(func() {
-		d = s.e.core.keys.Permit(time.Now(), r.Key, r.RequestId, string(r.Fingerprint))
-	})
+	ok := s.e.do(func() { d = s.e.core.permit(r, time.Now()) })
 	if !ok {
 		return nil, errEnding()
 	}
@@ -150,6 +152,18 @@
 	return resp, nil
 }
 
+// transferGrace is how long after a change of the table a home may wait to be told
+// of older permits before it says that it does not know them.
+const transferGrace = 2 * time.Second
+
+func (c *core) permit(r *peerv1.PermitRequest, now time.Time) keyhome.Decision {
+	d := c.keys.Permit(now, r.Key, r.RequestId, string(r.Fingerprint))
+	if structs.CodeOf(d.Err) == structs.CodeUnknown && !c.keys.Knows(r.Key) && now.Sub(c.tableSince) < transferGrace {
+		d.Err = structs.NewError(structs.CodeBehind, "older requests with keys like this one have still to be told")
+	}
+	return d
+}
+
 // copyIntent writes an intent to the key's backup and then asks for the decision.
 func (e *Entry) copyIntent(ctx context.Context, c *keyhome.Copy) keyhome.Decision {
 	err := e.sendCopy(ctx, c)
@@ -255,6 +269,7 @@
 		delete(e.core.transferring, t.To)
 		if err == nil && resp.Error == nil {
 			e.core.keys.TransferAcked(t)
+			e.core.transferKeys(time.Now())
 		}
 	})
 }
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -164,6 +164,8 @@
 		c.jobs.Recheck()
 	}
 	c.round = nil
+	c.exchange()
+	c.transferKeys(now)
 }
 
 // lost reports whether a member of the table before is not in the one after.
