--- a/internal/embedded/caller.go
+++ b/internal/embedded/caller.go
@@ -20,7 +20,9 @@
 	cell   *Cell
 	events *event.Recorder
 	name   string
-	next   atomic.Uint64
+	// turn picks the entry, serial names requests and jobs.
+	turn   atomic.Uint64
+	serial atomic.Uint64
 }
 
 // NewCaller returns a caller with a name of its own.
@@ -32,7 +34,7 @@
 func (c *Caller) client() (*caller.Client, error) {
 	live := c.cell.Live()
 	for range live {
-		e := live[c.next.Add(1)%uint64(len(live))]
+		e := live[c.turn.Add(1)%uint64(len(live))]
 		if e.Ready() == nil {
 			return &caller.Client{Base: "http://" + e.CallerAddr()}, nil
 		}
@@ -43,7 +45,7 @@
 // Request sends one request and records its outcome. body should be unlike that
 // of any other request, so that a foreign answer shows.
 func (c *Caller) Request(ctx context.Context, call caller.Call) structs.Answer {
-	id := fmt.Sprintf("%s-%d", c.name, c.next.Add(1))
+	id := fmt.Sprintf("%s-%d", c.name, c.serial.Add(1))
 	c.events.Record(event.Event{
 		Type:       event.RequestSent,
 		Request:    id,
@@ -79,7 +81,7 @@
 
 // Submit submits a job until some entry has accepted it, and records that.
 func (c *Caller) Submit(ctx context.Context, j structs.Job) (string, error) {
-	key := fmt.Sprintf("%s-job-%d", c.name, c.next.Add(1))
+	key := fmt.Sprintf("%s-job-%d", c.name, c.serial.Add(1))
 	for {
 		id, err := c.submitOnce(ctx, j, key)
 		if err == nil {
--- a/internal/embedded/cell.go
+++ b/internal/embedded/cell.go
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	logs    map[string]*timeline.Log
+	counts  map[event.Type]int
 	entries []*Entry
 }
 
@@ -57,7 +58,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.NewJSONHandler(io.Discard, nil))
 	}
-	c := &Cell{cfg: cfg, clock: &event.Clock{}, logs: map[string]*timeline.Log{}}
+	c := &Cell{cfg: cfg, clock: &event.Clock{}, logs: map[string]*timeline.Log{}, counts: map[event.Type]int{}}
 	cell, err := standin.Start(cfg.Topology, standin.Options{OnEvent: c.collect})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -76,6 +77,14 @@
 		c.logs[e.Proc] = log
 	}
 	log.Events = append(log.Events, e)
+	c.counts[e.Type]++
+}
+
+// Count returns the number of events of a type so far.
+func (c *Cell) Count(t event.Type) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[t]
 }
 
 // Recorder returns a recorder for a tool that takes part in the run.
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -103,15 +103,7 @@
 	f.must(Await(f.ctx, what, ok))
 }
 
-func (f *failureTest) count(typ event.Type) int {
-	n := 0
-	for _, e := range f.cell.Events() {
-		if e.Type == typ {
-			n++
-		}
-	}
-	return n
-}
+func (f *failureTest) count(typ event.Type) int { return f.cell.Count(typ) }
 
 func (f *failureTest) change(c logsvc.Change) {
 	f.t.Helper()
