Request path through real processes, under faults and graceful shutdowns

Cause: the path from caller to endpoint and back had no proof over processes. Change: internal/integration starts a stand-in and entries as processes, sends requests from 16 callers and has the checker judge the time line of all of them, while an entry freezes, dies and leaves and workers lose answers, pause and drain. A forwarded request of a class that the callee does not know is answered 'behind', so that it is tried elsewhere.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -32,6 +32,10 @@
 	j, err := d.newJob(ctx, structs.Request{
 		ID: r.GetId(), Class: r.GetClass(), Key: r.GetKey(), Idempotent: r.GetIdempotent(), Body: r.GetBody(),
 	})
+	if structs.CodeOf(err) == structs.CodeNotFound {
+		// The peer knows the class: this entry has not read that far.
+		return notRun(structs.NewError(structs.CodeBehind, "%v", err))
+	}
 	if err != nil {
 		return notRun(err)
 	}
--- /dev/null
+++ b/internal/integration/cell_test.go
@@ -0,0 +1,201 @@
+// Package integration tests the request path through real processes.
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/checker"
+	"dotterelhitch/internal/command/entry"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/standin"
+	"dotterelhitch/internal/timeline"
+)
+
+const topology = `
+[log]
+appends_per_second = 400
+[list]
+lag = "500ms"
+[[workers]]
+prefix = "casa-w"
+count = 4
+region = "casa"
+domain = "casa-1"
+cores = 4
+memory_gib = 8
+slots = 4
+service_time = "5ms"
+[[workers]]
+prefix = "fes-w"
+count = 2
+region = "fes"
+domain = "fes-1"
+cores = 4
+memory_gib = 8
+slots = 4
+service_time = "5ms"
+`
+
+const entrySettings = `
+worker_fencing = true
+[entry]
+id_prefix = %q
+region = %q
+domain = "%s-1"
+[listen]
+caller = "127.0.0.1:0"
+operator = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+metrics = "127.0.0.1:0"
+[platform]
+log = "http://%s"
+list = "http://%s"
+[auth]
+insecure = true
+[regions]
+names = ["casa", "fes"]
+store_region = "casa"
+[events]
+file = %q
+`
+
+// patience bounds every wait; no verdict depends on it.
+const patience = 30 * time.Second
+
+// cell is stand-ins and entries as processes.
+type cell struct {
+	t         *testing.T
+	dir       string
+	addresses map[string]string
+	standin   *exec.Cmd
+	entries   []*process
+	recorder  *event.Recorder
+	clock     *event.Clock
+}
+
+// process is an entry.
+type process struct {
+	cmd  *exec.Cmd
+	addr entry.Addresses
+}
+
+// startCell builds the programs and starts a cell with an entry in each region
+// that is named.
+func startCell(t *testing.T, regions ...string) *cell {
+	t.Helper()
+	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock)}
+	build := exec.Command("go", "build", "-o", c.dir, "dotterelhitch/cmd/hitch-entry", "dotterelhitch/cmd/hitch-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	own, err := os.Create(c.events("caller"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = own.Close() })
+	c.recorder = event.NewRecorder("caller", c.clock, own)
+	c.startStandin()
+	for i, region := range regions {
+		c.entries = append(c.entries, c.startEntry(fmt.Sprintf("%s-%d", region, i), region))
+	}
+	return c
+}
+
+func (c *cell) events(name string) string { return filepath.Join(c.dir, name+".jsonl") }
+
+func (c *cell) write(name, text string) string {
+	path := filepath.Join(c.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+// start runs a program until the test ends and waits for its address file.
+func (c *cell) start(addrFile string, out any, program string, args ...string) *exec.Cmd {
+	c.t.Helper()
+	var stderr bytes.Buffer
+	cmd := exec.Command(filepath.Join(c.dir, program), args...)
+	cmd.Stderr = &stderr
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if c.t.Failed() && os.Getenv("HITCH_TEST_LOGS") != "" {
+			c.t.Logf("%s: %s", program, stderr.String())
+		}
+	})
+	await(c.t, program+" listens", func() bool {
+		b, err := os.ReadFile(addrFile)
+		return err == nil && json.Unmarshal(b, out) == nil
+	})
+	return cmd
+}
+
+func (c *cell) startStandin() {
+	var ready struct{ Addresses []standin.Address }
+	addrFile := filepath.Join(c.dir, "standin.json")
+	c.standin = c.start(addrFile, &ready, "hitch-standin", "all",
+		"--topology", c.write("topology.toml", topology), "--addr-file", addrFile, "--events", c.events("standin"))
+	c.addresses = make(map[string]string)
+	for _, a := range ready.Addresses {
+		c.addresses[a.Name] = a.Addr
+	}
+}
+
+func (c *cell) startEntry(name, region string) *process {
+	text := fmt.Sprintf(entrySettings, name, region, region,
+		c.addresses[standin.LogName], c.addresses[standin.ListName], c.events(name))
+	p := new(process)
+	addrFile := filepath.Join(c.dir, name+".json")
+	p.cmd = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
+	return p
+}
+
+// signal sends a signal to an entry and records the fault for the checker.
+func (c *cell) signal(p *process, sig syscall.Signal, state string) {
+	c.t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		c.t.Fatal(err)
+	}
+	c.recorder.Record(event.Event{Type: event.Fault, Member: p.addr.Member, State: state})
+}
+
+// check reads every process's events and fails the test for each violation.
+func (c *cell) check() checker.Counts {
+	c.t.Helper()
+	paths, err := filepath.Glob(filepath.Join(c.dir, "*.jsonl"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	events, _, err := timeline.ReadFiles(paths)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	report := checker.Check(events, checker.Options{LeavingBound: patience})
+	for _, v := range report.Violations {
+		c.t.Errorf("%s: %s", v.Kind, v.Message)
+	}
+	return report.Checked
+}
+
+// await polls until ok holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen in time: %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/integration/requests_test.go
@@ -0,0 +1,217 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/checker"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/httpx"
+	"dotterelhitch/internal/operator"
+	"dotterelhitch/internal/standin/workersvc"
+	"dotterelhitch/internal/structs"
+)
+
+const className = "tickets"
+
+// load sends requests from several callers at once to random entries.
+type load struct {
+	c *cell
+	// next counts requests, ended those with an outcome.
+	next, ended atomic.Int64
+	outcomes    sync.Map
+	clients     []*caller.Client
+}
+
+func newLoad(c *cell) *load {
+	l := &load{c: c}
+	for _, p := range c.entries {
+		l.clients = append(l.clients, &caller.Client{
+			Base: "http://" + p.addr.Caller, HTTP: &http.Client{Transport: httpx.NewTransport(c.clock)},
+		})
+	}
+	return l
+}
+
+// ask sends one request and records it as a caller would.
+func (l *load) ask(random *rand.Rand) structs.Answer {
+	n := l.next.Add(1)
+	call := caller.Call{
+		Class: className, Idempotent: n%2 == 0, ClientID: fmt.Sprintf("c%d", n),
+		Body: []byte(fmt.Sprintf("answer-bytes=%d;ticket %d", random.IntN(4096), n)), Deadline: 2 * time.Second,
+	}
+	client := l.clients[random.IntN(len(l.clients))]
+	l.c.recorder.Record(event.Event{
+		Type: event.RequestSent, Request: call.ClientID, Class: call.Class, Idempotent: call.Idempotent,
+	})
+	a := client.Do(context.Background(), call)
+	e := event.Event{Type: event.RequestGot, Request: call.ClientID, Outcome: a.Outcome, Detail: a.RequestID}
+	if a.Err != nil {
+		e.Code = a.Err.Code
+	}
+	if a.Outcome == structs.OutcomeAnswered {
+		e.Digest, e.Expect = event.Digest(a.Body), event.Digest(workersvc.Answer(call.Body))
+	}
+	l.c.recorder.Record(e)
+	l.ended.Add(1)
+	count, _ := l.outcomes.LoadOrStore(string(a.Outcome)+" "+string(e.Code), new(atomic.Int64))
+	count.(*atomic.Int64).Add(1)
+	return a
+}
+
+// run sends requests until stop is called, which waits for the last answers.
+func (l *load) run(seed uint64, callers int) (stop func()) {
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	for i := range callers {
+		wg.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				l.ask(random)
+				time.Sleep(time.Duration(random.IntN(int(5 * time.Millisecond))))
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+// more waits until n further requests have ended.
+func (l *load) more(n int64) {
+	want := l.ended.Load() + n
+	await(l.c.t, fmt.Sprintf("%d further requests", n), func() bool { return l.ended.Load() >= want })
+}
+
+// serve states the class and waits until every entry answers requests.
+func (c *cell) serve() *load {
+	c.t.Helper()
+	operators := &operator.Client{Servers: []string{"http://" + c.entries[0].addr.Operator}, HTTP: http.DefaultClient}
+	class := structs.Class{
+		Name: className, Kind: structs.KindService,
+		Target: structs.Target{AnswerWithin: structs.Duration(time.Second)},
+	}
+	await(c.t, "the class is accepted", func() bool {
+		got, err := operators.SetClass(context.Background(), class, 0)
+		return err == nil && (got.Accepted || got.Version > 0)
+	})
+	l := newLoad(c)
+	for _, client := range l.clients {
+		await(c.t, "an answer from every entry", func() bool {
+			a := client.Do(context.Background(), caller.Call{Class: className, Idempotent: true, Body: []byte("x")})
+			return a.Outcome == structs.OutcomeAnswered
+		})
+	}
+	return l
+}
+
+// admin posts to a stand-in's admin path.
+func (c *cell) admin(name, path, body string) {
+	c.t.Helper()
+	resp, err := http.Post("http://"+c.addresses[name]+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		c.t.Errorf("%s %s: %v", name, path, err)
+		return
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		c.t.Errorf("%s %s: %s", name, path, resp.Status)
+	}
+}
+
+// seed is that of HITCH_TEST_SEED, else 1.
+func seed() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("HITCH_TEST_SEED"), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+// TestRequestsThroughFaults sends requests through four entries while an entry is
+// frozen, one is killed, one leaves, a worker loses answers, one is paused and
+// one drains. The workers' own record decides what ran.
+func TestRequestsThroughFaults(t *testing.T) {
+	const callers, between = 16, 150
+	c := startCell(t, "casa", "casa", "casa", "fes")
+	l := c.serve()
+	stop := l.run(seed(), callers)
+	l.more(between)
+
+	c.admin("casa-w0", "/admin/faults", `{"lose_answers":10}`)
+	l.more(between)
+	c.signal(c.entries[2], syscall.SIGSTOP, checker.FaultFrozen)
+	l.more(between)
+	c.signal(c.entries[2], syscall.SIGCONT, checker.FaultThawed)
+	var paused sync.WaitGroup
+	paused.Go(func() { c.admin("casa-w1", "/admin/pause", `{"pause_ms":1000}`) })
+	l.more(between)
+	c.signal(c.entries[1], syscall.SIGKILL, checker.FaultKilled)
+	l.more(between)
+	c.admin("casa-w2", "/admin/drain", `{}`)
+	l.more(between)
+	if err := c.entries[2].cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	l.more(between)
+	stop()
+	paused.Wait()
+	l.report()
+}
+
+// TestRequestsThroughGracefulShutdowns drains a worker and has an entry leave
+// while requests are sent: nothing is cut off.
+func TestRequestsThroughGracefulShutdowns(t *testing.T) {
+	const callers, between = 16, 300
+	c := startCell(t, "casa", "casa", "fes")
+	l := c.serve()
+	stop := l.run(seed(), callers)
+	l.more(between)
+	c.admin("casa-w2", "/admin/drain", `{}`)
+	l.more(between)
+	leaving := c.entries[1]
+	if err := leaving.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the entry has left", func() bool {
+		b, err := os.ReadFile(c.events("casa-1"))
+		return err == nil && bytes.Contains(b, []byte(event.EntryExit))
+	})
+	l.more(between)
+	stop()
+	l.report()
+}
+
+// report has the checker read the run and logs what was checked.
+func (l *load) report() {
+	t := l.c.t
+	t.Helper()
+	counts := l.c.check()
+	l.outcomes.Range(func(outcome, n any) bool {
+		t.Logf("%s: %d", outcome, n.(*atomic.Int64).Load())
+		return true
+	})
+	t.Logf("seed %d: %d requests, %d runs, %d answers compared, %d not run, %d unknown, %d faults, %d drains",
+		seed(), l.ended.Load(), counts.RequestRuns, counts.Answers, counts.NotRun, counts.Unknown, counts.Faults, counts.Drains)
+	if counts.Answers == 0 || counts.Faults+counts.Drains == 0 {
+		t.Error("no request was answered, or no fault was recorded")
+	}
+}
