--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -109,16 +109,20 @@
 	r.attester.TableChanged(c.table.Epoch(), c.joined)
 	r.authority.TableChanged(c.table.Epoch(), ids)
 	r.handover.TableChanged(base, c.control.Membership(), now)
+	c.keys.TableChanged(now, c.table, base.Epoch() == 0 && !c.bridged)
 	r.watch.TableChanged(ids, now)
 	if !r.attester.Consented() {
 		r.consentedAt = time.Time{}
 	}
 }
 
-// heardMember counts a message by which a member shows its epoch.
+// heardMember counts a message by which a member shows its epoch. Messages are made
+// by the control goroutine, which gives up what is not its own in the turn in which
+// it applies an epoch; a command that is still under way then can't extend a lease
+// past what its reading of the worker's uptime allows. So the message is a release.
 func (c *core) heardMember(id string, epoch int64, now time.Time) {
 	c.rights.watch.Heard(id, now)
-	c.rights.handover.Heard(id, epoch, now)
+	c.rights.handover.Released(id, epoch, now)
 }
 
 // goneMember reports whether a member certainly runs no more: by the platform's
@@ -318,6 +322,7 @@
 			return
 		}
 		if !joined {
+			e.handKeysOver(ctx)
 			e.sendRelease(ctx, members)
 			return
 		}
@@ -326,6 +331,21 @@
 	}
 }
 
+// handKeysOver stays until the others know the keys that this member held.
+func (e *Entry) handKeysOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		drained := true
+		e.do(func() {
+			e.core.transferKeys(time.Now())
+			drained = e.core.keys.Drained()
+		})
+		if drained {
+			return
+		}
+		pause(ctx, permitRetry)
+	}
+}
+
 // releaseTimeout bounds the word to one member that this one holds nothing more.
 const releaseTimeout = time.Second
 
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -53,6 +53,7 @@
 func (c *core) startBridge(first int64) {
 	if c.bridge == nil || c.bridge.First < first {
 		c.bridge = state.NewBridge(first)
+		c.bridged = true
 	}
 }
 
@@ -163,6 +164,8 @@
 		c.jobs.Recheck()
 	}
 	c.round = nil
+	c.exchange()
+	c.transferKeys(now)
 }
 
 // lost reports whether a member of the table before is not in the one after.
