--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -271,3 +271,26 @@
 		t.Error(err)
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`targets = ["a:1"]
+[[jobs]]
+class = "nightly"
+cpu = 1.0
+rate = 2.0
+`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := Parse(b)
+		if err == nil && len(e.Targets) == 0 {
+			t.Errorf("accepted without a target: %q", b)
+		}
+		if err != nil && structs.CodeOf(err) == structs.CodeInternal {
+			t.Errorf("error %v, want a type", err)
+		}
+	})
+}
+
+func FuzzParseMetrics(f *testing.F) {
+	f.Add([]byte("hitch_x{a=\"b c\"} 1\n# y\n"))
+	f.Fuzz(func(_ *testing.T, page []byte) { parseMetrics(page) })
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -179,7 +179,7 @@
 		return out, nil
 	}
 	var lost conflictBody
-	if err := json.Unmarshal(answer, &lost); err == nil && lost.Change != nil {
+	if err := json.Unmarshal(answer, &lost); err == nil && lost.Change != nil && !lost.Change.Accepted {
 		return *lost.Change, nil
 	}
 	return changeBody{}, httpx.DecodeError(status, answer)
