hitch leaving add: an instance whose declaration was removed can be declared again

Cause: the base of the change is the removal's version, which no list shows, so a second declaration lost to the removal for ever (seen on a cell of processes). Change: the command bases a second try on the version that it is told.

--- a/internal/command/hitch/hitch_test.go
+++ b/internal/command/hitch/hitch_test.go
@@ -39,6 +39,11 @@
 
 func (f *fakeOperator) Leavings(context.Context) []structs.Leaving { return nil }
 
+// SetLeaving acts as if a declaration of every instance was removed by version 4.
+func (f *fakeOperator) SetLeaving(_ context.Context, l structs.Leaving, _ bool, base int64, _ string) (operator.Change, error) {
+	return operator.Change{Version: 4 + base/4, Accepted: base == 4, Current: nil}, nil
+}
+
 func (f *fakeOperator) Status(context.Context) (structs.CellStatus, error) {
 	worker := structs.WorkerStatus{Worker: structs.Worker{ID: "w-1", Slots: 8}, Owner: "casa-1-a", Known: true}
 	entry := structs.EntryStatus{
@@ -105,6 +110,7 @@
 		{"class set lookups --answer-within 1x", cli.ExitUsage, "invalid argument"},
 		{"class set lookups --weight 3", cli.ExitUsage, "unknown flag"},
 		{"leaving list --json", cli.ExitOK, `"leavings": null`},
+		{"leaving add w-1", cli.ExitOK, "accepted: leaving w-1, version 5"},
 		{"leaving remove w-1", cli.ExitNotFound, "not declared"},
 		{"status", cli.ExitOK, "late: class lookups at casa-1-a, 3 waiting: no free slot"},
 		{"status", cli.ExitOK, "no answer: fes-1-b"},
--- a/internal/command/hitch/leaving.go
+++ b/internal/command/hitch/leaving.go
@@ -56,19 +56,17 @@
 
 func changeLeaving(cmd *cobra.Command, g *globals, l structs.Leaving, remove bool) error {
 	return withOperator(cmd, g, func(ctx context.Context, client *operator.Client) error {
-		all, err := client.Leavings(ctx)
+		base, declared, err := leavingVersion(ctx, client, l.Instance)
 		if err != nil {
 			return err
 		}
-		var base int64
-		i := slices.IndexFunc(all, func(o structs.Leaving) bool { return o.Instance == l.Instance })
-		if i >= 0 {
-			base = all[i].Version
-		}
-		if i < 0 && remove {
+		if !declared && remove {
 			return structs.NewError(structs.CodeNotFound, "instance %s is not declared as leaving", l.Instance)
 		}
 		change, err := client.SetLeaving(ctx, l, remove, base)
+		if err == nil && removedBefore(change) && !remove {
+			change, err = client.SetLeaving(ctx, l, false, change.Version)
+		}
 		if err != nil {
 			return err
 		}
@@ -76,6 +74,26 @@
 	})
 }
 
+// leavingVersion returns the version of an instance's declaration, zero if there
+// is none.
+func leavingVersion(ctx context.Context, client *operator.Client, instance string) (int64, bool, error) {
+	all, err := client.Leavings(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	i := slices.IndexFunc(all, func(l structs.Leaving) bool { return l.Instance == instance })
+	if i < 0 {
+		return 0, false, nil
+	}
+	return all[i].Version, true, nil
+}
+
+// removedBefore reports whether what came first is the removal of a declaration:
+// its version is not in the list, so the first change could not name it.
+func removedBefore(change operator.Change) bool {
+	return !change.Accepted && change.Current == nil
+}
+
 func newLeavingList(g *globals) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
