--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -30,6 +30,7 @@
 	Requests []RequestStream `toml:"requests" json:"requests,omitempty"`
 	Jobs     []JobStream     `toml:"jobs" json:"jobs,omitempty"`
 	Faults   []FaultStep     `toml:"faults" json:"faults,omitempty"`
+	Random   []RandomFault   `toml:"random_faults" json:"random_faults,omitempty"`
 	Cancels  []CancelStep    `toml:"cancels" json:"cancels,omitempty"`
 	Metrics  []MetricsSource `toml:"metrics" json:"metrics,omitempty"`
 }
@@ -110,6 +111,17 @@
 	Body string           `toml:"body" json:"body,omitempty"`
 }
 
+// RandomFault begins and ends a fault at times that the seed decides.
+type RandomFault struct {
+	URL string `toml:"url" json:"url"`
+	// Rate is beginnings a second, Lasts how long each one takes.
+	Rate  float64          `toml:"rate" json:"rate"`
+	Lasts structs.Duration `toml:"lasts" json:"lasts"`
+	// Begin and End are the bodies that are posted; no End posts nothing.
+	Begin string `toml:"begin" json:"begin"`
+	End   string `toml:"end" json:"end,omitempty"`
+}
+
 // CancelStep cancels jobs by filter.
 type CancelStep struct {
 	At    structs.Duration `toml:"at" json:"at"`
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -67,6 +67,13 @@
 		}
 		last = a.after
 	}
+	e := &Experiment{Seed: 7, Duration: structs.Duration(100 * time.Second), Random: []RandomFault{
+		{URL: "http://a", Rate: 0.5, Lasts: structs.Duration(time.Second), Begin: "on", End: "off"},
+	}}
+	steps := e.faultSteps()
+	if len(steps) < 20 || !reflect.DeepEqual(steps, e.faultSteps()) || steps[1].At != steps[0].At+e.Random[0].Lasts {
+		t.Errorf("random faults %+v", steps)
+	}
 	burst := schedule(Window{Arrivals: AtOnce, Count: 5, From: structs.Duration(time.Second)}, 1, newSource(1, 0))
 	if len(burst) != 5 || burst[4].after != time.Second {
 		t.Errorf("burst %+v", burst)
--- a/internal/load/parse.go
+++ b/internal/load/parse.go
@@ -18,6 +18,7 @@
 	maxFileBytes = 1 << 20
 	maxArrivals  = 5_000_000
 	maxRetries   = 10
+	maxFaultRate = 100
 	milliPerCore = 1000
 )
 
@@ -80,6 +81,12 @@
 		c.check(err == nil && u.Host != "", "fault at %s: want a URL", f.At.D())
 		c.check(f.At >= 0, "fault: at must not be negative")
 	}
+	for _, f := range e.Random {
+		u, err := url.Parse(f.URL)
+		c.check(err == nil && u.Host != "", "random fault: want a URL")
+		c.check(f.Rate > 0 && f.Rate <= maxFaultRate, "random fault at %s: rate: want more than 0 and at most %d a second", f.URL, maxFaultRate)
+		c.check(f.Lasts >= 0, "random fault at %s: lasts must not be negative", f.URL)
+	}
 	for _, step := range e.Cancels {
 		c.check(step.At >= 0, "cancel: at must not be negative")
 		c.add(step.filter().Validate())
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"dotterelhitch/internal/structs"
 )
 
 // arrival is one piece of work that is to be sent at a time after the start.
@@ -46,6 +48,25 @@
 	return out
 }
 
+// faultStream is the first stream position of random faults, past those of work.
+const faultStream = 1 << 32
+
+// faultSteps returns the scripted and the random faults.
+func (e *Experiment) faultSteps() []FaultStep {
+	steps := append([]FaultStep(nil), e.Faults...)
+	for i, f := range e.Random {
+		w := Window{Arrivals: Poisson, Rate: f.Rate, Until: e.Duration}
+		for _, a := range schedule(w, 1, newSource(e.Seed, faultStream+i)) {
+			begin := structs.Duration(a.after)
+			steps = append(steps, FaultStep{At: begin, URL: f.URL, Body: f.Begin})
+			if f.End != "" {
+				steps = append(steps, FaultStep{At: begin + f.Lasts, URL: f.URL, Body: f.End})
+			}
+		}
+	}
+	return steps
+}
+
 // gap draws the time to the next arrival.
 func gap(w Window, src *rand.Rand) time.Duration {
 	mean := float64(time.Second) / w.Rate
--- a/internal/load/step.go
+++ b/internal/load/step.go
@@ -23,7 +23,7 @@
 const stepTimeout = 30 * time.Second
 
 func (r *runner) startSteps(ctx context.Context) {
-	for _, f := range r.experiment.Faults {
+	for _, f := range r.experiment.faultSteps() {
 		r.open.Go(func() {
 			r.step(ctx, f.At, fmt.Sprintf("POST %s %s", f.URL, f.Body), func(ctx context.Context) (string, error) {
 				return r.inject(ctx, f)
