--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -54,9 +54,15 @@
 
 func newAgent(e *Entry, w structs.Worker, cancel context.CancelFunc) *agent {
 	return &agent{
-		e:       e,
-		info:    w,
-		client:  worker.New(worker.Config{Addr: w.Addr, Keys: e.settings.Auth.PlatformKeys, Clock: e.clock, Timeout: agentCallTimeout}),
+		e:    e,
+		info: w,
+		client: worker.New(worker.Config{
+			Addr:    w.Addr,
+			Keys:    e.settings.Auth.PlatformKeys,
+			Clock:   e.clock,
+			Timeout: agentCallTimeout,
+			Traffic: &e.workerTraffic,
+		}),
 		cancel:  cancel,
 		wake:    make(chan struct{}, 1),
 		refence: make(chan struct{}, 1),
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -9,6 +9,7 @@
 	"dotterelhitch/internal/orchestrator"
 	"dotterelhitch/internal/ownership"
 	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler/gang"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
 )
@@ -36,7 +37,7 @@
 	keys       *keyhome.Store
 	// transferring are the members to which a transfer of keys is under way.
 	transferring map[string]bool
-	recent     recentRecords
+	recent       recentRecords
 
 	// instances is the platform's list by ID, listed is its version.
 	instances map[string]structs.Worker
@@ -55,11 +56,16 @@
 	stopped map[string]time.Time
 
 	peers map[string]*peerState
+	// beat counts heartbeats.
+	beat int
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 	// jobWaiters wait for a job to end.
 	jobWaiters map[string][]chan struct{}
 
+	// waitingGangs are the splits of gangs for which workers are held.
+	waitingGangs map[string][]gang.Part
+
 	nextSchedule time.Time
 	alarms       map[structs.Code]string
 }
@@ -71,6 +77,8 @@
 	first    time.Time
 	draining bool
 	epoch    int64
+	// probation are the workers that its jobs' results speak against.
+	probation []string
 	// roundTrip is a smoothed time of an exchange.
 	roundTrip time.Duration
 	busy      bool
@@ -101,6 +109,7 @@
 		alarms:     map[structs.Code]string{},
 
 		transferring: map[string]bool{},
+		waitingGangs: map[string][]gang.Part{},
 	}
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,7 +67,11 @@
 	callerListener   net.Listener
 	operatorListener net.Listener
 	metricsListener  net.Listener
-	inbound          peer.Bytes
+	inbound          httpx.Bytes
+	// platformTraffic and workerTraffic count the bytes of calls to the log and
+	// the instance list, and of the task path of workers.
+	platformTraffic httpx.Bytes
+	workerTraffic   httpx.Bytes
 
 	// stop ends Run at once, leave ends it gracefully.
 	stop      context.CancelFunc
@@ -108,8 +112,8 @@
 		Region:   s.Identity.Region,
 		Domain:   s.Identity.Domain,
 	}
-	e.log = platformlog.New(platformlog.Config{Base: s.Platform.Log, Keys: s.Auth.PlatformKeys, Clock: clock})
-	e.list = instancelist.New(instancelist.Config{Base: s.Platform.List, Keys: s.Auth.PlatformKeys, Clock: clock})
+	e.log = platformlog.New(platformlog.Config{Base: s.Platform.Log, Keys: s.Auth.PlatformKeys, Clock: clock, Traffic: &e.platformTraffic})
+	e.list = instancelist.New(instancelist.Config{Base: s.Platform.List, Keys: s.Auth.PlatformKeys, Clock: clock, Traffic: &e.platformTraffic})
 	e.pool = peer.NewPool(s.Auth.PeerKeys, clock, e.member.Region)
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	e.core = newCore(e)
@@ -200,7 +204,7 @@
 	observers := httpx.NewServer(e.observerMux())
 
 	e.spawn(e.runControl)
-	e.spawn(func() { e.serve(peers, peer.CountListener(e.peerListener, &e.inbound)) })
+	e.spawn(func() { e.serve(peers, httpx.CountListener(e.peerListener, &e.inbound)) })
 	e.spawn(func() { e.serve(operators, e.operatorListener) })
 	e.spawn(func() { e.serve(observers, e.metricsListener) })
 	e.spawn(func() { _ = callers.Serve(e.callerListener) })
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,9 +6,13 @@
 
 	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/structs"
 )
 
+// farHeartbeats is the number of heartbeats within a group for each one outside.
+const farHeartbeats = 4
+
 // exchangeLoop sends the heartbeat to every other member.
 func (e *Entry) exchangeLoop() {
 	ticker := time.NewTicker(e.timing.Heartbeat)
@@ -39,10 +43,12 @@
 		Digest:      c.digest(),
 		Draining:    c.draining,
 		Attest:      true,
+		Probation:   c.jobs.Probation(),
 	}
+	c.beat++
 	for _, m := range c.control.Members() {
 		p := c.peers[m.ID]
-		if p == nil || p.busy {
+		if p == nil || p.busy || !c.beatDue(m) {
 			continue
 		}
 		p.busy = true
@@ -50,6 +56,22 @@
 	}
 }
 
+// beatDue reports whether a member gets this heartbeat: each one within the group,
+// which attests, and fewer outside, where only load digests matter.
+func (c *core) beatDue(m structs.Member) bool {
+	group, _ := c.table.GroupOfMember(c.self())
+	return group.Has(m.ID) || c.beat%farHeartbeats == 0
+}
+
+// silentAfter is the time without a word after which a member is passed over.
+func (c *core) silentAfter(m structs.Member) time.Duration {
+	group, _ := c.table.GroupOfMember(c.self())
+	if group.Has(m.ID) {
+		return suspectHeartbeats * c.e.timing.Heartbeat
+	}
+	return suspectHeartbeats * farHeartbeats * c.e.timing.Heartbeat
+}
+
 func (e *Entry) heartbeat(m structs.Member, req *peerv1.ExchangeRequest) {
 	ctx, cancel := context.WithTimeout(e.ctx, 2*e.timing.Heartbeat)
 	defer cancel()
@@ -79,6 +101,8 @@
 	}
 	took := time.Since(start)
 	p.take(resp.Digest, resp.Epoch, resp.Draining, start)
+	p.probation = resp.Probation
+	c.applyProbation()
 	p.roundTrip = smooth(p.roundTrip, took)
 }
 
@@ -131,6 +155,8 @@
 	now := time.Now()
 	if p := c.peers[r.Member]; p != nil {
 		p.take(r.Digest, r.Epoch, r.Draining, now)
+		p.probation = r.Probation
+		c.applyProbation()
 		c.heardMember(r.Member, r.Epoch, now)
 	}
 	attested := r.Attest && c.rights.attester.Answer(r.Epoch) == authority.Attested
@@ -141,6 +167,24 @@
 		ControlNext: c.control.Next(),
 		Digest:      c.digest(),
 		Draining:    c.draining,
+		Probation:   c.jobs.Probation(),
+	}
+}
+
+// applyProbation keeps new work from the owned workers that the results of some
+// member's jobs speak against.
+func (c *core) applyProbation() {
+	blamed := map[string]bool{}
+	for _, id := range c.jobs.Probation() {
+		blamed[id] = true
+	}
+	for _, p := range c.peers {
+		for _, id := range p.probation {
+			blamed[id] = true
+		}
+	}
+	for _, w := range c.fleet.Workers() {
+		c.fleet.Nodes().SetFlag(w.Info.ID, scheduler.FlagProbation, blamed[w.Info.ID])
 	}
 }
 
--- a/internal/entry/gang.go
+++ b/internal/entry/gang.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"sync"
 	"time"
 
 	"dotterelhitch/internal/orchestrator"
 	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler/gang"
 	"dotterelhitch/internal/structs"
 )
 
@@ -38,57 +38,98 @@
 		result = e.commitGang(order, shares, true)
 	}
 	e.post(func() {
-		e.core.jobs.Placed(order.Job.ID, order.Tasks, result.placed, result.doubt, result.err, time.Now())
+		e.core.jobs.Placed(order, result.placed, result.doubt, result.err, time.Now())
 		e.core.nextSchedule = time.Time{}
 	})
 }
 
-// reserveGang asks members in the order of their free room.
+// reserveGang asks every member that the plan names for its part, all at once.
 func (e *Entry) reserveGang(order orchestrator.Order) ([]share, placement) {
-	var members []structs.Member
-	if !e.do(func() { members = e.core.gangMembers(order) }) {
+	var plan []share
+	if !e.do(func() { plan = e.core.planGang(order) }) {
 		return nil, placement{}
 	}
+	answers := make([]placement, len(plan))
+	var asking sync.WaitGroup
+	for i, part := range plan {
+		asking.Go(func() { answers[i] = e.askPlace(part.member, order, part.tasks, reserveFor) })
+	}
+	asking.Wait()
 	var shares []share
 	var total placement
-	rest := order.Tasks
-	for _, m := range members {
-		if len(rest) == 0 {
-			break
-		}
-		got := e.askPlace(m, order, rest, reserveFor)
+	for i, got := range answers {
 		total.add(got)
 		if len(got.placed) > 0 {
-			shares = append(shares, share{member: m, tasks: got.placed})
+			shares = append(shares, share{member: plan[i].member, tasks: got.placed})
 		}
-		if len(got.doubt) > 0 {
-			break
-		}
-		rest = without(rest, got)
 	}
 	return shares, total
 }
 
-// gangMembers orders the members of this region by free room, most first, then
-// those of other regions.
-func (c *core) gangMembers(order orchestrator.Order) []structs.Member {
-	var members []structs.Member
+// planGang splits the tasks over members: over those with free room or, where the
+// cell is too full, over those that hold them once other work has ended, so that
+// workers are held there. The latter split stays until the gang has started, since
+// held room is not told as free.
+func (c *core) planGang(order orchestrator.Order) []share {
+	parts := c.splitGang(order, false)
+	if parts != nil {
+		delete(c.waitingGangs, order.Job.ID)
+	} else {
+		parts = c.waitingGangs[order.Job.ID]
+	}
+	if parts == nil {
+		parts = c.splitGang(order, true)
+		c.waitingGangs[order.Job.ID] = parts
+	}
+	var plan []share
+	rest := order.Tasks
+	for _, part := range parts {
+		m, ok := c.table.Table().Member(part.Owner)
+		if !ok || part.Tasks > len(rest) {
+			delete(c.waitingGangs, order.Job.ID)
+			return nil
+		}
+		plan = append(plan, share{member: m, tasks: rest[:part.Tasks]})
+		rest = rest[part.Tasks:]
+	}
+	return plan
+}
+
+// splitGang splits the tasks over the members of this region or, if they do not hold
+// them, of the cell: by their free room, or by all of their room.
+func (c *core) splitGang(order orchestrator.Order, all bool) []gang.Part {
+	var near, owners []gang.Owner
 	for _, m := range c.control.Members() {
-		if c.hasRoom(m, order.Job.Size) {
-			members = append(members, m)
+		o, ok := c.gangOwner(m, all)
+		if !ok {
+			continue
+		}
+		owners = append(owners, o)
+		if m.Region == c.e.member.Region {
+			near = append(near, o)
 		}
 	}
-	region := c.e.member.Region
-	slices.SortFunc(members, func(a, b structs.Member) int {
-		if (a.Region == region) != (b.Region == region) {
-			if a.Region == region {
-				return -1
-			}
-			return 1
+	if parts := gang.Split(len(order.Tasks), order.Job.Size, near, nil); parts != nil {
+		return parts
+	}
+	return gang.Split(len(order.Tasks), order.Job.Size, owners, nil)
+}
+
+func (c *core) gangOwner(m structs.Member, all bool) (gang.Owner, bool) {
+	digest := c.digest()
+	if m.ID != c.self() {
+		p := c.peers[m.ID]
+		if p == nil || p.digest == nil || p.draining {
+			return gang.Owner{}, false
 		}
-		return cmp.Or(cmp.Compare(c.freeShare(b), c.freeShare(a)), cmp.Compare(a.ID, b.ID))
-	})
-	return members
+		digest = p.digest
+	}
+	o := gang.Owner{ID: m.ID, Free: toResources(digest.Free), Largest: toResources(digest.Largest)}
+	if all {
+		o.Free = toResources(digest.Total)
+		o.Largest = o.Free
+	}
+	return o, true
 }
 
 // commitGang starts the reserved tasks at every member, or gives the room up.
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -49,6 +49,10 @@
 	counter(`hitch_peer_bytes{dir="in",link="local"}`, e.pool.Local.In.Load)
 	counter(`hitch_peer_bytes{dir="out",link="cross"}`, e.pool.Cross.Out.Load)
 	counter(`hitch_peer_bytes{dir="in",link="cross"}`, e.pool.Cross.In.Load)
+	counter(`hitch_platform_bytes{dir="out"}`, e.platformTraffic.Out.Load)
+	counter(`hitch_platform_bytes{dir="in"}`, e.platformTraffic.In.Load)
+	counter(`hitch_worker_bytes{dir="out"}`, e.workerTraffic.Out.Load)
+	counter(`hitch_worker_bytes{dir="in"}`, e.workerTraffic.In.Load)
 	counter(`hitch_peer_bytes{dir="out",link="served"}`, e.inbound.Out.Load)
 	counter(`hitch_peer_bytes{dir="in",link="served"}`, e.inbound.In.Load)
 }
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -9,6 +9,7 @@
 
 	"dotterelhitch/internal/operator"
 	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
 )
@@ -160,6 +161,7 @@
 		Known:     w.Known,
 		Reachable: w.Reachable(now, 2*c.e.timing.Heartbeat),
 		Leaving:   c.isLeaving(id),
+		Probation: n.Has(scheduler.FlagProbation),
 	}
 }
 
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -8,6 +8,7 @@
 	"dotterelhitch/internal/fleet"
 	"dotterelhitch/internal/orchestrator"
 	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler/gang"
 	"dotterelhitch/internal/structs"
 )
 
@@ -96,13 +97,14 @@
 	}
 	if r.Reserve {
 		request.Reserve = time.Duration(r.ReserveMs) * time.Millisecond
+		rank := gang.Rank{LatestStart: time.UnixMilli(r.LatestStartMs), Job: r.Job}
+		reserved, why := c.fleet.Reserve(request, rank, now)
+		resp.Placed = placementsOf(reserved)
+		resp.Error = fromError(why)
+		return nil
 	}
 	chosen, why := c.fleet.Place(request, now)
 	resp.Error = fromError(why)
-	if r.Reserve {
-		resp.Placed = placementsOf(chosen)
-		return nil
-	}
 	return c.startGroup(chosen)
 }
 
@@ -149,6 +151,7 @@
 	for i, t := range r.Tasks {
 		keys[i] = fleet.Key{Task: structs.TaskID(t.Task), Attempt: int(t.Attempt)}
 	}
+	c.fleet.EndClaim(r.Job, r.Start)
 	if !r.Start {
 		c.fleet.Release(keys)
 		return nil
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		p := c.peers[other.ID]
-		alive := other.ID == c.self() || (p != nil && !p.draining && time.Since(p.heard) < suspectHeartbeats*c.e.timing.Heartbeat)
+		alive := other.ID == c.self() || (p != nil && !p.draining && time.Since(p.heard) < c.silentAfter(other))
 		if alive {
 			return other, other.ID != c.self()
 		}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -28,6 +28,7 @@
 		return
 	}
 	c.nextSchedule = now.Add(placePause)
+	c.jobs.SetWorkers(len(c.instances))
 	if !c.mayGrant(now) {
 		return
 	}
@@ -83,7 +84,7 @@
 		total.err = structs.NewError(structs.CodeNoCapacity, "no member has room")
 	}
 	e.post(func() {
-		e.core.jobs.Placed(order.Job.ID, order.Tasks, total.placed, total.doubt, total.err, time.Now())
+		e.core.jobs.Placed(order, total.placed, total.doubt, total.err, time.Now())
 		e.core.nextSchedule = time.Time{}
 	})
 }
@@ -121,6 +122,9 @@
 		ReserveMs:    reserve.Milliseconds(),
 		SlackMs:      order.Slack.Milliseconds(),
 		AvoidWorkers: order.Avoid,
+		Probes:       order.Probes,
+
+		LatestStartMs: order.LatestStart.UnixMilli(),
 	}
 	for _, r := range tasks {
 		req.Tasks = append(req.Tasks, &peerv1.Task{
@@ -238,12 +242,13 @@
 // askOf turns a placement call into a wish of the scheduler.
 func askOf(r *peerv1.PlaceRequest) scheduler.Ask {
 	ask := scheduler.Ask{
-		Job:   r.Job,
-		Class: r.Class,
-		Team:  r.Team,
-		Kind:  structs.Kind(r.Kind),
-		Size:  toResources(r.Size),
-		Avoid: r.AvoidWorkers,
+		Job:    r.Job,
+		Class:  r.Class,
+		Team:   r.Team,
+		Kind:   structs.Kind(r.Kind),
+		Size:   toResources(r.Size),
+		Avoid:  r.AvoidWorkers,
+		Probes: r.Probes,
 	}
 	for _, t := range r.Tasks {
 		ask.Tasks = append(ask.Tasks, scheduler.TaskRef{Task: structs.TaskID(t.Task), Attempt: int(t.Attempt)})
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -296,6 +296,7 @@
 	for _, id := range c.jobs.Finished() {
 		if _, j := c.jobRecord(id); j == nil || j.Ended() {
 			c.jobs.Drop(id)
+			delete(c.waitingGangs, id)
 		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/scheduler/gang"
 	"dotterelhitch/internal/structs"
 )
 
@@ -28,6 +29,7 @@
 	nodes   *scheduler.NodeSet
 	workers map[string]*Worker
 	allocs  map[Key]*Alloc
+	claims  gang.Claims
 }
 
 // New returns a fleet without workers.
@@ -162,6 +164,7 @@
 // returns the workers that were accounted for by time.
 func (f *Fleet) Tick(now time.Time, former func(w structs.Worker, now time.Time) bool) []string {
 	f.expireReservations(now)
+	f.expireClaims(now)
 	var lapsed []string
 	for id, w := range f.workers {
 		if now.Sub(w.heard) <= f.timing.Silent {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -26,6 +26,7 @@
 	if len(ask.Tasks) == 0 {
 		return nil, nil
 	}
+	f.nodes.SetLasting(ask.Class, ask.Kind == structs.KindService)
 	plan := scheduler.Place(f.nodes, ask)
 	state := structs.AllocStarting
 	if r.Reserve > 0 {
--- a/internal/peer/count.go
+++ b/internal/httpx/count.go
@@ -1,13 +1,12 @@
-package peer
+package httpx
 
 import (
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 )
 
-// Bytes counts the traffic of one side of the peer interface.
+// Bytes counts the traffic of some connections.
 type Bytes struct {
 	In  atomic.Int64
 	Out atomic.Int64
@@ -56,11 +55,8 @@
 	return &countedConn{Conn: c, bytes: []*Bytes{l.bytes}}, nil
 }
 
-// dialTimeout bounds the set-up of a connection to a peer.
-const dialTimeout = 2 * time.Second
-
-// countDialer returns a dial function whose connections are counted.
-func countDialer(bytes ...*Bytes) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// CountDialer returns a dial function whose connections are counted.
+func CountDialer(bytes ...*Bytes) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -117,11 +117,11 @@
 	return b, nil
 }
 
-// NewTransport returns a transport whose connections are bounded in number. The
-// clock may be nil.
-func NewTransport(clock *event.Clock) http.RoundTripper {
+// NewTransport returns a transport whose connections are bounded in number and
+// counted. The clock may be nil.
+func NewTransport(clock *event.Clock, bytes ...*Bytes) http.RoundTripper {
 	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            CountDialer(bytes...),
 		MaxConnsPerHost:        maxConnsPerHost,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
--- a/internal/instancelist/client.go
+++ b/internal/instancelist/client.go
@@ -25,6 +25,8 @@
 	Keys httpx.Keys
 	// Clock stamps the calls; it may be nil.
 	Clock *event.Clock
+	// Traffic counts the bytes of the calls; it may be nil.
+	Traffic *httpx.Bytes
 }
 
 // Client reads the instance list. It is safe for concurrent use.
@@ -34,7 +36,7 @@
 
 // New returns a client of the instance list at cfg.Base.
 func New(cfg Config) *Client {
-	return &Client{http: platformhttp.New(platformhttp.Config{Base: cfg.Base, Keys: cfg.Keys, Clock: cfg.Clock})}
+	return &Client{http: platformhttp.New(platformhttp.Config{Base: cfg.Base, Keys: cfg.Keys, Clock: cfg.Clock, Traffic: cfg.Traffic})}
 }
 
 // Entry is an entry instance as the platform knows it.
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -49,8 +49,6 @@
 	// retryAt is the earliest time of the next placement.
 	retryAt time.Time
 	backoff time.Duration
-	// failedOn are workers on which a task of the job failed.
-	failedOn map[string]bool
 	// collect asks for an inventory before tasks in doubt are decided.
 	collect bool
 	// stopAll is set for a gang that has to start over: its tasks are stopped
@@ -65,7 +63,7 @@
 }
 
 func newJob(spec structs.Job, due time.Time) *job {
-	j := &job{spec: spec, due: due, tasks: make([]task, spec.Count), failedOn: map[string]bool{}}
+	j := &job{spec: spec, due: due, tasks: make([]task, spec.Count)}
 	j.count[pending] = spec.Count
 	return j
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -2,22 +2,20 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"dotterelhitch/internal/scheduler/health"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
 )
 
 // Rules of retries.
 const (
-	// MaxFailures is the number of failed runs of one task after which its job
-	// is parked.
-	MaxFailures     = 3
-	backoffShortest = 20 * time.Millisecond
-	backoffLongest  = time.Second
+	backoffShortest    = 20 * time.Millisecond
+	backoffLongest     = time.Second
+	failBackoffLongest = 30 * time.Second
 	// DefaultStartWithin stands in for a class that states no start target.
 	DefaultStartWithin = time.Minute
 )
@@ -26,10 +24,21 @@
 // goroutine.
 type Orchestrator struct {
 	jobs map[string]*job
+	// health tells workers that fail what succeeds elsewhere from jobs that fail
+	// everywhere, by the results of the held jobs.
+	health *health.Tracker
 }
 
 // New returns an orchestrator that owns nothing.
-func New() *Orchestrator { return &Orchestrator{jobs: map[string]*job{}} }
+func New() *Orchestrator {
+	return &Orchestrator{jobs: map[string]*job{}, health: health.NewTracker()}
+}
+
+// SetWorkers sets the number of usable workers of the cell.
+func (o *Orchestrator) SetWorkers(n int) { o.health.SetWorkers(n) }
+
+// Probation returns the workers that fail what succeeds elsewhere.
+func (o *Orchestrator) Probation() []string { return o.health.Probation() }
 
 // Ref is one run of a task, with its worker where it is known.
 type Ref struct {
@@ -44,8 +53,12 @@
 	Tasks []Ref
 	// Slack is the time left to the class's target, negative if late.
 	Slack time.Duration
+	// LatestStart is when the tasks have to start to meet the target.
+	LatestStart time.Time
 	// Avoid are workers on which tasks of the job failed.
 	Avoid []string
+	// Probes are workers on probation that may get one of the tasks.
+	Probes []string
 }
 
 // Gain takes over a job. fresh says that nobody can have placed a task of it
@@ -85,7 +98,10 @@
 }
 
 // Drop forgets a job that is another's or has ended.
-func (o *Orchestrator) Drop(id string) { delete(o.jobs, id) }
+func (o *Orchestrator) Drop(id string) {
+	delete(o.jobs, id)
+	o.health.ForgetJob(id)
+}
 
 // Owns reports whether the job is held.
 func (o *Orchestrator) Owns(id string) bool { return o.jobs[id] != nil }
@@ -140,12 +156,19 @@
 	slices.SortFunc(ready, func(a, b *job) int {
 		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
+	probes := o.health.ProbesDue(now)
 	var orders []Order
 	for _, j := range ready {
 		if limit <= 0 {
 			break
 		}
 		order := j.order(now, limit)
+		order.Avoid = o.health.Avoid(j.spec.ID)
+		if len(probes) > 0 && j.spec.Kind == structs.KindBatch {
+			order.Probes = probes[:1]
+			probes = probes[1:]
+			o.health.ProbeSent(order.Probes[0])
+		}
 		limit -= len(order.Tasks)
 		orders = append(orders, order)
 	}
@@ -153,11 +176,7 @@
 }
 
 func (j *job) order(now time.Time, limit int) Order {
-	order := Order{
-		Job:   j.spec,
-		Slack: j.due.Sub(now),
-		Avoid: slices.Sorted(maps.Keys(j.failedOn)),
-	}
+	order := Order{Job: j.spec, Slack: j.due.Sub(now), LatestStart: j.due}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase != pending {
@@ -175,8 +194,9 @@
 
 // Placed takes the answer to a placement: placed tasks are on their worker, those
 // in doubt may be, the others certainly are not.
-func (o *Orchestrator) Placed(id string, asked, done, inDoubt []Ref, reason error, now time.Time) {
-	j := o.jobs[id]
+func (o *Orchestrator) Placed(order Order, done, inDoubt []Ref, reason error, now time.Time) {
+	o.endProbes(order.Probes, done)
+	j := o.jobs[order.Job.ID]
 	if j == nil {
 		return
 	}
@@ -190,7 +210,7 @@
 		j.collect = true
 	}
 	back := 0
-	for _, r := range asked {
+	for _, r := range order.Tasks {
 		if j.settlePlacing(r, pending) {
 			back++
 		}
@@ -201,6 +221,15 @@
 	}
 }
 
+// endProbes frees the probes that no task was placed on.
+func (o *Orchestrator) endProbes(probes []string, done []Ref) {
+	for _, worker := range probes {
+		if !slices.ContainsFunc(done, func(r Ref) bool { return r.Worker == worker }) {
+			o.health.ProbeLost(worker)
+		}
+	}
+}
+
 // settlePlacing moves a task out of placing if it still is the same run.
 func (j *job) settlePlacing(r Ref, to phase) bool {
 	t := &j.tasks[r.Index]
@@ -254,7 +283,7 @@
 		return j.reportRunning(r, now), false
 	}
 	if t.attempt != r.Attempt {
-		return j.reportOther(r, st)
+		return j.reportOther(r, st, now)
 	}
 	switch t.phase {
 	case ended:
@@ -264,18 +293,35 @@
 	case pending:
 		return Forget, false
 	}
-	return j.reportEnd(r, st)
+	o.judge(j, r, st, now)
+	return j.reportEnd(r, st, now)
+}
+
+// judge counts the end of a run for or against its worker and its job.
+func (o *Orchestrator) judge(j *job, r Ref, st structs.AllocState, now time.Time) {
+	var changes []health.Change
+	switch st {
+	case structs.AllocComplete:
+		changes = o.health.Success(now, j.spec.ID, r.Worker)
+	case structs.AllocFailed:
+		changes = o.health.Failure(now, j.spec.ID, r.Worker)
+	}
+	for _, ch := range changes {
+		if blamed := o.jobs[ch.Job]; blamed != nil {
+			blamed.hopeless = "its tasks fail on every worker that was tried, last on " + r.Worker
+		}
+	}
 }
 
 // reportOther takes the end of a run other than the latest known. While the task
 // is in doubt, a later run than the known one may exist, so only a good end counts.
-func (j *job) reportOther(r Ref, st structs.AllocState) (Verdict, bool) {
+func (j *job) reportOther(r Ref, st structs.AllocState, now time.Time) (Verdict, bool) {
 	t := &j.tasks[r.Index]
 	if t.phase != doubt || r.Attempt < t.attempt {
 		return Forget, false
 	}
 	if st == structs.AllocComplete && j.spec.Kind != structs.KindService {
-		return j.reportEnd(r, st)
+		return j.reportEnd(r, st, now)
 	}
 	return Wait, false
 }
@@ -306,7 +352,7 @@
 }
 
 // reportEnd decides between an end for good and another run.
-func (j *job) reportEnd(r Ref, st structs.AllocState) (Verdict, bool) {
+func (j *job) reportEnd(r Ref, st structs.AllocState, now time.Time) (Verdict, bool) {
 	t := &j.tasks[r.Index]
 	t.attempt = max(t.attempt, r.Attempt)
 	if j.over() {
@@ -319,7 +365,8 @@
 		return Wait, true
 	}
 	if st != structs.AllocStopped {
-		j.noteFailure(r)
+		t.fails++
+		j.delay(backoffAfter(t.fails), now)
 	}
 	j.move(r.Index, pending)
 	if j.spec.Kind == structs.KindGang && j.live() > 0 {
@@ -328,13 +375,15 @@
 	return Forget, false
 }
 
-// noteFailure counts a bad end; too many of one task make the job hopeless.
-func (j *job) noteFailure(r Ref) {
-	t := &j.tasks[r.Index]
-	t.fails++
-	j.failedOn[r.Worker] = true
-	if t.fails >= MaxFailures {
-		j.hopeless = fmt.Sprintf("task %d failed %d times, last on worker %s", r.Index, t.fails, r.Worker)
+// backoffAfter is the pause after the nth failure of a task.
+func backoffAfter(fails int) time.Duration {
+	return min(backoffShortest<<min(fails, 10), failBackoffLongest)
+}
+
+// delay puts off the next placement of the job.
+func (j *job) delay(d time.Duration, now time.Time) {
+	if at := now.Add(d); at.After(j.retryAt) {
+		j.retryAt = at
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,8 +36,8 @@
 	region string
 
 	// Local and Cross count the bytes of calls within the region and across.
-	Local Bytes
-	Cross Bytes
+	Local httpx.Bytes
+	Cross httpx.Bytes
 
 	mu      sync.Mutex
 	clients map[string]*client
@@ -101,7 +101,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext:     countDialer(bytes),
+		DialContext:     httpx.CountDialer(bytes),
 		Protocols:       protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -29,6 +29,8 @@
 	Keys httpx.Keys
 	// Clock stamps the calls; it may be nil.
 	Clock *event.Clock
+	// Traffic counts the bytes of the calls; it may be nil.
+	Traffic *httpx.Bytes
 }
 
 // Client calls one platform peer. It is safe for concurrent use.
@@ -41,11 +43,14 @@
 
 // New returns a client for the peer at cfg.Base.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: newHTTP(cfg.Clock)}
+	return &Client{cfg: cfg, http: newHTTP(cfg)}
 }
 
-func newHTTP(clock *event.Clock) *http.Client {
-	return &http.Client{Transport: httpx.NewTransport(clock)}
+func newHTTP(cfg Config) *http.Client {
+	if cfg.Traffic == nil {
+		return &http.Client{Transport: httpx.NewTransport(cfg.Clock)}
+	}
+	return &http.Client{Transport: httpx.NewTransport(cfg.Clock, cfg.Traffic)}
 }
 
 // Delivery says how far a request got.
@@ -175,6 +180,6 @@
 	if c.http != used {
 		return
 	}
-	c.http = newHTTP(c.cfg.Clock)
+	c.http = newHTTP(c.cfg)
 	used.CloseIdleConnections()
 }
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -34,6 +34,8 @@
 	Clock *event.Clock
 	// AppendTimeout bounds an append; zero means 5 s.
 	AppendTimeout time.Duration
+	// Traffic counts the bytes of the calls; it may be nil.
+	Traffic *httpx.Bytes
 }
 
 // Client appends to and reads the streams of the log service. It is safe for
@@ -46,7 +48,7 @@
 // New returns a client of the log service at cfg.Base.
 func New(cfg Config) *Client {
 	c := &Client{
-		http:          platformhttp.New(platformhttp.Config{Base: cfg.Base, Keys: cfg.Keys, Clock: cfg.Clock}),
+		http:          platformhttp.New(platformhttp.Config{Base: cfg.Base, Keys: cfg.Keys, Clock: cfg.Clock, Traffic: cfg.Traffic}),
 		appendTimeout: cfg.AppendTimeout,
 	}
 	if c.appendTimeout <= 0 {
--- /dev/null
+++ b/internal/scheduler/health/probation.go
@@ -0,0 +1,15 @@
+package health
+
+import "slices"
+
+// Probation returns the workers on probation, by name.
+func (t *Tracker) Probation() []string {
+	var list []string
+	for worker, w := range t.workers {
+		if w.probation {
+			list = append(list, worker)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -28,6 +28,8 @@
 	Clock *event.Clock
 	// Timeout bounds a command; zero means 3 s.
 	Timeout time.Duration
+	// Traffic counts the bytes of the calls; it may be nil.
+	Traffic *httpx.Bytes
 }
 
 // Client commands one worker. It is safe for concurrent use. A failed command
@@ -40,7 +42,7 @@
 // New returns a client of the worker at cfg.Addr.
 func New(cfg Config) *Client {
 	c := &Client{
-		http:    platformhttp.New(platformhttp.Config{Base: "http://" + cfg.Addr, Keys: cfg.Keys, Clock: cfg.Clock}),
+		http:    platformhttp.New(platformhttp.Config{Base: "http://" + cfg.Addr, Keys: cfg.Keys, Clock: cfg.Clock, Traffic: cfg.Traffic}),
 		timeout: cfg.Timeout,
 	}
 	if c.timeout <= 0 {
