Spare room beside accelerators first, cheaper rounds behind blocked gangs

A round passes over gangs no smaller than one that was blocked; before, a model with some dozens of waiting gangs spent milliseconds a round on them. Overtaking is bounded by work in place of task counts.

--- a/internal/scheduler/admission/controller.go
+++ b/internal/scheduler/admission/controller.go
@@ -35,6 +35,7 @@
 	offered Rate
 	ended   Rate
 	dropped []Request
+	fair    fairness
 }
 
 // NewController returns a controller without slots.
@@ -62,13 +63,15 @@
 	}
 	c.offered.Add(now, 1)
 	l := c.line(r.Class)
+	l.demand(now)
+	c.fair.refresh(now, c.lines, c.slots)
 	left := r.Deadline.Sub(now)
 	if c.running < c.slots && len(c.byID) == 0 && l.mayStart(left) {
 		c.start(l)
 		return Decision{Verdict: Run, Expected: l.service.Mean()}
 	}
 	expected := c.wait(r) + l.service.High()
-	if c.slots == 0 || expected > left*startShare/100 {
+	if c.slots == 0 || expected > left*startShare/100 || !l.deal() {
 		return Decision{Verdict: Refuse, RetryAfter: c.retryAfter(now, r), Expected: expected}
 	}
 	l.insert(r)
@@ -155,7 +158,7 @@
 func (c *Controller) line(class string) *line {
 	l := c.class[class]
 	if l == nil {
-		l = &line{class: class, service: NewServiceTime()}
+		l = &line{class: class, service: NewServiceTime(), admit: 1}
 		c.class[class] = l
 		c.lines = append(c.lines, l)
 	}
--- a/internal/scheduler/admission/line.go
+++ b/internal/scheduler/admission/line.go
@@ -16,6 +16,12 @@
 	head     int
 	// running counts requests of the class that hold a slot.
 	running int
+	// asked is the rate of requests, work what it asks for in slots, admit the
+	// share of requests that may be admitted and credit the rights not used yet.
+	asked  Rate
+	work   float64
+	admit  float64
+	credit float64
 }
 
 // mayStart reports whether a request may take a free slot at once. One that would
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -92,7 +92,7 @@
 	if len(chosen) == 0 || !ask.Size.Fits(n.beside(ask.Size, free)) {
 		return Eviction{}, false
 	}
-	return n.spare(ask, chosen, free), true
+	return n.leaveOut(ask, chosen, free), true
 }
 
 // priced lists what may be stopped on the node, the cheapest first.
@@ -109,8 +109,8 @@
 	return list
 }
 
-// spare leaves out what need not be stopped after all, the dearest first.
-func (n *Node) spare(ask *Ask, chosen []priced, free structs.Resources) Eviction {
+// leaveOut leaves out what need not be stopped after all, the dearest first.
+func (n *Node) leaveOut(ask *Ask, chosen []priced, free structs.Resources) Eviction {
 	e := Eviction{Worker: n.worker.ID}
 	for _, p := range slices.Backward(chosen) {
 		without := free.Sub(p.alloc.Size)
--- a/internal/scheduler/health/endpoint.go
+++ b/internal/scheduler/health/endpoint.go
@@ -3,13 +3,18 @@
 import "time"
 
 const (
-	// latencyShift is the weight of a new sample in the latency as a power of two.
-	latencyShift = 3
-	// latencyFloor keeps the load of an idle fast endpoint from being zero.
-	latencyFloor = 100 * time.Microsecond
-	// latencyHalfLife is the time after which an endpoint that gets no request is
-	// given half the distance back to the fleet's latency.
-	latencyHalfLife = 10 * time.Second
+	// riseShift and fallShift are the weights of a new sample in the slowness as
+	// powers of two: rises count more, so that an endpoint that turns slow is left
+	// quickly (after the peak-sensitive average of Finagle's load balancer).
+	riseShift = 2
+	fallShift = 3
+	// slowLimit is the slowness above which an endpoint gets one request at a
+	// time, fastLimit that below which it gets all its slots again.
+	slowLimit = 4.0
+	fastLimit = 2.0
+	// forgetTime is the time after which an endpoint that gets no request is given
+	// half its excess slowness back, so that it is tried again.
+	forgetTime = 10 * time.Second
 )
 
 // Endpoint is what an entry knows of one worker's endpoint.
@@ -22,44 +27,50 @@
 	Breaker Breaker
 
 	inFlight int
-	latency  time.Duration
+	// slowness is the moving ratio of the time taken to the time expected of the
+	// class over all endpoints.
+	slowness float64
+	slow     bool
 	last     time.Time
 }
 
 // InFlight returns the number of requests under way.
 func (e *Endpoint) InFlight() int { return e.inFlight }
 
-// Latency returns the moving latency.
-func (e *Endpoint) Latency() time.Duration { return e.latency }
+// Slow reports whether the endpoint gets one request at a time since it takes several
+// times as long as others.
+func (e *Endpoint) Slow() bool { return e.slow }
+
+// limit returns the number of requests that may be under way.
+func (e *Endpoint) limit() int {
+	if e.slow {
+		return min(e.Slots, 1)
+	}
+	return e.Slots
+}
 
 // ready reports whether a request could be sent now.
 func (e *Endpoint) ready(now time.Time) bool {
-	return e.Usable && e.inFlight < e.Slots && e.Breaker.Ready(now)
+	return e.Usable && e.inFlight < e.limit() && e.Breaker.Ready(now)
 }
 
-// observe adds a latency sample. Rises count at once and falls slowly (peak EWMA, as
-// in Finagle's load balancer), so that an endpoint that turns slow is left quickly.
-func (e *Endpoint) observe(now time.Time, took time.Duration) {
+// observe adds a sample.
+func (e *Endpoint) observe(now time.Time, ratio float64) {
 	e.last = now
-	if took > e.latency {
-		e.latency += (took - e.latency) / 2
-		return
+	shift := fallShift
+	if ratio > e.slowness {
+		shift = riseShift
 	}
-	e.latency += (took - e.latency) >> latencyShift
+	e.slowness += (ratio - e.slowness) / float64(int(1)<<shift)
 }
 
-// load is the expected time to answer one more request, in nanoseconds.
-func (e *Endpoint) load(now time.Time, typical time.Duration) float64 {
-	latency := e.latency
-	if latency == 0 {
-		latency = typical
+// load is the expected time to answer one more request relative to an idle endpoint
+// of usual speed.
+func (e *Endpoint) load(now time.Time) float64 {
+	slowness := e.slowness
+	if slowness > 1 {
+		idle := now.Sub(e.last).Seconds() / forgetTime.Seconds()
+		slowness = 1 + (slowness-1)/(1+idle)
 	}
-	if latency > typical && typical > 0 {
-		idle := min(now.Sub(e.last).Seconds()/latencyHalfLife.Seconds(), maxHalfLives)
-		latency = typical + time.Duration(float64(latency-typical)/(1+idle))
-	}
-	return float64(max(latency, latencyFloor)) * float64(e.inFlight+1)
+	return slowness * float64(e.inFlight+1)
 }
-
-// maxHalfLives bounds the decay of an idle endpoint's latency.
-const maxHalfLives = 1e3
--- a/internal/scheduler/health/health_test.go
+++ b/internal/scheduler/health/health_test.go
@@ -170,16 +170,22 @@
 		counts[e.ID]++
 		switch e.ID {
 		case "w0":
-			p.Done(now, e.ID, 100*time.Millisecond, Answered)
+			p.Done(now, e.ID, 100*time.Millisecond, 10*time.Millisecond, Answered)
 		case "w1":
-			p.Done(now, e.ID, time.Millisecond, Failed)
+			p.Done(now, e.ID, time.Millisecond, 10*time.Millisecond, Failed)
 		default:
-			p.Done(now, e.ID, 10*time.Millisecond, Answered)
+			p.Done(now, e.ID, 10*time.Millisecond, 10*time.Millisecond, Answered)
 		}
 	}
 	if counts["w0"] > 100 || counts["w1"] > 50 || counts["w2"] < 400 {
 		t.Errorf("picks %v", counts)
 	}
+	for range 3 { // answers that were under way
+		p.Done(now, "w0", 100*time.Millisecond, 10*time.Millisecond, Answered)
+	}
+	if !p.Endpoint("w0").Slow() || p.Endpoint("w2").Slow() || p.Slots() != 8*8+1 {
+		t.Errorf("w0 slow: %v, %d slots", p.Endpoint("w0").Slow(), p.Slots())
+	}
 	p.Remove("w2")
 	for range 100 {
 		if e := p.Pick(now, "w3"); e != nil && (e.ID == "w2" || e.ID == "w3") {
@@ -187,3 +193,19 @@
 		}
 	}
 }
+
+func TestSlownessOfAllEndpointsShutsNoneOut(t *testing.T) {
+	p := NewPicker(rand.New(rand.NewPCG(1, 1)))
+	for i := range 8 {
+		p.Upsert(fmt.Sprint("w", i), 8)
+	}
+	for i := range 400 {
+		now := after(time.Duration(i) * time.Millisecond)
+		if e := p.Pick(now); e != nil {
+			p.Done(now, e.ID, time.Second, 10*time.Millisecond, Answered)
+		}
+	}
+	if got := p.Slots(); got != 6*8+2 {
+		t.Errorf("%d slots, want all but two endpoints in full", got)
+	}
+}
--- a/internal/scheduler/health/picker.go
+++ b/internal/scheduler/health/picker.go
@@ -6,18 +6,23 @@
 	"time"
 )
 
-// pickTries is the number of random draws before the whole list is read.
-const pickTries = 6
+const (
+	// pickTries is the number of random draws before the whole list is read.
+	pickTries = 6
+	// slowShare bounds the endpoints treated as slow to one in so many, so that a
+	// slowness that all of them share does not shut most of them out.
+	slowShare = 4
+)
 
 // Picker chooses endpoints for requests by two random choices (Mitzenmacher, "The
-// Power of Two Choices in Randomized Load Balancing", 2001), compared by latency
-// times requests in flight.
+// Power of Two Choices in Randomized Load Balancing", 2001), compared by slowness
+// times requests in flight. Endpoints that take several times as long as expected get
+// one request at a time.
 type Picker struct {
 	rng  *rand.Rand
 	list []*Endpoint
 	byID map[string]*Endpoint
-	// typical is the moving latency over all endpoints.
-	typical time.Duration
+	slow int
 }
 
 // NewPicker returns an empty picker that draws from rng.
@@ -29,7 +34,7 @@
 func (p *Picker) Upsert(id string, slots int) *Endpoint {
 	e := p.byID[id]
 	if e == nil {
-		e = &Endpoint{ID: id, Usable: true}
+		e = &Endpoint{ID: id, Usable: true, slowness: 1}
 		p.byID[id] = e
 		p.list = append(p.list, e)
 	}
@@ -40,6 +45,10 @@
 // Remove drops an endpoint.
 func (p *Picker) Remove(id string) {
 	e := p.byID[id]
+	if e == nil {
+		return
+	}
+	p.setSlow(e, false)
 	delete(p.byID, id)
 	p.list = slices.DeleteFunc(p.list, func(o *Endpoint) bool { return o == e })
 }
@@ -47,6 +56,18 @@
 // Endpoint returns the endpoint of a name, nil if there is none.
 func (p *Picker) Endpoint(id string) *Endpoint { return p.byID[id] }
 
+// Slots returns the number of requests that may be under way at a time over all
+// endpoints.
+func (p *Picker) Slots() int {
+	slots := 0
+	for _, e := range p.list {
+		if e.Usable && !e.Breaker.Open() {
+			slots += e.limit()
+		}
+	}
+	return slots
+}
+
 // Pick chooses an endpoint with a free slot and counts a request on it; nil if there
 // is none. Endpoints in avoid are left out. The caller tells the end by Done.
 func (p *Picker) Pick(now time.Time, avoid ...string) *Endpoint {
@@ -103,7 +124,7 @@
 
 // better returns the one with the smaller load.
 func (p *Picker) better(now time.Time, a, b *Endpoint) *Endpoint {
-	if b.load(now, p.typical) < a.load(now, p.typical) {
+	if b.load(now) < a.load(now) {
 		return b
 	}
 	return a
@@ -121,22 +142,50 @@
 	Refused
 )
 
-// Done ends a request that Pick counted.
-func (p *Picker) Done(now time.Time, id string, took time.Duration, result Result) {
+// Done ends a request that Pick counted. Expected is the time that requests of its
+// class take on average over all endpoints.
+func (p *Picker) Done(now time.Time, id string, took, expected time.Duration, result Result) {
 	e := p.byID[id]
 	if e == nil {
 		return
 	}
 	e.inFlight = max(e.inFlight-1, 0)
+	ratio := 1.0
+	if expected > 0 {
+		ratio = float64(took) / float64(expected)
+	}
 	switch result {
 	case Answered:
 		e.Breaker.Success()
-		e.observe(now, took)
-		p.typical += (took - p.typical) >> latencyShift
+		e.observe(now, ratio)
 	case Failed:
 		e.Breaker.Failure(now)
-		e.observe(now, max(took, e.latency))
+		e.observe(now, max(ratio, e.slowness))
 	default:
 		e.Breaker.Abandon()
 	}
+	p.judge(e)
+}
+
+// judge decides whether an endpoint counts as slow.
+func (p *Picker) judge(e *Endpoint) {
+	switch {
+	case e.slow && e.slowness < fastLimit:
+		p.setSlow(e, false)
+	case !e.slow && e.slowness > slowLimit && (p.slow+1)*slowShare <= max(len(p.list), slowShare):
+		p.setSlow(e, len(p.list) > 1)
+	}
+}
+
+// setSlow keeps the count of slow endpoints.
+func (p *Picker) setSlow(e *Endpoint, slow bool) {
+	if e.slow == slow {
+		return
+	}
+	e.slow = slow
+	if slow {
+		p.slow++
+	} else {
+		p.slow--
+	}
 }
--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -42,8 +42,12 @@
 	lane lane
 	// removed marks an entry that a heap still holds but that is no longer queued.
 	removed bool
-	// overtaken counts tasks of later items that started past this one.
-	overtaken int
+	// overtaken counts tasks of later items that started past this one,
+	// overtakenWork is their weight.
+	overtaken     int
+	overtakenWork float64
+	// holding says that workers are held for the job.
+	holding bool
 }
 
 // compareQueued orders by latest start, then acceptance, then job.
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -70,6 +70,16 @@
 	return n.beside(size, n.Free())
 }
 
+// spare returns what is free beyond the full even share of each free accelerator:
+// room that work with accelerators does not miss.
+func (n *Node) spare() structs.Resources {
+	free := n.Free()
+	if n.worker.Size.Accelerators == 0 {
+		return free
+	}
+	return clampPositive(free.Sub(acceleratorShare(n.worker.Size, free.Accelerators)))
+}
+
 // beside returns the part of free that a task of a size may take.
 func (n *Node) beside(size, free structs.Resources) structs.Resources {
 	total := n.worker.Size.Accelerators
@@ -88,10 +98,19 @@
 
 // acceleratorReserve returns the processor and memory kept for idle accelerators.
 func acceleratorReserve(size structs.Resources, idle int64) structs.Resources {
-	div := size.Accelerators * acceleratorReserveDivisor
+	share := acceleratorShare(size, idle)
+	return structs.Resources{
+		CPUMilli:  share.CPUMilli / acceleratorReserveDivisor,
+		MemoryMiB: share.MemoryMiB / acceleratorReserveDivisor,
+	}
+}
+
+// acceleratorShare returns the even share of processor and memory of some of a
+// worker's accelerators.
+func acceleratorShare(size structs.Resources, count int64) structs.Resources {
 	return structs.Resources{
-		CPUMilli:  size.CPUMilli * idle / div,
-		MemoryMiB: size.MemoryMiB * idle / div,
+		CPUMilli:  size.CPUMilli * count / size.Accelerators,
+		MemoryMiB: size.MemoryMiB * count / size.Accelerators,
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -57,11 +57,17 @@
 }
 
 // room returns how many tasks of the ask a usable node can take.
-func (n *Node) room(ask *Ask) int {
+func (n *Node) room(ask *Ask) int { return n.roomIn(n.freeFor(ask.Size), ask) }
+
+// spareRoom is room in what work with accelerators does not miss.
+func (n *Node) spareRoom(ask *Ask) int { return n.roomIn(n.spare(), ask) }
+
+// roomIn returns how many tasks of the ask fit into a part of the node.
+func (n *Node) roomIn(part structs.Resources, ask *Ask) int {
 	if n.hold != "" && n.hold != ask.Job {
 		return 0
 	}
-	room := capacity(n.freeFor(ask.Size), ask.Size)
+	room := capacity(part, ask.Size)
 	if room == 0 || ask.avoids(n.worker.ID) {
 		return 0
 	}
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -26,7 +26,7 @@
 	if job := s.jobs["h"]; len(job.domains) != 1 || len(job.racks) != 2 {
 		t.Fatalf("%d failure domains and %d racks, want 1 and 2", len(job.domains), len(job.racks))
 	}
-	if p := Place(s, ask("i", structs.KindGang, 100, size(8, 8, 0))); len(p.Placed) != 0 || p.Block() != BlockOther {
+	if p := Place(s, ask("i", structs.KindGang, 100, size(8, 8, 0))); len(p.Placed) != 0 || p.Block() != BlockWhole {
 		t.Fatalf("placed %d of a gang that does not fit", len(p.Placed))
 	}
 }
--- a/internal/scheduler/place_tight.go
+++ b/internal/scheduler/place_tight.go
@@ -18,73 +18,96 @@
 	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.rank, b.rank))
 }
 
+// roomFunc returns how many tasks of an ask a node can take.
+type roomFunc func(*Node, *Ask) int
+
+// tight is the state of placing one ask on the tightest nodes.
+type tight struct {
+	index *index
+	ask   *Ask
+	plan  *Plan
+	seed  uint64
+	room  roomFunc
+	found []candidate
+	// placed counts the plan's tasks on nodes that are looked at twice.
+	placed map[*Node]int
+}
+
 // placeTight fills the nodes with the smallest free share first. Work that needs no
-// accelerator looks at nodes without accelerators first.
+// accelerator first takes what work with accelerators does not miss, then nodes
+// without accelerators, then what is left beside accelerators.
 func placeTight(s *NodeSet, ask *Ask, plan *Plan) {
 	from := s.index.step(ask.Size)
-	if ask.Size.Accelerators == 0 {
-		fillBuckets(&s.index, s.index.plain[from:], ask, plan)
-	}
-	if len(plan.Unplaced) > 0 {
-		fillSpecial(&s.index, s.index.special[from:], ask, plan)
+	t := &tight{index: &s.index, ask: ask, plan: plan, seed: ask.seed(), room: (*Node).room}
+	if ask.Size.Accelerators > 0 {
+		t.scarce(s.index.special[from:])
+		return
 	}
+	t.room = (*Node).spareRoom
+	t.placed = make(map[*Node]int)
+	t.buckets(s.index.special[from:])
+	t.room = t.roomLeft
+	t.buckets(s.index.plain[from:])
+	t.buckets(s.index.special[from:])
 }
 
-// fillSpecial fills nodes with accelerators. Work that needs accelerators takes
-// those with the fewest left.
-func fillSpecial(x *index, buckets []bucket, ask *Ask, plan *Plan) {
-	if ask.Size.Accelerators == 0 {
-		fillBuckets(x, buckets, ask, plan)
-		return
+// roomLeft is the room of a node less what the plan has placed there.
+func (t *tight) roomLeft(n *Node, ask *Ask) int {
+	return max(n.room(ask)-t.placed[n], 0)
+}
+
+// put places tasks on a node.
+func (t *tight) put(n *Node, count int) {
+	t.plan.put(n, count)
+	if t.placed != nil {
+		t.placed[n] += count
 	}
-	seed := ask.seed()
-	var found []candidate
+}
+
+// scarce fills the nodes with the fewest accelerators left first.
+func (t *tight) scarce(buckets []bucket) {
 	for i := range buckets {
-		found = appendFits(found, x, &buckets[i], ask, seed)
+		t.collect(&buckets[i])
 	}
-	for i := range found {
-		found[i].score += float64(found[i].node.Free().Accelerators)
+	for i := range t.found {
+		t.found[i].score += float64(t.found[i].node.Free().Accelerators)
 	}
-	fill(found, plan)
+	t.fill()
 }
 
-// fillBuckets fills from the bucket with the smallest free share upwards.
-func fillBuckets(x *index, buckets []bucket, ask *Ask, plan *Plan) {
-	seed := ask.seed()
-	var found []candidate
+// fill places tasks on the nodes found in order.
+func (t *tight) fill() { fill(t.found, t.plan, t.put) }
+
+// buckets fills from the bucket with the smallest free share upwards.
+func (t *tight) buckets(buckets []bucket) {
 	for i := range buckets {
-		b := &buckets[i]
-		if len(plan.Unplaced) == 1 {
-			best, ok := bestFit(x, b, ask, seed)
-			if ok {
-				plan.put(best, 1)
-				return
-			}
-			continue
-		}
-		found = appendFits(found[:0], x, b, ask, seed)
-		fill(found, plan)
-		if len(plan.Unplaced) == 0 {
+		switch len(t.plan.Unplaced) {
+		case 0:
 			return
+		case 1:
+			if best := t.best(&buckets[i]); best != nil {
+				t.put(best, 1)
+			}
+		default:
+			t.found = t.found[:0]
+			t.collect(&buckets[i])
+			t.fill()
 		}
 	}
 }
 
-// bestFit returns the node of a bucket with the least left after one task.
-func bestFit(x *index, b *bucket, ask *Ask, seed uint64) (*Node, bool) {
-	if !ask.Size.Fits(b.most) {
-		return nil, false
+// best returns the node of a bucket with the least left after one task, nil if none
+// has room.
+func (t *tight) best(b *bucket) *Node {
+	if !t.ask.Size.Fits(b.most) {
+		return nil
 	}
 	var best candidate
 	for _, n := range b.nodes {
-		if !ask.Size.Fits(n.freeFor(ask.Size)) || n.room(ask) == 0 {
-			continue
-		}
-		c := candidate{node: n, score: x.share(n.Free().Sub(ask.Size))}
-		if best.node != nil && c.score > best.score {
+		if !t.ask.Size.Fits(n.Free()) || t.room(n, t.ask) == 0 {
 			continue
 		}
-		c.rank = rank(n.seed, seed)
+		c := t.candidate(n)
 		if best.node == nil || compareCandidates(c, best) < 0 {
 			best = c
 		}
@@ -92,38 +115,46 @@
 	if best.node == nil {
 		b.tighten()
 	}
-	return best.node, best.node != nil
+	return best.node
 }
 
-// appendFits appends the nodes of a bucket that have room.
-func appendFits(found []candidate, x *index, b *bucket, ask *Ask, seed uint64) []candidate {
-	if !ask.Size.Fits(b.most) {
-		return found
+// collect adds the nodes of a bucket that have room to those found.
+func (t *tight) collect(b *bucket) {
+	if !t.ask.Size.Fits(b.most) {
+		return
 	}
-	before := len(found)
+	before := len(t.found)
 	for _, n := range b.nodes {
-		room := n.room(ask)
+		room := t.room(n, t.ask)
 		if room == 0 {
 			continue
 		}
-		found = append(found, candidate{
-			node:  n,
-			score: x.share(n.Free().Sub(ask.Size)),
-			rank:  rank(n.seed, seed),
-			room:  room,
-		})
+		c := t.candidate(n)
+		c.room = room
+		t.found = append(t.found, c)
 	}
-	if len(found) == before {
+	if len(t.found) == before {
 		b.tighten()
 	}
-	return found
+}
+
+// candidate scores a node by what would be left after one task.
+func (t *tight) candidate(n *Node) candidate {
+	return candidate{
+		node:  n,
+		score: t.index.share(n.Free().Sub(t.ask.Size)),
+		rank:  rank(n.seed, t.seed),
+	}
 }
 
 // fill places tasks on the candidates in order, each up to its room.
-func fill(found []candidate, plan *Plan) {
+func fill(found []candidate, plan *Plan, put func(*Node, int)) {
+	if len(found) == 0 || len(plan.Unplaced) == 0 {
+		return
+	}
 	slices.SortFunc(found, compareCandidates)
 	for _, c := range found {
-		plan.put(c.node, min(c.room, len(plan.Unplaced)))
+		put(c.node, min(c.room, len(plan.Unplaced)))
 		if len(plan.Unplaced) == 0 {
 			return
 		}
--- a/internal/scheduler/place_together.go
+++ b/internal/scheduler/place_together.go
@@ -96,9 +96,7 @@
 
 // fill places tasks on the rack's nodes, the tightest first.
 func (g *gangRack) fill(plan *Plan) {
-	if len(plan.Unplaced) > 0 {
-		fill(g.nodes, plan)
-	}
+	fill(g.nodes, plan, plan.put)
 }
 
 // fill places tasks on the domain's racks, the roomiest first, but the last ones
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -44,14 +44,16 @@
 	p.Unplaced = p.Unplaced[count:]
 }
 
-// Block returns how an ask of which nothing was placed is told to a Round: BlockSize
-// only if every worker lacks room whatever the job.
+// Block returns how an ask of which nothing was placed is told to a Round.
 func (p Plan) Block() Block {
+	block := BlockSize
 	for _, r := range p.Why {
 		switch r.Reason {
-		case ReasonAvoided, ReasonHeld, ReasonReserve, ReasonNotWhole, ReasonInvalid:
+		case ReasonAvoided, ReasonReserve, ReasonInvalid:
 			return BlockOther
+		case ReasonNotWhole:
+			block = BlockWhole
 		}
 	}
-	return BlockSize
+	return block
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -47,15 +47,16 @@
 // Push adds a job or replaces its item; how often it was overtaken is kept. An item
 // without pending tasks removes the job.
 func (q *Queue) Push(item Item) {
-	overtaken := 0
+	e := &queued{Item: item}
 	if old := q.items[item.Job]; old != nil {
-		overtaken = old.overtaken
+		e.overtaken = old.overtaken
+		e.overtakenWork = old.overtakenWork
+		e.holding = old.holding
 		q.drop(old)
 	}
 	if item.Pending <= 0 {
 		return
 	}
-	e := &queued{Item: item, overtaken: overtaken}
 	q.items[item.Job] = e
 	q.tasks += item.Pending
 	q.enqueue(e)
@@ -118,6 +119,14 @@
 // overtaken up to its bound. It stays the holder until it has started or is removed.
 func (q *Queue) Holder() (Item, bool) { return q.Item(q.holder) }
 
+// SetHolding says whether workers are held for a job. A round then tries it also when
+// a smaller one was blocked.
+func (q *Queue) SetHolding(job string, on bool) {
+	if e := q.items[job]; e != nil {
+		e.holding = on
+	}
+}
+
 // enqueue puts an entry into the lane of those on time; it moves on to the late lane
 // when its turn would come.
 func (q *Queue) enqueue(e *queued) {
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -102,8 +102,8 @@
 			overtaken++
 		}
 		if holder, ok := r.End(); ok {
-			if holder.Job != "gang" || overtaken != backfillBound(20) {
-				t.Errorf("holder %s after %d, want gang after %d", holder.Job, overtaken, backfillBound(20))
+			if holder.Job != "gang" || overtaken != 20*backfillFactor {
+				t.Errorf("holder %s after %d, want gang after %d", holder.Job, overtaken, 20*backfillFactor)
 			}
 			break
 		}
@@ -139,6 +139,27 @@
 	}
 }
 
+func TestRoundSkipsLargerGangsButNotOneWithHeldWorkers(t *testing.T) {
+	q := NewQueue()
+	for i, tasks := range []int{8, 4, 9, 20} {
+		g := item(fmt.Sprint("g", tasks), time.Duration(i)*time.Second)
+		g.Kind = structs.KindGang
+		g.Pending = tasks
+		q.Push(g)
+	}
+	q.SetHolding("g20", true)
+	var tried []string
+	r := q.Begin(epoch)
+	for i, ok := r.Next(); ok; i, ok = r.Next() {
+		tried = append(tried, i.Job)
+		r.Blocked(BlockWhole)
+	}
+	r.End()
+	if fmt.Sprint(tried) != "[g8 g4 g20]" {
+		t.Errorf("tried %v", tried)
+	}
+}
+
 func TestQueueRemoveParkAndReplaceKeepCounts(t *testing.T) {
 	for seed := range uint64(10) {
 		rng := rand.New(rand.NewPCG(seed, 1))
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -13,24 +13,37 @@
 	// maxSkipped is the number of items that a round passes over because a
 	// smaller one was blocked.
 	maxSkipped = 1024
-	// backfillPerTask is the number of tasks that may overtake a blocked item for
-	// each task of its own before workers are held for it.
-	backfillPerTask = 4
-	// backfillLeast is the bound of overtaking for the smallest items.
-	backfillLeast = 64
+	// backfillFactor is how much work may overtake a blocked item before workers
+	// are held for it, as a multiple of its own.
+	backfillFactor = 4
+	// backfillLeast is the number of overtaking tasks that is always allowed.
+	backfillLeast = 16
+	// memoryPerCore is the memory in MiB that weighs as much as a core.
+	memoryPerCore = 4096
+	// coresPerAccelerator is the number of cores that weigh as much as an
+	// accelerator.
+	coresPerAccelerator = 8
 )
 
 // Block is why an item could not be placed.
 type Block uint8
 
 const (
-	// BlockSize means that no usable worker has room for one task.
+	// BlockSize means that no worker has room for one task, whatever the job,
+	// unless workers are held for it.
 	BlockSize Block = iota + 1
-	// BlockOther is any other cause, such as too little room for a whole gang or
-	// workers to be avoided.
+	// BlockWhole means the same of all tasks of a gang together.
+	BlockWhole
+	// BlockOther is any other cause, such as workers to be avoided.
 	BlockOther
 )
 
+// ruledOut is a number of tasks of a size for which there is no room.
+type ruledOut struct {
+	size  structs.Resources
+	tasks int
+}
+
 // Round is one walk over the queue in order. The caller takes items by Next and
 // tells what became of each by Started or Blocked, then calls End. Items that were
 // blocked stay queued; later ones may start past them within a bound (backfill).
@@ -41,8 +54,7 @@
 	blocked []*queued
 	skipped int
 	tried   int
-	// small are sizes for which no worker has room.
-	small []structs.Resources
+	ruled   []ruledOut
 }
 
 // Begin starts a round. Only one may be open at a time.
@@ -78,6 +90,7 @@
 	n = min(n, e.Pending)
 	for _, b := range r.blocked {
 		b.overtaken += n
+		b.overtakenWork += float64(n) * weight(e.Size)
 	}
 	e.Pending -= n
 	r.q.tasks -= n
@@ -89,6 +102,7 @@
 		return
 	}
 	e.overtaken = 0
+	e.overtakenWork = 0
 	r.blocked = append(r.blocked, e)
 }
 
@@ -100,8 +114,11 @@
 	}
 	r.tried++
 	r.blocked = append(r.blocked, e)
-	if why == BlockSize {
-		r.small = append(r.small, e.Size)
+	switch why {
+	case BlockSize:
+		r.ruled = append(r.ruled, ruledOut{size: e.Size, tasks: 1})
+	case BlockWhole:
+		r.ruled = append(r.ruled, ruledOut{size: e.Size, tasks: e.Pending})
 	}
 }
 
@@ -113,7 +130,7 @@
 		if e.removed {
 			continue
 		}
-		if r.q.holder == "" && e.overtaken >= backfillBound(e.Pending) {
+		if r.q.holder == "" && e.exhausted() {
 			r.q.holder = e.Job
 		}
 		if e.lane == laneNone {
@@ -124,9 +141,17 @@
 	return r.q.Holder()
 }
 
-// backfillBound returns how many tasks may overtake an item.
-func backfillBound(pending int) int {
-	return max(backfillLeast, pending*backfillPerTask)
+// exhausted reports whether the entry was overtaken up to its bound.
+func (e *queued) exhausted() bool {
+	return e.overtaken >= backfillLeast &&
+		e.overtakenWork >= backfillFactor*float64(e.Pending)*weight(e.Size)
+}
+
+// weight is the size of a task in cores, all components together.
+func weight(size structs.Resources) float64 {
+	return float64(size.CPUMilli)/1000 +
+		float64(size.MemoryMiB)/memoryPerCore +
+		float64(size.Accelerators)*coresPerAccelerator
 }
 
 // take returns the present item, nil if there is none or if it was removed, parked
@@ -147,10 +172,17 @@
 	}
 }
 
-// dominated reports whether a size no larger than the entry's was found not to fit.
+// dominated reports whether there is no room for something no larger than the entry.
 func (r *Round) dominated(e *queued) bool {
-	for _, size := range r.small {
-		if size.Fits(e.Size) {
+	if e.holding {
+		return false
+	}
+	tasks := 1
+	if e.Kind == structs.KindGang {
+		tasks = e.Pending
+	}
+	for _, out := range r.ruled {
+		if out.tasks <= tasks && out.size.Fits(e.Size) {
 			return true
 		}
 	}
