Silent connections to workers: renewals are repeated on a fresh one in time

Cause: a lease renewal on a silent connection took 2 s to give up, while a worker counts as unreachable after 1 s; requests, which had long moved to new connections, were refused meanwhile. Change: a renewal is bounded by half a heartbeat and repeated once at once, which uses another connection. Without any slot a request is refused as no_capacity. A test has the connections to workers and of callers go silent through a relay.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -145,6 +145,9 @@
 	if t.state != ticketRefused {
 		return nil
 	}
+	if t.gate.slots == 0 {
+		return structs.RetryAfter(structs.CodeNoCapacity, t.retryAfter, "no worker can take requests now")
+	}
 	return structs.RetryAfter(structs.CodeOverload, t.retryAfter, "the target could not be met behind the requests that are due before")
 }
 
--- a/internal/dispatch/request_test.go
+++ b/internal/dispatch/request_test.go
@@ -199,7 +199,8 @@
 		cell.peers = []Load{{Member: "e1", SameRegion: true, FreeSlots: 8, TotalSlots: 8}}
 		d := cell.dispatcher(t, Options{})
 		resp := d.Serve(t.Context(), &peerv1.DispatchRequest{Id: "r1", Class: "tickets", DeadlineMs: 300})
-		if structs.Outcome(resp.GetOutcome()) != structs.OutcomeNotRun || len(cell.forwarded) != 0 {
+		code := structs.Code(resp.GetError().GetCode())
+		if structs.Outcome(resp.GetOutcome()) != structs.OutcomeNotRun || code != structs.CodeNoCapacity || len(cell.forwarded) != 0 {
 			t.Fatalf("got %v, forwarded %v", resp, cell.forwarded)
 		}
 	})
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -178,7 +178,12 @@
 		return
 	}
 	start := time.Now()
-	renewed, err := a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
+	renewed, err := a.tryRenew(ctx, cmd)
+	if structs.CodeOf(err) == structs.CodeDeadline {
+		// The connection may be silent: the client has dropped it.
+		start = time.Now()
+		renewed, err = a.tryRenew(ctx, cmd)
+	}
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
 		a.stale()
 		return
@@ -189,6 +194,14 @@
 	}
 }
 
+// tryRenew bounds a renewal by half a heartbeat, so that one that meets a silent
+// connection is repeated on another before the worker counts as unreachable.
+func (a *agent) tryRenew(ctx context.Context, cmd worker.Command) (worker.Renewed, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.e.timing.Heartbeat/2)
+	defer cancel()
+	return a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
+}
+
 // stale asks the control goroutine what to do about a refused epoch.
 func (a *agent) stale() {
 	a.e.do(func() {
--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -15,7 +16,10 @@
 	"dotterelhitch/internal/checker"
 	"dotterelhitch/internal/command/entry"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/instancelist"
 	"dotterelhitch/internal/standin"
+	"dotterelhitch/internal/standin/listsvc"
+	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/timeline"
 )
 
@@ -75,7 +79,6 @@
 	t         *testing.T
 	dir       string
 	addresses map[string]string
-	standin   *exec.Cmd
 	entries   []*process
 	recorder  *event.Recorder
 	clock     *event.Clock
@@ -87,9 +90,8 @@
 	addr entry.Addresses
 }
 
-// startCell builds the programs and starts a cell with an entry in each region
-// that is named.
-func startCell(t *testing.T, regions ...string) *cell {
+// startCell builds the programs and starts the stand-ins.
+func startCell(t *testing.T) *cell {
 	t.Helper()
 	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock)}
 	build := exec.Command("go", "build", "-o", c.dir, "dotterelhitch/cmd/hitch-entry", "dotterelhitch/cmd/hitch-standin")
@@ -103,10 +105,15 @@
 	t.Cleanup(func() { _ = own.Close() })
 	c.recorder = event.NewRecorder("caller", c.clock, own)
 	c.startStandin()
+	return c
+}
+
+// startEntries starts an entry in each region that is named.
+func (c *cell) startEntries(regions ...string) {
+	c.t.Helper()
 	for i, region := range regions {
 		c.entries = append(c.entries, c.startEntry(fmt.Sprintf("%s-%d", region, i), region))
 	}
-	return c
 }
 
 func (c *cell) events(name string) string { return filepath.Join(c.dir, name+".jsonl") }
@@ -143,15 +150,66 @@
 	return cmd
 }
 
-func (c *cell) startStandin() {
+// startNamed starts a stand-in and returns its addresses by name.
+func (c *cell) startNamed(name string, args ...string) map[string]string {
+	c.t.Helper()
 	var ready struct{ Addresses []standin.Address }
-	addrFile := filepath.Join(c.dir, "standin.json")
-	c.standin = c.start(addrFile, &ready, "hitch-standin", "all",
-		"--topology", c.write("topology.toml", topology), "--addr-file", addrFile, "--events", c.events("standin"))
-	c.addresses = make(map[string]string)
+	addrFile := filepath.Join(c.dir, name+".json")
+	args = append(args, "--addr-file", addrFile, "--events", c.events(name))
+	c.start(addrFile, &ready, "hitch-standin", args...)
+	addresses := make(map[string]string)
 	for _, a := range ready.Addresses {
-		c.addresses[a.Name] = a.Addr
+		addresses[a.Name] = a.Addr
+	}
+	return addresses
+}
+
+func (c *cell) startStandin() {
+	c.addresses = c.startNamed("standin", "all", "--topology", c.write("topology.toml", topology))
+}
+
+// relay starts a relay to the targets and returns their new addresses in order.
+func (c *cell) relay(name string, targets ...string) []string {
+	c.t.Helper()
+	args := []string{"relay"}
+	for _, target := range targets {
+		args = append(args, "--route", "127.0.0.1:0="+target)
 	}
+	addresses := c.startNamed(name, args...)
+	c.addresses[name] = addresses["admin"]
+	routes := make([]string, len(targets))
+	for i := range routes {
+		routes[i] = addresses[fmt.Sprintf("route%d", i)]
+	}
+	return routes
+}
+
+// relayWorkers puts a relay before every worker, in the instance list too.
+func (c *cell) relayWorkers(name string) {
+	c.t.Helper()
+	list := instancelist.New(instancelist.Config{Base: "http://" + c.addresses[standin.ListName]})
+	var workers []structs.Worker
+	await(c.t, "the instance list has the workers", func() bool {
+		got, err := list.Read(context.Background(), 0, 0)
+		workers = got.Instances
+		return err == nil && len(workers) > 0
+	})
+	var targets []string
+	for _, w := range workers {
+		targets = append(targets, w.Addr)
+	}
+	for i, route := range c.relay(name, targets...) {
+		workers[i].Addr = route
+	}
+	body, err := json.Marshal(listsvc.Put{Instances: workers})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.admin(standin.ListName, "/admin/instances", string(body))
+	await(c.t, "the instance list has the relayed addresses", func() bool {
+		got, err := list.Read(context.Background(), 0, 0)
+		return err == nil && len(got.Instances) == len(workers) && got.Instances[0].Addr == workers[0].Addr
+	})
 }
 
 func (c *cell) startEntry(name, region string) *process {
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -151,7 +151,8 @@
 // one drains. The workers' own record decides what ran.
 func TestRequestsThroughFaults(t *testing.T) {
 	const callers, between = 16, 150
-	c := startCell(t, "casa", "casa", "casa", "fes")
+	c := startCell(t)
+	c.startEntries("casa", "casa", "casa", "fes")
 	l := c.serve()
 	stop := l.run(seed(), callers)
 	l.more(between)
@@ -181,7 +182,8 @@
 // while requests are sent: nothing is cut off.
 func TestRequestsThroughGracefulShutdowns(t *testing.T) {
 	const callers, between = 16, 300
-	c := startCell(t, "casa", "casa", "fes")
+	c := startCell(t)
+	c.startEntries("casa", "casa", "fes")
 	l := c.serve()
 	stop := l.run(seed(), callers)
 	l.more(between)
@@ -200,6 +202,37 @@
 	l.report()
 }
 
+// TestRequestsThroughSilentConnections has every open connection to the workers go
+// silent for good, twice, and once those of the callers, while new ones work.
+func TestRequestsThroughSilentConnections(t *testing.T) {
+	const callers, between = 16, 300
+	c := startCell(t)
+	c.relayWorkers("worker-relay")
+	c.startEntries("casa", "casa", "fes")
+	var targets []string
+	for _, p := range c.entries {
+		targets = append(targets, p.addr.Caller)
+	}
+	for i, route := range c.relay("caller-relay", targets...) {
+		c.entries[i].addr.Caller = route
+	}
+	l := c.serve()
+	stop := l.run(seed(), callers)
+	for _, relay := range []string{"worker-relay", "worker-relay", "caller-relay"} {
+		l.more(between)
+		c.admin(relay, "/admin/silence", "")
+	}
+	l.more(between)
+	stop()
+	for _, client := range l.clients {
+		a := client.Do(context.Background(), caller.Call{Class: className, Body: []byte("x")})
+		if a.Outcome != structs.OutcomeAnswered {
+			t.Errorf("after the silence: %s %v", a.Outcome, a.Err)
+		}
+	}
+	l.report()
+}
+
 // report has the checker read the run and logs what was checked.
 func (l *load) report() {
 	t := l.c.t
