Control cost: list by changes, renewals with a period of their own, longer waits

A list read is cut short when the table changes, since a collection needs a list as new as the table.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -14,7 +14,7 @@
 // Bounds of an agent's calls.
 const (
 	agentCallTimeout = 2 * time.Second
-	inventoryWait    = 2 * time.Second
+	inventoryWait    = 5 * time.Second
 	inventoryPause   = 20 * time.Millisecond
 	agentRetry       = 200 * time.Millisecond
 )
@@ -166,7 +166,7 @@
 
 // leaseLoop renews the leases while the worker answers and the entry may.
 func (a *agent) leaseLoop(ctx context.Context) {
-	ticker := time.NewTicker(a.e.timing.Heartbeat)
+	ticker := time.NewTicker(a.e.timing.Renew)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"dotterelhitch/internal/event"
@@ -39,9 +40,13 @@
 	transferring map[string]bool
 	recent       recentRecords
 
-	// instances is the platform's list by ID, listed is its version.
+	// instances is the platform's list by ID; listRead is when its last read began.
 	instances map[string]structs.Worker
-	listed    int64
+	listRead  time.Time
+	// rereadList cuts the wait of the list's reader short.
+	rereadList context.CancelFunc
+	// entryStates are the platform's states of entries by ID.
+	entryStates map[string]structs.WorkerState
 
 	fleet  *fleet.Fleet
 	agents map[string]*agent
@@ -87,15 +92,17 @@
 func newCore(e *Entry) *core {
 	t := e.timing
 	c := &core{
-		e:         e,
-		rights:    newRights(e, time.Now()),
-		control:   state.NewControl(),
-		table:     ownership.NewMap(ownership.Table{}),
-		instances: map[string]structs.Worker{},
+		e:           e,
+		rights:      newRights(e, time.Now()),
+		control:     state.NewControl(),
+		table:       ownership.NewMap(ownership.Table{}),
+		instances:   map[string]structs.Worker{},
+		rereadList:  func() {},
+		entryStates: map[string]structs.WorkerState{},
 		fleet: fleet.New(fleet.Timing{
 			Lease:       t.Lease,
 			ClockMargin: t.ClockMargin,
-			Silent:      2 * t.Heartbeat,
+			Silent:      2 * t.Renew,
 			ReportRetry: time.Second,
 		}),
 		agents:     map[string]*agent{},
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -166,6 +166,7 @@
 	c.round = nil
 	c.exchange()
 	c.transferKeys(now)
+	c.rereadList()
 }
 
 // lost reports whether a member of the table before is not in the one after.
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -159,7 +159,7 @@
 		SlotsUsed: n.SlotsUsed(),
 		Tasks:     n.Tasks(),
 		Known:     w.Known,
-		Reachable: w.Reachable(now, 2*c.e.timing.Heartbeat),
+		Reachable: w.Reachable(now, 2*c.e.timing.Renew),
 		Leaving:   c.isLeaving(id),
 		Probation: n.Has(scheduler.FlagProbation),
 	}
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -210,8 +210,8 @@
 		resp.Tasks = append(resp.Tasks, taskState(a))
 	}
 	resp.UnknownWorkers = c.fleet.Unaccounted()
-	if c.listed == 0 {
-		resp.Error = fromError(structs.NewError(structs.CodeBehind, "the list of instances was not read yet"))
+	if !c.listRead.After(c.tableSince) {
+		resp.Error = fromError(structs.NewError(structs.CodeBehind, "the list of instances was not read since the table changed"))
 	}
 }
 
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -14,7 +14,7 @@
 
 // Periods of reading the instance list.
 const (
-	listWait  = 1 * time.Second
+	listWait  = 5 * time.Second
 	listRetry = 500 * time.Millisecond
 )
 
@@ -22,32 +22,45 @@
 func (e *Entry) followList() {
 	var after int64
 	for e.ctx.Err() == nil {
-		list, err := e.list.Read(e.ctx, after, listWait)
-		if err != nil {
-			pause(e.ctx, listRetry)
+		ctx, cancel := context.WithCancel(e.ctx)
+		e.do(func() { e.core.rereadList = cancel })
+		start := time.Now()
+		list, err := e.list.Read(ctx, after, listWait)
+		cut := ctx.Err() != nil
+		cancel()
+		if cut {
 			continue
 		}
-		if list.Version == after {
+		if err != nil {
+			pause(e.ctx, listRetry)
 			continue
 		}
+		changed := list.Version != after
 		after = list.Version
-		e.do(func() { e.core.takeList(list) })
+		e.do(func() {
+			e.core.listRead = start
+			if changed {
+				e.core.takeList(list)
+			}
+		})
 	}
 }
 
 // takeList takes a newer version of the platform's list.
 func (c *core) takeList(list instancelist.List) {
 	now := time.Now()
-	c.listed = list.Version
 	for _, w := range list.Instances {
 		c.instances[w.ID] = w
 		c.fleet.Update(w)
 		c.applyLeaving(w.ID)
 	}
-	var gone []string
 	for _, entry := range list.Entries {
-		if entry.State == structs.WorkerGone {
-			gone = append(gone, entry.ID)
+		c.entryStates[entry.ID] = entry.State
+	}
+	var gone []string
+	for id, state := range c.entryStates {
+		if state == structs.WorkerGone {
+			gone = append(gone, id)
 		}
 	}
 	c.rights.goneList.Observe(gone, time.Duration(list.LagMs)*time.Millisecond, now)
--- a/internal/instancelist/client.go
+++ b/internal/instancelist/client.go
@@ -45,17 +45,20 @@
 	State structs.WorkerState `json:"state"`
 }
 
-// List is the whole list at one version.
+// List is the list at one version: the whole of it, or what changed after the
+// version that the reader had.
 type List struct {
 	Version int64 `json:"version"`
+	Whole   bool  `json:"whole"`
 	// LagMs bounds in milliseconds how far the list is behind the instances.
 	LagMs     int64            `json:"lag_ms"`
 	Instances []structs.Worker `json:"instances"`
 	Entries   []Entry          `json:"entries"`
 }
 
-// Read returns the list. If its version does not pass after, it waits up to wait
-// for one that does and then returns what there is.
+// Read returns the instances that changed after a version, or the whole list if
+// after is zero or not known to the service. If the version is still after, it waits
+// up to wait for another and then returns what there is.
 func (c *Client) Read(ctx context.Context, after int64, wait time.Duration) (List, error) {
 	path := fmt.Sprintf("/v1/instances?after=%d&wait_ms=%d", after, wait.Milliseconds())
 	var out List
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -16,6 +16,7 @@
 	minKeyBytes     = 16
 	minHeartbeat    = 10 * time.Millisecond
 	heartbeatsLease = 3
+	renewalsLease   = 4
 	heartbeatsAuth  = 2
 )
 
@@ -172,6 +173,8 @@
 		"must be at least 10ms", "timing.heartbeat")
 	c.relation(t.Lease > heartbeatsLease*t.Heartbeat,
 		"timing.lease must be more than 3 times timing.heartbeat", "timing.lease", "timing.heartbeat")
+	c.relation(t.Lease > renewalsLease*t.Renew,
+		"timing.lease must be more than 4 times timing.renew", "timing.lease", "timing.renew")
 	c.relation(t.Authority > heartbeatsAuth*t.Heartbeat,
 		"timing.authority must be more than 2 times timing.heartbeat", "timing.authority", "timing.heartbeat")
 	c.relation(t.ClockMargin < t.Authority,
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -52,6 +52,7 @@
 		{"limits.peer_connections", false, integer(&e.Limits.PeerConnections)},
 
 		{"timing.heartbeat", false, duration(&e.Timing.Heartbeat)},
+		{"timing.renew", false, duration(&e.Timing.Renew)},
 		{"timing.lease", false, duration(&e.Timing.Lease)},
 		{"timing.authority", false, duration(&e.Timing.Authority)},
 		{"timing.clock_margin", false, duration(&e.Timing.ClockMargin)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,8 +98,10 @@
 
 // Timing is the [timing] table.
 type Timing struct {
-	// Heartbeat is the period of lease renewal, attestation and probes.
+	// Heartbeat is the period of messages between the members of a group.
 	Heartbeat time.Duration
+	// Renew is the period of lease renewals at each worker.
+	Renew time.Duration
 	// Lease is how long a task runs after the last renewal its worker received.
 	Lease time.Duration
 	// Authority is how long an owner may grant work after its last proof.
@@ -137,6 +139,7 @@
 		},
 		Timing: Timing{
 			Heartbeat:    500 * time.Millisecond,
+			Renew:        time.Second,
 			Lease:        6 * time.Second,
 			Authority:    3 * time.Second,
 			ClockMargin:  300 * time.Millisecond,
--- a/internal/standin/listsvc/service.go
+++ b/internal/standin/listsvc/service.go
@@ -50,6 +50,8 @@
 	// version counts the changes; visible is the list as callers see it.
 	version int64
 	visible instancelist.List
+	// since holds the version at which each visible instance last changed.
+	since map[string]int64
 	// changed is closed and replaced when visible changes.
 	changed chan struct{}
 }
@@ -62,6 +64,7 @@
 		workers:  make(map[string]structs.Worker),
 		entries:  make(map[string]instancelist.Entry),
 		changed:  make(chan struct{}),
+		since:    make(map[string]int64),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,11 +161,49 @@
 	if list.Version <= s.visible.Version {
 		return
 	}
+	s.noteChanges(list)
 	s.visible = list
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// noteChanges needs the lock.
+func (s *Service) noteChanges(list instancelist.List) {
+	workers := make(map[string]structs.Worker, len(s.visible.Instances))
+	for _, w := range s.visible.Instances {
+		workers[w.ID] = w
+	}
+	for _, w := range list.Instances {
+		if workers[w.ID] != w {
+			s.since[w.ID] = list.Version
+		}
+	}
+	entries := make(map[string]instancelist.Entry, len(s.visible.Entries))
+	for _, e := range s.visible.Entries {
+		entries[e.ID] = e
+	}
+	for _, e := range list.Entries {
+		if entries[e.ID] != e {
+			s.since[e.ID] = list.Version
+		}
+	}
+}
+
+// changesAfter returns the visible list, or what changed after a version that the
+// caller has.
+func (s *Service) changesAfter(after int64) (instancelist.List, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.visible
+	list.Whole = after <= 0 || after > list.Version
+	if list.Whole {
+		return list, s.changed
+	}
+	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(w structs.Worker) bool { return s.since[w.ID] <= after })
+	list.Entries = slices.DeleteFunc(slices.Clone(list.Entries), func(e instancelist.Entry) bool { return s.since[e.ID] <= after })
+	return list, s.changed
+}
+
 // snapshot needs the lock.
 func (s *Service) snapshot() instancelist.List {
 	s.version++
@@ -211,11 +252,11 @@
 		httpx.WriteError(w, err)
 		return
 	}
-	list, changed := s.List()
-	for list.Version <= after {
+	list, changed := s.changesAfter(after)
+	for list.Version == after {
 		select {
 		case <-changed:
-			list, changed = s.List()
+			list, changed = s.changesAfter(after)
 			continue
 		case <-timer.C:
 		case <-r.Context().Done():
