A worker silent past its leases is gained anew under the present epoch

TestWorkerIsPausedPastItsLeases fails before (its agent went on under an epoch that the fleet no longer held, so the worker stayed lost) and passes after.

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -12,6 +12,7 @@
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/checker"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/settings"
 	"dotterelhitch/internal/standin"
 	"dotterelhitch/internal/standin/logsvc"
 	"dotterelhitch/internal/structs"
@@ -47,7 +48,7 @@
 	if os.Getenv("HITCH_TEST_LOGS") != "" {
 		logger = slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	}
-	cell, err := Start(Config{Topology: top, Regions: []string{"casa"}, Logger: logger})
+	cell, err := Start(Config{Topology: top, Regions: []string{"casa"}, Logger: logger, Adjust: shortTiming})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,6 +85,16 @@
 	return f
 }
 
+// shortTiming shortens leases and bounds, all by the same part, so that a test does
+// not wait for long.
+func shortTiming(s *settings.Entry) {
+	s.Timing.Heartbeat = 250 * time.Millisecond
+	s.Timing.Renew = 400 * time.Millisecond
+	s.Timing.Lease = 3 * time.Second
+	s.Timing.Authority = 1500 * time.Millisecond
+	s.Timing.ClockMargin = 200 * time.Millisecond
+}
+
 func (f *failureTest) startEntry() *Entry {
 	f.t.Helper()
 	e, err := f.cell.StartEntry("casa", "casa-a")
@@ -336,3 +347,37 @@
 		f.t.Logf("%s: %d", line, counts[line])
 	}
 }
+
+func TestWorkerIsPausedPastItsLeases(t *testing.T) {
+	f := newFailureTest(t, 2)
+	c := f.cell.NewCaller("caller")
+	ids := f.submit(c, "reconcile", 4, 16, 2*time.Second)
+	f.await("every task runs", func() bool { return f.count(event.TaskRun) >= 64 })
+	const pause = 6 * time.Second
+	paused := f.cell.Standins.Workers()[:2]
+	for _, w := range paused {
+		go w.Pause(pause)
+	}
+	f.complete(c, ids)
+	f.await("both workers are gained anew after the pause", func() bool {
+		last := map[string]int64{}
+		thawed := map[string]int64{}
+		for _, e := range f.cell.Events() {
+			switch {
+			case e.Type == event.TaskEnd && e.State == string(structs.AllocStopped):
+				thawed[e.Worker] = e.Time.Micros
+			case e.Type == event.WorkerGained:
+				last[e.Worker] = e.Time.Micros
+			}
+		}
+		for _, w := range paused {
+			id := w.ID()
+			if last[id] <= thawed[id] || thawed[id] == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	f.complete(c, f.submit(c, "reconcile", 2, 32, 100*time.Millisecond))
+	f.check()
+}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -52,8 +52,9 @@
 	done       func(fleet.Key, error)
 }
 
-func newAgent(e *Entry, w structs.Worker, cancel context.CancelFunc) *agent {
+func newAgent(e *Entry, w structs.Worker, epoch int64, cancel context.CancelFunc) *agent {
 	return &agent{
+		epoch:   epoch,
 		e:    e,
 		info: w,
 		client: worker.New(worker.Config{
@@ -70,8 +71,7 @@
 }
 
 // run works for the worker until ctx ends.
-func (a *agent) run(ctx context.Context, epoch int64) {
-	a.epoch = epoch
+func (a *agent) run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { a.commandLoop(ctx) })
 	loops.Go(func() { a.leaseLoop(ctx) })
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -116,10 +116,9 @@
 
 func (c *core) startAgent(w structs.Worker) {
 	ctx, cancel := context.WithCancel(c.e.ctx)
-	a := newAgent(c.e, w, cancel)
+	a := newAgent(c.e, w, c.fleet.Worker(w.ID).Epoch, cancel)
 	c.agents[w.ID] = a
-	epoch := c.fleet.Worker(w.ID).Epoch
-	c.e.spawn(func() { a.run(ctx, epoch) })
+	c.e.spawn(func() { a.run(ctx) })
 }
 
 func (c *core) loseWorker(id string) {
@@ -139,6 +138,7 @@
 func (c *core) lapse(now time.Time) {
 	for _, id := range c.fleet.Tick(now, c.formerLapsed) {
 		c.e.logger.Warn("worker silent past its leases", "worker", id)
+		c.fleet.Regain(id, c.table.Epoch())
 		if a := c.agents[id]; a != nil {
 			a.regain(c.table.Epoch())
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 
 // Gain takes over a worker under an epoch. Nothing is placed on it before Show.
 func (f *Fleet) Gain(w structs.Worker, epoch int64, now time.Time) {
-	f.workers[w.ID] = &Worker{Info: w, Epoch: epoch, gainedAt: now}
+	f.workers[w.ID] = &Worker{Info: w, Epoch: epoch, gainedAt: now, heard: now}
 	f.nodes.Upsert(w)
 	f.nodes.SetFlag(w.ID, scheduler.FlagKnown, false)
 }
