Requests that come late to the gate, refusals that are final, keys in the load

Cause: a keyed request whose leave came after the class's target was refused as overload although slots were free; a request that admission had refused was offered again up to three times; an entry that was ending, or had not read the log to its end, said that there is no such class; the load over processes had no keys. Change: such a request is due by its own deadline; a refusal at the gate ends the request; Classes.Class returns a typed failure; a quarter of the load bears keys and is repeated at other entries until it is answered. Measured: TestLateLeave fails before ('not_run overload').

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -17,7 +17,7 @@
 // once.
 func (d *Dispatcher) attempt(ctx context.Context, a *attempt) Result {
 	d.refreshSlots()
-	t := d.gate.offer(a.offer())
+	t := d.gate.offer(a.offer(d.gate.usual(a.req.Class)))
 	defer t.end(0)
 	for {
 		if t.may() {
@@ -33,7 +33,7 @@
 		}
 		if err := t.refusal(); err != nil {
 			d.counts.refused.Inc()
-			return notRun(err)
+			return Result{Outcome: structs.OutcomeNotRun, Err: structs.AsError(err), Unsent: true, Final: true}
 		}
 		if err := t.wait(ctx, recheckEvery); err != nil {
 			return notRun(err)
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -26,6 +26,9 @@
 	Err  *structs.Error
 	// Unsent is true if certainly no byte left the entry.
 	Unsent bool
+	// Final is true if the entry itself has refused the request, after it looked
+	// at every place.
+	Final bool
 }
 
 func (r Result) answered() bool { return r.Outcome == structs.OutcomeAnswered }
@@ -53,7 +56,7 @@
 // it is idempotent; withdraw is asked only when everything else allows a retry,
 // and not for a failure before the first byte.
 func (h *History) Retry(left time.Duration, withdraw func() bool) bool {
-	if left < minAttempt {
+	if left < minAttempt || h.Last.Final {
 		return false
 	}
 	switch h.Last.Outcome {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -140,13 +140,16 @@
 }
 
 // Class implements Classes.
-func (c *cell) Class(name string) (structs.Class, bool) {
+func (c *cell) Class(name string) (structs.Class, error) {
+	if name == "missing" {
+		return structs.Class{}, structs.NewError(structs.CodeNotFound, "no class")
+	}
 	kind := structs.KindService
 	if name == "reconcile" {
 		kind = structs.KindBatch
 	}
 	target := structs.Target{AnswerWithin: structs.Duration(300 * time.Millisecond)}
-	return structs.Class{Name: name, Kind: kind, Target: target}, name != "missing"
+	return structs.Class{Name: name, Kind: kind, Target: target}, nil
 }
 
 // ask sends a request with the test's timeout.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,21 +43,27 @@
 	sent func(place)
 }
 
-// offer is what admission needs to know.
-func (a *attempt) offer() admission.Request {
+// offer is what admission needs to know. A request that comes late to the gate,
+// for which nothing can meet the target any more, is due by its own deadline: it
+// runs if that takes nothing from others.
+func (a *attempt) offer(usual time.Duration) admission.Request {
+	due := a.target
+	if a.slack() < usual {
+		due = a.deadline
+	}
 	return admission.Request{
 		ID:       fmt.Sprintf("%s/%d", a.req.ID, a.number),
 		Class:    a.req.Class,
-		Deadline: a.target,
+		Deadline: due,
 		Within:   a.within,
 	}
 }
 
 // newJob checks the class and finds the deadline and the target.
 func (d *Dispatcher) newJob(ctx context.Context, r structs.Request) (*job, error) {
-	class, ok := d.opts.Classes.Class(r.Class)
-	if !ok {
-		return nil, structs.NewError(structs.CodeNotFound, "no class %q", r.Class)
+	class, err := d.opts.Classes.Class(r.Class)
+	if err != nil {
+		return nil, err
 	}
 	if class.Kind != structs.KindService {
 		return nil, structs.NewError(structs.CodeInvalid, "class %q is of kind %s: it takes jobs", r.Class, class.Kind)
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -111,8 +111,9 @@
 
 // Classes tells what operators have stated.
 type Classes interface {
-	// Class returns a class by its name.
-	Class(name string) (structs.Class, bool)
+	// Class returns a class by its name. It fails with CodeNotFound if there is
+	// none, and with another type if the entry can't tell.
+	Class(name string) (structs.Class, error)
 }
 
 // NotSentError marks a failure before a peer can have got a request.
--- a/internal/dispatch/request_test.go
+++ b/internal/dispatch/request_test.go
@@ -380,6 +380,19 @@
 	}
 }
 
+// TestLateLeave has the home give leave after the class's target has passed.
+func TestLateLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newCell(1, 1)
+		cell.permit = func(string, string) (Decision, error) {
+			time.Sleep(testTimeout / 2)
+			return Decision{Granted: true}, nil
+		}
+		a := ask(t, cell.dispatcher(t, Options{}), structs.Request{ID: "r1", Key: "k1"})
+		wantOutcome(t, a, structs.OutcomeAnswered, "")
+	})
+}
+
 // runLog records what ran, as the workers would.
 type runLog struct {
 	mu     sync.Mutex
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -69,10 +69,23 @@
 	return epoch
 }
 
-// Class implements dispatch.Classes.
-func (t *traffic) Class(name string) (class structs.Class, ok bool) {
-	t.e.do(func() { class, ok = t.e.core.control.Class(name) })
-	return class, ok
+// Class implements dispatch.Classes. An entry that has not read the log to its end
+// does not say that there is no such class.
+func (t *traffic) Class(name string) (class structs.Class, err error) {
+	err = errEnding()
+	t.e.do(func() { class, err = t.e.core.class(name) })
+	return class, err
+}
+
+func (c *core) class(name string) (structs.Class, error) {
+	class, ok := c.control.Class(name)
+	if ok {
+		return class, nil
+	}
+	if !c.caughtUp {
+		return class, structs.RetryAfter(structs.CodeBehind, c.e.timing.Heartbeat, "class %q: the log is still being read", name)
+	}
+	return class, structs.NewError(structs.CodeNotFound, "no class %q", name)
 }
 
 // Acquire implements dispatch.Slots.
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -110,8 +110,8 @@
 	}
 	for _, e := range c.entries {
 		c.await("class everywhere", func() bool {
-			_, ok := e.traffic.Class(class.Name)
-			return ok
+			_, err := e.traffic.Class(class.Name)
+			return err == nil
 		})
 	}
 }
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -45,19 +45,36 @@
 	return l
 }
 
-// ask sends one request and records it as a caller would.
-func (l *load) ask(random *rand.Rand) structs.Answer {
+// maxRepeats bounds the repeats of a request with a key.
+const maxRepeats = 4
+
+// work sends one request; of every four, two are idempotent, one is not, and one
+// bears a key under which it is repeated at other entries until it is answered.
+func (l *load) work(random *rand.Rand) {
 	n := l.next.Add(1)
 	call := caller.Call{
-		Class: className, Idempotent: n%2 == 0, ClientID: fmt.Sprintf("c%d", n),
-		Body: []byte(fmt.Sprintf("answer-bytes=%d;ticket %d", random.IntN(4096), n)), Deadline: 2 * time.Second,
+		Class: className, Idempotent: n%2 == 0, Deadline: 2 * time.Second,
+		Body: []byte(fmt.Sprintf("answer-bytes=%d;ticket %d", random.IntN(4096), n)),
+	}
+	if n%4 == 1 {
+		call.Key = fmt.Sprintf("key-%d", n)
+	}
+	for repeat := range maxRepeats {
+		call.ClientID = fmt.Sprintf("c%d-%d", n, repeat)
+		a := l.ask(l.clients[random.IntN(len(l.clients))], call)
+		if call.Key == "" || a.Outcome == structs.OutcomeAnswered {
+			return
+		}
 	}
-	client := l.clients[random.IntN(len(l.clients))]
+}
+
+// ask sends one request and records it as a caller would.
+func (l *load) ask(client *caller.Client, call caller.Call) structs.Answer {
 	l.c.recorder.Record(event.Event{
-		Type: event.RequestSent, Request: call.ClientID, Class: call.Class, Idempotent: call.Idempotent,
+		Type: event.RequestSent, Request: call.ClientID, Class: call.Class, Key: call.Key, Idempotent: call.Idempotent,
 	})
 	a := client.Do(context.Background(), call)
-	e := event.Event{Type: event.RequestGot, Request: call.ClientID, Outcome: a.Outcome, Detail: a.RequestID}
+	e := event.Event{Type: event.RequestGot, Request: call.ClientID, Key: call.Key, Outcome: a.Outcome, Detail: a.RequestID}
 	if a.Err != nil {
 		e.Code = a.Err.Code
 	}
@@ -66,7 +83,11 @@
 	}
 	l.c.recorder.Record(e)
 	l.ended.Add(1)
-	count, _ := l.outcomes.LoadOrStore(string(a.Outcome)+" "+string(e.Code), new(atomic.Int64))
+	kind := string(a.Outcome) + " " + string(e.Code)
+	if call.Key != "" {
+		kind = "keyed " + kind
+	}
+	count, _ := l.outcomes.LoadOrStore(kind, new(atomic.Int64))
 	count.(*atomic.Int64).Add(1)
 	return a
 }
@@ -84,7 +105,7 @@
 					return
 				default:
 				}
-				l.ask(random)
+				l.work(random)
 				time.Sleep(time.Duration(random.IntN(int(5 * time.Millisecond))))
 			}
 		})
