--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -119,10 +119,12 @@
 // heardMember counts a message by which a member shows its epoch. Messages are made
 // by the control goroutine, which gives up what is not its own in the turn in which
 // it applies an epoch; a command that is still under way then can't extend a lease
-// past what its reading of the worker's uptime allows. So the message is a release.
-func (c *core) heardMember(id string, epoch int64, now time.Time) {
-	c.rights.watch.Heard(id, now)
-	c.rights.handover.Released(id, epoch, now)
+// past what its reading of the worker's uptime allows. So the message is a release,
+// which counts from now: sent is when the message was made at the earliest, and the
+// member may have renewed leases until it was made.
+func (c *core) heardMember(id string, epoch int64, sent time.Time) {
+	c.rights.watch.Heard(id, sent)
+	c.rights.handover.Released(id, epoch, time.Now())
 }
 
 // goneMember reports whether a member certainly runs no more: by the platform's
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -65,6 +65,7 @@
 		}
 		c.bridge = nil
 		c.control = table
+		c.keys.LoseTrack()
 		c.rights.handover = authority.NewHandover(c.e.authorityConfig(), c.self(), table.Membership(), time.Now())
 		c.retable()
 		return table.Next()
@@ -133,6 +134,9 @@
 func (c *core) noteLeaving(r state.Result) {
 	instance := r.Change.Leaving.Instance
 	c.applyLeaving(instance)
+	if r.Change.Type == state.LeavingAdd && r.Change.Leaving.Gone {
+		c.rights.handover.DeclaredGone(instance, time.Now())
+	}
 	if r.Change.Type == state.LeavingAdd {
 		c.e.events.Record(event.Event{Type: event.LeavingSeen, Member: c.self(), Worker: instance, Version: r.Offset})
 	}
--- a/internal/keyhome/keyhome_test.go
+++ b/internal/keyhome/keyhome_test.go
@@ -238,3 +238,10 @@
 		t.Errorf("after authority and retention: %+v", d)
 	}
 }
+
+func TestSkippedTablesLeaveNothingCertain(t *testing.T) {
+	c := newCell("a", "b")
+	c.home.LoseTrack()
+	c.home.TableChanged(at(0), tableOf(9, c.home.self), false)
+	wantCode(t, c.permit(at(0), "r", "f"), structs.CodeUnknown)
+}
--- a/internal/keyhome/store.go
+++ b/internal/keyhome/store.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// LoseTrack is called when tables were skipped because the log no longer has them,
+// before the next table is taken over. Others may have held each partition in
+// between, so that nothing is known for certain until they or time tell.
+func (s *Store) LoseTrack() {
+	s.terms = nil
+	for p := range s.parts {
+		s.abandonCopies(p)
+		s.parts[p] = part{entries: s.parts[p].entries}
+	}
+}
+
 func newTerm(m *ownership.Map) term {
 	t := term{epoch: m.Epoch(), members: make(map[string]bool)}
 	for _, member := range m.Table().Members {
