--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -126,6 +126,7 @@
 func (c *core) tick(now time.Time) {
 	c.noteAuthority(now)
 	c.lapse(now)
+	c.syncEndpoints()
 	c.report(now)
 	c.collect(now)
 	c.stopTasks(now)
--- /dev/null
+++ b/internal/entry/slots.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"dotterelhitch/internal/dispatch"
+	"dotterelhitch/internal/endpoint"
+	"dotterelhitch/internal/scheduler/admission"
+	"dotterelhitch/internal/scheduler/health"
+	"dotterelhitch/internal/structs"
+)
+
+// slots holds the open slots of the owned workers and what is known of their
+// endpoints. It belongs to the control goroutine.
+type slots struct {
+	next   uint64
+	open   map[uint64]openSlot
+	picker *health.Picker
+	// times are the service times of each class over all endpoints.
+	times map[string]*admission.ServiceTime
+}
+
+// openSlot is a slot that a request holds.
+type openSlot struct {
+	worker string
+	class  string
+}
+
+func newSlots() *slots {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &slots{
+		open:   map[uint64]openSlot{},
+		picker: health.NewPicker(rng),
+		times:  map[string]*admission.ServiceTime{},
+	}
+}
+
+// serviceTime returns the estimate for a class.
+func (s *slots) serviceTime(class string) *admission.ServiceTime {
+	t := s.times[class]
+	if t == nil {
+		t = admission.NewServiceTime()
+		s.times[class] = t
+	}
+	return t
+}
+
+// acquireSlot takes a slot of the better of two random workers.
+func (c *core) acquireSlot(a dispatch.Ask) (dispatch.Lease, error) {
+	if !c.mayGrant(time.Now()) {
+		return dispatch.Lease{}, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
+	}
+	s := c.e.traffic.slots
+	id := c.pickEndpoint(a.Exclude)
+	if id == "" {
+		return dispatch.Lease{}, structs.NewError(structs.CodeNoCapacity, "no free slot")
+	}
+	c.fleet.Nodes().TakeSlot(id)
+	w := c.fleet.Worker(id)
+	s.next++
+	s.open[s.next] = openSlot{worker: id, class: a.Class}
+	return dispatch.Lease{
+		ID:     s.next,
+		Target: endpoint.Target{Worker: id, Addr: w.Info.Addr, Connections: w.Info.Connections},
+		Fence:  endpoint.Fence{Epoch: w.Epoch, Owner: c.self()},
+	}, nil
+}
+
+// releaseSlot gives a slot back and notes how its attempt went.
+func (c *core) releaseSlot(l dispatch.Lease, u dispatch.Usage) {
+	s := c.e.traffic.slots
+	slot, open := s.open[l.ID]
+	if !open {
+		return
+	}
+	delete(s.open, l.ID)
+	expected := s.serviceTime(slot.class)
+	s.picker.Done(time.Now(), slot.worker, u.Took, expected.Mean(), resultOf(u))
+	if u.Outcome == structs.OutcomeAnswered {
+		expected.Record(u.Took)
+	}
+	if w := c.fleet.Worker(slot.worker); w != nil && w.Epoch == l.Fence.Epoch {
+		c.fleet.Nodes().ReturnSlot(slot.worker)
+	}
+}
+
+// resultOf says what an attempt tells of its endpoint. A refusal for the owner's
+// reasons tells nothing.
+func resultOf(u dispatch.Usage) health.Result {
+	switch {
+	case u.Outcome == structs.OutcomeAnswered:
+		return health.Answered
+	case u.Outcome == structs.OutcomeNotRun && !u.Unsent:
+		return health.Refused
+	default:
+		return health.Failed
+	}
+}
+
+// pickEndpoint chooses a usable worker with a free slot and counts a request on it;
+// empty if there is none.
+func (c *core) pickEndpoint(exclude []string) string {
+	picker := c.e.traffic.slots.picker
+	now := time.Now()
+	for {
+		e := picker.Pick(now, exclude...)
+		if e == nil {
+			return ""
+		}
+		if n := c.fleet.Nodes().Node(e.ID); n != nil && n.Usable() {
+			return e.ID
+		}
+		e.Usable = false
+		picker.Done(now, e.ID, 0, 0, health.Refused)
+	}
+}
+
+// syncEndpoints brings the state of the owned workers to the picker.
+func (c *core) syncEndpoints() {
+	picker := c.e.traffic.slots.picker
+	for _, n := range c.fleet.Nodes().Nodes() {
+		picker.Upsert(n.ID(), n.Worker().Slots).Usable = n.Usable()
+	}
+}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -102,7 +102,7 @@
 		old := time.Duration(t.serviceMicros.Load()) * time.Microsecond
 		t.serviceMicros.Store(smooth(old, u.Took).Microseconds())
 	}
-	t.e.do(func() { t.e.core.releaseSlot(l) })
+	t.e.do(func() { t.e.core.releaseSlot(l, u) })
 }
 
 // Loads implements dispatch.Peers.
@@ -136,79 +136,13 @@
 	return s.e.traffic.dispatcher.Serve(ctx, r), nil
 }
 
-// slots remembers which leases are open. It belongs to the control goroutine.
-type slots struct {
-	next uint64
-	open map[uint64]string
-}
-
-func newSlots() *slots { return &slots{open: map[uint64]string{}} }
-
-// acquireSlot takes a slot of the least loaded usable worker.
-func (c *core) acquireSlot(a dispatch.Ask) (dispatch.Lease, error) {
-	if !c.mayGrant(time.Now()) {
-		return dispatch.Lease{}, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
-	}
-	id := c.chooseEndpoint(a.Exclude)
-	if id == "" || !c.fleet.Nodes().TakeSlot(id) {
-		return dispatch.Lease{}, structs.NewError(structs.CodeNoCapacity, "no free slot")
-	}
-	w := c.fleet.Worker(id)
-	s := c.e.traffic.slots
-	s.next++
-	s.open[s.next] = id
-	return dispatch.Lease{
-		ID:     s.next,
-		Target: endpoint.Target{Worker: id, Addr: w.Info.Addr, Connections: w.Info.Connections},
-		Fence:  endpoint.Fence{Epoch: w.Epoch, Owner: c.self()},
-	}, nil
-}
-
-func (c *core) releaseSlot(l dispatch.Lease) {
-	s := c.e.traffic.slots
-	id, open := s.open[l.ID]
-	if !open {
-		return
-	}
-	delete(s.open, l.ID)
-	if w := c.fleet.Worker(id); w != nil && w.Epoch == l.Fence.Epoch {
-		c.fleet.Nodes().ReturnSlot(id)
-	}
-}
-
-// chooseEndpoint returns the usable worker with the smallest share of its slots
-// taken, empty if none has a free one.
-func (c *core) chooseEndpoint(exclude []string) string {
-	best, bestShare := "", 2.0
-	for _, n := range c.fleet.Nodes().Nodes() {
-		w := n.Worker()
-		if !n.Usable() || n.SlotsUsed() >= w.Slots || contains(exclude, w.ID) {
-			continue
-		}
-		share := float64(n.SlotsUsed()) / float64(w.Slots)
-		if share < bestShare {
-			best, bestShare = w.ID, share
-		}
-	}
-	return best
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // loads returns the dispatcher's view of this entry and its peers.
 func (c *core) loads() (self dispatch.Load, peers []dispatch.Load) {
 	d := c.fleet.Nodes().Free()
 	self = dispatch.Load{
 		SameRegion: true,
 		FreeSlots:  d.FreeSlots,
-		TotalSlots: d.TotalSlots,
+		TotalSlots: c.e.traffic.slots.picker.Slots(),
 		Service:    c.e.traffic.service(),
 	}
 	now := time.Now()
