--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -15,6 +15,7 @@
 	"dotterelhitch/internal/settings"
 	"dotterelhitch/internal/standin"
 	"dotterelhitch/internal/standin/logsvc"
+	"dotterelhitch/internal/standin/workersvc"
 	"dotterelhitch/internal/structs"
 )
 
@@ -381,3 +382,19 @@
 	f.complete(c, f.submit(c, "reconcile", 2, 32, 100*time.Millisecond))
 	f.check()
 }
+
+func TestAnswersToStartsAreLost(t *testing.T) {
+	f := newFailureTest(t, 2)
+	c := f.cell.NewCaller("caller")
+	var ids []string
+	for range 6 {
+		lose := 2
+		for _, w := range f.cell.Standins.Workers() {
+			f.must(w.Change(workersvc.Change{LoseStarts: &lose}))
+		}
+		ids = append(ids, f.submit(c, "reconcile", 3, 20, 700*time.Millisecond)...)
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.complete(c, ids)
+	f.check()
+}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -43,6 +43,8 @@
 
 type startJob struct {
 	task worker.TaskStart
+	// sent is true once the worker may have got it.
+	sent bool
 	done func(fleet.Key, error)
 }
 
--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -35,7 +35,9 @@
 		if s.task.TaskRef != ref {
 			return false
 		}
-		s.done(k, structs.NewError(structs.CodeNotFound, "stopped before it was sent"))
+		if !s.sent {
+			s.done(k, structs.NewError(structs.CodeNotFound, "stopped before it was sent"))
+		}
 		return true
 	})
 	a.stops = append(a.stops, stopJob{task: ref, checkpoint: checkpoint, done: done})
@@ -112,7 +114,9 @@
 	}
 }
 
-// wantedStarts drops the starts of runs that were given up since they were queued.
+// wantedStarts drops the starts that are needed no more: of runs that an inventory
+// has shown meanwhile, and of runs that were given up. Only a start that was never
+// sent is answered as not made.
 func (a *agent) wantedStarts(starts []startJob) []startJob {
 	a.e.do(func() {
 		starts = slices.DeleteFunc(starts, func(s startJob) bool {
@@ -121,10 +125,15 @@
 			if alloc != nil && alloc.State == structs.AllocStarting {
 				return false
 			}
-			s.done(k, structs.NewError(structs.CodeNotFound, "given up before it was sent"))
+			if !s.sent {
+				s.done(k, structs.NewError(structs.CodeNotFound, "given up before it was sent"))
+			}
 			return true
 		})
 	})
+	for i := range starts {
+		starts[i].sent = true
+	}
 	return starts
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -114,10 +114,10 @@
 }
 
 // StartDone takes a worker's word on a start: confirmed, or certainly refused. A
-// refused run is forgotten.
+// refused run is forgotten, unless the worker has shown it.
 func (f *Fleet) StartDone(k Key, err error, now time.Time) {
 	a := f.allocs[k]
-	if a == nil {
+	if a == nil || (err != nil && !a.confirmed.IsZero()) {
 		return
 	}
 	if err != nil {
