Learnt sizes from the sum of tasks, stragglers of held workers, policy models

What must fit is the sum of a worker's tasks, so a grant is the mean of peaks plus a share of the sum's deviation.

Holding workers for a blocked gang alone left them idle for long while the last small tasks ended; a gang short of time now has those checkpointed.

--- /dev/null
+++ b/internal/policytest/gangs.go
@@ -0,0 +1,296 @@
+package policytest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/structs"
+)
+
+// GangSetup is an experiment with gangs that compete among each other and with a
+// steady stream of small tasks.
+type GangSetup struct {
+	Seed uint64
+	// Load is the small tasks' share of the cell.
+	Load float64
+	// Rule is "hold" for a queue that holds workers for a blocked gang, "evict" for
+	// one that also checkpoints what is left on them when the gang gets short of
+	// time, "greedy" for one in which work may pass a blocked gang without bound,
+	// and "fifo" for one in which nothing passes the first item.
+	Rule string
+}
+
+// GangResult is what came of the jobs that arrived after the warm-up.
+type GangResult struct {
+	// Gang50, Gang99 and GangMax are the seconds until all tasks of a gang have
+	// started. A gang that has not started at the end counts with its wait so far.
+	Gang50, Gang99, GangMax float64
+	// Waiting is the number of gangs that had not started.
+	Waiting float64
+	// Small99 is the 99th percentile of the small tasks' wait in seconds.
+	Small99 float64
+	// Evicted is the share of small tasks that were checkpointed.
+	Evicted float64
+	// Used is the mean share of processors in use.
+	Used float64
+	// Idle is the mean, IdleMax the largest share of the cell's processors that
+	// was kept free for a gang.
+	Idle, IdleMax float64
+}
+
+const (
+	gangWorkers  = 50
+	gangTasks    = 8
+	gangRun      = 60 * time.Second
+	gangEvery    = 90 * time.Second
+	gangWithin   = 2 * time.Minute
+	smallRun     = 30 * time.Second
+	smallWithin  = 30 * time.Second
+	smallCPU     = 1000
+	smallMemory  = 2 * gib
+	gangWarmup   = 5 * time.Minute
+	gangTime     = 40 * time.Minute
+	gangDrain    = 10 * time.Minute
+	samplePeriod = time.Second
+	gangPeriod   = 250 * time.Millisecond
+	// stragglerDivisor is the inverse of the part of its time that a gang must have
+	// left for tasks on its workers to be left alone.
+	stragglerDivisor = 4
+)
+
+// gangs is the model.
+type gangs struct {
+	GangSetup
+	*clock
+	rng   *rand.Rand
+	set   *scheduler.NodeSet
+	queue *scheduler.Queue
+	fifo  []scheduler.Item
+	jobs  int
+	dirty bool
+	// ends is when running small tasks end, left the run that an evicted one
+	// still has before it.
+	ends    map[string]time.Time
+	left    map[string]time.Duration
+	evicted int
+
+	gangWait, smallWait []float64
+	used, idle, idleMax float64
+	samples             int
+}
+
+// Gangs runs the experiment.
+func Gangs(setup GangSetup) GangResult {
+	m := &gangs{
+		GangSetup: setup,
+		clock:     newClock(),
+		rng:       newRand(setup.Seed),
+		set:       newCell(gangWorkers, 0, 0),
+		queue:     scheduler.NewQueue(),
+		ends:      make(map[string]time.Time),
+		left:      make(map[string]time.Duration),
+	}
+	rate := setup.Load * gangWorkers * float64(workerSize.CPUMilli) / smallCPU / smallRun.Seconds()
+	m.arriveGang()
+	m.arriveSmall(time.Duration(float64(time.Second) / rate))
+	m.every(samplePeriod, m.sample)
+	m.every(gangPeriod, m.round)
+	m.run(gangWarmup + gangTime + gangDrain)
+	return m.result()
+}
+
+// arriveGang queues a gang and plans the next.
+func (m *gangs) arriveGang() {
+	m.after(exponential(m.rng, gangEvery), m.arriveGang)
+	m.push(structs.KindGang, gangTasks, structs.Resources{CPUMilli: workerSize.CPUMilli, MemoryMiB: 32 * gib}, gangWithin)
+}
+
+// arriveSmall queues a small task and plans the next.
+func (m *gangs) arriveSmall(mean time.Duration) {
+	m.after(exponential(m.rng, mean), func() { m.arriveSmall(mean) })
+	m.push(structs.KindBatch, 1, structs.Resources{CPUMilli: smallCPU, MemoryMiB: smallMemory}, smallWithin)
+}
+
+// push queues a job and tries to start what waits.
+func (m *gangs) push(kind structs.Kind, tasks int, size structs.Resources, within time.Duration) {
+	m.jobs++
+	item := scheduler.Item{
+		Job: fmt.Sprintf("j%d", m.jobs), Class: string(kind), Kind: kind, Size: size, Pending: tasks,
+		Accepted: m.now, LatestStart: m.now.Add(within),
+	}
+	if m.Rule == "fifo" {
+		m.fifo = append(m.fifo, item)
+		m.startFIFO()
+		return
+	}
+	m.queue.Push(item)
+	m.dirty = true
+}
+
+// startFIFO starts the first items until one does not fit.
+func (m *gangs) startFIFO() {
+	for len(m.fifo) > 0 && m.start(m.fifo[0]).Unplaced == nil {
+		m.fifo = m.fifo[1:]
+	}
+}
+
+// round walks over the queue once if something has changed.
+func (m *gangs) round() {
+	if !m.dirty {
+		return
+	}
+	m.dirty = false
+	r := m.queue.Begin(m.now)
+	for item, ok := r.Next(); ok; item, ok = r.Next() {
+		plan := m.start(item)
+		if len(plan.Placed) == 0 {
+			r.Blocked(plan.Block())
+			continue
+		}
+		r.Started(len(plan.Placed))
+	}
+	holder, ok := r.End()
+	if ok && m.Rule != "greedy" {
+		m.hold(holder)
+	}
+}
+
+// hold keeps workers for a job unless some are held for it already, and checkpoints
+// what is left on them once the job gets short of time.
+func (m *gangs) hold(item scheduler.Item) {
+	for _, h := range m.set.Holds() {
+		if h.Job == item.Job {
+			m.stragglers(item)
+			return
+		}
+	}
+	workers := scheduler.PlanHold(m.set, m.ask(item))
+	m.set.SetHold(scheduler.Hold{Job: item.Job, Workers: workers, Until: m.now.Add(time.Hour)})
+	m.queue.SetHolding(item.Job, len(workers) > 0)
+}
+
+// stragglers stops the small tasks on held workers; they go on elsewhere later.
+func (m *gangs) stragglers(item scheduler.Item) {
+	if m.Rule != "evict" || item.Slack(m.now) > gangWithin/stragglerDivisor {
+		return
+	}
+	cost := func(a structs.Alloc) (float64, bool) { return 1, a.Class == string(structs.KindBatch) }
+	for _, a := range scheduler.Stragglers(m.set, item.Job, cost) {
+		m.checkpoint(a)
+	}
+}
+
+func (m *gangs) ask(item scheduler.Item) scheduler.Ask {
+	return newAsk(item.Job, item.Class, item.Kind, item.Pending, item.Size)
+}
+
+// start places an item; its Unplaced is nil if all tasks have started.
+func (m *gangs) start(item scheduler.Item) scheduler.Plan {
+	ask := m.ask(item)
+	plan := scheduler.Place(m.set, ask)
+	if len(plan.Unplaced) > 0 {
+		return plan
+	}
+	plan.Unplaced = nil
+	assign(m.set, plan, ask)
+	m.set.EndHold(item.Job)
+	m.count(item)
+	run, again := m.left[item.Job]
+	switch {
+	case item.Kind == structs.KindGang:
+		run = gangRun
+	case !again:
+		run = exponential(m.rng, smallRun)
+	}
+	delete(m.left, item.Job)
+	m.ends[item.Job] = m.now.Add(run)
+	m.after(run, func() { m.end(item.Job, plan) })
+	return plan
+}
+
+// checkpoint stops a small task and queues what is left of it.
+func (m *gangs) checkpoint(a structs.Alloc) {
+	job, _, err := a.Task.Split()
+	if err != nil {
+		panic(err)
+	}
+	m.evicted++
+	m.set.Release(a.Task, a.Attempt)
+	m.left[job] = m.ends[job].Sub(m.now)
+	delete(m.ends, job)
+	m.queue.Push(scheduler.Item{
+		Job: job, Class: a.Class, Kind: structs.KindBatch, Size: a.Size, Pending: 1,
+		Accepted: m.now, LatestStart: m.now.Add(smallWithin),
+	})
+	m.dirty = true
+}
+
+// end releases the tasks of a job, unless it was stopped before.
+func (m *gangs) end(job string, plan scheduler.Plan) {
+	if !m.ends[job].Equal(m.now) {
+		return
+	}
+	delete(m.ends, job)
+	for _, p := range plan.Placed {
+		m.set.Release(p.Task, p.Attempt)
+	}
+	if m.Rule == "fifo" {
+		m.startFIFO()
+		return
+	}
+	m.dirty = true
+}
+
+// count notes the wait of an item that arrived in the time that is measured.
+func (m *gangs) count(item scheduler.Item) {
+	arrived := item.Accepted.Sub(epoch)
+	if arrived < gangWarmup || arrived > gangWarmup+gangTime {
+		return
+	}
+	wait := m.now.Sub(item.Accepted).Seconds()
+	if item.Kind == structs.KindGang {
+		m.gangWait = append(m.gangWait, wait)
+	} else {
+		m.smallWait = append(m.smallWait, wait)
+	}
+}
+
+// sample notes what is used and what is kept free.
+func (m *gangs) sample() {
+	if m.elapsed() < gangWarmup || m.elapsed() > gangWarmup+gangTime {
+		return
+	}
+	total := float64(gangWorkers * workerSize.CPUMilli)
+	d := m.set.Free()
+	idle := float64(m.set.HeldIdle().CPUMilli) / total
+	m.used += 1 - float64(d.Free.CPUMilli+d.Held.CPUMilli)/total
+	m.idle += idle
+	m.idleMax = max(m.idleMax, idle)
+	m.samples++
+}
+
+// result sums up.
+func (m *gangs) result() GangResult {
+	started := len(m.gangWait)
+	for job := range m.jobs + 1 {
+		if item, ok := m.queue.Item(fmt.Sprintf("j%d", job)); ok {
+			m.count(item)
+		}
+	}
+	for _, item := range m.fifo {
+		m.count(item)
+	}
+	return GangResult{
+		Gang50:  quantile(m.gangWait, 0.5),
+		Gang99:  quantile(m.gangWait, 0.99),
+		GangMax: quantile(m.gangWait, 1),
+		Waiting: float64(len(m.gangWait) - started),
+		Small99: quantile(m.smallWait, 0.99),
+		Evicted: float64(m.evicted) / float64(max(len(m.smallWait), 1)),
+		Used:    m.used / float64(m.samples),
+		Idle:    m.idle / float64(m.samples),
+		IdleMax: m.idleMax,
+	}
+}
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -123,3 +123,23 @@
 	}
 	return e
 }
+
+// Stragglers returns what may still be stopped on the workers held for a job, the
+// cheapest first. A gang that is short of time has them checkpointed in place of
+// waiting for the last of them to end.
+func Stragglers(s *NodeSet, job string, cost EvictCost) []structs.Alloc {
+	h := s.holds[job]
+	if h == nil {
+		return nil
+	}
+	var list []priced
+	for _, id := range h.Workers {
+		list = append(list, s.nodes[id].priced(cost)...)
+	}
+	slices.SortStableFunc(list, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
+	allocs := make([]structs.Alloc, len(list))
+	for i, p := range list {
+		allocs[i] = p.alloc
+	}
+	return allocs
+}
--- a/internal/scheduler/evict_test.go
+++ b/internal/scheduler/evict_test.go
@@ -36,6 +36,9 @@
 	if p := place(t, s, urgent); len(p.Placed) != 2 {
 		t.Fatalf("placed %d of 2 after the evictions", len(p.Placed))
 	}
+	if got := Stragglers(s, "urgent", cost); len(got) == 0 || got[0].Worker != "w00001" {
+		t.Fatalf("stragglers %+v", got)
+	}
 	if PlanEvict(s, ask("big", structs.KindBatch, 1, size(7, 7, 0)), cost) != nil {
 		t.Fatal("a service was to be stopped")
 	}
--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -46,6 +46,8 @@
 	// overtakenWork is their weight.
 	overtaken     int
 	overtakenWork float64
+	// tried says that nothing could be placed when it was tried last.
+	tried bool
 	// holding says that workers are held for the job.
 	holding bool
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// Holder returns the job for which workers are to be held: the first that was
-// overtaken up to its bound. It stays the holder until it has started or is removed.
+// Holder returns the job for which workers are to be held: the first blocked one that
+// was overtaken up to its bound or has waited for a good part of its time. It stays the holder until it has started or is removed.
 func (q *Queue) Holder() (Item, bool) { return q.Item(q.holder) }
 
 // SetHolding says whether workers are held for a job. A round then tries it also when
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -16,6 +16,9 @@
 	// backfillFactor is how much work may overtake a blocked item before workers
 	// are held for it, as a multiple of its own.
 	backfillFactor = 4
+	// holdDivisor is the inverse of the part of its time to the target that a
+	// blocked item waits before workers are held for it in any case.
+	holdDivisor = 2
 	// backfillLeast is the number of overtaking tasks that is always allowed.
 	backfillLeast = 16
 	// memoryPerCore is the memory in MiB that weighs as much as a core.
@@ -103,6 +106,7 @@
 	}
 	e.overtaken = 0
 	e.overtakenWork = 0
+	e.tried = false
 	r.blocked = append(r.blocked, e)
 }
 
@@ -113,6 +117,7 @@
 		return
 	}
 	r.tried++
+	e.tried = true
 	r.blocked = append(r.blocked, e)
 	switch why {
 	case BlockSize:
@@ -123,14 +128,14 @@
 }
 
 // End puts the items that wait on back into the queue. It returns the job for which
-// workers are to be held, if one was overtaken up to its bound.
+// workers are to be held, if one was overtaken up to its bound or has waited long.
 func (r *Round) End() (Item, bool) {
 	r.settle()
 	for _, e := range r.blocked {
 		if e.removed {
 			continue
 		}
-		if r.q.holder == "" && e.exhausted() {
+		if r.q.holder == "" && e.exhausted(r.now) {
 			r.q.holder = e.Job
 		}
 		if e.lane == laneNone {
@@ -141,8 +146,15 @@
 	return r.q.Holder()
 }
 
-// exhausted reports whether the entry was overtaken up to its bound.
-func (e *queued) exhausted() bool {
+// exhausted reports whether the entry was overtaken up to its bound or has waited for
+// a good part of its time.
+func (e *queued) exhausted(now time.Time) bool {
+	if !e.tried {
+		return false
+	}
+	if now.Sub(e.Accepted) >= e.LatestStart.Sub(e.Accepted)/holdDivisor {
+		return true
+	}
 	return e.overtaken >= backfillLeast &&
 		e.overtakenWork >= backfillFactor*float64(e.Pending)*weight(e.Size)
 }
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -3,80 +3,39 @@
 // several times off; placing by learnt ones packs tighter without granting a worker
 // more than it has. It does no I/O, starts no goroutine and gets reports as
 // arguments.
+//
+// What has to fit is the sum of the tasks on a worker, and the sum of many varies less
+// than each. So a grant is the mean of the peaks plus a number of standard deviations
+// divided by the square root of the number of such tasks that fill a worker: the
+// normal form of effective bandwidth (Guerin, Ahmadi and Naghshineh, 1991). A task that
+// fills a worker alone is granted a high quantile of its own.
 package sizing
 
 import (
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"dotterelhitch/internal/structs"
 )
 
 const (
-	// processorPercentile is the percentile of task peaks granted as processor,
-	// which can be throttled.
-	processorPercentile = 95
-	// memoryPercentile is the percentile of task peaks granted as memory, which
-	// can only be taken back by a stop.
-	memoryPercentile = 99
-	// headroomPercent is granted above the percentile.
-	headroomPercent = 10
+	// processorDeviations is how many standard deviations of the sum of a worker's
+	// tasks are granted above the mean as processor, which can be throttled; one
+	// covers 84 of 100 cases of a normal sum.
+	processorDeviations = 1.0
+	// memoryDeviations is the same for memory, which only a stop takes back; 2.6
+	// cover 995 of 1,000.
+	memoryDeviations = 2.6
 	// minTasks is the number of ended or long-running tasks from which on grants
 	// are learnt.
 	minTasks = 20
-	// windowTasks is the number of tasks after which the older window is dropped.
-	windowTasks = 1000
 	// sampleEvery is how long a long-running task runs for each further sample that
 	// it gives.
 	sampleEvery = time.Hour
 	// minProcessorMilli and minMemoryMiB are the least grants.
 	minProcessorMilli = 10
 	minMemoryMiB      = 16
-	// maxAmount is the largest amount in thousandths of a core or MiB that the
-	// histograms tell apart.
-	maxAmount = 1 << 24
-	// histogramDigits is the number of significant digits kept.
-	histogramDigits = 1
 )
 
-// usage is the peaks of the tasks of a class in two windows.
-type usage struct {
-	cpu, memory window
-}
-
-// window is a histogram over the last windowTasks to twice as many samples.
-type window struct {
-	now, old *hdrhistogram.Histogram
-}
-
-func newWindow() window {
-	return window{
-		now: hdrhistogram.New(1, maxAmount, histogramDigits),
-		old: hdrhistogram.New(1, maxAmount, histogramDigits),
-	}
-}
-
-// record adds a sample.
-func (w *window) record(v int64) {
-	_ = w.now.RecordValue(min(max(v, 1), maxAmount))
-	if w.now.TotalCount() >= windowTasks {
-		w.now, w.old = w.old, w.now
-		w.now.Reset()
-	}
-}
-
-// count returns the number of samples kept.
-func (w *window) count() int64 { return w.now.TotalCount() + w.old.TotalCount() }
-
-// percentile returns the larger percentile of the two windows that hold enough.
-func (w *window) percentile(p float64) int64 {
-	if w.now.TotalCount() < minTasks && w.old.TotalCount() > 0 {
-		return w.old.ValueAtPercentile(p)
-	}
-	return max(w.now.ValueAtPercentile(p), w.old.ValueAtPercentile(p))
-}
-
 // Sizer learns the sizes of classes.
 type Sizer struct {
 	classes map[string]*usage
@@ -140,25 +99,19 @@
 
 // Grant returns what the next task of a class is granted: the learnt size once
 // enough tasks were seen, the declared size before. Accelerators are granted as
-// declared. A learnt grant never exceeds limit, the largest worker's size.
+// declared. A learnt grant never exceeds limit, the size of the largest worker.
 func (s *Sizer) Grant(class string, declared, limit structs.Resources) structs.Resources {
 	u := s.classes[class]
 	if u == nil || u.cpu.count() < minTasks {
 		return declared
 	}
 	return structs.Resources{
-		CPUMilli:     grant(&u.cpu, processorPercentile, minProcessorMilli, limit.CPUMilli),
-		MemoryMiB:    grant(&u.memory, memoryPercentile, minMemoryMiB, limit.MemoryMiB),
+		CPUMilli:     u.cpu.grant(processorDeviations, minProcessorMilli, limit.CPUMilli),
+		MemoryMiB:    u.memory.grant(memoryDeviations, minMemoryMiB, limit.MemoryMiB),
 		Accelerators: declared.Accelerators,
 	}
 }
 
-// grant returns a percentile with headroom within bounds.
-func grant(w *window, percentile float64, least, most int64) int64 {
-	v := w.percentile(percentile) * (100 + headroomPercent) / 100
-	return min(max(v, least), max(most, least))
-}
-
 // Learnt reports whether grants of a class are learnt.
 func (s *Sizer) Learnt(class string) bool {
 	u := s.classes[class]
