linear: linearizability of keyed requests from a run's time line

The calls of callers and the workers' own record of runs must have an order in which a key runs once and answers come after it (porcupine).

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -12,6 +12,7 @@
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/checker"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/linear"
 	"dotterelhitch/internal/standin"
 	"dotterelhitch/internal/standin/logsvc"
 	"dotterelhitch/internal/structs"
@@ -183,9 +184,22 @@
 		f.t.Error("nothing was checked")
 	}
 	f.t.Logf("checked %+v", r.Checked)
+	f.checkKeyed()
 	return r
 }
 
+// checkKeyed fails unless the calls and runs of each key have a linear order.
+func (f *failureTest) checkKeyed() {
+	f.t.Helper()
+	r := linear.CheckKeyed(linear.KeyedOperations(f.cell.Events()), testBound)
+	if !r.OK() {
+		f.t.Errorf("keys without a linear order: %v, undecided: %v", r.Violated, r.Undecided)
+	}
+	if r.Keys > 0 {
+		f.t.Logf("linear: %d keys, %d calls, %d runs", r.Keys, r.Calls, r.Runs)
+	}
+}
+
 func TestEntryDiesWhileJobsRun(t *testing.T) {
 	f := newFailureTest(t, 3)
 	c := f.cell.NewCaller("caller")
