--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -54,9 +54,9 @@
 
 func newAgent(e *Entry, w structs.Worker, epoch int64, cancel context.CancelFunc) *agent {
 	return &agent{
-		epoch:   epoch,
-		e:    e,
-		info: w,
+		epoch: epoch,
+		e:     e,
+		info:  w,
 		client: worker.New(worker.Config{
 			Addr:    w.Addr,
 			Keys:    e.settings.Auth.PlatformKeys,
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -19,9 +19,9 @@
 	// briefTries is how often a home without authority is asked again although it
 	// names a longer time: a member that leaves gracefully releases its keys soon
 	// after.
-	briefTries = 6
-	copyTimeout   = 800 * time.Millisecond
-	copyTries     = 3
+	briefTries  = 6
+	copyTimeout = 800 * time.Millisecond
+	copyTries   = 3
 )
 
 // keyRights implements keyhome.Rights on the control goroutine.
