Urgent work has less urgent tasks stopped where no room is free

Cause: a task of a class with a start target of one second waited for a batch task's end when every worker was full; PlanEvict existed but nothing called it.

Change: a job's owner that found no room for an order with less than 2 s of slack asks owners of workers to make room. They choose batch tasks with at least eight times the slack, hold their workers for the job, stop them with a checkpoint and place once the stops are confirmed; a stop without an answer keeps the room counted. Stopped runs are reported with their checkpoint, which the next start passes on. Evictions are bounded by task, by rate and by one open eviction a worker.

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -35,12 +35,12 @@
 const testBound = 60 * time.Second
 
 type failureTest struct {
-	t    *testing.T
+	t    testing.TB
 	ctx  context.Context
 	cell *Cell
 }
 
-func newFailureTest(t *testing.T, entries int) *failureTest {
+func newFailureTest(t testing.TB, entries int) *failureTest {
 	t.Helper()
 	top, err := standin.ParseTopology([]byte(topology))
 	if err != nil {
--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -21,6 +21,8 @@
 		RunMs:   alloc.RunMs,
 		LeaseMs: a.e.timing.Lease.Milliseconds(),
 		Payload: alloc.Payload,
+
+		Checkpoint: alloc.Checkpoint,
 	}, done: done})
 	a.mu.Unlock()
 	a.kick()
--- a/internal/entry/gang.go
+++ b/internal/entry/gang.go
@@ -52,7 +52,7 @@
 	answers := make([]placement, len(plan))
 	var asking sync.WaitGroup
 	for i, part := range plan {
-		asking.Go(func() { answers[i] = e.askPlace(part.member, order, part.tasks, reserveFor) })
+		asking.Go(func() { answers[i] = e.askPlace(part.member, order, part.tasks, placeMode{reserve: reserveFor}) })
 	}
 	asking.Wait()
 	var shares []share
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -45,6 +45,20 @@
 	return g
 }
 
+// answer awaits the starts of a placement call, if there are any, and adds their
+// outcomes to the answer.
+func (g *startGroup) answer(ctx context.Context, resp *peerv1.PlaceResponse) {
+	if g == nil {
+		return
+	}
+	started, doubt, refused := g.await(ctx)
+	resp.Placed = append(resp.Placed, started...)
+	resp.Doubt = append(resp.Doubt, doubt...)
+	if refused != nil && resp.Error == nil {
+		resp.Error = fromError(refused)
+	}
+}
+
 // await collects the outcomes. Runs without one when the time is up, and those
 // whose worker gave no answer, are in doubt: their owner reports them later.
 func (g *startGroup) await(ctx context.Context) (started, doubt []*peerv1.Placement, refused error) {
@@ -141,8 +155,8 @@
 }
 
 // await collects the runs that certainly do not run any more.
-func (g *stopGroup) await(ctx context.Context) []*peerv1.Task {
-	timeout := time.NewTimer(startWait)
+func (g *stopGroup) await(ctx context.Context, wait time.Duration) []*peerv1.Task {
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for g.open > 0 {
 		select {
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -49,23 +49,20 @@
 func (s *peerServer) Place(ctx context.Context, r *peerv1.PlaceRequest) (*peerv1.PlaceResponse, error) {
 	resp := &peerv1.PlaceResponse{}
 	var starting *startGroup
+	var evicting *eviction
 	ok := s.e.do(func() {
 		if err := s.e.core.checkPlace(r); err != nil {
 			resp.Error = fromError(err)
 			return
 		}
-		starting = s.e.core.place(r, resp)
+		starting, evicting = s.e.core.place(r, resp)
 	})
 	if !ok {
 		return nil, errEnding()
 	}
-	if starting != nil {
-		started, doubt, refused := starting.await(ctx)
-		resp.Placed = append(resp.Placed, started...)
-		resp.Doubt = append(resp.Doubt, doubt...)
-		if refused != nil && resp.Error == nil {
-			resp.Error = fromError(refused)
-		}
+	starting.answer(ctx, resp)
+	if evicting != nil {
+		s.placeEvicted(ctx, evicting, r, resp)
 	}
 	return resp, nil
 }
@@ -87,25 +84,39 @@
 }
 
 // place chooses workers; a reservation is answered at once, starts are awaited.
-func (c *core) place(r *peerv1.PlaceRequest, resp *peerv1.PlaceResponse) *startGroup {
+func (c *core) place(r *peerv1.PlaceRequest, resp *peerv1.PlaceResponse) (*startGroup, *eviction) {
 	now := time.Now()
-	request := fleet.Request{
-		Ask:     askOf(r),
-		RunMs:   r.RunMs,
-		Payload: r.Payload,
-		Slack:   time.Duration(r.SlackMs) * time.Millisecond,
-	}
+	request := requestOf(r)
 	if r.Reserve {
 		request.Reserve = time.Duration(r.ReserveMs) * time.Millisecond
 		rank := gang.Rank{LatestStart: time.UnixMilli(r.LatestStartMs), Job: r.Job}
 		reserved, why := c.fleet.Reserve(request, rank, now)
 		resp.Placed = placementsOf(reserved)
 		resp.Error = fromError(why)
-		return nil
+		return nil, nil
 	}
 	chosen, why := c.fleet.Place(request, now)
 	resp.Error = fromError(why)
-	return c.startGroup(chosen)
+	return c.startGroup(chosen), c.evict(request, why, now)
+}
+
+// requestOf turns a placement call into a request of the fleet.
+func requestOf(r *peerv1.PlaceRequest) fleet.Request {
+	request := fleet.Request{
+		Ask:          askOf(r),
+		RunMs:        r.RunMs,
+		Payload:      r.Payload,
+		Slack:        time.Duration(r.SlackMs) * time.Millisecond,
+		RunningSlack: time.Duration(r.RunningSlackMs) * time.Millisecond,
+		Evict:        r.Evict,
+		Earlier:      map[structs.TaskID]fleet.Earlier{},
+	}
+	for _, t := range r.Tasks {
+		if t.Checkpoint != "" || t.Evictions > 0 {
+			request.Earlier[structs.TaskID(t.Task)] = fleet.Earlier{Checkpoint: t.Checkpoint, Evictions: int(t.Evictions)}
+		}
+	}
+	return request
 }
 
 func placementsOf(list []*fleet.Alloc) []*peerv1.Placement {
@@ -179,7 +190,7 @@
 		return nil, errEnding()
 	}
 	if stopping != nil {
-		resp.Stopped = stopping.await(ctx)
+		resp.Stopped = stopping.await(ctx, startWait)
 	}
 	return resp, nil
 }
@@ -216,7 +227,11 @@
 }
 
 func taskState(a *fleet.Alloc) *peerv1.TaskState {
-	return &peerv1.TaskState{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker, State: string(a.State)}
+	t := &peerv1.TaskState{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker, State: string(a.State), Evicted: a.Evicted}
+	if a.State == structs.AllocStopped {
+		t.Checkpoint = a.Checkpoint
+	}
+	return t
 }
 
 // Report implements peerv1connect.PeerServiceHandler.
@@ -258,5 +273,9 @@
 // refOf splits a task's message for the orchestrator.
 func refOf(t *peerv1.TaskState) (job string, ref orchestrator.Ref, err error) {
 	job, index, err := structs.TaskID(t.Task).Split()
-	return job, orchestrator.Ref{Index: index, Attempt: int(t.Attempt), Worker: t.Worker}, err
+	ref = orchestrator.Ref{Index: index, Attempt: int(t.Attempt), Worker: t.Worker, Checkpoint: t.Checkpoint}
+	if t.Evicted {
+		ref.Evictions = 1
+	}
+	return job, ref, err
 }
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -76,10 +76,13 @@
 			break
 		}
 		asked[member.ID] = true
-		got := e.askPlace(member, order, rest, 0)
+		got := e.askPlace(member, order, rest, placeMode{})
 		total.add(got)
 		rest = without(rest, got)
 	}
+	if len(rest) > 0 && order.MayEvict() {
+		rest = e.placeByEviction(order, rest, &total)
+	}
 	if len(rest) > 0 && total.err == nil {
 		total.err = structs.NewError(structs.CodeNoCapacity, "no member has room")
 	}
@@ -107,8 +110,16 @@
 	return rest
 }
 
+// placeMode says how a member is to find room.
+type placeMode struct {
+	// reserve holds room for that long instead of starting; zero starts.
+	reserve time.Duration
+	// evict lets the member stop less urgent tasks.
+	evict bool
+}
+
 // askPlace asks one member to start tasks, or to reserve room for them.
-func (e *Entry) askPlace(m structs.Member, order orchestrator.Order, tasks []orchestrator.Ref, reserve time.Duration) placement {
+func (e *Entry) askPlace(m structs.Member, order orchestrator.Order, tasks []orchestrator.Ref, mode placeMode) placement {
 	req := &peerv1.PlaceRequest{
 		Member:       e.member.ID,
 		Job:          order.Job.ID,
@@ -118,18 +129,23 @@
 		Size:         fromResources(order.Job.Size),
 		RunMs:        order.Job.RunTime.D().Milliseconds(),
 		Payload:      order.Job.Payload,
-		Reserve:      reserve > 0,
-		ReserveMs:    reserve.Milliseconds(),
+		Reserve:      mode.reserve > 0,
+		ReserveMs:    mode.reserve.Milliseconds(),
+		Evict:        mode.evict,
 		SlackMs:      order.Slack.Milliseconds(),
 		AvoidWorkers: order.Avoid,
 		Probes:       order.Probes,
 
-		LatestStartMs: order.LatestStart.UnixMilli(),
+		LatestStartMs:  order.LatestStart.UnixMilli(),
+		RunningSlackMs: order.RunningSlack.Milliseconds(),
 	}
 	for _, r := range tasks {
 		req.Tasks = append(req.Tasks, &peerv1.Task{
 			Task:    string(structs.NewTaskID(order.Job.ID, r.Index)),
 			Attempt: int32(r.Attempt),
+
+			Checkpoint: r.Checkpoint,
+			Evictions:  int32(r.Evictions),
 		})
 	}
 	e.do(func() {
@@ -182,9 +198,14 @@
 // room, the one with more free; members of other regions only if none here has
 // room.
 func (c *core) choosePlace(order orchestrator.Order, asked map[string]bool) (structs.Member, bool) {
+	return c.chooseMember(asked, func(m structs.Member) bool { return c.hasRoom(m, order.Job.Size) })
+}
+
+// chooseMember picks one of the members that were not asked yet and are worth it.
+func (c *core) chooseMember(asked map[string]bool, worth func(structs.Member) bool) (structs.Member, bool) {
 	var near, far []structs.Member
 	for _, m := range c.control.Members() {
-		if asked[m.ID] || !c.hasRoom(m, order.Job.Size) {
+		if asked[m.ID] || !worth(m) {
 			continue
 		}
 		if m.Region == c.e.member.Region {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,7 +22,7 @@
 	WorkerFence    Type = "worker_fence"    // Worker, Epoch, Member
 	WorkerDrain    Type = "worker_drain"    // Worker: graceful shutdown begins
 	WorkerExit     Type = "worker_exit"     // Worker: shutdown has ended
-	TaskRun        Type = "task_run"        // Worker, Task, Attempt, Class, Size, Epoch
+	TaskRun        Type = "task_run"        // Worker, Task, Attempt, Class, Size, Epoch, Detail (checkpoint that it resumes)
 	TaskEnd        Type = "task_end"        // Worker, Task, Attempt, State
 	RequestRun     Type = "request_run"     // Worker, Request, Key, Class, Epoch
 	RequestEnd     Type = "request_end"     // Worker, Request, Digest, Bytes
@@ -40,6 +40,7 @@
 	JobAccepted    Type = "job_accepted"    // an entry read its own record back: Job, Class, Count
 	JobEnded       Type = "job_ended"       // the owner recorded the end: Job, State
 	TaskPlaced     Type = "task_placed"     // a worker's owner chose: Task, Attempt, Worker
+	TaskEvicted    Type = "task_evicted"    // a worker's owner stops it to make room: Task, Attempt, Worker, Job (that needs the room)
 	TaskSettled    Type = "task_settled"    // the outcome is in the log: Task, Attempt, State
 	LeavingSeen    Type = "leaving_seen"    // an entry has the declaration in force: Worker, Version
 	LeavingSaid    Type = "leaving_said"    // an operator was told that it is accepted: Worker, Version
--- a/internal/fleet/alloc.go
+++ b/internal/fleet/alloc.go
@@ -22,10 +22,22 @@
 	// RunMs and Payload are handed to the worker at the start.
 	RunMs   int64
 	Payload string
+	// Checkpoint is what an earlier run saved and, once this one has stopped, what
+	// it saved itself.
+	Checkpoint string
+	// Evictions is how often runs of the task were stopped to make room.
+	Evictions int
+	// RunningSlack is how far the class's target lets the run be put off while it
+	// runs; zero if that is not known.
+	RunningSlack time.Duration
+	// Since is when this owner placed or first saw the run.
+	Since time.Time
 	// Slack is the time left to the class's target when the run was placed.
 	Slack time.Duration
 	// Due is when the class's target passes.
 	Due time.Time
+	// Evicted is set once the run is to be stopped to make room.
+	Evicted bool
 	// confirmed is when the worker first showed or acknowledged the run; zero
 	// before.
 	confirmed time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,6 +30,9 @@
 	workers map[string]*Worker
 	allocs  map[Key]*Alloc
 	claims  gang.Claims
+	// evicting counts the runs on each worker that are being stopped to make room.
+	evicting map[string]int
+	budget   evictBudget
 }
 
 // New returns a fleet without workers.
@@ -39,6 +42,8 @@
 		nodes:   scheduler.NewNodeSet(),
 		workers: map[string]*Worker{},
 		allocs:  map[Key]*Alloc{},
+
+		evicting: map[string]int{},
 	}
 }
 
@@ -95,6 +100,7 @@
 	}
 	f.nodes.Remove(id)
 	delete(f.workers, id)
+	delete(f.evicting, id)
 }
 
 // Gone ends everything on a worker that certainly runs nothing any more. The runs
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -47,11 +47,12 @@
 			Class:   t.Class,
 			Size:    t.Size,
 			State:   t.State,
-		}, reportAt: now, epoch: f.workers[id].Epoch}
+		}, Since: now, reportAt: now, epoch: f.workers[id].Epoch}
 		f.allocs[k] = a
 		f.nodes.Add(a.Alloc)
 	}
 	a.confirm(now)
+	f.showCheckpoint(a, t, now)
 	f.setState(a, t.State, now)
 	return k
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -13,10 +13,24 @@
 	RunMs   int64
 	Payload string
 	Slack   time.Duration
+	// RunningSlack is how far the target lets the tasks be put off while they run.
+	RunningSlack time.Duration
+	// Evict lets running tasks be stopped to make room.
+	Evict bool
+	// Earlier is what earlier runs of the tasks left.
+	Earlier map[structs.TaskID]Earlier
 	// Reserve holds room for that long instead of starting; zero starts.
 	Reserve time.Duration
 }
 
+// Earlier is what earlier runs of a task left.
+type Earlier struct {
+	// Checkpoint is what the last of them saved, empty if nothing.
+	Checkpoint string
+	// Evictions is how many of them were stopped to make room.
+	Evictions int
+}
+
 // Place chooses workers and counts the runs on them at once. The returned runs are
 // to be started (or are reserved); why explains those that found no room. Runs
 // that are here already, by a repeat of the call, are not chosen again.
@@ -56,14 +70,19 @@
 }
 
 func (f *Fleet) record(a structs.Alloc, r Request, now time.Time) *Alloc {
+	earlier := r.Earlier[a.Task]
 	alloc := &Alloc{
-		Alloc:    a,
-		RunMs:    r.RunMs,
-		Payload:  r.Payload,
-		Slack:    r.Slack,
-		Due:      now.Add(r.Slack),
-		reported: a.State,
-		epoch:    f.workers[a.Worker].Epoch,
+		Alloc:        a,
+		RunMs:        r.RunMs,
+		Payload:      r.Payload,
+		Checkpoint:   earlier.Checkpoint,
+		Evictions:    earlier.Evictions,
+		RunningSlack: r.RunningSlack,
+		Since:        now,
+		Slack:        r.Slack,
+		Due:          now.Add(r.Slack),
+		reported:     a.State,
+		epoch:        f.workers[a.Worker].Epoch,
 	}
 	if r.Reserve > 0 {
 		alloc.reserveUntil = now.Add(r.Reserve)
@@ -142,8 +161,13 @@
 
 // StopDone takes a worker's word that a run certainly does not run any more.
 func (f *Fleet) StopDone(k Key, now time.Time) {
-	if a := f.allocs[k]; a != nil {
-		a.confirm(now)
-		f.setState(a, structs.AllocStopped, now)
+	a := f.allocs[k]
+	if a == nil || a.State.Terminal() {
+		return
+	}
+	a.confirm(now)
+	f.setState(a, structs.AllocStopped, now)
+	if a.Evicted {
+		a.reportAt = now.Add(checkpointWait)
 	}
 }
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -37,6 +37,10 @@
 	running bool
 	end     structs.AllocState
 	fails   int
+	// checkpoint is what the last run saved, empty if nothing.
+	checkpoint string
+	// evictions is how often runs were stopped to make room.
+	evictions int
 }
 
 // job is one owned job.
@@ -46,6 +50,8 @@
 	count [phases]int
 	// due is when the tasks have to have started to meet the class's target.
 	due time.Time
+	// target is that of the class when the job was gained.
+	target structs.Target
 	// retryAt is the earliest time of the next placement.
 	retryAt time.Time
 	backoff time.Duration
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/scheduler/health"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
@@ -45,6 +46,10 @@
 	Index   int
 	Attempt int
 	Worker  string
+	// Checkpoint is what the last run of the task saved, empty if nothing.
+	Checkpoint string
+	// Evictions is how often runs of the task were stopped to make room.
+	Evictions int
 }
 
 // Order is a placement to ask for.
@@ -53,6 +58,8 @@
 	Tasks []Ref
 	// Slack is the time left to the class's target, negative if late.
 	Slack time.Duration
+	// RunningSlack is how far the target lets the tasks be put off while they run.
+	RunningSlack time.Duration
 	// LatestStart is when the tasks have to start to meet the target.
 	LatestStart time.Time
 	// Avoid are workers on which tasks of the job failed.
@@ -68,6 +75,7 @@
 		return
 	}
 	j := newJob(sj.Job, dueTime(sj.Job, class))
+	j.target = class.Target
 	for index, end := range sj.Ends {
 		j.tasks[index].end = end
 		j.move(index, ended)
@@ -177,6 +185,7 @@
 
 func (j *job) order(now time.Time, limit int) Order {
 	order := Order{Job: j.spec, Slack: j.due.Sub(now), LatestStart: j.due}
+	order.RunningSlack = scheduler.RunningSlack(j.target, order.Slack)
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase != pending {
@@ -187,7 +196,7 @@
 		}
 		t.attempt++
 		j.move(i, placing)
-		order.Tasks = append(order.Tasks, Ref{Index: i, Attempt: t.attempt})
+		order.Tasks = append(order.Tasks, Ref{Index: i, Attempt: t.attempt, Checkpoint: t.checkpoint, Evictions: t.evictions})
 	}
 	return order
 }
@@ -355,6 +364,7 @@
 func (j *job) reportEnd(r Ref, st structs.AllocState, now time.Time) (Verdict, bool) {
 	t := &j.tasks[r.Index]
 	t.attempt = max(t.attempt, r.Attempt)
+	t.noteSaved(r, st)
 	if j.over() {
 		j.move(r.Index, pending)
 		return Forget, false
--- a/internal/standin/workersvc/commands.go
+++ b/internal/standin/workersvc/commands.go
@@ -80,6 +80,7 @@
 		Class:   start.Class,
 		Size:    &size,
 		Epoch:   cmd.Epoch,
+		Detail:  start.Checkpoint,
 	})
 	w.bump()
 	return nil
