--- /dev/null
+++ b/internal/orchestrator/orchestrator_test.go
@@ -0,0 +1,145 @@
+package orchestrator
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+var now = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+const jobID = "casa-0:1"
+
+// newJobs returns an orchestrator with one job of n tasks.
+func newJobs(kind structs.Kind, n int, fresh bool) *Orchestrator {
+	o := New()
+	o.SetWorkers(20)
+	o.Gain(&state.Job{
+		Job:  structs.Job{ID: jobID, Class: "c", Kind: kind, Count: n, AcceptedMs: now.UnixMilli()},
+		Ends: map[int]structs.AllocState{},
+	}, structs.Class{}, fresh)
+	return o
+}
+
+// place takes the one order that is due and returns it.
+func place(t *testing.T, o *Orchestrator, at time.Time) Order {
+	t.Helper()
+	orders := o.Due(at, 1000)
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want 1", len(orders))
+	}
+	return orders[0]
+}
+
+// on returns the tasks of an order with a worker.
+func on(worker string, refs []Ref) []Ref {
+	var out []Ref
+	for _, r := range refs {
+		r.Worker = worker
+		out = append(out, r)
+	}
+	return out
+}
+
+func TestLostAnswerWaitsForTheInventory(t *testing.T) {
+	o := newJobs(structs.KindBatch, 3, true)
+	order := place(t, o, now)
+	refs := on("w1", order.Tasks)
+	o.Placed(order, refs[:1], refs[1:], nil, now)
+	if orders := o.Due(now.Add(time.Minute), 10); len(orders) != 0 {
+		t.Fatalf("tasks in doubt are placed again: %+v", orders)
+	}
+	round := o.Collect()
+	if round == nil {
+		t.Fatal("no inventory is asked for")
+	}
+	found := []Found{{Job: jobID, Ref: refs[0], State: structs.AllocRunning}, {Job: jobID, Ref: refs[1], State: structs.AllocRunning}}
+	o.Collected(round, found, false)
+	if orders := o.Due(now.Add(time.Minute), 10); len(orders) != 0 {
+		t.Fatalf("an inventory with workers missing decides: %+v", orders)
+	}
+	o.Collected(o.Collect(), found, true)
+	again := place(t, o, now.Add(time.Minute))
+	if len(again.Tasks) != 1 || again.Tasks[0].Index != 2 || again.Tasks[0].Attempt != 2 {
+		t.Errorf("placed %+v, want a second attempt at task 2 alone", again.Tasks)
+	}
+}
+
+func TestGainedJobStartsNothingBeforeTheInventory(t *testing.T) {
+	o := newJobs(structs.KindBatch, 2, false)
+	if orders := o.Due(now, 10); len(orders) != 0 {
+		t.Fatalf("placed %+v before the inventory", orders)
+	}
+	ref := Ref{Index: 0, Attempt: 4, Worker: "w2"}
+	o.Collected(o.Collect(), []Found{{Job: jobID, Ref: ref, State: structs.AllocRunning}}, true)
+	order := place(t, o, now)
+	if len(order.Tasks) != 1 || order.Tasks[0].Index != 1 {
+		t.Errorf("placed %+v, want task 1 alone", order.Tasks)
+	}
+	if v, settle := o.Report(jobID, ref, structs.AllocComplete, now); v != Wait || !settle {
+		t.Errorf("end of the found run: %v, %v, want it to be settled", v, settle)
+	}
+}
+
+func TestAnEndIsForgottenOnlyOnceTheLogHasIt(t *testing.T) {
+	o := newJobs(structs.KindBatch, 1, true)
+	order := place(t, o, now)
+	ref := on("w1", order.Tasks)[0]
+	o.Placed(order, []Ref{ref}, nil, nil, now)
+	if v, settle := o.Report(jobID, ref, structs.AllocComplete, now); v != Wait || !settle {
+		t.Errorf("first report: %v, %v", v, settle)
+	}
+	if v, settle := o.Report(jobID, ref, structs.AllocComplete, now); v != Wait || settle {
+		t.Errorf("repeat: %v, %v, want wait and no second record", v, settle)
+	}
+	o.Settled(jobID, []state.TaskEnd{{Index: 0, State: structs.AllocComplete}})
+	if v, _ := o.Report(jobID, ref, structs.AllocComplete, now); v != Forget {
+		t.Errorf("after the log has it: %v, want forget", v)
+	}
+	if got := o.Finished(); len(got) != 1 {
+		t.Errorf("finished %v", got)
+	}
+}
+
+func TestAGangStartsOverWhole(t *testing.T) {
+	o := newJobs(structs.KindGang, 3, true)
+	order := place(t, o, now)
+	refs := on("w1", order.Tasks)
+	o.Placed(order, refs, nil, nil, now)
+	o.Report(jobID, refs[1], structs.AllocStopped, now)
+	if orders := o.Due(now.Add(time.Minute), 10); len(orders) != 0 {
+		t.Fatalf("part of a gang is placed while the rest runs: %+v", orders)
+	}
+	stops := o.Stops()[jobID]
+	if len(stops) != 2 {
+		t.Fatalf("stops %+v, want the two that run", stops)
+	}
+	for _, r := range stops {
+		o.Stopped(jobID, r)
+	}
+	o.Stops()
+	if again := place(t, o, now.Add(time.Minute)); len(again.Tasks) != 3 {
+		t.Errorf("placed %d tasks, want all 3", len(again.Tasks))
+	}
+}
+
+func TestCancelledRunsAreStoppedAndCounted(t *testing.T) {
+	o := newJobs(structs.KindBatch, 3, true)
+	order := place(t, o, now)
+	refs := on("w1", order.Tasks)
+	o.Placed(order, refs[:2], nil, nil, now)
+	o.End(jobID, true, "")
+	if stops := o.Stops()[jobID]; len(stops) != 2 {
+		t.Fatalf("stops %+v, want 2", stops)
+	}
+	o.Report(jobID, refs[0], structs.AllocStopped, now)
+	if v, _ := o.Report(jobID, refs[1], structs.AllocRunning, now); v != Stop {
+		t.Errorf("a run of a cancelled job: %v, want stop", v)
+	}
+	s, _ := o.Status(jobID, now)
+	if s.State != structs.JobCancelled || s.Cancelled != 2 || s.Pending != 0 || s.Running != 1 {
+		t.Errorf("status %+v: want 2 cancelled, 1 running, none pending", s)
+	}
+}
