--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -158,7 +158,7 @@
 
 // endedStatus renders a job as the log has it.
 func endedStatus(owner string, j *state.Job) structs.JobStatus {
-	s := structs.JobStatus{Job: j.Job, Owner: owner, State: jobState(j)}
+	s := structs.JobStatus{Job: j.Job, Owner: owner, State: jobState(j), StartedMs: j.StartedMs}
 	for _, end := range j.Ends {
 		switch end {
 		case structs.AllocComplete:
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -265,6 +265,8 @@
 		Type:  state.TasksEnd,
 		JobID: id,
 		Ends:  []state.TaskEnd{{Index: r.Index, State: st}},
+
+		StartedMs: c.jobs.StartedMs(id),
 	}
 	if err := s.committer.Submit(c.e.ctx, change); err != nil {
 		c.e.logger.Warn("end of a task waits for the log", "task", string(structs.NewTaskID(id, r.Index)), "error", err.Error())
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -35,8 +35,10 @@
 	attempt int
 	worker  string
 	running bool
-	end     structs.AllocState
-	fails   int
+	// ran is true once the task has run at all.
+	ran   bool
+	end   structs.AllocState
+	fails int
 }
 
 // job is one owned job.
@@ -58,8 +60,11 @@
 	parked    string
 	// hopeless says why the job should be parked; empty while it should not.
 	hopeless string
-	started  time.Time
-	reason   string
+	// ran counts the tasks that have run at all; started is when the last of them
+	// first ran.
+	ran     int
+	started time.Time
+	reason  string
 }
 
 func newJob(spec structs.Job, due time.Time) *job {
@@ -112,12 +117,33 @@
 	}
 }
 
+// waitingTasks is the number of tasks that are still to run.
+func (j *job) waitingTasks() int {
+	n := j.count[placing] + j.count[doubt]
+	if !j.over() {
+		n += j.count[pending]
+	}
+	return n
+}
+
+// noteRan counts the first run of a task.
+func (j *job) noteRan(index int, now time.Time) {
+	if j.tasks[index].ran {
+		return
+	}
+	j.tasks[index].ran = true
+	j.ran++
+	if j.ran == len(j.tasks) {
+		j.started = now
+	}
+}
+
 // status renders the job; allocations are listed up to maxAllocsShown.
 func (j *job) status(now time.Time) structs.JobStatus {
 	s := structs.JobStatus{
 		Job:     j.spec,
 		State:   j.state(),
-		Pending: j.count[pending] + j.count[placing] + j.count[doubt],
+		Pending: j.waitingTasks(),
 		Running: j.count[placed],
 		Late:    j.count[pending] > 0 && !j.over() && now.After(j.due),
 	}
@@ -147,6 +173,8 @@
 	switch {
 	case t.phase == ending || t.phase == ended:
 		countEnd(s, t.end)
+	case j.over() && t.phase == pending:
+		s.Cancelled++
 	case t.phase == placed && len(s.Allocs) < maxAllocsShown:
 		state := structs.AllocStarting
 		if t.running {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -201,7 +201,9 @@
 		return
 	}
 	for _, r := range done {
-		j.settlePlacing(r, placed)
+		if j.settlePlacing(r, placed) {
+			j.noteRan(r.Index, now)
+		}
 	}
 	for _, r := range inDoubt {
 		j.settlePlacing(r, doubt)
@@ -341,16 +343,10 @@
 	}
 	t.worker = r.Worker
 	t.running = true
-	j.noteStarted(now)
+	j.noteRan(r.Index, now)
 	return Noted
 }
 
-func (j *job) noteStarted(now time.Time) {
-	if j.started.IsZero() && j.count[pending]+j.count[placing]+j.count[doubt] == 0 {
-		j.started = now
-	}
-}
-
 // reportEnd decides between an end for good and another run.
 func (j *job) reportEnd(r Ref, st structs.AllocState, now time.Time) (Verdict, bool) {
 	t := &j.tasks[r.Index]
@@ -387,6 +383,16 @@
 	}
 }
 
+// StartedMs is when the last task of a job first ran, in Unix milliseconds; zero if
+// some task has not run yet.
+func (o *Orchestrator) StartedMs(id string) int64 {
+	j := o.jobs[id]
+	if j == nil || j.started.IsZero() {
+		return 0
+	}
+	return j.started.UnixMilli()
+}
+
 // Settled takes the ends that the log now holds.
 func (o *Orchestrator) Settled(id string, ends []state.TaskEnd) {
 	j := o.jobs[id]
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -57,11 +57,13 @@
 	Quota   *structs.Quota   `json:"quota,omitempty"`
 	Leaving *structs.Leaving `json:"leaving,omitempty"`
 
-	Job    *structs.Job       `json:"job,omitempty"`
-	JobID  string             `json:"job_id,omitempty"`
-	Ends   []TaskEnd          `json:"ends,omitempty"`
-	Filter *structs.JobFilter `json:"filter,omitempty"`
-	Reason string             `json:"reason,omitempty"`
+	Job   *structs.Job `json:"job,omitempty"`
+	JobID string       `json:"job_id,omitempty"`
+	Ends  []TaskEnd    `json:"ends,omitempty"`
+	// StartedMs is when the last task of the job first ran, in Unix milliseconds.
+	StartedMs int64              `json:"started_ms,omitempty"`
+	Filter    *structs.JobFilter `json:"filter,omitempty"`
+	Reason    string             `json:"reason,omitempty"`
 
 	Part *SnapshotPart `json:"part,omitempty"`
 }
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -16,8 +16,10 @@
 	// Accepted is the offset of its acceptance.
 	Accepted int64 `json:"accepted"`
 	// Ends maps a task's index to its settled state.
-	Ends      map[int]structs.AllocState `json:"ends,omitempty"`
-	Cancelled bool                       `json:"cancelled,omitempty"`
+	Ends map[int]structs.AllocState `json:"ends,omitempty"`
+	// StartedMs is when the last task first ran, in Unix milliseconds.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	Cancelled bool  `json:"cancelled,omitempty"`
 	// Parked says why the job was given up; empty if it was not.
 	Parked string `json:"parked,omitempty"`
 	// EndedAt is the offset of the change that ended the job, zero before.
@@ -150,6 +152,7 @@
 	if j == nil {
 		return refuse(offset, ch, structs.CodeNotFound, "job %s", ch.JobID)
 	}
+	j.StartedMs = max(j.StartedMs, ch.StartedMs)
 	for _, e := range ch.Ends {
 		if e.Index < 0 || e.Index >= j.Job.Count {
 			continue
