--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -59,6 +59,10 @@
 	// barrier is the seq of the last inventory call of each member.
 	barrier map[string]int64
 	stopped map[string]time.Time
+	// ends are ends of tasks by job that the log has still to be told.
+	ends map[string][]state.TaskEnd
+	// nextReport is when owned runs are next looked over for reports.
+	nextReport time.Time
 
 	peers map[string]*peerState
 	// beat counts heartbeats.
@@ -110,6 +114,7 @@
 		jobs:       orchestrator.New(),
 		barrier:    map[string]int64{},
 		stopped:    map[string]time.Time{},
+		ends:       map[string][]state.TaskEnd{},
 		peers:      map[string]*peerState{},
 		waiters:    map[string][]chan state.Result{},
 		jobWaiters: map[string][]chan struct{}{},
@@ -127,6 +132,7 @@
 	c.noteAuthority(now)
 	c.lapse(now)
 	c.syncEndpoints()
+	c.flushEnds()
 	c.report(now)
 	c.collect(now)
 	c.stopTasks(now)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -13,6 +13,7 @@
 // Bounds of the calls between owners of workers and owners of jobs.
 const (
 	reportTimeout  = 3 * time.Second
+	reportPeriod   = 50 * time.Millisecond
 	collectTimeout = 3 * time.Second
 	collectRetry   = 300 * time.Millisecond
 	stopTimeout    = 3 * time.Second
@@ -22,9 +23,10 @@
 
 // report tells the owners of jobs what became of the runs on owned workers.
 func (c *core) report(now time.Time) {
-	if !c.joined {
+	if !c.joined || now.Before(c.nextReport) {
 		return
 	}
+	c.nextReport = now.Add(reportPeriod)
 	byOwner := map[structs.Member][]*peerv1.TaskState{}
 	for _, a := range c.fleet.Reports(now) {
 		job, _, err := a.Task.Split()
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -254,28 +254,38 @@
 	return s, s.table.Get(id)
 }
 
-// settle appends the end of a task to the log.
+// settle notes the end of a task for the log.
 func (c *core) settle(id string, r orchestrator.Ref, st structs.AllocState) {
-	s, _ := c.jobRecord(id)
-	if s == nil {
-		return
-	}
-	change := state.Change{
-		ID:    changeID("end", structs.NewTaskID(id, r.Index)),
-		Type:  state.TasksEnd,
-		JobID: id,
-		Ends:  []state.TaskEnd{{Index: r.Index, State: st}},
+	c.ends[id] = append(c.ends[id], state.TaskEnd{Index: r.Index, State: st})
+}
 
-		StartedMs: c.jobs.StartedMs(id),
-	}
-	if err := s.committer.Submit(c.e.ctx, change); err != nil {
-		c.e.logger.Warn("end of a task waits for the log", "task", string(structs.NewTaskID(id, r.Index)), "error", err.Error())
-		c.jobs.Unsettle(id, r)
+// flushEnds appends the ends of tasks to the log, one change for each job.
+func (c *core) flushEnds() {
+	for id, ends := range c.ends {
+		delete(c.ends, id)
+		s, _ := c.jobRecord(id)
+		if s == nil {
+			continue
+		}
+		change := state.Change{
+			ID:    endsID(id, ends),
+			Type:  state.TasksEnd,
+			JobID: id,
+			Ends:  ends,
+
+			StartedMs: c.jobs.StartedMs(id),
+		}
+		if err := s.committer.Submit(c.e.ctx, change); err != nil {
+			c.e.logger.Warn("ends of tasks wait for the log", "job", id, "tasks", len(ends), "error", err.Error())
+			c.jobs.Unsettle(id, ends)
+		}
 	}
 }
 
-// changeID names a change by what it does, so that a repeat has the same ID.
-func changeID(what string, task structs.TaskID) string { return what + "/" + string(task) }
+// endsID names a change by what it does.
+func endsID(job string, ends []state.TaskEnd) string {
+	return "end/" + string(structs.NewTaskID(job, ends[0].Index))
+}
 
 // parkJobs gives up the jobs whose tasks fail everywhere.
 func (c *core) parkJobs() {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -114,7 +114,9 @@
 }
 
 // StartDone takes a worker's word on a start: confirmed, or certainly refused. A
-// refused run is forgotten, unless the worker has shown it.
+// refused run is forgotten, unless the worker has shown it. A confirmed one is told
+// by the answer to the placement, and if that is lost by an inventory, so that it is
+// not reported besides.
 func (f *Fleet) StartDone(k Key, err error, now time.Time) {
 	a := f.allocs[k]
 	if a == nil || (err != nil && !a.confirmed.IsZero()) {
@@ -127,6 +129,7 @@
 	}
 	a.confirm(now)
 	f.setState(a, structs.AllocRunning, now)
+	a.reported = a.State
 }
 
 // HoldsAll reports whether all runs still have their reserved room.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -408,13 +408,17 @@
 	}
 }
 
-// Unsettle takes back the end of a task that could not be handed to the log; the
-// next report of it brings it again.
-func (o *Orchestrator) Unsettle(id string, r Ref) {
+// Unsettle takes back ends that could not be handed to the log; the next reports
+// bring them again.
+func (o *Orchestrator) Unsettle(id string, ends []state.TaskEnd) {
 	j := o.jobs[id]
-	if j != nil && r.Index < len(j.tasks) && j.tasks[r.Index].phase == ending {
-		j.tasks[r.Index].worker = r.Worker
-		j.move(r.Index, placed)
+	if j == nil {
+		return
+	}
+	for _, e := range ends {
+		if j.tasks[e.Index].phase == ending {
+			j.move(e.Index, placed)
+		}
 	}
 }
 
