--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -139,17 +139,18 @@
 	return out, nil
 }
 
-// check refuses a batch whose offsets are not in order or lie outside of it.
+// check refuses a batch whose offsets do not rise by one from where the read
+// began.
 func (b Batch) check(from int64) error {
 	if b.First < 1 || b.Next < b.First {
 		return structs.NewError(structs.CodeInternal, "log answer: first %d, next %d", b.First, b.Next)
 	}
-	last := from - 1
+	want := max(from, b.First)
 	for _, r := range b.Records {
-		if r.Offset <= last || r.Offset < b.First || r.Offset >= b.Next {
-			return structs.NewError(structs.CodeInternal, "log answer: offset %d out of order", r.Offset)
+		if r.Offset != want || r.Offset >= b.Next {
+			return structs.NewError(structs.CodeInternal, "log answer: offset %d in place of %d", r.Offset, want)
 		}
-		last = r.Offset
+		want++
 	}
 	return nil
 }
--- a/internal/standin/logsvc/http.go
+++ b/internal/standin/logsvc/http.go
@@ -1,6 +1,7 @@
 package logsvc
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -50,6 +51,8 @@
 		httpx.WriteError(w, structs.NewError(structs.CodeUnavailable, "the log service is out"))
 		return false
 	case OutageHang:
+		// The server notices that a caller leaves once it has read the body.
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, platformlog.MaxRecordBytes))
 		for outage == OutageHang {
 			select {
 			case <-changed:
@@ -90,6 +93,10 @@
 	}
 	offset := s.Append(name, data)
 	time.Sleep(faults.halfDelay())
+	if outage, _ := s.outage(); outage != OutageNone {
+		// The append has taken effect: a refusal would be a lie.
+		panic(http.ErrAbortHandler)
+	}
 	httpx.WriteJSON(w, http.StatusOK, platformlog.Appended{Offset: offset})
 }
 
--- a/internal/standin/relay/pipe.go
+++ b/internal/standin/relay/pipe.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,9 +16,11 @@
 	dialTimeout = 2 * time.Second
 )
 
-// chunk is a piece of data on its way; nil data is the end of the stream.
+// chunk is a piece of data on its way. Without data it is the end of the stream,
+// or a reset.
 type chunk struct {
 	data    []byte
+	reset   bool
 	arrives time.Time
 }
 
@@ -83,13 +86,13 @@
 		buf := make([]byte, chunkBytes)
 		n, err := from.Read(buf)
 		if n > 0 && !p.silent.Load() {
-			queue <- chunk{buf[:n], l.schedule(n, time.Now())}
+			queue <- chunk{data: buf[:n], arrives: l.schedule(n, time.Now())}
 		}
 		if err == nil {
 			continue
 		}
 		if !p.silent.Load() {
-			queue <- chunk{nil, l.schedule(0, time.Now())}
+			queue <- chunk{reset: err != io.EOF, arrives: l.schedule(0, time.Now())}
 		}
 		return
 	}
@@ -102,16 +105,22 @@
 		if p.silent.Load() {
 			continue
 		}
-		if c.data == nil {
-			closeWrite(to)
-			continue
-		}
-		if _, err := to.Write(c.data); err != nil {
+		if err := c.deliver(to); err != nil || c.reset {
 			p.abort()
 		}
 	}
 }
 
+// deliver passes the chunk on to one end.
+func (c chunk) deliver(to net.Conn) error {
+	if c.data == nil {
+		closeWrite(to)
+		return nil
+	}
+	_, err := to.Write(c.data)
+	return err
+}
+
 func (p *pair) await(at time.Time) {
 	wait := time.Until(at)
 	if wait <= 0 {
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// echoServer answers every connection with what it sends.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newEcho(t *testing.T, s Shape) (*Relay, string) {
+	t.Helper()
+	r := New(s, nil)
+	t.Cleanup(r.Close)
+	addr, err := r.AddRoute("127.0.0.1:0", echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, addr
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// echo sends data and reads as much back within d.
+func echo(conn net.Conn, data []byte, d time.Duration) ([]byte, error) {
+	_ = conn.SetDeadline(time.Now().Add(d))
+	go func() { _, _ = conn.Write(data) }()
+	got := make([]byte, len(data))
+	_, err := io.ReadFull(conn, got)
+	return got, err
+}
+
+func TestRelayCarriesAndCounts(t *testing.T) {
+	r, addr := newEcho(t, Shape{})
+	conn := dial(t, addr)
+	data := bytes.Repeat([]byte("0123456789abcdef"), 64<<10)
+	got, err := echo(conn, data, 20*time.Second)
+	if err != nil || !bytes.Equal(got, data) {
+		t.Fatalf("echo: %d bytes, %v", len(got), err)
+	}
+	if s := r.Status(); s.UpBytes != int64(len(data)) || s.DownBytes != int64(len(data)) || s.Connections != 1 {
+		t.Errorf("status %+v", s)
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("after the end: %v, want EOF", err)
+	}
+}
+
+func TestSilenceHoldsOldConnectionsAndLetsNewOnesWork(t *testing.T) {
+	r, addr := newEcho(t, Shape{})
+	old := dial(t, addr)
+	if _, err := echo(old, []byte("a"), 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.Silence()
+	if _, err := echo(old, []byte("b"), 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("old connection: %v, want a timeout", err)
+	}
+	if _, err := echo(dial(t, addr), []byte("c"), 5*time.Second); err != nil {
+		t.Errorf("new connection: %v", err)
+	}
+	r.Heal()
+	if _, err := echo(old, []byte("d"), 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("old connection after heal: %v, want a timeout", err)
+	}
+}
+
+func TestBlackholeAndCutUntilHealed(t *testing.T) {
+	r, addr := newEcho(t, Shape{})
+	r.Blackhole()
+	if _, err := echo(dial(t, addr), []byte("a"), 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("black hole: %v, want a timeout", err)
+	}
+	r.Heal()
+	conn := dial(t, addr)
+	if _, err := echo(conn, []byte("b"), 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.Cut()
+	if _, err := echo(conn, []byte("c"), 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("cut connection: %v, want a reset", err)
+	}
+	if _, err := echo(dial(t, addr), []byte("d"), 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("new connection while cut: %v, want a reset", err)
+	}
+	r.Heal()
+	if _, err := echo(dial(t, addr), []byte("e"), 5*time.Second); err != nil {
+		t.Errorf("after heal: %v", err)
+	}
+}
+
+func TestDelayAddsUpBothWays(t *testing.T) {
+	_, addr := newEcho(t, Shape{DelayMs: 40})
+	conn := dial(t, addr)
+	began := time.Now()
+	if _, err := echo(conn, []byte("a"), 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 80*time.Millisecond {
+		t.Errorf("round trip in %v, want 80 ms or more", took)
+	}
+}
+
+func TestLaneSharesItsBandwidth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &lane{}
+		l.setShape(Shape{DelayMs: 8, BitsPerSecond: 8e6})
+		began := time.Now()
+		for i := 1; i <= 10; i++ {
+			want := time.Duration(i)*10*time.Millisecond + 8*time.Millisecond
+			if got := l.schedule(10000, began).Sub(began); got != want {
+				t.Errorf("chunk %d arrives after %v, want %v", i, got, want)
+			}
+		}
+		time.Sleep(time.Second)
+		if got := time.Until(l.schedule(10000, time.Now())); got != 18*time.Millisecond {
+			t.Errorf("after a rest a chunk takes %v, want 18ms", got)
+		}
+	})
+}
--- a/internal/standin/running.go
+++ b/internal/standin/running.go
@@ -4,11 +4,15 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"dotterelhitch/internal/standin/workersvc"
 	"dotterelhitch/internal/structs"
 )
 
+// closeWithin bounds how long a drained worker's connections take to close.
+const closeWithin = time.Second
+
 // Running is a worker of a cell and its server.
 type Running struct {
 	*workersvc.Worker
@@ -83,6 +87,7 @@
 	case <-r.done:
 		return
 	}
+	r.server.shutdown(closeWithin)
 	r.cell.setState(r.ID(), structs.WorkerGone)
 	r.Kill()
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -27,5 +29,14 @@
 	return s, nil
 }
 
+// shutdown waits up to within for calls in progress, then closes.
+func (s *server) shutdown(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.close()
+	}
+}
+
 // close breaks all connections.
 func (s *server) close() { _ = s.http.Close() }
--- a/internal/standin/workersvc/commands.go
+++ b/internal/standin/workersvc/commands.go
@@ -84,6 +84,9 @@
 func (w *Worker) add(t *task) {
 	w.tasks[t.start.TaskRef] = t
 	w.order = append(w.order, t.start.TaskRef)
+	if t.running() {
+		w.running = append(w.running, t)
+	}
 }
 
 // RenewLeases renews the lease of every running task.
@@ -97,7 +100,7 @@
 		return worker.Renewed{}, structs.NewError(structs.CodeInvalid, "lease_ms %d: want 1 or more", in.LeaseMs)
 	}
 	renewed := 0
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		if !t.running() {
 			continue
 		}
--- a/internal/standin/workersvc/faults.go
+++ b/internal/standin/workersvc/faults.go
@@ -93,7 +93,7 @@
 	}
 	now := w.lock()
 	defer w.mu.Unlock()
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		t.count(now, w.faults.slow())
 	}
 	set(&w.faults.FailAll, c.FailAll)
@@ -118,9 +118,15 @@
 // task ends meanwhile. Requests that run at that moment go on.
 func (w *Worker) Pause(d time.Duration) {
 	d = min(d, maxPause)
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	resumed := make(chan struct{})
+	w.lock()
+	w.paused = resumed
 	w.record(event.Event{Type: event.Fault, Detail: "worker: pause " + d.String()})
+	w.mu.Unlock()
 	time.Sleep(d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused = nil
 	w.expire(time.Now())
+	close(resumed)
 }
--- a/internal/standin/workersvc/http.go
+++ b/internal/standin/workersvc/http.go
@@ -15,6 +15,9 @@
 const (
 	maxWait       = time.Minute
 	maxAdminBytes = 64 << 10
+	// gatherChanges is how long a waiting inventory call gathers changes, so that
+	// a burst of them costs one answer.
+	gatherChanges = 10 * time.Millisecond
 	// maxDrain bounds a drain that the admin interface began.
 	maxDrain = 5 * time.Minute
 )
@@ -103,6 +106,7 @@
 	for inv.Seq <= after {
 		select {
 		case <-changed:
+			time.Sleep(gatherChanges)
 			inv, changed = w.Inventory()
 			continue
 		case <-timer.C:
--- a/internal/standin/workersvc/worker.go
+++ b/internal/standin/workersvc/worker.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,11 +53,15 @@
 	mu    sync.Mutex
 	tasks map[worker.TaskRef]*task
 	order []worker.TaskRef
-	fence int64
-	owner string
-	seq   int64
+	// running holds the running tasks, and ended ones until the next sweep.
+	running []*task
+	fence   int64
+	owner   string
+	seq     int64
 	// changed is closed and replaced when seq rises.
-	changed  chan struct{}
+	changed chan struct{}
+	// paused closes when a pause ends; it is nil if there is none.
+	paused   chan struct{}
 	draining bool
 	slots    int
 	faults   Faults
@@ -106,6 +111,12 @@
 // a worker that was paused does so before anything else.
 func (w *Worker) lock() time.Time {
 	w.mu.Lock()
+	for w.paused != nil {
+		resumed := w.paused
+		w.mu.Unlock()
+		<-resumed
+		w.mu.Lock()
+	}
 	now := time.Now()
 	w.expire(now)
 	return now
@@ -136,6 +147,7 @@
 		now := w.lock()
 		w.finish(now)
 		w.report(now)
+		w.sweep()
 		next := w.nextDue(now)
 		w.mu.Unlock()
 		timer.Reset(next)
@@ -144,8 +156,7 @@
 
 // expire stops the tasks whose lease has lapsed; it needs the lock.
 func (w *Worker) expire(now time.Time) {
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if t.running() && !now.Before(t.leaseEnd) {
 			w.end(t, structs.AllocStopped, lapseDetail(t.leaseEnd, now))
 		}
@@ -154,8 +165,7 @@
 
 // finish ends the tasks whose work is done; it needs the lock.
 func (w *Worker) finish(now time.Time) {
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if !t.running() {
 			continue
 		}
@@ -174,8 +184,7 @@
 // report shows the usage of the tasks for which it is due; it needs the lock.
 func (w *Worker) report(now time.Time) {
 	shown := false
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if !t.running() || t.reportAt.IsZero() || now.Before(t.reportAt) {
 			continue
 		}
@@ -188,17 +197,18 @@
 	}
 }
 
+// sweep drops the ended tasks from the running ones; it needs the lock.
+func (w *Worker) sweep() {
+	w.running = slices.DeleteFunc(w.running, func(t *task) bool { return !t.running() })
+}
+
 // maxIdle is how long the loop sleeps at most.
 const maxIdle = time.Second
 
 // nextDue returns how long the loop may sleep; it needs the lock.
 func (w *Worker) nextDue(now time.Time) time.Duration {
 	next := now.Add(maxIdle)
-	for _, ref := range w.order {
-		t := w.tasks[ref]
-		if !t.running() {
-			continue
-		}
+	for _, t := range w.running {
 		next = earlier(next, t.leaseEnd)
 		if done, ok := t.doneAt(w.faults.slow()); ok {
 			next = earlier(next, done)
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -9,7 +9,6 @@
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
 	"dotterelhitch/internal/platformhttp"
-	"dotterelhitch/internal/structs"
 )
 
 // Bounds on the time of a call.
@@ -52,8 +51,10 @@
 // Fence raises the worker's fence to cmd.Epoch and returns the inventory.
 func (c *Client) Fence(ctx context.Context, cmd Command) (Inventory, error) {
 	var out Inventory
-	err := c.post(ctx, "/v1/fence", cmd, &out)
-	return out, err
+	if err := c.post(ctx, "/v1/fence", cmd, &out); err != nil {
+		return Inventory{}, err
+	}
+	return out, out.check()
 }
 
 // StartTasks starts tasks. A repeat of the same task and attempt does nothing.
@@ -101,8 +102,10 @@
 func (c *Client) Inventory(ctx context.Context, after int64, wait time.Duration) (Inventory, error) {
 	path := fmt.Sprintf("/v1/inventory?after=%d&wait_ms=%d", after, wait.Milliseconds())
 	var out Inventory
-	err := c.http.Call(ctx, wait+pollSlack, http.MethodGet, path, nil, &out)
-	return out, err
+	if err := c.http.Call(ctx, wait+pollSlack, http.MethodGet, path, nil, &out); err != nil {
+		return Inventory{}, err
+	}
+	return out, out.check()
 }
 
 // Probe asks whether the worker answers.
@@ -115,17 +118,3 @@
 func (c *Client) post(ctx context.Context, path string, in, out any) error {
 	return c.http.Call(ctx, c.timeout, http.MethodPost, path, in, out)
 }
-
-// check refuses results that are not those of the n tasks asked for.
-func (r Results) check(n int, ref func(int) TaskRef) ([]TaskResult, error) {
-	if len(r.Results) != n {
-		return nil, structs.NewError(structs.CodeInternal, "worker answer: %d results for %d tasks", len(r.Results), n)
-	}
-	for i, got := range r.Results {
-		if got.TaskRef != ref(i) {
-			return nil, structs.NewError(structs.CodeInternal, "worker answer: result of %s/%d for %s/%d",
-				got.Task, got.Attempt, ref(i).Task, ref(i).Attempt)
-		}
-	}
-	return r.Results, nil
-}
