--- /dev/null
+++ b/internal/scheduler/round.go
@@ -0,0 +1,202 @@
+package scheduler
+
+import (
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+const (
+	// maxBlocked is the number of items that may fail to be placed in a round
+	// before it ends: the depth of backfill.
+	maxBlocked = 64
+	// maxSkipped is the number of items that a round passes over because a
+	// smaller one was blocked.
+	maxSkipped = 1024
+	// backfillFactor is how much work may overtake a blocked item before workers
+	// are held for it, as a multiple of its own.
+	backfillFactor = 4
+	// holdDivisor is the inverse of the part of its time to the target that a
+	// blocked item waits before workers are held for it in any case.
+	holdDivisor = 2
+	// backfillLeast is the number of overtaking tasks that is always allowed.
+	backfillLeast = 16
+	// memoryPerCore is the memory in MiB that weighs as much as a core.
+	memoryPerCore = 4096
+	// coresPerAccelerator is the number of cores that weigh as much as an
+	// accelerator.
+	coresPerAccelerator = 8
+)
+
+// Block is why an item could not be placed.
+type Block uint8
+
+const (
+	// BlockSize means that no worker has room for one task, whatever the job,
+	// unless workers are held for it.
+	BlockSize Block = iota + 1
+	// BlockWhole means the same of all tasks of a gang together.
+	BlockWhole
+	// BlockOther is any other cause, such as workers to be avoided.
+	BlockOther
+)
+
+// ruledOut is a number of tasks of a size for which there is no room.
+type ruledOut struct {
+	size  structs.Resources
+	tasks int
+}
+
+// Round is one walk over the queue in order. The caller takes items by Next and
+// tells what became of each by Started or Blocked, then calls End. Items that were
+// blocked stay queued; later ones may start past them within a bound (backfill).
+type Round struct {
+	q       *Queue
+	now     time.Time
+	current *queued
+	blocked []*queued
+	skipped int
+	tried   int
+	ruled   []ruledOut
+}
+
+// Begin starts a round. Only one may be open at a time.
+func (q *Queue) Begin(now time.Time) *Round {
+	return &Round{q: q, now: now}
+}
+
+// Next returns the item to try next, false when the round is over.
+func (r *Round) Next() (Item, bool) {
+	r.settle()
+	for r.tried < maxBlocked && r.skipped < maxSkipped {
+		e := r.q.next(r.now)
+		if e == nil {
+			return Item{}, false
+		}
+		if !r.dominated(e) {
+			r.current = e
+			return e.Item, true
+		}
+		r.skipped++
+		r.blocked = append(r.blocked, e)
+	}
+	return Item{}, false
+}
+
+// Started tells that n tasks of the present item were placed. What is left of the
+// item stays queued and waits for the next round.
+func (r *Round) Started(n int) {
+	e := r.take()
+	if e == nil {
+		return
+	}
+	n = min(n, e.Pending)
+	for _, b := range r.blocked {
+		b.overtaken += n
+		b.overtakenWork += float64(n) * weight(e.Size)
+	}
+	e.Pending -= n
+	r.q.tasks -= n
+	if n > 0 && r.q.holder == e.Job {
+		r.q.holder = ""
+	}
+	if e.Pending == 0 {
+		delete(r.q.items, e.Job)
+		return
+	}
+	e.overtaken = 0
+	e.overtakenWork = 0
+	e.tried = false
+	r.blocked = append(r.blocked, e)
+}
+
+// Blocked tells that no task of the present item could be placed.
+func (r *Round) Blocked(why Block) {
+	e := r.take()
+	if e == nil {
+		return
+	}
+	r.tried++
+	e.tried = true
+	r.blocked = append(r.blocked, e)
+	switch why {
+	case BlockSize:
+		r.ruled = append(r.ruled, ruledOut{size: e.Size, tasks: 1})
+	case BlockWhole:
+		r.ruled = append(r.ruled, ruledOut{size: e.Size, tasks: e.Pending})
+	}
+}
+
+// End puts the items that wait on back into the queue. It returns the job for which
+// workers are to be held, if one was overtaken up to its bound or has waited long.
+func (r *Round) End() (Item, bool) {
+	r.settle()
+	for _, e := range r.blocked {
+		if e.removed {
+			continue
+		}
+		if r.q.holder == "" && e.exhausted(r.now) {
+			r.q.holder = e.Job
+		}
+		if e.lane == laneNone {
+			r.q.enqueue(e)
+		}
+	}
+	r.blocked = nil
+	return r.q.Holder()
+}
+
+// exhausted reports whether the entry was overtaken up to its bound or has waited for
+// a good part of its time.
+func (e *queued) exhausted(now time.Time) bool {
+	if !e.tried {
+		return false
+	}
+	if now.Sub(e.Accepted) >= e.LatestStart.Sub(e.Accepted)/holdDivisor {
+		return true
+	}
+	return e.overtaken >= backfillLeast &&
+		e.overtakenWork >= backfillFactor*float64(e.Pending)*weight(e.Size)
+}
+
+// weight is the size of a task in cores, all components together.
+func weight(size structs.Resources) float64 {
+	return float64(size.CPUMilli)/1000 +
+		float64(size.MemoryMiB)/memoryPerCore +
+		float64(size.Accelerators)*coresPerAccelerator
+}
+
+// take returns the present item, nil if there is none or if it was removed, parked
+// or replaced meanwhile.
+func (r *Round) take() *queued {
+	e := r.current
+	r.current = nil
+	if e == nil || e.removed {
+		return nil
+	}
+	return e
+}
+
+// settle keeps an item of which the caller told nothing as a blocked one.
+func (r *Round) settle() {
+	if e := r.take(); e != nil {
+		r.blocked = append(r.blocked, e)
+	}
+}
+
+// dominated reports whether there is no room for something no larger than the entry.
+func (r *Round) dominated(e *queued) bool {
+	if e.holding {
+		return false
+	}
+	tasks := 1
+	if e.Kind == structs.KindGang {
+		tasks = e.Pending
+	}
+	for _, out := range r.ruled {
+		if out.tasks <= tasks && out.size.Fits(e.Size) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -27,6 +27,8 @@
 	Clock *event.Clock
 	// Timeout bounds a command; zero means 3 s.
 	Timeout time.Duration
+	// Traffic counts the bytes of the calls; it may be nil.
+	Traffic *httpx.Bytes
 }
 
 // Client commands one worker. It is safe for concurrent use. A failed command
@@ -39,7 +41,7 @@
 // New returns a client of the worker at cfg.Addr.
 func New(cfg Config) *Client {
 	c := &Client{
-		http:    platformhttp.New(platformhttp.Config{Base: "http://" + cfg.Addr, Keys: cfg.Keys, Clock: cfg.Clock}),
+		http:    platformhttp.New(platformhttp.Config{Base: "http://" + cfg.Addr, Keys: cfg.Keys, Clock: cfg.Clock, Traffic: cfg.Traffic}),
 		timeout: cfg.Timeout,
 	}
 	if c.timeout <= 0 {
@@ -57,20 +59,22 @@
 	return out, out.check()
 }
 
-// StartTasks starts tasks. A repeat of the same task and attempt does nothing.
-func (c *Client) StartTasks(ctx context.Context, cmd Command, tasks []TaskStart) ([]TaskResult, error) {
+// StartTasks starts tasks. A repeat of the same task and attempt does nothing. It
+// returns a result for each task, and the worker's uptime in milliseconds.
+func (c *Client) StartTasks(ctx context.Context, cmd Command, tasks []TaskStart) ([]TaskResult, int64, error) {
 	var out Results
 	if err := c.post(ctx, "/v1/tasks", StartTasks{Command: cmd, Tasks: tasks}, &out); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+	results, err := out.check(len(tasks), func(i int) TaskRef { return tasks[i].TaskRef })
+	return results, out.UptimeMs, err
 }
 
-// RenewLeases renews the lease of every running task and returns their number.
-func (c *Client) RenewLeases(ctx context.Context, cmd Command, lease time.Duration) (int, error) {
+// RenewLeases renews the lease of every running task.
+func (c *Client) RenewLeases(ctx context.Context, cmd Command, lease time.Duration) (Renewed, error) {
 	var out Renewed
 	err := c.post(ctx, "/v1/leases", RenewLeases{Command: cmd, LeaseMs: lease.Milliseconds()}, &out)
-	return out.Renewed, err
+	return out, err
 }
 
 // StopTasks stops tasks. A result without an error says that the run certainly
