--- a/internal/standin/workersvc/commands.go
+++ b/internal/standin/workersvc/commands.go
@@ -89,6 +89,9 @@
 func (w *Worker) add(t *task) {
 	w.tasks[t.start.TaskRef] = t
 	w.order = append(w.order, t.start.TaskRef)
+	if t.running() {
+		w.running = append(w.running, t)
+	}
 }
 
 // RenewLeases renews the lease of every running task.
@@ -106,7 +109,7 @@
 		return worker.Renewed{}, err
 	}
 	renewed := 0
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		if !t.running() {
 			continue
 		}
