--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -42,10 +42,6 @@
 	lane lane
 	// removed marks an entry that a heap still holds but that is no longer queued.
 	removed bool
-	// overtaken counts tasks of later items that started past this one,
-	// overtakenWork is their weight.
-	overtaken     int
-	overtakenWork float64
 	// tried says that nothing could be placed when it was tried last.
 	tried bool
 	// holding says that workers are held for the job.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -44,13 +44,12 @@
 // Tasks returns the number of tasks that wait.
 func (q *Queue) Tasks() int { return q.tasks }
 
-// Push adds a job or replaces its item; how often it was overtaken is kept. An item
-// without pending tasks removes the job.
+// Push adds a job or replaces its item. An item without pending tasks removes
+// the job.
 func (q *Queue) Push(item Item) {
 	e := &queued{Item: item}
 	if old := q.items[item.Job]; old != nil {
-		e.overtaken = old.overtaken
-		e.overtakenWork = old.overtakenWork
+		e.tried = old.tried
 		e.holding = old.holding
 		q.drop(old)
 	}
@@ -116,7 +115,7 @@
 }
 
 // Holder returns the job for which workers are to be held: the first blocked one that
-// was overtaken up to its bound or has waited for a good part of its time. It stays the holder until it has started or is removed.
+// has waited for a good part of its time. It stays the holder until it has started or is removed.
 func (q *Queue) Holder() (Item, bool) { return q.Item(q.holder) }
 
 // SetHolding says whether workers are held for a job. A round then tries it also when
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -13,19 +13,9 @@
 	// maxSkipped is the number of items that a round passes over because a
 	// smaller one was blocked.
 	maxSkipped = 1024
-	// backfillFactor is how much work may overtake a blocked item before workers
-	// are held for it, as a multiple of its own.
-	backfillFactor = 4
 	// holdDivisor is the inverse of the part of its time to the target that a
-	// blocked item waits before workers are held for it in any case.
+	// blocked item waits before workers are held for it.
 	holdDivisor = 2
-	// backfillLeast is the number of overtaking tasks that is always allowed.
-	backfillLeast = 16
-	// memoryPerCore is the memory in MiB that weighs as much as a core.
-	memoryPerCore = 4096
-	// coresPerAccelerator is the number of cores that weigh as much as an
-	// accelerator.
-	coresPerAccelerator = 8
 )
 
 // Block is why an item could not be placed.
@@ -49,7 +39,8 @@
 
 // Round is one walk over the queue in order. The caller takes items by Next and
 // tells what became of each by Started or Blocked, then calls End. Items that were
-// blocked stay queued; later ones may start past them within a bound (backfill).
+// blocked stay queued and later ones may start past them (backfill), until workers are
+// held for the first that has waited long.
 type Round struct {
 	q       *Queue
 	now     time.Time
@@ -91,10 +82,6 @@
 		return
 	}
 	n = min(n, e.Pending)
-	for _, b := range r.blocked {
-		b.overtaken += n
-		b.overtakenWork += float64(n) * weight(e.Size)
-	}
 	e.Pending -= n
 	r.q.tasks -= n
 	if n > 0 && r.q.holder == e.Job {
@@ -104,8 +91,6 @@
 		delete(r.q.items, e.Job)
 		return
 	}
-	e.overtaken = 0
-	e.overtakenWork = 0
 	e.tried = false
 	r.blocked = append(r.blocked, e)
 }
@@ -128,14 +113,14 @@
 }
 
 // End puts the items that wait on back into the queue. It returns the job for which
-// workers are to be held, if one was overtaken up to its bound or has waited long.
+// workers are to be held, if one was blocked and has waited long.
 func (r *Round) End() (Item, bool) {
 	r.settle()
 	for _, e := range r.blocked {
 		if e.removed {
 			continue
 		}
-		if r.q.holder == "" && e.exhausted(r.now) {
+		if r.q.holder == "" && e.waitedLong(r.now) {
 			r.q.holder = e.Job
 		}
 		if e.lane == laneNone {
@@ -146,24 +131,10 @@
 	return r.q.Holder()
 }
 
-// exhausted reports whether the entry was overtaken up to its bound or has waited for
+// waitedLong reports whether the entry was blocked when it was tried and has waited for
 // a good part of its time.
-func (e *queued) exhausted(now time.Time) bool {
-	if !e.tried {
-		return false
-	}
-	if now.Sub(e.Accepted) >= e.LatestStart.Sub(e.Accepted)/holdDivisor {
-		return true
-	}
-	return e.overtaken >= backfillLeast &&
-		e.overtakenWork >= backfillFactor*float64(e.Pending)*weight(e.Size)
-}
-
-// weight is the size of a task in cores, all components together.
-func weight(size structs.Resources) float64 {
-	return float64(size.CPUMilli)/1000 +
-		float64(size.MemoryMiB)/memoryPerCore +
-		float64(size.Accelerators)*coresPerAccelerator
+func (e *queued) waitedLong(now time.Time) bool {
+	return e.tried && now.Sub(e.Accepted) >= e.LatestStart.Sub(e.Accepted)/holdDivisor
 }
 
 // take returns the present item, nil if there is none or if it was removed, parked
