--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -15,7 +15,7 @@
 const (
 	agentCallTimeout = 2 * time.Second
 	inventoryWait    = 5 * time.Second
-	inventoryPause   = 20 * time.Millisecond
+	inventoryPause   = 50 * time.Millisecond
 	agentRetry       = 200 * time.Millisecond
 )
 
@@ -146,7 +146,7 @@
 		}
 		cmd, _ := a.command()
 		start := time.Now()
-		inv, err := a.client.Inventory(ctx, seq, inventoryWait)
+		inv, err := a.client.Changes(ctx, seq, inventoryWait)
 		if err != nil {
 			pause(ctx, agentRetry)
 			continue
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -27,7 +27,9 @@
 		k := f.showTask(id, &inv.Tasks[i], now)
 		shown[k] = true
 	}
-	f.endMissing(w, shown, gained, start, now)
+	if inv.Whole {
+		f.endMissing(w, shown, gained, start, now)
+	}
 	if gained {
 		w.Known = true
 		w.accounted = false
--- a/internal/standin/workersvc/commands.go
+++ b/internal/standin/workersvc/commands.go
@@ -81,7 +81,7 @@
 		Size:    &size,
 		Epoch:   cmd.Epoch,
 	})
-	w.bump()
+	w.changedTask(t)
 	return nil
 }
 
@@ -158,8 +158,9 @@
 func (w *Worker) stop(ref worker.TaskRef, checkpoint bool, now time.Time) {
 	t, known := w.tasks[ref]
 	if !known {
-		w.add(&task{start: worker.TaskStart{TaskRef: ref}, state: structs.AllocStopped, reason: "stopped before its start"})
-		w.bump()
+		t = &task{start: worker.TaskStart{TaskRef: ref}, state: structs.AllocStopped, reason: "stopped before its start"}
+		w.add(t)
+		w.changedTask(t)
 		return
 	}
 	if !t.running() {
@@ -198,7 +199,7 @@
 	t.count(now, w.faults.slow())
 	t.percent = th.CPUPercent
 	t.reportAt = now.Add(w.cfg.UsageLag)
-	w.bump()
+	w.changedTask(t)
 	return nil
 }
 
@@ -246,19 +247,27 @@
 	w.bump()
 }
 
-// inventory needs the lock.
-func (w *Worker) inventory(now time.Time) worker.Inventory {
+// inventory returns all tasks; it needs the lock.
+func (w *Worker) inventory(now time.Time) worker.Inventory { return w.inventoryAfter(0, now) }
+
+// inventoryAfter returns the tasks that changed after a sequence number, or all if it
+// is zero or was not reached yet; it needs the lock.
+func (w *Worker) inventoryAfter(after int64, now time.Time) worker.Inventory {
+	whole := after <= 0 || after > w.seq
 	inv := worker.Inventory{
+		Whole:    whole,
 		Seq:      w.seq,
 		Fence:    w.fence,
 		Owner:    w.owner,
 		Boot:     w.boot,
 		Draining: w.draining,
 		UptimeMs: w.uptime(now),
-		Tasks:    make([]worker.TaskInfo, 0, len(w.order)),
+		Tasks:    []worker.TaskInfo{},
 	}
 	for _, ref := range w.order {
-		inv.Tasks = append(inv.Tasks, w.tasks[ref].info(now))
+		if t := w.tasks[ref]; whole || t.seq > after {
+			inv.Tasks = append(inv.Tasks, t.info(now))
+		}
 	}
 	return inv
 }
--- a/internal/standin/workersvc/http.go
+++ b/internal/standin/workersvc/http.go
@@ -96,21 +96,25 @@
 func (w *Worker) handleInventory(rw http.ResponseWriter, r *http.Request) {
 	q := query.New(r)
 	after := q.Int("after", 0)
+	inventory := w.Inventory
+	if r.URL.Query().Get("changed") == "true" {
+		inventory = func() (worker.Inventory, <-chan struct{}) { return w.Changes(after) }
+	}
 	timer := time.NewTimer(q.Millis("wait_ms", maxWait))
 	defer timer.Stop()
 	if err := q.Err(); err != nil {
 		httpx.WriteError(rw, err)
 		return
 	}
-	inv, changed := w.Inventory()
+	inv, changed := inventory()
 	for inv.Seq <= after {
 		select {
 		case <-changed:
 			time.Sleep(gatherChanges)
-			inv, changed = w.Inventory()
+			inv, changed = inventory()
 			continue
 		case <-timer.C:
-			inv, _ = w.Inventory()
+			inv, _ = inventory()
 		case <-r.Context().Done():
 		}
 		break
@@ -125,6 +129,13 @@
 	return w.inventory(now), w.changed
 }
 
+// Changes returns the tasks that changed after a sequence number.
+func (w *Worker) Changes(after int64) (worker.Inventory, <-chan struct{}) {
+	now := w.lock()
+	defer w.mu.Unlock()
+	return w.inventoryAfter(after, now), w.changed
+}
+
 func (w *Worker) handleProbe(rw http.ResponseWriter, _ *http.Request) {
 	w.lock()
 	draining := w.draining
--- a/internal/standin/workersvc/task.go
+++ b/internal/standin/workersvc/task.go
@@ -21,6 +21,8 @@
 	payload payload
 	state   structs.AllocState
 	reason  string
+	// seq is the worker's sequence number at the task's last change.
+	seq int64
 	// leaseEnd and started are readings of the monotonic clock.
 	leaseEnd time.Time
 	started  time.Time
--- a/internal/standin/workersvc/worker.go
+++ b/internal/standin/workersvc/worker.go
@@ -124,6 +124,12 @@
 	return now
 }
 
+// changedTask counts a change of a task; it needs the lock.
+func (w *Worker) changedTask(t *task) {
+	w.bump()
+	t.seq = w.seq
+}
+
 // bump tells the waiting inventory calls of a change; it needs the lock.
 func (w *Worker) bump() {
 	w.seq++
@@ -192,6 +198,7 @@
 		}
 		t.usage = t.payload.usage(t.start.Size, t.percent)
 		t.reportAt = time.Time{}
+		t.seq = w.seq + 1
 		shown = true
 	}
 	if shown {
@@ -240,5 +247,5 @@
 		State:   string(state),
 		Detail:  reason,
 	})
-	w.bump()
+	w.changedTask(t)
 }
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -112,6 +112,15 @@
 	return out, out.check()
 }
 
+// Changes is Inventory with only the tasks that changed after the sequence number,
+// unless the worker does not know it.
+func (c *Client) Changes(ctx context.Context, after int64, wait time.Duration) (Inventory, error) {
+	path := fmt.Sprintf("/v1/inventory?changed=true&after=%d&wait_ms=%d", after, wait.Milliseconds())
+	var out Inventory
+	err := c.http.Call(ctx, wait+pollSlack, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
 // Probe asks whether the worker answers.
 func (c *Client) Probe(ctx context.Context) (ProbeAnswer, error) {
 	var out ProbeAnswer
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -113,8 +113,11 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// Inventory is all that a worker runs and the ended tasks not yet forgotten.
+// Inventory is what a worker runs and the ended tasks not yet forgotten.
 type Inventory struct {
+	// Whole is true if Tasks holds all tasks, false if it holds those that changed
+	// after the sequence number that the caller named.
+	Whole bool `json:"whole"`
 	// Seq rises with every change of a task's state or usage, of the fence and
 	// of Draining.
 	Seq   int64  `json:"seq"`
