--- a/internal/keyhome/permit.go
+++ b/internal/keyhome/permit.go
@@ -122,14 +122,14 @@
 }
 
 // mayGrant returns an error unless this home may permit a key that it does not know.
+// It need not wait for older homes to lapse: each of their permits needed the answer
+// of a backup at their epoch, and what is complete here was told by a member that had
+// moved on from that epoch, after which no such permit comes about any more. Authority
+// bounds the permits of homes that nobody hears of (certainAt).
 func (s *Store) mayGrant(now time.Time, p int) error {
 	if !s.rights.Holds(now) {
 		return structs.RetryAfter(structs.CodeNoAuthority, retryProgress, "the home has no authority at epoch %d", s.Epoch())
 	}
-	lapse := s.rights.KeysLapse(p)
-	if now.Before(lapse.At) {
-		return structs.RetryAfter(structs.CodeNoAuthority, lapse.At.Sub(now), "an older home of the key may still permit")
-	}
 	if !s.complete(p) {
 		return structs.RetryAfter(structs.CodeUnknown, s.untilCertain(now, p), "the home does not know all older requests with keys like this one")
 	}
--- a/internal/keyhome/random_test.go
+++ b/internal/keyhome/random_test.go
@@ -35,13 +35,13 @@
 	ackWithoutCopy
 	joinersAreCertain
 	transfersAreEmpty
+	newerBackupAcks
 )
 
 type simMember struct {
 	id       string
 	store    *Store
 	auth     *authority.Authority
-	handover *authority.Handover
 	attester *authority.Attester
 	// read is the number of tables that the member has read.
 	read  int
@@ -49,9 +49,8 @@
 	until time.Time // stopped until
 }
 
-func (m *simMember) Holds(now time.Time) bool        { return m.auth.Holds(now) }
-func (m *simMember) KeysLapse(p int) authority.Lapse { return m.handover.KeysLapse(p) }
-func (m *simMember) stopped(now time.Time) bool      { return m.dead || now.Before(m.until) }
+func (m *simMember) Holds(now time.Time) bool   { return m.auth.Holds(now) }
+func (m *simMember) stopped(now time.Time) bool { return m.dead || now.Before(m.until) }
 func (m *simMember) home(key string) (structs.Member, bool) {
 	if m.store.Epoch() == 0 {
 		return structs.Member{}, false
@@ -107,7 +106,6 @@
 	m := &simMember{id: fmt.Sprintf("m%d", s.next), attester: authority.NewAttester(s.cfg, s.now)}
 	m.store = NewStore(m.id, s.limits, m)
 	m.auth = authority.New(s.cfg, m.id, m.attester)
-	m.handover = authority.NewHandover(s.cfg, m.id, authority.State{}, s.now)
 	if len(s.tables) > 0 {
 		m.read = len(s.tables) - 1
 	}
@@ -204,10 +202,6 @@
 
 func (s *sim) apply(m *simMember) {
 	now := s.maps[m.read]
-	state := authority.State{Table: s.tables[m.read]}
-	if m.read > 0 {
-		m.handover.TableChanged(s.maps[m.read-1], state, s.now)
-	}
 	var ids []string
 	if g, found := now.GroupOfMember(m.id); found {
 		ids = g.IDs()
@@ -216,12 +210,6 @@
 	m.auth.TableChanged(now.Epoch(), ids)
 	m.store.TableChanged(s.now, now, m.read == 0 || s.broken == joinersAreCertain)
 	m.read++
-	epoch := now.Epoch()
-	for _, id := range s.order {
-		if id != m.id {
-			s.send(id, func(to *simMember) { to.handover.Released(m.id, epoch, s.now) }, nil)
-		}
-	}
 }
 
 func (s *sim) maintain(m *simMember) {
@@ -311,7 +299,10 @@
 	}
 	s.send(d.Copy.To, func(b *simMember) {
 		var err error
-		if s.broken != ackWithoutCopy {
+		switch {
+		case s.broken == ackWithoutCopy:
+		case s.broken == newerBackupAcks && b.store.Epoch() > d.Copy.Epoch:
+		default:
 			err = b.store.Copy(s.now, d.Copy, s.now.Sub(sent))
 		}
 		s.send(h.id, back(err), timeout)
@@ -417,7 +408,7 @@
 
 func TestSimulationFindsBrokenRules(t *testing.T) {
 	const seeds = 50
-	for _, broken := range []breakage{ackWithoutCopy, joinersAreCertain, transfersAreEmpty} {
+	for _, broken := range []breakage{ackWithoutCopy, joinersAreCertain, transfersAreEmpty, newerBackupAcks} {
 		found := ""
 		for seed := uint64(0); seed < seeds && found == ""; seed++ {
 			found = simulate(seed, broken).failure
--- a/internal/keyhome/store.go
+++ b/internal/keyhome/store.go
@@ -51,8 +51,6 @@
 type Rights interface {
 	// Holds reports whether the member has authority at its epoch.
 	Holds(now time.Time) bool
-	// KeysLapse says when older homes of a partition have ceased to permit.
-	KeysLapse(partition int) authority.Lapse
 }
 
 // Store is one member's share of the keys.
--- a/internal/standin/workersvc/worker.go
+++ b/internal/standin/workersvc/worker.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,11 +54,15 @@
 	mu    sync.Mutex
 	tasks map[worker.TaskRef]*task
 	order []worker.TaskRef
-	fence int64
-	owner string
-	seq   int64
+	// running holds the running tasks, and ended ones until the next sweep.
+	running []*task
+	fence   int64
+	owner   string
+	seq     int64
 	// changed is closed and replaced when seq rises.
-	changed  chan struct{}
+	changed chan struct{}
+	// paused closes when a pause ends; it is nil if there is none.
+	paused   chan struct{}
 	draining bool
 	slots    int
 	faults   Faults
@@ -108,11 +113,23 @@
 // a worker that was paused does so before anything else.
 func (w *Worker) lock() time.Time {
 	w.mu.Lock()
+	for w.paused != nil {
+		resumed := w.paused
+		w.mu.Unlock()
+		<-resumed
+		w.mu.Lock()
+	}
 	now := time.Now()
 	w.expire(now)
 	return now
 }
 
+// changedTask counts a change of a task; it needs the lock.
+func (w *Worker) changedTask(t *task) {
+	w.bump()
+	t.seq = w.seq
+}
+
 // bump tells the waiting inventory calls of a change; it needs the lock.
 func (w *Worker) bump() {
 	w.seq++
@@ -138,6 +155,7 @@
 		now := w.lock()
 		w.finish(now)
 		w.report(now)
+		w.sweep()
 		next := w.nextDue(now)
 		w.mu.Unlock()
 		timer.Reset(next)
@@ -146,8 +164,7 @@
 
 // expire stops the tasks whose lease has lapsed; it needs the lock.
 func (w *Worker) expire(now time.Time) {
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if t.running() && !now.Before(t.leaseEnd) {
 			w.end(t, structs.AllocStopped, lapseDetail(t.leaseEnd, now))
 		}
@@ -156,8 +173,7 @@
 
 // finish ends the tasks whose work is done; it needs the lock.
 func (w *Worker) finish(now time.Time) {
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if !t.running() {
 			continue
 		}
@@ -176,13 +192,13 @@
 // report shows the usage of the tasks for which it is due; it needs the lock.
 func (w *Worker) report(now time.Time) {
 	shown := false
-	for _, ref := range w.order {
-		t := w.tasks[ref]
+	for _, t := range w.running {
 		if !t.running() || t.reportAt.IsZero() || now.Before(t.reportAt) {
 			continue
 		}
 		t.usage = t.payload.usage(t.start.Size, t.percent)
 		t.reportAt = time.Time{}
+		t.seq = w.seq + 1
 		shown = true
 	}
 	if shown {
@@ -190,17 +206,18 @@
 	}
 }
 
+// sweep drops the ended tasks from the running ones; it needs the lock.
+func (w *Worker) sweep() {
+	w.running = slices.DeleteFunc(w.running, func(t *task) bool { return !t.running() })
+}
+
 // maxIdle is how long the loop sleeps at most.
 const maxIdle = time.Second
 
 // nextDue returns how long the loop may sleep; it needs the lock.
 func (w *Worker) nextDue(now time.Time) time.Duration {
 	next := now.Add(maxIdle)
-	for _, ref := range w.order {
-		t := w.tasks[ref]
-		if !t.running() {
-			continue
-		}
+	for _, t := range w.running {
 		next = earlier(next, t.leaseEnd)
 		if done, ok := t.doneAt(w.faults.slow()); ok {
 			next = earlier(next, done)
@@ -230,5 +247,5 @@
 		State:   string(state),
 		Detail:  reason,
 	})
-	w.bump()
+	w.changedTask(t)
 }
