A tick costs what changed, not what is held

Cause: each tick and each round of placing walked all jobs of the entry (Stops, Finished, Park, Collect, Waiting) and Due sorted all that wait; with the runs of 10,000 cancelled jobs open, a tick took as long as the period of ticks.

Change: every change marks its job; marked jobs are sorted into two heaps (those that may be placed, by target, and those that back off, by time) and into sets of jobs that need an inventory, stops, an end or to be given up. Stops asks whether a job's stops are under way before it lists them. The times of stops are dropped with their job, and those by task, which nothing read, are no longer kept.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -107,7 +107,6 @@
 		c.settle(job, ref, st)
 	}
 	if verdict == orchestrator.Stop {
-		c.stopped[string(structs.NewTaskID(job, ref.Index))] = now
 		c.sendStop(job, []orchestrator.Ref{ref})
 	}
 	if st.Terminal() {
@@ -134,10 +133,8 @@
 // stopTasks stops the runs of cancelled and parked jobs, and of gangs that start
 // over.
 func (c *core) stopTasks(now time.Time) {
-	for job, refs := range c.jobs.Stops() {
-		if now.Before(c.stopped[job]) {
-			continue
-		}
+	underway := func(job string) bool { return now.Before(c.stopped[job]) }
+	for job, refs := range c.jobs.Stops(underway) {
 		c.stopped[job] = now.Add(stopRetry)
 		c.sendStop(job, refs)
 	}
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -289,7 +289,7 @@
 
 // parkJobs gives up the jobs whose tasks fail everywhere.
 func (c *core) parkJobs() {
-	for _, id := range c.jobs.IDs() {
+	for _, id := range c.jobs.Hopeless() {
 		reason := c.jobs.Park(id)
 		s, _ := c.jobRecord(id)
 		if reason == "" || s == nil {
@@ -309,6 +309,7 @@
 		if _, j := c.jobRecord(id); j == nil || j.Ended() {
 			c.jobs.Drop(id)
 			delete(c.waitingGangs, id)
+			delete(c.stopped, id)
 		}
 	}
 }
--- a/internal/orchestrator/collect.go
+++ b/internal/orchestrator/collect.go
@@ -26,11 +26,10 @@
 // Collect begins a round for the jobs that need one, nil if none does. recheck
 // asks again about every task, since an owner was lost.
 func (o *Orchestrator) Collect() *Collection {
+	o.attention.settleChanges()
 	c := &Collection{open: map[string]map[int]int{}}
-	for id, j := range o.jobs {
-		if !j.collect {
-			continue
-		}
+	for j := range o.attention.collect {
+		id := j.spec.ID
 		c.Jobs = append(c.Jobs, id)
 		c.open[id] = j.open()
 	}
@@ -47,6 +46,7 @@
 	for _, j := range o.jobs {
 		if j.count[placed]+j.count[doubt] > 0 {
 			j.collect = true
+			j.mark()
 		}
 	}
 }
@@ -105,6 +105,7 @@
 		return
 	}
 	j.collect = false
+	j.mark()
 	for index, attempt := range open {
 		t := &j.tasks[index]
 		if seen[index] || t.attempt != attempt {
@@ -116,8 +117,10 @@
 	}
 	if j.count[doubt] > 0 {
 		j.collect = true
+		j.mark()
 	}
 	if j.spec.Kind == structs.KindGang && j.count[pending] > 0 && j.live() > 0 {
 		j.stopAll = true
+		j.mark()
 	}
 }
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -71,6 +71,17 @@
 	ran     int
 	started time.Time
 	reason  string
+
+	// attention is where changes of the job are marked; nil before it is held.
+	attention *attention
+	// dropped is set once the job is held no more.
+	dropped bool
+	// lane, queuedAt and seq say which entry of a heap stands for the job.
+	lane     lane
+	queuedAt time.Time
+	seq      int
+	// counted is the part of the job in the number of waiting tasks.
+	counted int
 }
 
 func newJob(spec structs.Job, due time.Time) *job {
@@ -85,6 +96,7 @@
 	j.count[t.phase]--
 	t.phase = to
 	j.count[to]++
+	j.mark()
 	if to == pending || to == doubt {
 		t.running = false
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -1,7 +1,6 @@
 package orchestrator
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,11 +27,13 @@
 	// health tells workers that fail what succeeds elsewhere from jobs that fail
 	// everywhere, by the results of the held jobs.
 	health *health.Tracker
+
+	attention attention
 }
 
 // New returns an orchestrator that owns nothing.
 func New() *Orchestrator {
-	return &Orchestrator{jobs: map[string]*job{}, health: health.NewTracker()}
+	return &Orchestrator{jobs: map[string]*job{}, health: health.NewTracker(), attention: newAttention()}
 }
 
 // SetWorkers sets the number of usable workers of the cell.
@@ -89,6 +90,8 @@
 		}
 	}
 	o.jobs[sj.Job.ID] = j
+	j.attention = &o.attention
+	j.mark()
 }
 
 // dueTime is when the tasks of a job have to have started.
@@ -107,6 +110,10 @@
 
 // Drop forgets a job that is another's or has ended.
 func (o *Orchestrator) Drop(id string) {
+	if j := o.jobs[id]; j != nil {
+		j.dropped = true
+		j.mark()
+	}
 	delete(o.jobs, id)
 	o.health.ForgetJob(id)
 }
@@ -122,13 +129,8 @@
 
 // Waiting is the number of tasks that wait for a placement.
 func (o *Orchestrator) Waiting() int {
-	n := 0
-	for _, j := range o.jobs {
-		if !j.over() {
-			n += j.count[pending]
-		}
-	}
-	return n
+	o.attention.settleChanges()
+	return o.attention.waiting
 }
 
 // Status returns the state of a held job.
@@ -155,19 +157,12 @@
 // tasks in all (a gang counts whole). Their tasks are taken as being placed until
 // Placed is called.
 func (o *Orchestrator) Due(now time.Time, limit int) []Order {
-	var ready []*job
-	for _, j := range o.jobs {
-		if j.waiting() && !now.Before(j.retryAt) {
-			ready = append(ready, j)
-		}
-	}
-	slices.SortFunc(ready, func(a, b *job) int {
-		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.spec.ID, b.spec.ID))
-	})
+	o.attention.settleChanges()
 	probes := o.health.ProbesDue(now)
 	var orders []Order
-	for _, j := range ready {
-		if limit <= 0 {
+	for limit > 0 {
+		j := o.attention.next(now)
+		if j == nil {
 			break
 		}
 		order := j.order(now, limit)
@@ -219,6 +214,7 @@
 	}
 	if j.count[doubt] > 0 {
 		j.collect = true
+		j.mark()
 	}
 	back := 0
 	for _, r := range order.Tasks {
@@ -229,6 +225,7 @@
 	j.noteBackoff(back, len(done), reason, now)
 	if j.spec.Kind == structs.KindGang && back > 0 && j.live() > 0 {
 		j.stopAll = true
+		j.mark()
 	}
 }
 
@@ -265,6 +262,7 @@
 	}
 	j.backoff = min(max(2*j.backoff, backoffShortest), backoffLongest)
 	j.retryAt = now.Add(j.backoff)
+	j.mark()
 }
 
 // Verdict is what to do with a report.
@@ -320,6 +318,7 @@
 	for _, ch := range changes {
 		if blamed := o.jobs[ch.Job]; blamed != nil {
 			blamed.hopeless = "its tasks fail on every worker that was tried, last on " + r.Worker
+			blamed.mark()
 		}
 	}
 }
@@ -377,6 +376,7 @@
 	j.move(r.Index, pending)
 	if j.spec.Kind == structs.KindGang && j.live() > 0 {
 		j.stopAll = true
+		j.mark()
 	}
 	return Forget, false
 }
@@ -390,6 +390,7 @@
 func (j *job) delay(d time.Duration, now time.Time) {
 	if at := now.Add(d); at.After(j.retryAt) {
 		j.retryAt = at
+		j.mark()
 	}
 }
 
@@ -440,6 +441,7 @@
 	}
 	j.cancelled = cancelled
 	j.parked = parked
+	j.mark()
 }
 
 // Park returns a job's reason to be given up, empty if there is none.
@@ -451,28 +453,49 @@
 	return j.hopeless
 }
 
-// Finished returns the jobs for which nothing is left to do.
-func (o *Orchestrator) Finished() []string {
+// Hopeless returns the jobs that should be given up.
+func (o *Orchestrator) Hopeless() []string {
+	o.attention.settleChanges()
+	return sortedIDs(o.attention.hopeless, func(*job) bool { return true })
+}
+
+// sortedIDs returns the IDs of those of a set of jobs that are wanted.
+func sortedIDs(set map[*job]struct{}, wanted func(*job) bool) []string {
 	var out []string
-	for id, j := range o.jobs {
-		gone := j.live() == 0 && j.count[ending] == 0
-		if gone && (j.over() || j.count[ended] == len(j.tasks)) {
-			out = append(out, id)
+	for j := range set {
+		if wanted(j) {
+			out = append(out, j.spec.ID)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
 
-// Stops returns runs that have to be stopped, by job.
-func (o *Orchestrator) Stops() map[string][]Ref {
+// Finished returns the jobs for which nothing is left to do.
+func (o *Orchestrator) Finished() []string {
+	o.attention.settleChanges()
+	return sortedIDs(o.attention.ending, func(j *job) bool {
+		gone := j.live() == 0 && j.count[ending] == 0
+		return gone && (j.over() || j.count[ended] == len(j.tasks))
+	})
+}
+
+// Stops returns runs that have to be stopped, by job, but for the jobs whose stops
+// are under way.
+func (o *Orchestrator) Stops(underway func(id string) bool) map[string][]Ref {
+	o.attention.settleChanges()
 	out := map[string][]Ref{}
-	for id, j := range o.jobs {
+	for j := range o.attention.ending {
 		if !j.over() && !j.stopAll {
 			continue
 		}
 		if j.stopAll && j.live() == 0 {
 			j.stopAll = false
+			j.mark()
+			continue
+		}
+		id := j.spec.ID
+		if j.count[placed] == 0 || underway(id) {
 			continue
 		}
 		for i, t := range j.tasks {
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -112,14 +112,14 @@
 	if orders := o.Due(now.Add(time.Minute), 10); len(orders) != 0 {
 		t.Fatalf("part of a gang is placed while the rest runs: %+v", orders)
 	}
-	stops := o.Stops()[jobID]
+	stops := o.Stops(func(string) bool { return false })[jobID]
 	if len(stops) != 2 {
 		t.Fatalf("stops %+v, want the two that run", stops)
 	}
 	for _, r := range stops {
 		o.Stopped(jobID, r)
 	}
-	o.Stops()
+	o.Stops(func(string) bool { return false })
 	if again := place(t, o, now.Add(time.Minute)); len(again.Tasks) != 3 {
 		t.Errorf("placed %d tasks, want all 3", len(again.Tasks))
 	}
@@ -131,7 +131,7 @@
 	refs := on("w1", order.Tasks)
 	o.Placed(order, refs[:2], nil, nil, now)
 	o.End(jobID, true, "")
-	if stops := o.Stops()[jobID]; len(stops) != 2 {
+	if stops := o.Stops(func(string) bool { return false })[jobID]; len(stops) != 2 {
 		t.Fatalf("stops %+v, want 2", stops)
 	}
 	o.Report(jobID, refs[0], structs.AllocStopped, now)
