Reports answer once the log has the ends; peer calls counted by method

TestWorkerIsPausedPastItsLeases paused workers that held no task in one run of three; it now pauses two that run some, and awaits the same as before.

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -363,13 +363,30 @@
 	}
 }
 
+// busyWorkers returns the workers that run tasks.
+func (f *failureTest) busyWorkers() []*standin.Running {
+	busy := map[string]bool{}
+	for _, e := range f.cell.Events() {
+		if e.Type == event.TaskRun {
+			busy[e.Worker] = true
+		}
+	}
+	var out []*standin.Running
+	for _, w := range f.cell.Standins.Workers() {
+		if busy[w.ID()] {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 func TestWorkerIsPausedPastItsLeases(t *testing.T) {
 	f := newFailureTest(t, 2)
 	c := f.cell.NewCaller("caller")
 	ids := f.submit(c, "reconcile", 4, 16, 2*time.Second)
 	f.await("every task runs", func() bool { return f.count(event.TaskRun) >= 64 })
 	const pause = 6 * time.Second
-	paused := f.cell.Standins.Workers()[:2]
+	paused := f.busyWorkers()[:2]
 	for _, w := range paused {
 		go w.Pause(pause)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -199,7 +199,7 @@
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 	})
-	peers := peer.NewServer(&peerServer{e: e}, e.settings.Auth.PeerKeys, e.clock)
+	peers := peer.NewServer(&peerServer{e: e}, e.settings.Auth.PeerKeys, e.clock, e.metrics)
 	operators := httpx.NewServer(operator.NewHandler(&operatorBackend{e: e}, e.settings.Auth.OperatorKeys))
 	observers := httpx.NewServer(e.observerMux())
 
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -219,14 +219,37 @@
 	return &peerv1.TaskState{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker, State: string(a.State)}
 }
 
-// Report implements peerv1connect.PeerServiceHandler.
-func (s *peerServer) Report(_ context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
-	resp := &peerv1.ReportResponse{}
-	ok := s.e.do(func() { s.e.core.takeReport(r, resp) })
-	if !ok {
-		return nil, errEnding()
+// Report implements peerv1connect.PeerServiceHandler. It answers once the log holds
+// the reported ends, or after settleWait, so that they need not be reported again.
+func (s *peerServer) Report(ctx context.Context, r *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	until := time.Now().Add(settleWait)
+	for {
+		resp := &peerv1.ReportResponse{}
+		if !s.e.do(func() { s.e.core.takeReport(r, resp) }) {
+			return nil, errEnding()
+		}
+		if resp.Error != nil || len(resp.Settled) >= endedIn(r) || time.Now().After(until) || ctx.Err() != nil {
+			return resp, nil
+		}
+		pause(ctx, settlePoll)
 	}
-	return resp, nil
+}
+
+// Bounds of the wait for the log in a report.
+const (
+	settleWait = 700 * time.Millisecond
+	settlePoll = 25 * time.Millisecond
+)
+
+// endedIn counts the ended runs of a report.
+func endedIn(r *peerv1.ReportRequest) int {
+	n := 0
+	for _, t := range r.Tasks {
+		if structs.AllocState(t.State).Terminal() {
+			n++
+		}
+	}
+	return n
 }
 
 // JobStatus implements peerv1connect.PeerServiceHandler.
--- a/internal/entry/separation_test.go
+++ b/internal/entry/separation_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
@@ -21,7 +23,7 @@
 	interfaces := map[string]http.Handler{
 		"caller":   caller.NewServer(nil, caller.Options{}).Handler(),
 		"operator": operator.NewHandler(nil, operatorKeys),
-		"peer":     peer.NewServer(peerv1connect.UnimplementedPeerServiceHandler{}, peerKeys, new(event.Clock)).Handler,
+		"peer":     peer.NewServer(peerv1connect.UnimplementedPeerServiceHandler{}, peerKeys, new(event.Clock), metrics.NewSet()).Handler,
 	}
 	paths := map[string][]string{
 		"caller":   {"POST /v1/classes/tickets/requests", "POST /v1/jobs", "GET /v1/jobs/g:j", "POST /v1/jobs/cancel"},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,9 +4,11 @@
 	stderrors "errors"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/httpx"
@@ -27,7 +29,7 @@
 
 // NewServer returns the server of the peer interface: HTTP/2 without TLS, behind
 // the shared keys.
-func NewServer(svc peerv1connect.PeerServiceHandler, keys httpx.Keys, clock *event.Clock) *http.Server {
+func NewServer(svc peerv1connect.PeerServiceHandler, keys httpx.Keys, clock *event.Clock, set *metrics.Set) *http.Server {
 	path, handler := peerv1connect.NewPeerServiceHandler(
 		svc,
 		connect.WithReadMaxBytes(MaxMessageBytes),
@@ -35,7 +37,7 @@
 		connect.WithCompressMinBytes(compressMinBytes),
 	)
 	mux := http.NewServeMux()
-	mux.Handle(path, keys.Require(handler))
+	mux.Handle(path, keys.Require(countCalls(handler, set)))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -52,6 +54,15 @@
 	}
 }
 
+// countCalls counts the calls that are served, by method.
+func countCalls(next http.Handler, set *metrics.Set) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		method := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+		set.GetOrCreateCounter(`hitch_peer_calls{method="` + method + `"}`).Inc()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // neverSent reports whether a call failed before any byte of it went out.
 func neverSent(err error) bool {
 	var op *net.OpError
