--- a/internal/command/standin/workers.go
+++ b/internal/command/standin/workers.go
@@ -75,6 +75,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&id, "id", "w0", "name of the instance")
+	cmd.Flags().StringVar(&f.group.Advertise, "advertise", "", "`ADDRESS` that the list gives instead, such as that of a relay")
 	f.register(cmd.Flags())
 	return cmd
 }
--- a/internal/standin/topology.go
+++ b/internal/standin/topology.go
@@ -55,7 +55,10 @@
 	// Host is the address on which the workers listen.
 	Host string `toml:"host"`
 	// Port is the first worker's port and rises by one; 0 takes any free one.
-	Port         int     `toml:"port"`
+	Port int `toml:"port"`
+	// Advertise is the address that the list gives for a group of one, such as
+	// that of a relay; empty gives the worker's own.
+	Advertise    string  `toml:"advertise"`
 	Region       string  `toml:"region"`
 	Domain       string  `toml:"domain"`
 	RackSize     int     `toml:"rack_size"`
@@ -180,6 +183,9 @@
 
 // worker returns the description of worker i, listening at addr.
 func (g WorkerGroup) worker(i int, addr string) structs.Worker {
+	if g.Advertise != "" && g.Count == 1 {
+		addr = g.Advertise
+	}
 	return structs.Worker{
 		ID:          g.workerID(i),
 		Addr:        addr,
