--- a/internal/authority/handover.go
+++ b/internal/authority/handover.go
@@ -103,15 +103,6 @@
 	h.Released(member, every, now)
 }
 
-// KeysLapse says when the old homes of a partition of request keys have ceased to
-// permit.
-func (h *Handover) KeysLapse(partition int) Lapse {
-	return h.lapse(0, func(m *ownership.Map) string {
-		home, _ := m.HomeOfPartition(partition)
-		return home.ID
-	})
-}
-
 // TasksLapse says when the leases that old owners of a worker may have renewed
 // have run out. The owner under a table is asked of the caller, which knows the
 // worker.
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/dispatch"
 	"dotterelhitch/internal/keyhome"
 	"dotterelhitch/internal/peer/peerv1"
@@ -32,11 +31,6 @@
 // Holds implements keyhome.Rights.
 func (r keyRights) Holds(now time.Time) bool { return r.c.mayGrant(now) }
 
-// KeysLapse implements keyhome.Rights.
-func (r keyRights) KeysLapse(partition int) authority.Lapse {
-	return r.c.rights.handover.KeysLapse(partition)
-}
-
 // Permit implements dispatch.Keys: it asks the home of the key, again while the
 // home is only not ready. A repeat bears the same request ID, so that it is
 // granted once.
