--- /dev/null
+++ b/internal/policytest/packingpolicy.go
@@ -0,0 +1,109 @@
+package policytest
+
+import (
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/scheduler/sizing"
+	"dotterelhitch/internal/structs"
+)
+
+// place starts waiting tasks where they fit.
+func (m *packing) place() {
+	for len(m.backlog) < packingBacklog {
+		m.backlog = append(m.backlog, m.newTask())
+	}
+	tries := 0
+	var rest []*packTask
+	for i, t := range m.backlog {
+		if tries == packingTries {
+			rest = append(rest, m.backlog[i:]...)
+			break
+		}
+		if !m.start(t) {
+			tries++
+			rest = append(rest, t)
+		}
+	}
+	m.backlog = rest
+}
+
+// start places one task.
+func (m *packing) start(t *packTask) bool {
+	t.granted = t.class.declared
+	if m.Learn {
+		t.granted = m.sizer.Grant(t.class.name, t.class.declared, workerSize)
+	}
+	ask := scheduler.Ask{
+		Job: string(t.id), Class: t.class.name, Kind: structs.KindBatch, Size: t.granted,
+		Tasks: []scheduler.TaskRef{{Task: t.id}},
+	}
+	plan := scheduler.Place(m.set, ask)
+	if len(plan.Placed) == 0 {
+		return false
+	}
+	assign(m.set, plan, ask)
+	t.worker = plan.Placed[0].Worker
+	m.running[t.worker] = append(m.running[t.worker], t)
+	return true
+}
+
+// report takes what tasks use now and acts on what was seen a while ago.
+func (m *packing) report() {
+	r := report{at: m.now, use: make(map[*packTask]structs.Resources)}
+	for _, list := range m.running {
+		for _, t := range list {
+			r.use[t] = t.use()
+		}
+	}
+	m.reports = append(m.reports, r)
+	for len(m.reports) > 0 && m.now.Sub(m.reports[0].at) >= reportLag {
+		m.act(m.reports[0])
+		m.reports = m.reports[1:]
+	}
+}
+
+// act learns from a report and guards each worker by it.
+func (m *packing) act(r report) {
+	for _, worker := range m.order {
+		tasks := m.running[worker]
+		seen := make([]sizing.TaskUse, 0, len(tasks))
+		for _, t := range tasks {
+			use := r.use[t]
+			m.sizer.Report(m.now, t.class.name, t.id, use)
+			seen = append(seen, sizing.TaskUse{
+				Task: t.id, Granted: t.granted, Used: use, Slack: t.work - t.done, Age: t.age,
+				Throttled: throttle(t),
+			})
+		}
+		if m.Guard {
+			m.set.SetExcess(worker, sizing.Excess(seen))
+			m.obey(m.guard.Act(m.now, worker, workerSize, seen), tasks)
+		}
+	}
+}
+
+// throttle returns the bound of a task in percent, zero for none.
+func throttle(t *packTask) int {
+	if t.throttled {
+		return 100
+	}
+	return 0
+}
+
+// obey carries out the guard's actions.
+func (m *packing) obey(actions []sizing.Action, tasks []*packTask) {
+	byID := make(map[structs.TaskID]*packTask, len(tasks))
+	for _, t := range tasks {
+		byID[t.id] = t
+	}
+	for _, a := range actions {
+		t := byID[a.Task]
+		switch a.Kind {
+		case sizing.Throttle:
+			t.throttled = true
+		case sizing.Unthrottle:
+			t.throttled = false
+		case sizing.Checkpoint:
+			m.checkpoint(t)
+		}
+	}
+}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -126,3 +127,39 @@
 		r.End()
 	}
 }
+
+// BenchmarkMemory reports the heap that a set of workers holds with 18 tasks each, the
+// letter's mean.
+func BenchmarkMemory(b *testing.B) {
+	const tasksEach = 18
+	for _, workers := range []int{150, 2000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			var empty, full int64
+			for b.Loop() {
+				before := liveHeap()
+				s := cell(workers)
+				empty = liveHeap() - before
+				for i, n := range s.Nodes() {
+					for j := range tasksEach {
+						s.Add(structs.Alloc{
+							Task:   structs.NewTaskID(fmt.Sprintf("job-%d", (i*tasksEach+j)/30), j),
+							Worker: n.ID(), Class: "class", Size: size(0, 1, 0), State: structs.AllocRunning,
+						})
+					}
+				}
+				full = liveHeap() - before - empty
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(empty)/float64(workers), "B/worker")
+			b.ReportMetric(float64(full)/float64(workers*tasksEach), "B/task")
+		})
+	}
+}
+
+// liveHeap returns the live heap in bytes.
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
