--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -12,9 +12,11 @@
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/checker"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/linear"
 	"dotterelhitch/internal/settings"
 	"dotterelhitch/internal/standin"
 	"dotterelhitch/internal/standin/logsvc"
+	"dotterelhitch/internal/standin/workersvc"
 	"dotterelhitch/internal/structs"
 )
 
@@ -194,9 +196,22 @@
 		f.t.Error("nothing was checked")
 	}
 	f.t.Logf("checked %+v", r.Checked)
+	f.checkKeyed()
 	return r
 }
 
+// checkKeyed fails unless the calls and runs of each key have a linear order.
+func (f *failureTest) checkKeyed() {
+	f.t.Helper()
+	r := linear.CheckKeyed(linear.KeyedOperations(f.cell.Events()), testBound)
+	if !r.OK() {
+		f.t.Errorf("keys without a linear order: %v, undecided: %v", r.Violated, r.Undecided)
+	}
+	if r.Keys > 0 {
+		f.t.Logf("linear: %d keys, %d calls, %d runs", r.Keys, r.Calls, r.Runs)
+	}
+}
+
 func TestEntryDiesWhileJobsRun(t *testing.T) {
 	f := newFailureTest(t, 3)
 	c := f.cell.NewCaller("caller")
@@ -381,3 +396,19 @@
 	f.complete(c, f.submit(c, "reconcile", 2, 32, 100*time.Millisecond))
 	f.check()
 }
+
+func TestAnswersToStartsAreLost(t *testing.T) {
+	f := newFailureTest(t, 2)
+	c := f.cell.NewCaller("caller")
+	var ids []string
+	for range 6 {
+		lose := 2
+		for _, w := range f.cell.Standins.Workers() {
+			f.must(w.Change(workersvc.Change{LoseStarts: &lose}))
+		}
+		ids = append(ids, f.submit(c, "reconcile", 3, 20, 700*time.Millisecond)...)
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.complete(c, ids)
+	f.check()
+}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/dispatch"
 	"dotterelhitch/internal/keyhome"
 	"dotterelhitch/internal/peer/peerv1"
@@ -16,8 +15,12 @@
 	permitTimeout = 1500 * time.Millisecond
 	permitRetry   = 50 * time.Millisecond
 	permitTries   = 100
-	copyTimeout   = 800 * time.Millisecond
-	copyTries     = 3
+	// briefTries is how often a home without authority is asked again although it
+	// names a longer time: a member that leaves gracefully releases its keys soon
+	// after.
+	briefTries  = 6
+	copyTimeout = 800 * time.Millisecond
+	copyTries   = 3
 )
 
 // keyRights implements keyhome.Rights on the control goroutine.
@@ -28,11 +31,6 @@
 // Holds implements keyhome.Rights.
 func (r keyRights) Holds(now time.Time) bool { return r.c.mayGrant(now) }
 
-// KeysLapse implements keyhome.Rights.
-func (r keyRights) KeysLapse(partition int) authority.Lapse {
-	return r.c.rights.handover.KeysLapse(partition)
-}
-
 // Permit implements dispatch.Keys: it asks the home of the key, again while the
 // home is only not ready. A repeat bears the same request ID, so that it is
 // granted once.
@@ -44,7 +42,11 @@
 			pause(ctx, permitRetry)
 		}
 		var d dispatch.Decision
-		if d, err = t.permitOnce(ctx, req); err == nil || !passing(ctx, err) {
+		if d, err = t.permitOnce(ctx, req); err == nil {
+			return d, nil
+		}
+		brief := structs.CodeOf(err) == structs.CodeNoAuthority && try < briefTries
+		if !brief && !passing(ctx, err) {
 			return d, err
 		}
 	}
