--- a/internal/policytest/faults.go
+++ b/internal/policytest/faults.go
@@ -31,7 +31,8 @@
 	// sound jobs that were.
 	Parked, Wronged float64
 	// Detected is the seconds from the fault until all bad workers were on
-	// probation, Back those from their repair until all were in use again.
+	// probation, the whole time of the fault if they never were. Back is those
+	// from their repair until all were in use again.
 	Detected, Back float64
 }
 
@@ -91,6 +92,9 @@
 	m.arrive()
 	m.every(roundPeriod, m.round)
 	m.run(faultTime)
+	if m.detected == 0 {
+		m.detected = faultUntil
+	}
 	return FaultResult{
 		Failures: float64(m.failures) / float64(m.successes),
 		Finish50: quantile(m.finish, 0.5),
