--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -218,6 +218,18 @@
 	}
 }
 
+func TestHandoverCountsWhatTheMemberRenewedItself(t *testing.T) {
+	owners := map[int64]string{5: "a", 6: "b"}
+	owner := func(m *ownership.Map) string { return owners[m.Epoch()] }
+	h := NewHandover(testConfig, "a", State{}, at(0))
+	h.Released("b", 7, at(99))
+	h.TableChanged(ownership.NewMap(stateOf(5, "a").Table), stateOf(6, "a", "b"), at(102))
+	h.TableChanged(ownership.NewMap(stateOf(6, "a", "b").Table), stateOf(7, "a"), at(102))
+	if l := h.TasksLapse(owner); !l.At.Equal(at(113)) {
+		t.Errorf("lapse %v, want lease and margin after this member read that it lost the worker", l.At.Sub(origin))
+	}
+}
+
 func TestWatch(t *testing.T) {
 	w := NewWatch("b", 3*time.Second)
 	w.TableChanged([]string{"a", "b", "c"}, at(0))
--- a/internal/authority/handover.go
+++ b/internal/authority/handover.go
@@ -113,8 +113,11 @@
 // lapse returns the latest time over all steps, with extra added to each.
 func (h *Handover) lapse(extra time.Duration, owner func(*ownership.Map) string) Lapse {
 	var total Lapse
-	for _, s := range h.steps {
+	for i, s := range h.steps {
 		l := h.lapseOf(s, owner)
+		if l.At.IsZero() && h.gaveUp(i, owner) {
+			l.At = s.readAt
+		}
 		if l.Never {
 			return l
 		}
@@ -128,7 +131,20 @@
 	return total
 }
 
-// lapseOf returns the lapse of what the owner before one step held.
+// gaveUp reports whether this member owned the thing before a step and not after it.
+// It may have renewed a lease until it read the step, and later have got the thing
+// back from an owner whose release came before that.
+func (h *Handover) gaveUp(i int, owner func(*ownership.Map) string) bool {
+	s := h.steps[i]
+	if s.base == nil || owner(s.base) != h.self || i+1 == len(h.steps) {
+		return false
+	}
+	after := h.steps[i+1].base
+	return after == nil || owner(after) != h.self
+}
+
+// lapseOf returns the lapse of what the owner before one step held, zero if that was
+// nobody or this member.
 func (h *Handover) lapseOf(s step, owner func(*ownership.Map) string) Lapse {
 	byTime := s.readAt.Add(h.cfg.Bound + h.cfg.Margin)
 	if s.base == nil {
