Silent workers lapse only as far as ownership is proven

An owner that is cut off from a worker takes its tasks for ended after the lease. It compared with the present time, with or without authority. But a member that joined meanwhile may have raised the epoch there and renewed the leases, while the old owner was paused or read the log late: its tasks would run twice. The leases must now have ended by the start of the call that last proved the owner to be in force (Authority.Since). With the old rule TestSilentWorkerLapsesOnlyAsFarAsOwnershipIsProven fails: lapsed [w-1], want 0.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -104,13 +104,24 @@
 	}
 }
 
-// Until returns the time before which authority holds; it has passed, or is zero,
-// if authority does not hold at now.
-func (a *Authority) Until(now time.Time) time.Time {
+// Since returns the time at which the member last certainly was in force at its epoch:
+// no change that followed was in the log then. It is zero if authority does not hold at
+// now. What an owner concludes from the passing of time, such as that a lease ended,
+// must have been so at this time: after it a newer owner may have acted.
+func (a *Authority) Since(now time.Time) time.Time {
 	start := a.tail
 	if s := a.attestedSince(now); s.After(start) {
 		start = s
 	}
+	if start.IsZero() || !now.Before(start.Add(a.cfg.Bound)) {
+		return time.Time{}
+	}
+	return start
+}
+
+// Until returns the time before which authority holds, zero if it does not hold at now.
+func (a *Authority) Until(now time.Time) time.Time {
+	start := a.Since(now)
 	if start.IsZero() {
 		return time.Time{}
 	}
@@ -118,7 +129,7 @@
 }
 
 // Holds reports whether the member has authority at now, at Epoch.
-func (a *Authority) Holds(now time.Time) bool { return now.Before(a.Until(now)) }
+func (a *Authority) Holds(now time.Time) bool { return !a.Since(now).IsZero() }
 
 // Epoch returns the epoch at which authority holds.
 func (a *Authority) Epoch() int64 { return a.epoch }
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -50,6 +50,9 @@
 	if !a.Holds(at(13)) || a.Holds(at(14)) {
 		t.Error("want authority until 4 s after the start of the read")
 	}
+	if !a.Since(at(13)).Equal(at(10)) || !a.Since(at(14)).IsZero() {
+		t.Error("want proof as of the start of the read, none without authority")
+	}
 	for _, read := range []TailRead{
 		{Start: at(20), Next: 9, Applied: 7, Epoch: 5},
 		{Start: at(20), Next: 8, Applied: 7, Epoch: 4},
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -137,7 +137,7 @@
 
 // lapse ends what time has ended.
 func (c *core) lapse(now time.Time) {
-	for _, id := range c.fleet.Tick(now, c.formerLapsed) {
+	for _, id := range c.fleet.Tick(now, c.rights.authority.Since(now), c.formerLapsed) {
 		c.e.logger.Warn("worker silent past its leases", "worker", id)
 		c.fleet.Regain(id, c.table.Epoch())
 		if a := c.agents[id]; a != nil {
@@ -147,13 +147,13 @@
 }
 
 // formerLapsed reports whether the leases that former owners of a worker may have
-// renewed have certainly ended.
-func (c *core) formerLapsed(w structs.Worker, now time.Time) bool {
+// renewed had certainly ended at the given time.
+func (c *core) formerLapsed(w structs.Worker, proven time.Time) bool {
 	lapse := c.rights.handover.TasksLapse(func(m *ownership.Map) string {
 		owner, _ := m.OwnerOfWorker(w)
 		return owner.ID
 	})
-	return lapse.Over(now)
+	return lapse.Over(proven)
 }
 
 // holds reports whether a worker is still owned under the epoch that an agent
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,7 +162,11 @@
 // have been silent for longer than any lease of theirs can last. former tells
 // whether the leases that former owners of a worker renewed have ended. It
 // returns the workers that were accounted for by time.
-func (f *Fleet) Tick(now time.Time, former func(w structs.Worker, now time.Time) bool) []string {
+//
+// Proven is the time up to which this entry certainly was the owner. The leases must
+// have ended by then, not only by now: an owner that came after may have renewed them
+// since.
+func (f *Fleet) Tick(now, proven time.Time, former func(w structs.Worker, proven time.Time) bool) []string {
 	f.expireReservations(now)
 	f.expireClaims(now)
 	var lapsed []string
@@ -171,7 +175,7 @@
 			continue
 		}
 		f.nodes.SetFlag(id, scheduler.FlagUnreachable, true)
-		if w.accounted || now.Before(f.leasesEnd(w)) || !former(w.Info, now) {
+		if w.accounted || proven.Before(f.leasesEnd(w)) || !former(w.Info, proven) {
 			continue
 		}
 		w.accounted = true
