--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -50,6 +50,9 @@
 	if !a.Holds(at(13)) || a.Holds(at(14)) {
 		t.Error("want authority until 4 s after the start of the read")
 	}
+	if !a.Since(at(13)).Equal(at(10)) || !a.Since(at(14)).IsZero() {
+		t.Error("want proof as of the start of the read, none without authority")
+	}
 	for _, read := range []TailRead{
 		{Start: at(20), Next: 9, Applied: 7, Epoch: 5},
 		{Start: at(20), Next: 8, Applied: 7, Epoch: 4},
@@ -218,6 +221,18 @@
 	}
 }
 
+func TestHandoverCountsWhatTheMemberRenewedItself(t *testing.T) {
+	owners := map[int64]string{5: "a", 6: "b"}
+	owner := func(m *ownership.Map) string { return owners[m.Epoch()] }
+	h := NewHandover(testConfig, "a", State{}, at(0))
+	h.Released("b", 7, at(99))
+	h.TableChanged(ownership.NewMap(stateOf(5, "a").Table), stateOf(6, "a", "b"), at(102))
+	h.TableChanged(ownership.NewMap(stateOf(6, "a", "b").Table), stateOf(7, "a"), at(102))
+	if l := h.TasksLapse(owner); !l.At.Equal(at(113)) {
+		t.Errorf("lapse %v, want lease and margin after this member read that it lost the worker", l.At.Sub(origin))
+	}
+}
+
 func TestWatch(t *testing.T) {
 	w := NewWatch("b", 3*time.Second)
 	w.TableChanged([]string{"a", "b", "c"}, at(0))
