A removed entry answers what is at endpoints before it ends; far addresses; back routes

An entry that was frozen until others had removed it ended its process at once when it woke, so its callers in flight were told unknown. It now gives up its workers, refuses everything new, waits for what is at endpoints and at peers, and ends.

Wired what package dispatch offers: each entry's share of the link between regions (link_bytes_per_second over the region's members, set anew with each table), usable slots told to the dispatcher when they change, abandoned attempts say nothing of their worker, and with worker_fencing = false authority is checked once more before the first byte of a request.

listen.advertise_far is the peer address that entries of other regions dial. The relay stand-in has back routes, whose callers stand at the other end of the link, so that each direction has one bandwidth and one byte count.

--- a/internal/command/standin/relay.go
+++ b/internal/command/standin/relay.go
@@ -29,12 +29,13 @@
   POST /admin/shape      {"delay_ms":8,"bits_per_second":30000000}
   GET  /admin/status     state, bytes each way, connections
 
-In the address file the routes are named route0, route1 and so on, and the admin
-address admin.`
+In the address file the routes are named route0, route1 and so on, the back routes
+back0, back1 and so on, and the admin address admin.`
 
 // relayFlags are the flags of the relay verb.
 type relayFlags struct {
 	routes []string
+	backs  []string
 	admin  string
 	delay  time.Duration
 	mbit   float64
@@ -54,6 +55,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringArrayVar(&f.routes, "route", nil, "`LISTEN=TARGET` addresses of a route; may be given several times")
+	flags.StringArrayVar(&f.backs, "back-route", nil, "`LISTEN=TARGET` addresses of a route for callers at the other end of the link")
 	flags.StringVar(&f.admin, "admin", defaultListen, "`ADDRESS` of the admin interface")
 	flags.DurationVar(&f.delay, "delay", 0, "one-way delay")
 	flags.Float64Var(&f.mbit, "mbit", 0, "bandwidth each way in Mbit/s; 0 is no limit")
@@ -79,10 +81,15 @@
 	defer closeEvents()
 	r := relay.New(f.shape(), event.NewRecorder("relay", &event.Clock{}, o.Events))
 	defer r.Close()
-	addrs, err := f.addRoutes(r)
+	addrs, err := addRoutes("route", f.routes, r.AddRoute)
 	if err != nil {
 		return err
 	}
+	backs, err := addRoutes("back", f.backs, r.AddBackRoute)
+	if err != nil {
+		return err
+	}
+	addrs = append(addrs, backs...)
 	l, err := net.Listen("tcp", f.admin)
 	if err != nil {
 		return errors.Annotatef(err, "listening on %s", f.admin)
@@ -98,18 +105,19 @@
 	return nil
 }
 
-func (f *relayFlags) addRoutes(r *relay.Relay) ([]standin.Address, error) {
+// addRoutes adds routes and names their addresses.
+func addRoutes(name string, routes []string, add func(listen, target string) (string, error)) ([]standin.Address, error) {
 	var addrs []standin.Address
-	for i, route := range f.routes {
+	for i, route := range routes {
 		listen, target, found := strings.Cut(route, "=")
 		if !found {
 			return nil, structs.NewError(structs.CodeInvalid, "route %q: want LISTEN=TARGET", route)
 		}
-		addr, err := r.AddRoute(listen, target)
+		addr, err := add(listen, target)
 		if err != nil {
 			return nil, err
 		}
-		addrs = append(addrs, standin.Address{Name: fmt.Sprintf("route%d", i), Addr: addr})
+		addrs = append(addrs, standin.Address{Name: fmt.Sprintf("%s%d", name, i), Addr: addr})
 	}
 	return addrs, nil
 }
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -25,6 +25,17 @@
 	e.leaveTable(ctx)
 }
 
+// finish ends an entry that others have removed from the table, as one that was
+// paused for long finds when it wakes. It grants nothing any more; what is at
+// endpoints and at peers already is answered, everything else is refused.
+func (e *Entry) finish(callers *caller.Server) {
+	ctx, cancel := context.WithTimeout(e.ctx, e.timing.Drain)
+	defer cancel()
+	_ = callers.Drain(ctx, 0)
+	_ = e.traffic.dispatcher.Drain(ctx)
+	e.awaitSlots(ctx)
+}
+
 // slotPoll is the period at which the drain looks for open slots.
 const slotPoll = 20 * time.Millisecond
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,9 @@
 	stop      context.CancelFunc
 	leave     chan struct{}
 	leaveOnce sync.Once
+	// expelled is closed once others have removed this member.
+	expelled  chan struct{}
+	expelOnce sync.Once
 	ctx       context.Context
 	group     sync.WaitGroup
 }
@@ -99,6 +102,7 @@
 		metrics:  metrics.NewSet(),
 		control:  make(chan func(), controlQueue),
 		leave:    make(chan struct{}),
+		expelled: make(chan struct{}),
 	}
 	if cfg.OnEvent != nil {
 		e.events.OnEvent(cfg.OnEvent)
@@ -109,6 +113,7 @@
 	e.member = structs.Member{
 		ID:       id,
 		PeerAddr: e.advertised(),
+		FarAddr:  s.Listen.AdvertiseFar,
 		Region:   s.Identity.Region,
 		Domain:   s.Identity.Domain,
 	}
@@ -217,6 +222,8 @@
 	select {
 	case <-e.leave:
 		e.drain(callers)
+	case <-e.expelled:
+		e.finish(callers)
 	case <-e.ctx.Done():
 	}
 	e.stop()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -160,6 +160,7 @@
 	if !c.joined {
 		return
 	}
+	c.shareLink()
 	c.assignWorkers(now)
 	c.assignStreams()
 	c.assignJobs()
@@ -183,17 +184,19 @@
 	return false
 }
 
-// expelled ends the process: a removed member is never taken back under its ID.
+// expelled gives up everything and, unless the member left by itself, ends the
+// process: a removed member is never taken back under its ID.
 func (c *core) expelled() {
+	c.dropAll()
 	if c.draining {
-		c.dropAll()
 		return
 	}
+	c.draining = true
 	c.e.logger.Error("removed from the membership table", "epoch", c.control.Epoch())
-	c.e.stop()
+	c.e.expelOnce.Do(func() { close(c.e.expelled) })
 }
 
-// dropAll gives up every worker and job after a graceful leave.
+// dropAll gives up every worker and job after a leave or a removal.
 func (c *core) dropAll() {
 	for _, w := range c.fleet.Workers() {
 		c.loseWorker(w.Info.ID)
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -63,10 +63,28 @@
 	return dispatch.Lease{
 		ID:     s.next,
 		Target: endpoint.Target{Worker: id, Addr: w.Info.Addr, Connections: w.Info.Connections},
-		Fence:  endpoint.Fence{Epoch: w.Epoch, Owner: c.self()},
+		Fence:  c.fence(w.Epoch),
 	}, nil
 }
 
+// fence returns what a request to a worker bears. Where workers don't refuse an
+// older epoch, authority is checked once more right before the first byte is sent.
+func (c *core) fence(epoch int64) endpoint.Fence {
+	f := endpoint.Fence{Epoch: epoch, Owner: c.self()}
+	if !c.e.settings.WorkerFencing {
+		f.Check = c.e.checkAuthority
+	}
+	return f
+}
+
+// checkAuthority fails unless this entry may grant work now.
+func (e *Entry) checkAuthority() error {
+	if e.mayGrant() {
+		return nil
+	}
+	return structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
+}
+
 // releaseSlot gives a slot back and notes how its attempt went.
 func (c *core) releaseSlot(l dispatch.Lease, u dispatch.Usage) {
 	s := c.e.traffic.slots
@@ -86,9 +104,12 @@
 }
 
 // resultOf says what an attempt tells of its endpoint. A refusal for the owner's
-// reasons tells nothing.
+// reasons tells nothing, and neither does an attempt that was given up because
+// another one had answered.
 func resultOf(u dispatch.Usage) health.Result {
 	switch {
+	case u.Abandoned:
+		return health.Refused
 	case u.Outcome == structs.OutcomeAnswered:
 		return health.Answered
 	case u.Outcome == structs.OutcomeNotRun && !u.Unsent:
@@ -116,10 +137,12 @@
 	}
 }
 
-// syncEndpoints brings the state of the owned workers to the picker.
+// syncEndpoints brings the state of the owned workers to the picker, and the number
+// of usable slots to the dispatcher.
 func (c *core) syncEndpoints() {
 	picker := c.e.traffic.slots.picker
 	for _, n := range c.fleet.Nodes().Nodes() {
 		picker.Upsert(n.ID(), n.Worker().Slots).Usable = n.Usable()
 	}
+	c.e.traffic.dispatcher.SetSlots(picker.Slots())
 }
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -136,6 +136,25 @@
 	return s.e.traffic.dispatcher.Serve(ctx, r), nil
 }
 
+// shareLink gives this entry its share of the link between regions: what the
+// settings allow the region, divided by the region's members.
+func (c *core) shareLink() {
+	link := c.e.settings.Regions.LinkBytesPerSecond
+	c.e.traffic.dispatcher.SetFarBytes(linkShare(link, c.e.member.Region, c.control.Members()))
+}
+
+// linkShare is the bytes a second that each member of a region may send over the
+// link.
+func linkShare(link int64, region string, members []structs.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Region == region {
+			n++
+		}
+	}
+	return int(link / int64(max(n, 1)))
+}
+
 // loads returns the dispatcher's view of this entry and its peers.
 func (c *core) loads() (self dispatch.Load, peers []dispatch.Load) {
 	d := c.fleet.Nodes().Free()
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -125,6 +125,7 @@
 	c.stopAgent(id)
 	c.fleet.Lose(id)
 	c.e.traffic.slots.picker.Remove(id)
+	c.syncEndpoints()
 	c.e.events.Record(event.Event{Type: event.WorkerLost, Member: c.self(), Worker: id})
 }
 
--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -57,7 +57,8 @@
 [listen]
 caller = "127.0.0.1:0"
 operator = "127.0.0.1:0"
-peer = "127.0.0.1:0"
+peer = %q
+%s
 metrics = "127.0.0.1:0"
 [platform]
 log = "http://%s"
@@ -88,6 +89,7 @@
 type process struct {
 	cmd  *exec.Cmd
 	addr entry.Addresses
+	name string
 }
 
 // startCell builds the programs and starts the stand-ins.
@@ -212,10 +214,29 @@
 	})
 }
 
+// entryPlace is where an entry stands and what it reaches.
+type entryPlace struct {
+	name, region      string
+	peer, far         string
+	logAddr, listAddr string
+}
+
 func (c *cell) startEntry(name, region string) *process {
-	text := fmt.Sprintf(entrySettings, name, region, region,
-		c.addresses[standin.LogName], c.addresses[standin.ListName], c.events(name))
-	p := new(process)
+	c.t.Helper()
+	return c.startEntryAt(entryPlace{
+		name: name, region: region, peer: "127.0.0.1:0",
+		logAddr: c.addresses[standin.LogName], listAddr: c.addresses[standin.ListName],
+	})
+}
+
+func (c *cell) startEntryAt(at entryPlace) *process {
+	c.t.Helper()
+	name, far := at.name, ""
+	if at.far != "" {
+		far = fmt.Sprintf("advertise_far = %q", at.far)
+	}
+	text := fmt.Sprintf(entrySettings, name, at.region, at.region, at.peer, far, at.logAddr, at.listAddr, c.events(name))
+	p := &process{name: name}
 	addrFile := filepath.Join(c.dir, name+".json")
 	p.cmd = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
 	return p
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -92,6 +92,17 @@
 	return a
 }
 
+// count is the number of requests that ended with an outcome, whatever its code.
+func (l *load) count(outcome string) (n int64) {
+	l.outcomes.Range(func(kind, count any) bool {
+		if strings.HasPrefix(strings.TrimPrefix(kind.(string), "keyed "), outcome+" ") {
+			n += count.(*atomic.Int64).Load()
+		}
+		return true
+	})
+	return n
+}
+
 // run sends requests until stop is called, which waits for the last answers.
 func (l *load) run(seed uint64, callers int) (stop func()) {
 	var wg sync.WaitGroup
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -57,20 +57,30 @@
 func (p *Pool) Client(m structs.Member) peerv1connect.PeerServiceClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.clients[m.PeerAddr]; c != nil {
+	addr := p.addrOf(m)
+	if c := p.clients[addr]; c != nil {
 		return c
 	}
-	c := p.open(m)
-	p.clients[m.PeerAddr] = c
+	c := p.open(m, addr)
+	p.clients[addr] = c
 	return c
 }
 
+// addrOf returns the address at which this entry dials a member.
+func (p *Pool) addrOf(m structs.Member) string {
+	if m.Region != p.region && m.FarAddr != "" {
+		return m.FarAddr
+	}
+	return m.PeerAddr
+}
+
 // Reset closes the connections to a member; the next call opens a fresh one. It
 // is called after a call timed out, since its connection may be silent.
 func (p *Pool) Reset(m structs.Member) {
 	p.mu.Lock()
-	c := p.clients[m.PeerAddr]
-	delete(p.clients, m.PeerAddr)
+	addr := p.addrOf(m)
+	c := p.clients[addr]
+	delete(p.clients, addr)
 	p.mu.Unlock()
 	if c != nil {
 		c.transport.CloseIdleConnections()
@@ -81,7 +91,7 @@
 func (p *Pool) Keep(members []structs.Member) {
 	wanted := make(map[string]bool, len(members))
 	for _, m := range members {
-		wanted[m.PeerAddr] = true
+		wanted[p.addrOf(m)] = true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,7 +103,7 @@
 	}
 }
 
-func (p *Pool) open(m structs.Member) *client {
+func (p *Pool) open(m structs.Member, addr string) *client {
 	bytes := &p.Local
 	if m.Region != p.region {
 		bytes = &p.Cross
@@ -113,7 +123,7 @@
 	rt := p.clock.Transport(transport)
 	service := peerv1connect.NewPeerServiceClient(
 		&http.Client{Transport: rt},
-		"http://"+m.PeerAddr,
+		"http://"+addr,
 		connect.WithInterceptors(signer{keys: p.keys}),
 		connect.WithReadMaxBytes(MaxMessageBytes),
 		connect.WithSendMaxBytes(MaxMessageBytes),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -70,6 +70,7 @@
 	c.address("listen.peer", c.entry.Listen.Peer)
 	c.address("listen.metrics", c.entry.Listen.Metrics)
 	c.address("listen.advertise_peer", c.entry.Listen.AdvertisePeer)
+	c.address("listen.advertise_far", c.entry.Listen.AdvertiseFar)
 	host, _, err := net.SplitHostPort(c.entry.Listen.AdvertisePeer)
 	if err == nil && (host == "" || net.ParseIP(host).IsUnspecified()) {
 		c.report("%q: other entries can't dial it; state a host", []any{c.entry.Listen.AdvertisePeer}, "listen.advertise_peer", "listen.peer")
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -29,6 +29,7 @@
 		{"listen.peer", true, text(&e.Listen.Peer)},
 		{"listen.metrics", true, text(&e.Listen.Metrics)},
 		{"listen.advertise_peer", false, text(&e.Listen.AdvertisePeer)},
+		{"listen.advertise_far", false, text(&e.Listen.AdvertiseFar)},
 
 		{"platform.log", true, text(&e.Platform.Log)},
 		{"platform.list", true, text(&e.Platform.List)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,9 @@
 	Metrics  string
 	// AdvertisePeer is the peer address that other entries dial.
 	AdvertisePeer string
+	// AdvertiseFar is the peer address that entries of other regions dial, empty
+	// if it is AdvertisePeer.
+	AdvertiseFar string
 }
 
 // Platform is the [platform] table.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -48,6 +48,17 @@
 // AddRoute listens on an address, whose port may be 0, and relays to target. It
 // returns the address bound.
 func (r *Relay) AddRoute(listen, target string) (string, error) {
+	return r.addRoute(listen, target, &r.up, &r.down)
+}
+
+// AddBackRoute is AddRoute for callers at the other end of the link: what they send
+// shares the lane of the answers of other routes.
+func (r *Relay) AddBackRoute(listen, target string) (string, error) {
+	return r.addRoute(listen, target, &r.down, &r.up)
+}
+
+// addRoute adds a route whose callers send on one lane and get answers on the other.
+func (r *Relay) addRoute(listen, target string, send, answer *lane) (string, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return "", errors.Annotatef(err, "listening on %s", listen)
@@ -59,22 +70,22 @@
 		return "", structs.NewError(structs.CodeDraining, "the relay is closed")
 	}
 	r.listeners = append(r.listeners, l)
-	go r.accept(l, target)
+	go r.accept(l, func(conn net.Conn) { r.serve(conn, target, send, answer) })
 	return l.Addr().String(), nil
 }
 
-func (r *Relay) accept(l net.Listener, target string) {
+func (r *Relay) accept(l net.Listener, serve func(net.Conn)) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go r.serve(conn, target)
+		go serve(conn)
 	}
 }
 
 // serve relays one connection as the state at its start says.
-func (r *Relay) serve(conn net.Conn, target string) {
+func (r *Relay) serve(conn net.Conn, target string, send, answer *lane) {
 	switch r.State() {
 	case StateCut:
 		reset(conn)
@@ -83,11 +94,11 @@
 		p.silent.Store(true)
 		r.keep(p)
 	default:
-		r.relay(conn, target)
+		r.relay(conn, target, send, answer)
 	}
 }
 
-func (r *Relay) relay(conn net.Conn, target string) {
+func (r *Relay) relay(conn net.Conn, target string, send, answer *lane) {
 	to, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		reset(conn)
@@ -97,7 +108,7 @@
 	if !r.keep(p) {
 		return
 	}
-	p.run(&r.up, &r.down)
+	p.run(send, answer)
 	if !p.silent.Load() {
 		r.drop(p)
 	}
@@ -179,7 +190,8 @@
 // Status is what the relay reports of itself.
 type Status struct {
 	State State `json:"state"`
-	// UpBytes went from callers to targets, DownBytes back.
+	// UpBytes went from the callers of routes to targets and from the targets of
+	// back routes to callers, DownBytes the other way.
 	UpBytes     int64 `json:"up_bytes"`
 	DownBytes   int64 `json:"down_bytes"`
 	Connections int   `json:"connections"`
--- a/internal/structs/worker.go
+++ b/internal/structs/worker.go
@@ -36,6 +36,9 @@
 	ID string `json:"id"`
 	// PeerAddr is the host:port of the peer interface.
 	PeerAddr string `json:"peer_addr"`
-	Region   string `json:"region"`
-	Domain   string `json:"domain"`
+	// FarAddr is the address that members of other regions dial, empty if it is
+	// the same.
+	FarAddr string `json:"far_addr,omitempty"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
 }
