--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -95,6 +95,7 @@
 	s.Timing.Lease = 3 * time.Second
 	s.Timing.Authority = 1500 * time.Millisecond
 	s.Timing.ClockMargin = 200 * time.Millisecond
+	s.Timing.Snapshot = time.Second
 }
 
 func (f *failureTest) startEntry() *Entry {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -321,3 +321,9 @@
 	out = e.pool.Local.Out.Load() + e.pool.Cross.Out.Load() + e.inbound.Out.Load()
 	return in, out
 }
+
+// Class returns a class as this entry has it in force.
+func (e *Entry) Class(name string) (class structs.Class, ok bool) {
+	e.do(func() { class, ok = e.core.control.Class(name) })
+	return class, ok
+}
