--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -163,3 +163,21 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkEvict measures the choice of tasks to stop for one urgent task in a full
+// cell.
+func BenchmarkEvict(b *testing.B) {
+	cost := func(a structs.Alloc) (float64, bool) { return float64(a.Size.CPUMilli), a.Class == "fill" }
+	for _, workers := range benchWorkers {
+		s := busyCell(b, workers, 1)
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			a := ask("urgent", structs.KindBatch, 1, size(2, 4, 0))
+			for b.Loop() {
+				if len(PlanEvict(s, a, cost)) != 1 {
+					b.Fatal("nothing to evict")
+				}
+			}
+		})
+	}
+}
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -55,9 +55,11 @@
 	}
 	want := max(evictWorkers, len(ask.Tasks))
 	first := int(ask.seed() % uint64(len(racks)))
+	var list []priced
 	for i := range racks {
 		for _, n := range racks[(first+i)%len(racks)].nodes {
-			if e, ok := n.evict(ask, cost); ok {
+			list = n.priced(list[:0], cost)
+			if e, ok := n.evict(ask, list); ok {
 				found = append(found, e)
 			}
 		}
@@ -68,44 +70,47 @@
 	return found
 }
 
-// priced is an allocation with the cost of stopping it.
+// priced is a counted allocation with the cost of stopping it.
 type priced struct {
-	alloc structs.Alloc
-	cost  float64
+	held *held
+	cost float64
+}
+
+// comparePriced orders by cost, then task.
+func comparePriced(a, b priced) int {
+	return cmp.Or(cmp.Compare(a.cost, b.cost), compareAllocs(a.held.alloc, b.held.alloc))
 }
 
-// evict returns the cheapest few allocations whose end makes room on the node.
-func (n *Node) evict(ask *Ask, cost EvictCost) (Eviction, bool) {
+// evict returns the few cheapest of a list of allocations whose end makes room on the
+// node.
+func (n *Node) evict(ask *Ask, list []priced) (Eviction, bool) {
 	if !n.Usable() || n.hold != "" && n.hold != ask.Job || !ask.Size.Fits(n.worker.Size) || ask.avoids(n.worker.ID) {
 		return Eviction{}, false
 	}
-	list := n.priced(cost)
 	free := n.worker.Size.Sub(n.used).Sub(n.excess)
-	var chosen []priced
+	chosen := 0
 	for _, p := range list {
-		if ask.Size.Fits(n.beside(ask.Size, free)) || len(chosen) == evictTasks {
+		if ask.Size.Fits(n.beside(ask.Size, free)) || chosen == evictTasks {
 			break
 		}
-		chosen = append(chosen, p)
-		free = free.Add(p.alloc.Size)
+		chosen++
+		free = free.Add(p.held.alloc.Size)
 	}
-	if len(chosen) == 0 || !ask.Size.Fits(n.beside(ask.Size, free)) {
+	if chosen == 0 || !ask.Size.Fits(n.beside(ask.Size, free)) {
 		return Eviction{}, false
 	}
-	return n.leaveOut(ask, chosen, free), true
+	return n.leaveOut(ask, list[:chosen], free), true
 }
 
-// priced lists what may be stopped on the node, the cheapest first.
-func (n *Node) priced(cost EvictCost) []priced {
-	var list []priced
+// priced appends what may be stopped on the node to a list, the cheapest first.
+func (n *Node) priced(list []priced, cost EvictCost) []priced {
+	from := len(list)
 	for _, h := range n.allocs {
 		if c, ok := cost(h.alloc); ok {
-			list = append(list, priced{alloc: h.alloc, cost: c})
+			list = append(list, priced{held: h, cost: c})
 		}
 	}
-	slices.SortFunc(list, func(a, b priced) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), compareAllocs(a.alloc, b.alloc))
-	})
+	slices.SortFunc(list[from:], comparePriced)
 	return list
 }
 
@@ -113,12 +118,12 @@
 func (n *Node) leaveOut(ask *Ask, chosen []priced, free structs.Resources) Eviction {
 	e := Eviction{Worker: n.worker.ID}
 	for _, p := range slices.Backward(chosen) {
-		without := free.Sub(p.alloc.Size)
+		without := free.Sub(p.held.alloc.Size)
 		if ask.Size.Fits(n.beside(ask.Size, without)) {
 			free = without
 			continue
 		}
-		e.Allocs = append(e.Allocs, p.alloc)
+		e.Allocs = append(e.Allocs, p.held.alloc)
 		e.Cost += p.cost
 	}
 	return e
@@ -134,12 +139,12 @@
 	}
 	var list []priced
 	for _, id := range h.Workers {
-		list = append(list, s.nodes[id].priced(cost)...)
+		list = s.nodes[id].priced(list, cost)
 	}
-	slices.SortStableFunc(list, func(a, b priced) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(list, comparePriced)
 	allocs := make([]structs.Alloc, len(list))
 	for i, p := range list {
-		allocs[i] = p.alloc
+		allocs[i] = p.held.alloc
 	}
 	return allocs
 }
