authority: the walk also checks that no proof postdates an unread change

A new owner may act on a worker that it reaches as soon as it has raised the epoch there, so a proof of the old owner must never be of a later tick than a change of the members that it has not read.

--- a/internal/authority/walk_test.go
+++ b/internal/authority/walk_test.go
@@ -89,6 +89,8 @@
 	attested [walkMembers]uint8
 	// read are the ages at which the new member read the records.
 	read [walkLog]uint8
+	// landed are the ages of the records.
+	landed [walkLog]uint8
 }
 
 // walker holds what the walk remembers of the decisions that depend on the log.
@@ -220,11 +222,14 @@
 	return w.now.Add(-time.Duration(age) * time.Second)
 }
 
-func (w *walker) oldHolds(s *walkState) bool {
+func (w *walker) oldHolds(s *walkState) bool { return !w.oldSince(s).IsZero() }
+
+// oldSince returns the time up to which the old member is proven to be in force.
+func (w *walker) oldSince(s *walkState) time.Time {
 	m := w.mapAt(s.prefix(s.m[w.old].epoch))
 	group, found := m.GroupOfMember(walkNames[w.old])
 	if !found {
-		return false
+		return time.Time{}
 	}
 	a := New(w.cfg, walkNames[w.old], w.attester(s, w.old))
 	a.TableChanged(m.Epoch(), group.IDs())
@@ -234,7 +239,25 @@
 			a.ObserveAttestation(name, m.Epoch(), w.instant(s.attested[i]))
 		}
 	}
-	return a.Holds(w.now)
+	return a.Since(w.now)
+}
+
+// provenTooLate reports whether the proof of the old member is of a later tick than a
+// change of the members that it has not read: a new owner may have acted at once on
+// workers that it reached. After a forced change this may be.
+func (w *walker) provenTooLate(s *walkState) bool {
+	since := w.oldSince(s)
+	if since.IsZero() || len(w.listedGone) > 0 {
+		return false
+	}
+	for n := s.m[w.old].epoch; n < s.length(); n++ {
+		c := w.known[s.log[n]-1]
+		changed := len(c.Join)+len(c.Remove) > 0
+		if changed && since.After(w.now.Add(-time.Duration(s.landed[n])*time.Second)) {
+			return true
+		}
+	}
+	return false
 }
 
 // handover returns the new member's view of old owners.
@@ -315,6 +338,7 @@
 	}
 	for n := range s.read {
 		older(&s.read[n])
+		older(&s.landed[n])
 	}
 	return s
 }
@@ -461,6 +485,7 @@
 	if s.pending[c] == 0 {
 		return
 	}
+	s.landed[s.length()] = 0
 	s.log[s.length()] = s.pending[c]
 	s.pending = [walkChanges]recordID{}
 	yield("takes effect: change", [2]int{-1, c}, s)
@@ -494,7 +519,7 @@
 		if w.oldHolds(&s) && s.m[w.new].epoch > s.m[w.old].epoch {
 			r.held++
 		}
-		if w.conflict(&s) {
+		if w.conflict(&s) || w.provenTooLate(&s) {
 			r.trace = w.trace(queue, parent, i)
 			break
 		}
