Requests of own callers wait within their target while an entry has no slot

Cause (scenario entry_killed: not_run no_capacity, retry after 2,178 ms): right after a member's removal an entry may own no worker that is known yet, and nobody in the region has a slot; the gate refused at once. Ruled out: slow refresh of the slots' number, which follows at once.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -18,7 +18,7 @@
 func (d *Dispatcher) attempt(ctx context.Context, a *attempt) Result {
 	d.refreshSlots()
 	t := d.gate.offer(a.offer(d.gate.usual(a.req.Class)))
-	defer t.end(0)
+	defer func() { t.end(0) }()
 	for {
 		if t.may() {
 			res, done := d.here(ctx, a, t)
@@ -32,6 +32,11 @@
 			return d.forward(ctx, a, choice)
 		}
 		if err := t.refusal(); err != nil {
+			if d.awaitSlots(ctx, a) {
+				t.end(0)
+				t = d.gate.offer(a.offer(d.gate.usual(a.req.Class)))
+				continue
+			}
 			d.counts.refused.Inc()
 			return Result{Outcome: structs.OutcomeNotRun, Err: structs.AsError(err), Unsent: true, Final: true}
 		}
@@ -41,6 +46,20 @@
 	}
 }
 
+// awaitSlots waits a little while the entry has no slot at all, as while workers
+// change owners, and reports whether the request should look for a place again. It
+// does so as long as the target allows, for requests of the entry's own callers.
+func (d *Dispatcher) awaitSlots(ctx context.Context, a *attempt) bool {
+	if a.forwarded || d.gate.capacity() > 0 || a.slack() <= d.gate.usual(a.req.Class) {
+		return false
+	}
+	if pause(ctx, blockedPause) != nil {
+		return false
+	}
+	d.refreshSlots()
+	return true
+}
+
 // here sends a request that the gate let pass to an own worker, or to a peer if
 // there is no slot after all. It reports false after a pause in which no slot was
 // found; the request keeps its turn.
