Quotas of teams are in force

Weighed: shares by a home for each team, with calls each second; left for one owner of all a team's jobs in a group and an even part for each group, which needs no message.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -123,6 +123,7 @@
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
+	c.jobs.SetQuota(c.quotaShare)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
 }
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -77,7 +77,7 @@
 		j.Team = class.Team
 	}
 	j.AcceptedMs = time.Now().UnixMilli()
-	j.ID = group.Name + ":" + strconv.FormatUint(xxhash.Sum64String(changeID), 36)
+	j.ID = structs.NewJobID(group.Name, j.Team, strconv.FormatUint(xxhash.Sum64String(changeID), 36))
 	return s, s.table.Next() - 1, nil
 }
 
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -72,6 +72,8 @@
 	started time.Time
 	reason  string
 
+	// heldTasks is the number of tasks counted as held by the team.
+	heldTasks int
 	// attention is where changes of the job are marked; nil before it is held.
 	attention *attention
 	// dropped is set once the job is held no more.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -27,6 +27,8 @@
 	// health tells workers that fail what succeeds elsewhere from jobs that fail
 	// everywhere, by the results of the held jobs.
 	health *health.Tracker
+	// quota tells what a team may hold; nil for no quotas.
+	quota QuotaOf
 
 	attention attention
 }
@@ -165,7 +167,13 @@
 		if j == nil {
 			break
 		}
-		order := j.order(now, limit)
+		tasks := o.allowed(j, limit)
+		if tasks == 0 {
+			j.awaitQuota(now)
+			continue
+		}
+		order := j.order(now, tasks)
+		o.attention.settleChanges()
 		order.Avoid = o.health.Avoid(j.spec.ID)
 		if len(probes) > 0 && j.spec.Kind == structs.KindBatch {
 			order.Probes = probes[:1]
--- a/internal/orchestrator/ready.go
+++ b/internal/orchestrator/ready.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"container/heap"
 	"time"
+
+	"dotterelhitch/internal/structs"
 )
 
 // attention holds the jobs that a tick has something to do about, so that its cost
@@ -23,6 +25,8 @@
 	hopeless map[*job]struct{}
 	// waiting is the number of tasks that wait for a placement.
 	waiting int
+	// held is what the tasks of each team that may run hold by their declared size.
+	held map[string]structs.Resources
 }
 
 func newAttention() attention {
@@ -31,6 +35,7 @@
 		collect:  map[*job]struct{}{},
 		ending:   map[*job]struct{}{},
 		hopeless: map[*job]struct{}{},
+		held:     map[string]structs.Resources{},
 	}
 }
 
@@ -76,9 +81,27 @@
 	}
 	a.waiting += waiting - j.counted
 	j.counted = waiting
+	a.countHeld(j)
 	a.enqueue(j)
 }
 
+// countHeld brings what the job's team holds up to date.
+func (a *attention) countHeld(j *job) {
+	live := 0
+	if !j.dropped {
+		live = j.live()
+	}
+	if live == j.heldTasks || j.spec.Team == "" {
+		return
+	}
+	held := a.held[j.spec.Team].Add(j.spec.Size.Times(int64(live - j.heldTasks)))
+	j.heldTasks = live
+	a.held[j.spec.Team] = held
+	if held.IsZero() {
+		delete(a.held, j.spec.Team)
+	}
+}
+
 func keep(set map[*job]struct{}, j *job, in bool) {
 	if in {
 		set[j] = struct{}{}
--- a/internal/ownership/map.go
+++ b/internal/ownership/map.go
@@ -124,7 +124,7 @@
 	if !found {
 		return structs.Member{}, false
 	}
-	return m.groups[i].first(hashName(job)), true
+	return m.groups[i].first(hashName(structs.JobSeries(job))), true
 }
 
 // PartitionOf returns the partition of a request key.
--- a/internal/structs/job.go
+++ b/internal/structs/job.go
@@ -14,8 +14,7 @@
 
 // Job is a submitted set of equal tasks.
 type Job struct {
-	// ID is "<group>:<unique>": the group of members that decides it, and a
-	// name unique in the cell.
+	// ID names the group of members that decides the job; see NewJobID.
 	ID    string `json:"id"`
 	Class string `json:"class"`
 	Team  string `json:"team,omitempty"`
@@ -52,6 +51,24 @@
 	return nil
 }
 
+// NewJobID returns the ID of a job: "<group>:<unique>", or "<group>:<team>~<unique>"
+// for the job of a team.
+func NewJobID(group, team, unique string) string {
+	if team == "" {
+		return group + ":" + unique
+	}
+	return group + ":" + team + "~" + unique
+}
+
+// JobSeries returns the part of a job ID that decides its owner: all jobs of a team in
+// one group have the same owner, which can then keep the team's quota by itself.
+func JobSeries(id string) string {
+	if i := strings.LastIndexByte(id, '~'); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
 // JobGroup returns the group part of a job ID, empty if the ID has none.
 func JobGroup(id string) string {
 	group, _, found := strings.Cut(id, ":")
--- a/internal/structs/resources.go
+++ b/internal/structs/resources.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// Times returns r multiplied by n.
+func (r Resources) Times(n int64) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli * n,
+		MemoryMiB:    r.MemoryMiB * n,
+		Accelerators: r.Accelerators * n,
+	}
+}
+
 // Fits reports whether r is at most free in every component.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPUMilli <= free.CPUMilli &&
