Cancellations reach every group

Cause (read-through): a filter reached the jobs of the entry's own group only, and a job of another region could not be cancelled at all (not_owner). The entry now asks a member of each group whose stream it does not read. TestCancellationsReachEveryGroup.

--- /dev/null
+++ b/internal/embedded/cancel_test.go
@@ -0,0 +1,50 @@
+package embedded
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/structs"
+)
+
+// TestCancellationsReachEveryGroup cancels jobs of two regions by a filter, and one by
+// its ID through an entry of the other region.
+func TestCancellationsReachEveryGroup(t *testing.T) {
+	f := newFailureTest(t, 2)
+	far, err := f.cell.StartEntry("fes", "fes-1")
+	f.must(err)
+	f.must(f.cell.AwaitReady(f.ctx))
+	f.await("the class at the far entry", func() bool {
+		_, ok := far.Class("reconcile")
+		return ok
+	})
+	near := f.cell.Live()[0]
+	submit := func(e *Entry, run time.Duration) string {
+		client := &caller.Client{Base: "http://" + e.CallerAddr()}
+		id, err := client.SubmitJob(f.ctx, structs.Job{
+			Class:   "reconcile",
+			Count:   2,
+			Size:    structs.Resources{CPUMilli: 100, MemoryMiB: 64},
+			RunTime: structs.Duration(run),
+		}, "")
+		f.must(err)
+		return id
+	}
+	one, two, three := submit(near, time.Hour), submit(far, time.Hour), submit(far, time.Hour)
+	client := &caller.Client{Base: "http://" + near.CallerAddr()}
+	n, err := client.CancelJob(f.ctx, two, "")
+	if err != nil || n != 1 {
+		t.Errorf("job of the other region: %d cancelled, %v, want 1", n, err)
+	}
+	n, err = client.CancelJobs(f.ctx, structs.JobFilter{Class: "reconcile"}, "")
+	if err != nil || n != 2 {
+		t.Errorf("by class: %d cancelled, %v, want 2", n, err)
+	}
+	for _, id := range []string{one, two, three} {
+		status, err := client.JobStatus(f.ctx, id, 10*time.Second)
+		if err != nil || status.State != structs.JobCancelled {
+			t.Errorf("job %s: %s, %v, want cancelled", id, status.State, err)
+		}
+	}
+}
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -50,7 +50,7 @@
 	if os.Getenv("HITCH_TEST_LOGS") != "" {
 		logger = slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	}
-	cell, err := Start(Config{Topology: top, Regions: []string{"casa"}, Logger: logger, Adjust: shortTiming})
+	cell, err := Start(Config{Topology: top, Regions: []string{"casa", "fes"}, Logger: logger, Adjust: shortTiming})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/entry/cancel.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// CancelJobs cancels the jobs that a filter selects, in the group that the filter's job
+// names or in every group. After an error some groups may have cancelled theirs; a
+// repeat does no harm.
+func (b *jobBackend) CancelJobs(ctx context.Context, f structs.JobFilter, changeID string) (int, error) {
+	if err := f.Validate(); err != nil {
+		return 0, err
+	}
+	if changeID == "" {
+		changeID = uuid.NewString()
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	var groups []string
+	if !b.e.do(func() { groups = b.e.core.cancelGroups(f) }) {
+		return 0, errEnding()
+	}
+	type outcome struct {
+		n   int
+		err error
+	}
+	outcomes := make(chan outcome, len(groups))
+	for _, group := range groups {
+		go func() {
+			n, err := b.e.cancelIn(ctx, group, f, changeID)
+			outcomes <- outcome{n: n, err: err}
+		}()
+	}
+	total := 0
+	var failed error
+	for range groups {
+		o := <-outcomes
+		total += o.n
+		if o.err != nil {
+			failed = o.err
+		}
+	}
+	return total, failed
+}
+
+// cancelGroups are the groups in which a filter may select jobs.
+func (c *core) cancelGroups(f structs.JobFilter) []string {
+	if group := structs.JobGroup(f.ID); group != "" {
+		return []string{group}
+	}
+	var groups []string
+	for _, g := range c.table.Groups() {
+		groups = append(groups, g.Name)
+	}
+	return groups
+}
+
+// cancelIn cancels the selected jobs of one group: here if this entry reads its
+// stream, else through a member that does.
+func (e *Entry) cancelIn(ctx context.Context, group string, f structs.JobFilter, changeID string) (int, error) {
+	var here bool
+	var members []structs.Member
+	e.do(func() {
+		here = e.core.streams[group] != nil
+		if g, ok := e.core.table.GroupOfJobs(group); ok {
+			members = g.Members
+		}
+	})
+	if here {
+		return e.cancelHere(ctx, group, f, changeID)
+	}
+	err := structs.NewError(structs.CodeUnavailable, "no member of group %q answers", group)
+	for _, m := range members {
+		var n int
+		if n, err = e.cancelAt(ctx, m, group, f, changeID); err == nil {
+			return n, nil
+		}
+	}
+	return 0, err
+}
+
+func (e *Entry) cancelAt(ctx context.Context, m structs.Member, group string, f structs.JobFilter, changeID string) (int, error) {
+	resp, err := e.pool.Client(m).CancelJobs(ctx, &peerv1.CancelJobsRequest{
+		ChangeId: changeID,
+		Group:    group,
+		Id:       f.ID,
+		Class:    f.Class,
+		Team:     f.Team,
+	})
+	if err != nil {
+		return 0, callError(err)
+	}
+	return int(resp.Cancelled), toError(resp.Error)
+}
+
+// CancelJobs implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) CancelJobs(ctx context.Context, r *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
+	f := structs.JobFilter{ID: r.Id, Class: r.Class, Team: r.Team}
+	if err := f.Validate(); err != nil {
+		return &peerv1.CancelJobsResponse{Error: fromError(err)}, nil
+	}
+	n, err := s.e.cancelHere(ctx, r.Group, f, r.ChangeId)
+	return &peerv1.CancelJobsResponse{Cancelled: int32(n), Error: fromError(err)}, nil
+}
+
+// cancelHere appends the cancellation to a stream that this entry reads.
+func (e *Entry) cancelHere(ctx context.Context, group string, f structs.JobFilter, changeID string) (int, error) {
+	var s *jobStream
+	var base int64
+	var n int
+	if !e.do(func() { s, base, n = e.core.prepareCancel(group, f) }) {
+		return 0, errEnding()
+	}
+	if s == nil {
+		return 0, structs.NewError(structs.CodeBehind, "the jobs of group %q are not read here", group)
+	}
+	if n == 0 {
+		return 0, nil
+	}
+	r, err := e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobCancel, Base: base, Filter: &f})
+	if err != nil {
+		return 0, err
+	}
+	if !r.Accepted {
+		return 0, r.Err
+	}
+	return n, nil
+}
+
+// prepareCancel counts what a filter selects now.
+func (c *core) prepareCancel(group string, f structs.JobFilter) (*jobStream, int64, int) {
+	s := c.streams[group]
+	if s == nil || !s.caughtUp {
+		return nil, 0, 0
+	}
+	n := 0
+	for _, j := range s.table.All() {
+		if !j.Ended() && f.Match(j.Job) {
+			n++
+		}
+	}
+	return s, s.table.Next() - 1, n
+}
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceInventoryProcedure = "/dotterelhitch.peer.v1.PeerService/Inventory"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
+	// PeerServiceCancelJobsProcedure is the fully-qualified name of the PeerService's CancelJobs RPC.
+	PeerServiceCancelJobsProcedure = "/dotterelhitch.peer.v1.PeerService/CancelJobs"
 	// PeerServiceJobStatusProcedure is the fully-qualified name of the PeerService's JobStatus RPC.
 	PeerServiceJobStatusProcedure = "/dotterelhitch.peer.v1.PeerService/JobStatus"
 	// PeerServiceStatusProcedure is the fully-qualified name of the PeerService's Status RPC.
@@ -89,6 +91,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// CancelJobs cancels jobs of the callee's group.
+	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
 	JobStatus(context.Context, *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error)
 	// Status lists what an entry owns and what is late.
@@ -170,6 +174,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		cancelJobs: connect.NewClient[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse](
+			httpClient,
+			baseURL+PeerServiceCancelJobsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CancelJobs")),
+			connect.WithClientOptions(opts...),
+		),
 		jobStatus: connect.NewClient[peerv1.JobStatusRequest, peerv1.JobStatusResponse](
 			httpClient,
 			baseURL+PeerServiceJobStatusProcedure,
@@ -226,6 +236,7 @@
 	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
 	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
 	status       *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
 	dispatch     *connect.Client[peerv1.DispatchRequest, peerv1.DispatchResponse]
@@ -316,6 +327,15 @@
 	return nil, err
 }
 
+// CancelJobs calls dotterelhitch.peer.v1.PeerService.CancelJobs.
+func (c *peerServiceClient) CancelJobs(ctx context.Context, req *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
+	response, err := c.cancelJobs.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // JobStatus calls dotterelhitch.peer.v1.PeerService.JobStatus.
 func (c *peerServiceClient) JobStatus(ctx context.Context, req *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error) {
 	response, err := c.jobStatus.CallUnary(ctx, connect.NewRequest(req))
@@ -399,6 +419,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// CancelJobs cancels jobs of the callee's group.
+	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
 	JobStatus(context.Context, *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error)
 	// Status lists what an entry owns and what is late.
@@ -476,6 +498,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCancelJobsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceCancelJobsProcedure,
+		svc.CancelJobs,
+		connect.WithSchema(peerServiceMethods.ByName("CancelJobs")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceJobStatusHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceJobStatusProcedure,
 		svc.JobStatus,
@@ -538,6 +566,8 @@
 			peerServiceInventoryHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceCancelJobsProcedure:
+			peerServiceCancelJobsHandler.ServeHTTP(w, r)
 		case PeerServiceJobStatusProcedure:
 			peerServiceJobStatusHandler.ServeHTTP(w, r)
 		case PeerServiceStatusProcedure:
@@ -597,6 +627,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.CancelJobs is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) JobStatus(context.Context, *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.JobStatus is not implemented"))
 }
