A job's repeat through another region finds the first; alarms for authority and log

Cause (read-through): a job is named by its group and key, so the same key through an entry of another group made a second job. The other groups are now asked first, for at most 500 ms; TestCancellationsReachEveryGroup (repeat).

--- a/internal/embedded/cancel_test.go
+++ b/internal/embedded/cancel_test.go
@@ -20,18 +20,21 @@
 		return ok
 	})
 	near := f.cell.Live()[0]
-	submit := func(e *Entry, run time.Duration) string {
+	submit := func(e *Entry, key string) string {
 		client := &caller.Client{Base: "http://" + e.CallerAddr()}
 		id, err := client.SubmitJob(f.ctx, structs.Job{
 			Class:   "reconcile",
 			Count:   2,
 			Size:    structs.Resources{CPUMilli: 100, MemoryMiB: 64},
-			RunTime: structs.Duration(run),
-		}, "")
+			RunTime: structs.Duration(time.Hour),
+		}, key)
 		f.must(err)
 		return id
 	}
-	one, two, three := submit(near, time.Hour), submit(far, time.Hour), submit(far, time.Hour)
+	one, two, three := submit(near, "one"), submit(far, "two"), submit(far, "three")
+	if again := submit(near, "two"); again != two {
+		t.Errorf("a repeat through the other region: job %s, want %s", again, two)
+	}
 	client := &caller.Client{Base: "http://" + near.CallerAddr()}
 	n, err := client.CancelJob(f.ctx, two, "")
 	if err != nil || n != 1 {
--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -90,10 +90,25 @@
 	t := event.AuthorityOff
 	if held {
 		t = event.AuthorityOn
+		c.clearAlarm(structs.CodeNoAuthority)
+	} else if c.joined {
+		c.alarm(structs.CodeNoAuthority, "neither the log nor the group proves that this member is in the table")
 	}
 	c.e.events.Record(event.Event{Type: t, Member: c.self(), Epoch: c.table.Epoch()})
 }
 
+// logAlarmAfter is the age of the last read of the log at which an alarm is raised.
+const logAlarmAfter = 10 * time.Second
+
+// noteLog raises an alarm while the log can't be read.
+func (c *core) noteLog(now time.Time) {
+	if c.joined && now.Sub(c.controlRead) > logAlarmAfter {
+		c.alarm(structs.CodeUnavailable, "the log was not read for more than "+logAlarmAfter.String())
+		return
+	}
+	c.clearAlarm(structs.CodeUnavailable)
+}
+
 // observeTail counts a read of the control stream's tail.
 func (c *core) observeTail(p journal.Page) {
 	read := authority.TailRead{Start: p.Start, Next: p.Next, Applied: c.control.Next() - 1, Epoch: c.control.Epoch()}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	var groups []string
-	if !b.e.do(func() { groups = b.e.core.cancelGroups(f) }) {
+	if !b.e.do(func() { groups = b.e.core.groupsOf(f) }) {
 		return 0, errEnding()
 	}
 	type outcome struct {
@@ -49,8 +49,8 @@
 	return total, failed
 }
 
-// cancelGroups are the groups in which a filter may select jobs.
-func (c *core) cancelGroups(f structs.JobFilter) []string {
+// groupsOf are the groups in which a filter may select jobs.
+func (c *core) groupsOf(f structs.JobFilter) []string {
 	if group := structs.JobGroup(f.ID); group != "" {
 		return []string{group}
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -131,6 +131,7 @@
 // tick is the periodic work of the control goroutine.
 func (c *core) tick(now time.Time) {
 	c.noteAuthority(now)
+	c.noteLog(now)
 	c.lapse(now)
 	c.syncEndpoints()
 	c.flushEnds()
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -26,7 +26,8 @@
 }
 
 // SubmitJob accepts a job: its record is in the log, and was read back, before the
-// caller is told so. A repeat of the change ID finds the same job.
+// caller is told so. A repeat of the change ID finds the same job, also through an
+// entry of another group unless that group can't be reached.
 func (b *jobBackend) SubmitJob(ctx context.Context, j structs.Job, changeID string) (string, error) {
 	if err := j.Validate(); err != nil {
 		return "", err
@@ -45,6 +46,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
+	if id := b.acceptedElsewhere(ctx, j, changeID); id != "" {
+		return id, nil
+	}
 	r, err := b.e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base, Job: &j})
 	if err != nil {
 		return "", err
@@ -55,6 +59,45 @@
 	return j.ID, nil
 }
 
+// jobID names a job by its change ID, so that a repeat has the same name.
+func jobID(group, team, changeID string) string {
+	return structs.NewJobID(group, team, strconv.FormatUint(xxhash.Sum64String(changeID), 36))
+}
+
+// elsewhereTimeout bounds the question whether another group has a job already.
+const elsewhereTimeout = 500 * time.Millisecond
+
+// acceptedElsewhere returns the ID under which another group has accepted the job,
+// empty if none says so in time.
+func (b *jobBackend) acceptedElsewhere(ctx context.Context, j structs.Job, changeID string) string {
+	ctx, cancel := context.WithTimeout(ctx, elsewhereTimeout)
+	defer cancel()
+	var groups []string
+	b.e.do(func() { groups = b.e.core.groupsOf(structs.JobFilter{}) })
+	found := make(chan string, len(groups))
+	asked := 0
+	for _, group := range groups {
+		id := jobID(group, j.Team, changeID)
+		if id == j.ID {
+			continue
+		}
+		asked++
+		go func() {
+			if _, err := b.once(ctx, id); err != nil {
+				id = ""
+			}
+			found <- id
+		}()
+	}
+	accepted := ""
+	for range asked {
+		if id := <-found; id != "" {
+			accepted = id
+		}
+	}
+	return accepted
+}
+
 // prepareJob completes a job from its class and names its stream.
 func (c *core) prepareJob(j *structs.Job, changeID string) (*jobStream, int64, error) {
 	class, ok := c.control.Class(j.Class)
@@ -77,7 +120,7 @@
 		j.Team = class.Team
 	}
 	j.AcceptedMs = time.Now().UnixMilli()
-	j.ID = structs.NewJobID(group.Name, j.Team, strconv.FormatUint(xxhash.Sum64String(changeID), 36))
+	j.ID = jobID(group.Name, j.Team, changeID)
 	return s, s.table.Next() - 1, nil
 }
 
