--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -20,6 +20,9 @@
 	committer *journal.Committer
 	cancel    context.CancelFunc
 	caughtUp  bool
+	// over are the jobs that the record at overAt was seen to end.
+	over   map[string]bool
+	overAt int64
 	// snapshotAt is when the last snapshot was read or the stream opened.
 	snapshotAt time.Time
 }
@@ -149,11 +152,11 @@
 	case state.TasksEnd:
 		c.noteEnds(s, r)
 	case state.JobPark:
-		c.noteOver(s.table.Get(r.Change.JobID), r.Offset)
+		c.noteOver(s, s.table.Get(r.Change.JobID), r.Offset)
 	case state.JobCancel:
 		for _, j := range s.table.All() {
 			if j.EndedAt == r.Offset {
-				c.noteOver(j, r.Offset)
+				c.noteOver(s, j, r.Offset)
 			}
 		}
 	}
@@ -191,12 +194,24 @@
 		}
 	}
 	c.jobs.Settled(id, r.Change.Ends)
-	c.noteOver(s.table.Get(id), r.Offset)
+	c.noteOver(s, s.table.Get(id), r.Offset)
+}
+
+// firstOver reports whether the end of a job by the record at offset is seen for the
+// first time: a record may hold several changes of one job.
+func (s *jobStream) firstOver(id string, offset int64) bool {
+	if s.overAt != offset {
+		s.overAt = offset
+		s.over = map[string]bool{}
+	}
+	first := !s.over[id]
+	s.over[id] = true
+	return first
 }
 
 // noteOver acts on a job that a change has ended.
-func (c *core) noteOver(j *state.Job, offset int64) {
-	if j == nil || j.EndedAt != offset {
+func (c *core) noteOver(s *jobStream, j *state.Job, offset int64) {
+	if j == nil || j.EndedAt != offset || !s.firstOver(j.Job.ID, offset) {
 		return
 	}
 	id := j.Job.ID
