--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -69,8 +69,6 @@
 	beat int
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
-	// jobWaiters wait for a job to end.
-	jobWaiters map[string][]chan struct{}
 
 	// waitingGangs are the splits of gangs for which workers are held.
 	waitingGangs map[string][]gang.Part
@@ -109,16 +107,15 @@
 			Silent:      2 * t.Renew,
 			ReportRetry: time.Second,
 		}),
-		agents:     map[string]*agent{},
-		streams:    map[string]*jobStream{},
-		jobs:       orchestrator.New(),
-		barrier:    map[string]int64{},
-		stopped:    map[string]time.Time{},
-		ends:       map[string][]state.TaskEnd{},
-		peers:      map[string]*peerState{},
-		waiters:    map[string][]chan state.Result{},
-		jobWaiters: map[string][]chan struct{}{},
-		alarms:     map[structs.Code]string{},
+		agents:  map[string]*agent{},
+		streams: map[string]*jobStream{},
+		jobs:    orchestrator.New(),
+		barrier: map[string]int64{},
+		stopped: map[string]time.Time{},
+		ends:    map[string][]state.TaskEnd{},
+		peers:   map[string]*peerState{},
+		waiters: map[string][]chan state.Result{},
+		alarms:  map[structs.Code]string{},
 
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -185,7 +185,7 @@
 	c.jobs.Gain(j, class, fresh)
 }
 
-// noteEnds tells the orchestrator, and whoever waits, of settled tasks.
+// noteEnds tells the orchestrator of settled tasks.
 func (c *core) noteEnds(s *jobStream, r state.Result) {
 	id := r.Change.JobID
 	for _, e := range r.Change.Ends {
@@ -221,10 +221,6 @@
 	if j.Cancelled || j.Parked != "" {
 		c.jobs.End(id, j.Cancelled, j.Parked)
 	}
-	for _, ch := range c.jobWaiters[id] {
-		close(ch)
-	}
-	delete(c.jobWaiters, id)
 }
 
 // jobState is the state of an ended job as the log has it.
