A job is known to its owner as soon as it is accepted

It answered not_found for a job that was accepted. The same lag made a cancellation through an entry that had not read the job yet cancel nothing, and say so as success. Ruled out: a lost record (the next call found the job), an owner in change (the epoch was the same). Change: before an owner calls a job unknown, and before a cancellation selects jobs, the entry reads its group's stream to the end. If the log can't be read the answer is that error, not not_found. The question whether another group has a job already, asked at each submission, stays without a read of the log (lagging), or each submission would cost a read for each group.

--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -109,8 +109,12 @@
 	return &peerv1.CancelJobsResponse{Cancelled: int32(n), Error: fromError(err)}, nil
 }
 
-// cancelHere appends the cancellation to a stream that this entry reads.
+// cancelHere appends the cancellation to a stream that this entry reads, once it has
+// read every job that was accepted before.
 func (e *Entry) cancelHere(ctx context.Context, group string, f structs.JobFilter, changeID string) (int, error) {
+	if err := e.refreshJobs(ctx, group); err != nil {
+		return 0, err
+	}
 	var s *jobStream
 	var base int64
 	var n int
@@ -135,8 +139,8 @@
 
 // prepareCancel counts what a filter selects now.
 func (c *core) prepareCancel(group string, f structs.JobFilter) (*jobStream, int64, int) {
-	s := c.streams[group]
-	if s == nil || !s.caughtUp {
+	s, next := c.readJobs(group)
+	if s == nil {
 		return nil, 0, 0
 	}
 	n := 0
@@ -145,5 +149,5 @@
 			n++
 		}
 	}
-	return s, s.table.Next() - 1, n
+	return s, next - 1, n
 }
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -83,7 +83,7 @@
 		}
 		asked++
 		go func() {
-			if _, err := b.once(ctx, id); err != nil {
+			if _, err := b.once(ctx, &peerv1.JobStatusRequest{Job: id, Lagging: true}); err != nil {
 				id = ""
 			}
 			found <- id
@@ -141,7 +141,7 @@
 	defer cancel()
 	until := time.Now().Add(wait)
 	for {
-		status, err := b.once(ctx, id)
+		status, err := b.once(ctx, &peerv1.JobStatusRequest{Job: id})
 		if err != nil || over(status.State) || time.Now().After(until) {
 			return status, err
 		}
@@ -157,16 +157,16 @@
 }
 
 // once asks the owner of a job for its state.
-func (b *jobBackend) once(ctx context.Context, id string) (structs.JobStatus, error) {
+func (b *jobBackend) once(ctx context.Context, r *peerv1.JobStatusRequest) (structs.JobStatus, error) {
 	var owner structs.Member
 	var ok bool
-	if !b.e.do(func() { owner, ok = b.e.core.table.OwnerOfJob(id) }) {
+	if !b.e.do(func() { owner, ok = b.e.core.table.OwnerOfJob(r.Job) }) {
 		return structs.JobStatus{}, errEnding()
 	}
-	if !ok || structs.JobGroup(id) == "" {
-		return structs.JobStatus{}, structs.NewError(structs.CodeNotFound, "job %s", id)
+	if !ok || structs.JobGroup(r.Job) == "" {
+		return structs.JobStatus{}, structs.NewError(structs.CodeNotFound, "job %s", r.Job)
 	}
-	resp, err := b.e.peerOf(owner).JobStatus(ctx, &peerv1.JobStatusRequest{Job: id})
+	resp, err := b.e.peerOf(owner).JobStatus(ctx, r)
 	if err != nil {
 		return structs.JobStatus{}, callError(err)
 	}
@@ -175,11 +175,19 @@
 	}
 	var status structs.JobStatus
 	if err := json.Unmarshal(resp.Json, &status); err != nil {
-		return structs.JobStatus{}, structs.NewError(structs.CodeInternal, "status of job %s: %v", id, err)
+		return structs.JobStatus{}, structs.NewError(structs.CodeInternal, "status of job %s: %v", r.Job, err)
 	}
 	return status, nil
 }
 
+// jobStatus is what this entry knows of a job now.
+func (e *Entry) jobStatus(id string) (status structs.JobStatus, err error) {
+	if !e.do(func() { status, err = e.core.jobStatus(id) }) {
+		return structs.JobStatus{}, errEnding()
+	}
+	return status, err
+}
+
 // jobStatus is what this entry knows of a job that it owns or owned.
 func (c *core) jobStatus(id string) (structs.JobStatus, error) {
 	if s, ok := c.jobs.Status(id, time.Now()); ok {
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -267,13 +267,16 @@
 	return n
 }
 
-// JobStatus implements peerv1connect.PeerServiceHandler.
-func (s *peerServer) JobStatus(_ context.Context, r *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error) {
+// JobStatus implements peerv1connect.PeerServiceHandler. A job that is not known here
+// may have been accepted by another member just now, so the log is asked before it
+// is called unknown.
+func (s *peerServer) JobStatus(ctx context.Context, r *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error) {
 	resp := &peerv1.JobStatusResponse{}
-	var status structs.JobStatus
-	var err error
-	if !s.e.do(func() { status, err = s.e.core.jobStatus(r.Job) }) {
-		return nil, errEnding()
+	status, err := s.e.jobStatus(r.Job)
+	if structs.CodeOf(err) == structs.CodeNotFound && !r.Lagging {
+		if err = s.e.refreshJobs(ctx, structs.JobGroup(r.Job)); err == nil {
+			status, err = s.e.jobStatus(r.Job)
+		}
 	}
 	if err != nil {
 		resp.Error = fromError(err)
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -11,6 +11,7 @@
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/settings"
 	"dotterelhitch/internal/standin"
+	"dotterelhitch/internal/standin/relay"
 	"dotterelhitch/internal/standin/workersvc"
 	"dotterelhitch/internal/structs"
 )
@@ -51,6 +52,12 @@
 }
 
 func (c *testCell) start() *Entry {
+	c.t.Helper()
+	return c.startWith("http://" + c.cell.Addr(standin.LogName))
+}
+
+// startWith starts an entry that finds the log service at the given base URL.
+func (c *testCell) startWith(log string) *Entry {
 	c.t.Helper()
 	s := settings.Default()
 	s.Identity.Region = "casa"
@@ -58,7 +65,7 @@
 	s.Regions.Names = []string{"casa"}
 	s.Regions.Store = "casa"
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
-	s.Platform.Log = "http://" + c.cell.Addr(standin.LogName)
+	s.Platform.Log = log
 	s.Platform.List = "http://" + c.cell.Addr(standin.ListName)
 	s.Auth.Insecure = true
 	logs := io.Discard
@@ -151,3 +158,81 @@
 		}
 	}
 }
+
+// newLaggingCell is a cell of two entries of which the second reads the log late.
+func newLaggingCell(t *testing.T) *testCell {
+	t.Helper()
+	c := newTestCell(t, 1)
+	slow := relay.New(relay.Shape{DelayMs: 100}, nil)
+	t.Cleanup(slow.Close)
+	addr, err := slow.AddRoute("127.0.0.1:0", c.cell.Addr(standin.LogName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.startWith("http://" + addr)
+	c.awaitReady()
+	c.setClass(structs.Class{Name: "reconcile", Kind: structs.KindBatch, Target: structs.Target{StartWithin: within(time.Second)}})
+	return c
+}
+
+func (c *testCell) callers(entry int) *caller.Client {
+	return &caller.Client{Base: "http://" + c.entries[entry].CallerAddr()}
+}
+
+// submit submits a job of one task through the first entry.
+func (c *testCell) submit(runTime time.Duration) string {
+	c.t.Helper()
+	id, err := c.callers(0).SubmitJob(context.Background(), structs.Job{
+		Class:   "reconcile",
+		Count:   1,
+		Size:    structs.Resources{CPUMilli: 100, MemoryMiB: 64},
+		RunTime: within(runTime),
+	}, "")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return id
+}
+
+// TestStatusRightAfterAcceptance asks two entries for a job as soon as it is
+// accepted, while one of them, which owns a part of the jobs, reads the log late.
+func TestStatusRightAfterAcceptance(t *testing.T) {
+	c := newLaggingCell(t)
+	const jobs = 8
+	owned := map[string]int{}
+	for range jobs {
+		id := c.submit(10 * time.Millisecond)
+		for i := range c.entries {
+			status, err := c.callers(i).JobStatus(context.Background(), id, 0)
+			if err != nil {
+				t.Errorf("entry %d, job %s: %v", i, id, err)
+			}
+			owned[status.Owner]++
+		}
+	}
+	if len(owned) != len(c.entries) {
+		t.Errorf("owners of %d jobs: %v, want all %d entries", jobs, owned, len(c.entries))
+	}
+	unknown := structs.NewJobID("casa-0", "", "none")
+	for i := range c.entries {
+		_, err := c.callers(i).JobStatus(context.Background(), unknown, 0)
+		if structs.CodeOf(err) != structs.CodeNotFound {
+			t.Errorf("entry %d, job that nobody submitted: %v, want not found", i, err)
+		}
+	}
+}
+
+// TestCancelRightAfterAcceptance cancels a job as soon as it is accepted, through an
+// entry that reads the log late.
+func TestCancelRightAfterAcceptance(t *testing.T) {
+	c := newLaggingCell(t)
+	id := c.submit(time.Minute)
+	n, err := c.callers(1).CancelJobs(context.Background(), structs.JobFilter{ID: id}, "")
+	if err != nil || n != 1 {
+		t.Fatalf("cancelled %d jobs, %v, want 1", n, err)
+	}
+	status, err := c.callers(0).JobStatus(context.Background(), id, 20*time.Second)
+	if err != nil || status.State != structs.JobCancelled {
+		t.Errorf("cancelled job: %+v, %v", status, err)
+	}
+}
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -61,13 +61,7 @@
 			continue
 		}
 		retry = retryShortest
-		page := Page{
-			Start:   start.Add(-age),
-			First:   batch.First,
-			Next:    batch.Next,
-			Records: batch.Records,
-			Tail:    endsAtTail(batch, from),
-		}
+		page := newPage(batch, from, start.Add(-age))
 		from = f.deliver(page)
 		poll = 0
 		if page.Tail {
@@ -76,6 +70,34 @@
 	}
 }
 
+// ReadToTail hands the pages of a stream from an offset on to deliver, which returns
+// the offset to read next, until one ends at the end of the stream.
+func ReadToTail(ctx context.Context, source Source, stream string, from int64, deliver func(Page) int64) error {
+	for {
+		start := time.Now()
+		batch, age, err := source.Read(ctx, stream, from, readRecords, 0)
+		if err != nil {
+			return err
+		}
+		page := newPage(batch, from, start.Add(-age))
+		from = deliver(page)
+		if page.Tail {
+			return nil
+		}
+	}
+}
+
+// newPage is the page of a read from an offset, which was current at start.
+func newPage(b platformlog.Batch, from int64, start time.Time) Page {
+	return Page{
+		Start:   start,
+		First:   b.First,
+		Next:    b.Next,
+		Records: b.Records,
+		Tail:    endsAtTail(b, from),
+	}
+}
+
 func endsAtTail(b platformlog.Batch, from int64) bool {
 	if len(b.Records) == 0 {
 		return b.Next <= max(from, b.First)
