One job for one key, through whichever region it is submitted

Change: a change ID is bound to a group at the home of its key, by the same home, backup and coverage that guard requests (keyhome.Bind); an entry of another group passes the job on (SubmitJob between entries). A key that the system makes names its group and needs no call. First try, reverted within: a bound value was told by any home that had it. A value written by an older home is now written again before it is told. Price: while regions are cut off, a keyed job whose home is on the other side is refused.

--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -14,7 +14,7 @@
 // handleSubmit accepts a job.
 func (s *Server) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	var job structs.Job
-	s.change(w, r, &job, http.StatusCreated, func(ctx context.Context, changeID string) (any, error) {
+	s.change(w, r, &job, s.opts.NewJobKey, http.StatusCreated, func(ctx context.Context, changeID string) (any, error) {
 		if err := job.Validate(); err != nil {
 			return nil, err
 		}
@@ -26,7 +26,7 @@
 // handleCancelMany cancels the jobs that a filter selects.
 func (s *Server) handleCancelMany(w http.ResponseWriter, r *http.Request) {
 	var filter structs.JobFilter
-	s.change(w, r, &filter, http.StatusOK, func(ctx context.Context, changeID string) (any, error) {
+	s.change(w, r, &filter, s.opts.NewID, http.StatusOK, func(ctx context.Context, changeID string) (any, error) {
 		return s.cancel(ctx, filter, changeID)
 	})
 }
@@ -34,7 +34,7 @@
 // handleCancelOne cancels one job.
 func (s *Server) handleCancelOne(w http.ResponseWriter, r *http.Request) {
 	filter := structs.JobFilter{ID: r.PathValue("id")}
-	s.change(w, r, nil, http.StatusOK, func(ctx context.Context, changeID string) (any, error) {
+	s.change(w, r, nil, s.opts.NewID, http.StatusOK, func(ctx context.Context, changeID string) (any, error) {
 		if err := checkJobID(filter.ID); err != nil {
 			return nil, err
 		}
@@ -51,11 +51,12 @@
 }
 
 // change reads a body into v (nil for none) and applies it under the bound in
-// flight. A caller that disconnects does not stop it.
-func (s *Server) change(w http.ResponseWriter, r *http.Request, v any, status int,
+// flight. A caller that disconnects does not stop it. A change without an ID gets one
+// from newID.
+func (s *Server) change(w http.ResponseWriter, r *http.Request, v any, newID func() string, status int,
 	apply func(context.Context, string) (any, error),
 ) {
-	out, err := s.tryChange(w, r, v, apply)
+	out, err := s.tryChange(w, r, v, newID, apply)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -63,7 +64,7 @@
 	httpx.WriteJSON(w, status, out)
 }
 
-func (s *Server) tryChange(w http.ResponseWriter, r *http.Request, v any,
+func (s *Server) tryChange(w http.ResponseWriter, r *http.Request, v any, newID func() string,
 	apply func(context.Context, string) (any, error),
 ) (any, error) {
 	arrived := time.Now()
@@ -72,7 +73,7 @@
 		return nil, err
 	}
 	if changeID == "" {
-		changeID = s.opts.NewID()
+		changeID = newID()
 	}
 	w.Header().Set(HeaderKey, changeID)
 	timeout, err := parseMillis(HeaderDeadline, r.Header.Get(HeaderDeadline), s.opts.Deadline, time.Millisecond, MaxDeadline)
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -50,6 +50,8 @@
 	Ready func() error
 	// NewID makes request IDs and change IDs.
 	NewID func() string
+	// NewJobKey makes the change IDs of jobs that came without one; nil for NewID.
+	NewJobKey func() string
 	// Clock stamps the answers; nil for no stamps.
 	Clock *event.Clock
 	// Metrics gets the counters; nil for a set of its own.
@@ -69,6 +71,9 @@
 	if o.NewID == nil {
 		o.NewID = uuid.NewString
 	}
+	if o.NewJobKey == nil {
+		o.NewJobKey = o.NewID
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -201,6 +201,7 @@
 	callers := caller.NewServer(e.traffic, caller.Options{
 		Connections: e.settings.Limits.CallerConnections,
 		Ready:       e.Ready,
+		NewJobKey:   e.newJobKey,
 		Clock:       e.clock,
 		Metrics:     e.metrics,
 	})
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
-
 	"dotterelhitch/internal/peer/peerv1"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
@@ -25,116 +21,6 @@
 	e *Entry
 }
 
-// SubmitJob accepts a job: its record is in the log, and was read back, before the
-// caller is told so. A repeat of the change ID finds the same job, also through an
-// entry of another group unless that group can't be reached.
-func (b *jobBackend) SubmitJob(ctx context.Context, j structs.Job, changeID string) (string, error) {
-	if err := j.Validate(); err != nil {
-		return "", err
-	}
-	if changeID == "" {
-		changeID = uuid.NewString()
-	}
-	var s *jobStream
-	var base int64
-	var err error
-	if !b.e.do(func() { s, base, err = b.e.core.prepareJob(&j, changeID) }) {
-		return "", errEnding()
-	}
-	if err != nil {
-		return "", err
-	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	if id := b.acceptedElsewhere(ctx, j, changeID); id != "" {
-		return id, nil
-	}
-	r, err := b.e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base, Job: &j})
-	if err != nil {
-		return "", err
-	}
-	if !r.Accepted {
-		return "", r.Err
-	}
-	return j.ID, nil
-}
-
-// jobID names a job by its change ID, so that a repeat has the same name.
-func jobID(group, team, changeID string) string {
-	return structs.NewJobID(group, team, strconv.FormatUint(xxhash.Sum64String(changeID), 36))
-}
-
-// elsewhereTimeout bounds the question whether another group has a job already.
-const elsewhereTimeout = 500 * time.Millisecond
-
-// acceptedElsewhere returns the ID under which another group has accepted the job,
-// empty if none says so in time.
-func (b *jobBackend) acceptedElsewhere(ctx context.Context, j structs.Job, changeID string) string {
-	ctx, cancel := context.WithTimeout(ctx, elsewhereTimeout)
-	defer cancel()
-	var groups []string
-	b.e.do(func() { groups = b.e.core.groupsOf(structs.JobFilter{}) })
-	found := make(chan string, len(groups))
-	asked := 0
-	for _, group := range groups {
-		id := jobID(group, j.Team, changeID)
-		if id == j.ID {
-			continue
-		}
-		asked++
-		go func() {
-			if _, err := b.once(ctx, &peerv1.JobStatusRequest{Job: id, Lagging: true}); err != nil {
-				id = ""
-			}
-			found <- id
-		}()
-	}
-	accepted := ""
-	for range asked {
-		if id := <-found; id != "" {
-			accepted = id
-		}
-	}
-	return accepted
-}
-
-// prepareJob completes a job from its class and names its stream.
-func (c *core) prepareJob(j *structs.Job, changeID string) (*jobStream, int64, error) {
-	class, ok := c.control.Class(j.Class)
-	if !ok {
-		return nil, 0, structs.NewError(structs.CodeNotFound, "class %s", j.Class)
-	}
-	if !c.joined || c.draining {
-		return nil, 0, errEnding()
-	}
-	if err := c.everFits(j.Size); err != nil {
-		return nil, 0, err
-	}
-	group, _ := c.table.GroupOfMember(c.self())
-	s := c.streams[group.Name]
-	if s == nil || !s.caughtUp {
-		return nil, 0, structs.NewError(structs.CodeBehind, "the jobs of group %s were not read yet", group.Name)
-	}
-	j.Kind = class.Kind
-	if j.Team == "" {
-		j.Team = class.Team
-	}
-	j.AcceptedMs = time.Now().UnixMilli()
-	j.ID = jobID(group.Name, j.Team, changeID)
-	return s, s.table.Next() - 1, nil
-}
-
-// everFits refuses a task size that no listed worker could ever hold.
-func (c *core) everFits(size structs.Resources) error {
-	for _, w := range c.instances {
-		if w.State != structs.WorkerGone && size.Fits(w.Size) {
-			return nil
-		}
-	}
-	return structs.NewError(structs.CodeNeverFits, "no worker could ever hold a task of %d mCPU, %d MiB, %d accelerators",
-		size.CPUMilli, size.MemoryMiB, size.Accelerators)
-}
-
 // JobStatus returns the state of a job, after at most wait if it has not ended.
 func (b *jobBackend) JobStatus(ctx context.Context, id string, wait time.Duration) (structs.JobStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+submitTimeout)
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -36,6 +36,27 @@
 // granted once.
 func (t *traffic) Permit(ctx context.Context, key, requestID string, fingerprint []byte) (dispatch.Decision, error) {
 	req := &peerv1.PermitRequest{Member: t.e.member.ID, Key: key, RequestId: requestID, Fingerprint: fingerprint}
+	return t.askHome(ctx, req)
+}
+
+// bind fixes the value of a key at its home and returns the first value that was
+// bound. A refusal leaves the key as it was.
+func (t *traffic) bind(ctx context.Context, key, fingerprint, value string) (string, error) {
+	req := &peerv1.PermitRequest{Member: t.e.member.ID, Key: key, Fingerprint: []byte(fingerprint), Value: []byte(value)}
+	for {
+		d, err := t.askHome(ctx, req)
+		if err == nil {
+			return string(d.Answer.Body), nil
+		}
+		if structs.CodeOf(err) != structs.CodeInProgress || ctx.Err() != nil {
+			return "", err
+		}
+		pause(ctx, permitRetry)
+	}
+}
+
+// askHome asks the home of a key, again while the home is only not ready.
+func (t *traffic) askHome(ctx context.Context, req *peerv1.PermitRequest) (dispatch.Decision, error) {
 	var err error
 	for try := 0; try < permitTries && ctx.Err() == nil; try++ {
 		if try > 0 {
@@ -159,13 +180,20 @@
 const transferGrace = 2 * time.Second
 
 func (c *core) permit(r *peerv1.PermitRequest, now time.Time) keyhome.Decision {
-	d := c.keys.Permit(now, r.Key, r.RequestId, string(r.Fingerprint))
+	d := c.decideKey(r, now)
 	if structs.CodeOf(d.Err) == structs.CodeUnknown && !c.keys.Knows(r.Key) && now.Sub(c.tableSince) < transferGrace {
 		d.Err = structs.NewError(structs.CodeBehind, "older requests with keys like this one have still to be told")
 	}
 	return d
 }
 
+func (c *core) decideKey(r *peerv1.PermitRequest, now time.Time) keyhome.Decision {
+	if r.RequestId == "" {
+		return c.keys.Bind(now, r.Key, string(r.Fingerprint), r.Value)
+	}
+	return c.keys.Permit(now, r.Key, r.RequestId, string(r.Fingerprint))
+}
+
 // copyIntent writes an intent to the key's backup and then asks for the decision.
 func (e *Entry) copyIntent(ctx context.Context, c *keyhome.Copy) keyhome.Decision {
 	err := e.sendCopy(ctx, c)
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/state"
+	"dotterelhitch/internal/structs"
+)
+
+// SubmitJob accepts a job: its record is in the log, and was read back, before the
+// caller is told so. A repeat of the change ID finds the same job, whichever entry
+// it comes through: the change ID is bound to the group whose stream takes the job.
+func (b *jobBackend) SubmitJob(ctx context.Context, j structs.Job, changeID string) (string, error) {
+	if err := j.Validate(); err != nil {
+		return "", err
+	}
+	if changeID == "" {
+		changeID = b.e.newJobKey()
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	var own, named string
+	var err error
+	if !b.e.do(func() { own, named, err = b.e.core.admitJob(&j, changeID) }) {
+		return "", errEnding()
+	}
+	if err != nil {
+		return "", err
+	}
+	if named != "" {
+		return b.e.submitTo(ctx, named, j, changeID)
+	}
+	group, err := b.bindJob(ctx, own, j, changeID)
+	if err != nil {
+		return "", err
+	}
+	if id := b.acceptedElsewhere(ctx, group, j, changeID); id != "" {
+		return id, nil
+	}
+	return b.e.submitTo(ctx, group, j, changeID)
+}
+
+// newJobKey returns a change ID that names this entry's group, so that the group is
+// known without asking.
+func (e *Entry) newJobKey() string {
+	var group string
+	e.do(func() {
+		g, _ := e.core.table.GroupOfMember(e.core.self())
+		group = g.Name
+	})
+	return structs.NewJobID(group, "", uuid.NewString())
+}
+
+// admitJob completes a job from its class. It returns this entry's group, and the
+// group that the change ID names, if that exists.
+func (c *core) admitJob(j *structs.Job, changeID string) (own, named string, err error) {
+	class, ok := c.control.Class(j.Class)
+	if !ok {
+		return "", "", structs.NewError(structs.CodeNotFound, "class %s", j.Class)
+	}
+	if !c.joined || c.draining {
+		return "", "", errEnding()
+	}
+	if err := c.everFits(j.Size); err != nil {
+		return "", "", err
+	}
+	j.Kind = class.Kind
+	if j.Team == "" {
+		j.Team = class.Team
+	}
+	group, _ := c.table.GroupOfMember(c.self())
+	for _, g := range c.table.Groups() {
+		if g.Name == structs.JobGroup(changeID) {
+			named = g.Name
+		}
+	}
+	return group.Name, named, nil
+}
+
+// everFits refuses a task size that no listed worker could ever hold.
+func (c *core) everFits(size structs.Resources) error {
+	for _, w := range c.instances {
+		if w.State != structs.WorkerGone && size.Fits(w.Size) {
+			return nil
+		}
+	}
+	return structs.NewError(structs.CodeNeverFits, "no worker could ever hold a task of %d mCPU, %d MiB, %d accelerators",
+		size.CPUMilli, size.MemoryMiB, size.Accelerators)
+}
+
+// jobID names a job by its change ID, so that a repeat has the same name.
+func jobID(group, team, changeID string) string {
+	return structs.NewJobID(group, team, strconv.FormatUint(xxhash.Sum64String(changeID), 36))
+}
+
+// jobKeyPrefix keeps the change IDs of jobs apart from the keys of requests, which
+// have no blanks.
+const jobKeyPrefix = "job "
+
+// bindJob binds a change ID to a group at the home of the key and returns the group
+// that it is bound to. A home that has lost track of older keys can't tell: then the
+// change ID goes to the own group unless another one has the job.
+func (b *jobBackend) bindJob(ctx context.Context, own string, j structs.Job, changeID string) (string, error) {
+	spec, err := json.Marshal(j)
+	if err != nil {
+		return "", structs.NewError(structs.CodeInvalid, "encoding the job: %v", err)
+	}
+	fingerprint := strconv.FormatUint(xxhash.Sum64(spec), 36)
+	key := jobKeyPrefix + jobID("", j.Team, changeID)
+	group, err := b.e.traffic.bind(ctx, key, fingerprint, own)
+	if structs.CodeOf(err) != structs.CodeUnknown {
+		return group, err
+	}
+	found, certain := b.findElsewhere(ctx, own, j, changeID, false)
+	switch {
+	case found != "":
+		return structs.JobGroup(found), nil
+	case certain:
+		return own, nil
+	default:
+		return "", err
+	}
+}
+
+// elsewhereTimeout bounds the question whether another group has a job already.
+const elsewhereTimeout = 500 * time.Millisecond
+
+// acceptedElsewhere returns the ID under which another group than the given one has
+// accepted the job, empty if none says so in time. It finds repeats that come after
+// the binding of their change ID has expired.
+func (b *jobBackend) acceptedElsewhere(ctx context.Context, group string, j structs.Job, changeID string) string {
+	ctx, cancel := context.WithTimeout(ctx, elsewhereTimeout)
+	defer cancel()
+	id, _ := b.findElsewhere(ctx, group, j, changeID, true)
+	return id
+}
+
+// findElsewhere asks all groups but one for a job, and reports whether all of them
+// answered. If lagging, they answer by what they have read of the log so far.
+func (b *jobBackend) findElsewhere(ctx context.Context, except string, j structs.Job, changeID string, lagging bool) (id string, certain bool) {
+	var groups []string
+	b.e.do(func() { groups = b.e.core.groupsOf(structs.JobFilter{}) })
+	type answer struct {
+		id  string
+		err error
+	}
+	answers := make(chan answer, len(groups))
+	asked := 0
+	for _, group := range groups {
+		if group == except {
+			continue
+		}
+		asked++
+		go func() {
+			id := jobID(group, j.Team, changeID)
+			_, err := b.once(ctx, &peerv1.JobStatusRequest{Job: id, Lagging: lagging})
+			answers <- answer{id: id, err: err}
+		}()
+	}
+	certain = true
+	for range asked {
+		a := <-answers
+		switch structs.CodeOf(a.err) {
+		case "":
+			id = a.id
+		case structs.CodeNotFound:
+		default:
+			certain = false
+		}
+	}
+	return id, certain
+}
+
+// submitTo accepts a job into the stream of a group: here if this entry reads it,
+// else through a member that does.
+func (e *Entry) submitTo(ctx context.Context, group string, j structs.Job, changeID string) (string, error) {
+	var here bool
+	var members []structs.Member
+	e.do(func() {
+		s, _ := e.core.readJobs(group)
+		here = s != nil
+		if g, ok := e.core.table.GroupOfJobs(group); ok {
+			members = g.Members
+		}
+	})
+	if here {
+		return e.submitHere(ctx, group, j, changeID)
+	}
+	err := structs.NewError(structs.CodeUnavailable, "the change ID belongs to group %q, of which no member answers", group)
+	for _, m := range members {
+		if m.ID == e.member.ID {
+			continue
+		}
+		id, asked := e.submitAt(ctx, m, group, j, changeID)
+		if asked == nil {
+			return id, nil
+		}
+		err = asked
+	}
+	return "", err
+}
+
+// submitAt asks another member to accept a job. Without a typed answer it is not
+// known whether it did.
+func (e *Entry) submitAt(ctx context.Context, m structs.Member, group string, j structs.Job, changeID string) (string, error) {
+	body, err := json.Marshal(j)
+	if err != nil {
+		return "", structs.NewError(structs.CodeInvalid, "encoding the job: %v", err)
+	}
+	resp, err := e.pool.Client(m).SubmitJob(ctx, &peerv1.SubmitJobRequest{ChangeId: changeID, Group: group, Job: body})
+	if err != nil {
+		return "", structs.NewError(structs.CodeUnknown, "change %s at group %q: %v", changeID, group, callError(err))
+	}
+	return resp.Id, toError(resp.Error)
+}
+
+// SubmitJob implements peerv1connect.PeerServiceHandler.
+func (s *peerServer) SubmitJob(ctx context.Context, r *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	var j structs.Job
+	if err := json.Unmarshal(r.Job, &j); err != nil {
+		err = structs.NewError(structs.CodeInvalid, "job: %v", err)
+		return &peerv1.SubmitJobResponse{Error: fromError(err)}, nil
+	}
+	if err := j.Validate(); err != nil {
+		return &peerv1.SubmitJobResponse{Error: fromError(err)}, nil
+	}
+	id, err := s.e.submitHere(ctx, r.Group, j, r.ChangeId)
+	return &peerv1.SubmitJobResponse{Id: id, Error: fromError(err)}, nil
+}
+
+// submitHere appends the acceptance of a job to a stream that this entry reads.
+func (e *Entry) submitHere(ctx context.Context, group string, j structs.Job, changeID string) (string, error) {
+	var s *jobStream
+	var base int64
+	if !e.do(func() { s, base = e.core.readJobs(group) }) {
+		return "", errEnding()
+	}
+	if s == nil {
+		return "", structs.NewError(structs.CodeBehind, "the jobs of group %s were not read yet", group)
+	}
+	j.ID = jobID(group, j.Team, changeID)
+	j.AcceptedMs = time.Now().UnixMilli()
+	r, err := e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base - 1, Job: &j})
+	if err != nil {
+		return "", err
+	}
+	if !r.Accepted {
+		return "", r.Err
+	}
+	return j.ID, nil
+}
--- a/internal/keyhome/entry.go
+++ b/internal/keyhome/entry.go
@@ -17,7 +17,8 @@
 	Copying
 	// Intended means that leave to dispatch was granted, or may have been.
 	Intended
-	// Settled means that the request ran; Answer holds what it gave.
+	// Settled means that the request ran, and Answer holds what it gave, or that the
+	// key is bound, and the body of Answer is the value.
 	Settled
 	// Unknown means that the request may have run and no answer is known.
 	Unknown
@@ -47,7 +48,8 @@
 // Entry is what is kept of a key. Copies and transfers carry it whole, with the age
 // in place of At.
 type Entry struct {
-	Key         string
+	Key string
+	// RequestID is empty for a key that is bound to a value.
 	RequestID   string
 	Fingerprint string
 	State       State
@@ -59,6 +61,18 @@
 	At time.Time
 }
 
+// bound reports whether the key is bound to a value, or to be.
+func (e *Entry) bound() bool { return e.RequestID == "" }
+
+// wanted is the state of an entry once its backup has it: a key that is bound to a
+// value is settled, a request may be dispatched.
+func (e *Entry) wanted() State {
+	if e.bound() {
+		return Settled
+	}
+	return Intended
+}
+
 // size returns the bytes that the entry counts for.
 func (e *Entry) size() int {
 	const fixed = 200
--- a/internal/keyhome/permit.go
+++ b/internal/keyhome/permit.go
@@ -51,6 +51,20 @@
 // Permit decides on a request at the key's home. A repeat with the same request ID
 // is granted again: the entry that gave the ID dispatches it once.
 func (s *Store) Permit(now time.Time, key, requestID, fingerprint string) Decision {
+	return s.decide(now, &Entry{Key: key, RequestID: requestID, Fingerprint: fingerprint, At: now})
+}
+
+// Bind fixes the value of a key at its home: the first value that was bound is the
+// body of every answer until the retention has passed. Nothing is dispatched for the
+// key, so that a refusal leaves it as it was.
+func (s *Store) Bind(now time.Time, key, fingerprint string, value []byte) Decision {
+	bound := &structs.Answer{Outcome: structs.OutcomeAnswered, Body: value}
+	return s.decide(now, &Entry{Key: key, Fingerprint: fingerprint, Answer: bound, At: now})
+}
+
+// decide replays what is known of a wanted entry's key, or makes the entry's intent.
+func (s *Store) decide(now time.Time, want *Entry) Decision {
+	key := want.Key
 	if key == "" || len(key) > structs.MaxKeyBytes {
 		return refuse(structs.NewError(structs.CodeInvalid, "key of %d bytes: want 1 to %d", len(key), structs.MaxKeyBytes))
 	}
@@ -60,7 +74,7 @@
 	}
 	e := s.live(now, p, key)
 	if e != nil && e.State != Free {
-		return s.known(now, e, requestID, fingerprint)
+		return s.known(now, e, want.RequestID, want.Fingerprint)
 	}
 	if err := s.mayGrant(now, p); err != nil {
 		return refuse(err)
@@ -70,7 +84,7 @@
 			return refuse(err)
 		}
 	}
-	return s.intend(now, p, &Entry{Key: key, RequestID: requestID, Fingerprint: fingerprint, At: now})
+	return s.intend(now, p, want)
 }
 
 // live returns the key's entry unless it has expired.
@@ -83,13 +97,17 @@
 }
 
 // known decides on a request whose key has a state. What is known is a fact whoever
-// is home now, so only a new grant needs authority.
+// is home now, so only a new grant needs authority. A value that an older home wrote
+// is none, as that home may have given it up: it has to be confirmed.
 func (s *Store) known(now time.Time, e *Entry, requestID, fingerprint string) Decision {
 	if e.Fingerprint != fingerprint {
 		return refuse(structs.NewError(structs.CodeKeyReused, "the key was used with another class or body"))
 	}
 	switch e.State {
 	case Settled:
+		if e.bound() && e.Version.Epoch != s.Epoch() {
+			return s.confirm(now, e)
+		}
 		return replay(e)
 	case Unknown:
 		return refuse(unknownRun())
@@ -145,13 +163,53 @@
 	e.Version = s.nextVersion()
 	backup := s.current().holders[p].backup
 	if backup == "" {
-		e.State = Intended
+		e.State = e.wanted()
 		s.put(p, e)
-		return Decision{Kind: Granted, Within: s.limits.Dispatch}
+		return s.grant(now, e)
 	}
 	e.State = Copying
 	s.put(p, e)
-	return Decision{Kind: AwaitCopy, Copy: s.copyOf(backup, *e, Intended)}
+	return Decision{Kind: AwaitCopy, Copy: s.copyOf(backup, *e, e.wanted())}
+}
+
+// grant is the decision on an entry that has just reached its wanted state.
+func (s *Store) grant(now time.Time, e *Entry) Decision {
+	if e.State == Settled {
+		return replay(e)
+	}
+	return Decision{Kind: Granted, Within: s.limits.Dispatch - now.Sub(e.At)}
+}
+
+// confirm writes a bound value again as a state of this home, which its backup has
+// before anybody is told: other members may know a newer state in which an older home
+// gave the value up.
+func (s *Store) confirm(now time.Time, e *Entry) Decision {
+	p := ownership.PartitionOf(e.Key)
+	if err := s.mayGrant(now, p); err != nil {
+		return refuse(err)
+	}
+	again := *e
+	again.Version = s.nextVersion()
+	backup := s.current().holders[p].backup
+	if backup == "" {
+		s.put(p, &again)
+		return replay(&again)
+	}
+	return Decision{Kind: AwaitCopy, Copy: s.copyOf(backup, again, Settled)}
+}
+
+// confirmed is CopyAcked for a value that was written again.
+func (s *Store) confirmed(now time.Time, c *Copy) Decision {
+	p := ownership.PartitionOf(c.Entry.Key)
+	if c.Epoch != s.Epoch() {
+		return refuse(structs.RetryAfter(structs.CodeStaleEpoch, retrySoon, "the table changed while the key was copied"))
+	}
+	if err := s.mayGrant(now, p); err != nil {
+		return refuse(err)
+	}
+	e := c.Entry
+	s.merge(p, &e)
+	return replay(&e)
 }
 
 // copyOf returns the copy of an entry in the given state.
@@ -165,6 +223,9 @@
 func (s *Store) CopyAcked(now time.Time, c *Copy) Decision {
 	p := ownership.PartitionOf(c.Entry.Key)
 	e := s.parts[p].entries[c.Entry.Key]
+	if e != nil && e.State == Settled && e.bound() {
+		return s.confirmed(now, c)
+	}
 	if e == nil || e.State != Copying || e.Version != c.Entry.Version {
 		return refuse(structs.RetryAfter(structs.CodeStaleEpoch, retrySoon, "the table changed while the key was copied"))
 	}
@@ -176,8 +237,8 @@
 		s.release(e)
 		return refuse(notRun(err))
 	}
-	e.State = Intended
-	return Decision{Kind: Granted, Within: s.limits.Dispatch - now.Sub(e.At)}
+	e.State = e.wanted()
+	return s.grant(now, e)
 }
 
 // CopyFailed is called when the backup refused the copy or did not answer. The
--- a/internal/keyhome/random_test.go
+++ b/internal/keyhome/random_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,12 +17,15 @@
 // members join, crash, are removed while alive, stop for a while and read the table
 // late; messages come out of order, twice, or not at all. The rights are those of
 // package authority. It fails if a
-// request ran within the retention of another one of its key.
+// request ran within the retention of another one of its key, or a key was bound to two
+// values.
 
 const (
 	simSteps   = 5000
 	simKeys    = 30
 	simMembers = 5
+	// bindPrefix marks the keys that are bound to a value instead of permitted.
+	bindPrefix = "bind-"
 )
 
 // simSeeds is the number of runs.
@@ -65,6 +69,10 @@
 	asked   time.Time
 }
 
+// binding is when the caller of a bound value asked, and when the value was first
+// seen.
+type binding struct{ asked, seen time.Time }
+
 type sim struct {
 	rng     *rand.Rand
 	broken  breakage
@@ -77,9 +85,13 @@
 	order   []string
 	network []func()
 	runs    map[string][]simRun
+	asked   map[string]time.Time
+	// bound are the values that were seen for each bound key.
+	bound map[string]map[string]binding
 
 	next                     int
 	grants, replays, unknown int
+	bindings                 int
 	failure                  string
 }
 
@@ -87,7 +99,7 @@
 	cfg := authority.Config{Bound: 2 * time.Second, Margin: 500 * time.Millisecond}
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), broken: broken, now: origin, cfg: cfg,
-		members: make(map[string]*simMember), runs: make(map[string][]simRun),
+		members: make(map[string]*simMember), runs: make(map[string][]simRun), bound: make(map[string]map[string]binding), asked: make(map[string]time.Time),
 		limits: Limits{
 			Entries: 1000, Bytes: 1 << 20, AnswerBytes: 100, Retention: 40 * time.Second,
 			Dispatch: time.Second, Running: 4 * time.Second, Authority: cfg.Bound + cfg.Margin,
@@ -253,12 +265,16 @@
 	}
 	s.next++
 	key := fmt.Sprintf("key-%d", s.rng.IntN(simKeys))
+	if s.rng.IntN(4) == 0 {
+		key = bindPrefix + key
+	}
 	id := fmt.Sprintf("%s/r%d", entry.id, s.next)
 	home, found := entry.home(key)
 	if !found {
 		return
 	}
 	start := s.now
+	s.asked[id] = start
 	ended := false
 	answer := func(d Decision) {
 		s.send(entry.id, func(*simMember) {
@@ -274,7 +290,12 @@
 
 // permit is the home's part.
 func (s *sim) permit(h *simMember, key, id string, answer func(Decision)) {
-	d := h.store.Permit(s.now, key, id, "f")
+	var d Decision
+	if strings.HasPrefix(key, bindPrefix) {
+		d = h.store.Bind(s.now, key, "f", []byte(id))
+	} else {
+		d = h.store.Permit(s.now, key, id, "f")
+	}
 	if d.Kind != AwaitCopy {
 		answer(d)
 		return
@@ -315,6 +336,11 @@
 		s.settle(entry, key, structs.Answer{RequestID: id, Outcome: outcome, Body: []byte(id)}, 5)
 	}
 	switch {
+	case strings.HasPrefix(key, bindPrefix):
+		if d.Kind == Replay {
+			s.checkBinding(key, string(d.Answer.Body))
+		}
+		return
 	case d.Kind == Replay:
 		s.replays++
 		s.checkReplay(key, d.Answer)
@@ -367,6 +393,29 @@
 	s.runs[key] = append(s.runs[key], simRun{request: id, asked: asked})
 }
 
+// checkBinding fails if two values of a key were seen that can't have been bound one
+// after the other's retention.
+func (s *sim) checkBinding(key, value string) {
+	seen := s.bound[key]
+	if seen == nil {
+		seen = make(map[string]binding)
+		s.bound[key] = seen
+	}
+	b, known := seen[value]
+	if !known {
+		b = binding{asked: s.asked[value], seen: s.now}
+		seen[value] = b
+	}
+	s.bindings++
+	for other, o := range seen {
+		after := b.seen.Sub(o.asked) >= s.limits.Retention
+		before := o.seen.Sub(b.asked) >= s.limits.Retention
+		if other != value && !after && !before && s.failure == "" {
+			s.failure = fmt.Sprintf("%s was bound to %s and to %s", key, other, value)
+		}
+	}
+}
+
 func (s *sim) checkReplay(key string, answer *structs.Answer) {
 	for _, run := range s.runs[key] {
 		if run.request == string(answer.Body) {
@@ -389,7 +438,7 @@
 
 func TestNoKeyRunsTwice(t *testing.T) {
 	seeds := *simSeeds
-	var grants, replays, unknown, tables int
+	var grants, replays, unknown, bindings, tables int
 	for seed := range uint64(seeds) {
 		s := simulate(seed, intact)
 		if s.failure != "" {
@@ -398,10 +447,11 @@
 		grants += s.grants
 		replays += s.replays
 		unknown += s.unknown
+		bindings += s.bindings
 		tables += len(s.tables)
 	}
-	t.Logf("%d seeds: %d grants, %d replays, %d unknown, %d tables", seeds, grants, replays, unknown, tables)
-	if grants == 0 || replays == 0 || unknown == 0 {
+	t.Logf("%d seeds: %d grants, %d replays, %d unknown, %d bindings, %d tables", seeds, grants, replays, unknown, bindings, tables)
+	if grants == 0 || replays == 0 || unknown == 0 || bindings == 0 {
 		t.Error("the simulation did not reach every answer")
 	}
 }
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceInventoryProcedure = "/dotterelhitch.peer.v1.PeerService/Inventory"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
+	// PeerServiceSubmitJobProcedure is the fully-qualified name of the PeerService's SubmitJob RPC.
+	PeerServiceSubmitJobProcedure = "/dotterelhitch.peer.v1.PeerService/SubmitJob"
 	// PeerServiceCancelJobsProcedure is the fully-qualified name of the PeerService's CancelJobs RPC.
 	PeerServiceCancelJobsProcedure = "/dotterelhitch.peer.v1.PeerService/CancelJobs"
 	// PeerServiceJobStatusProcedure is the fully-qualified name of the PeerService's JobStatus RPC.
@@ -91,6 +93,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// SubmitJob accepts a job into a stream that the asked member reads.
+	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -174,6 +178,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		submitJob: connect.NewClient[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse](
+			httpClient,
+			baseURL+PeerServiceSubmitJobProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
+			connect.WithClientOptions(opts...),
+		),
 		cancelJobs: connect.NewClient[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse](
 			httpClient,
 			baseURL+PeerServiceCancelJobsProcedure,
@@ -236,6 +246,7 @@
 	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	submitJob    *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
 	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
 	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
 	status       *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
@@ -327,6 +338,15 @@
 	return nil, err
 }
 
+// SubmitJob calls dotterelhitch.peer.v1.PeerService.SubmitJob.
+func (c *peerServiceClient) SubmitJob(ctx context.Context, req *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	response, err := c.submitJob.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // CancelJobs calls dotterelhitch.peer.v1.PeerService.CancelJobs.
 func (c *peerServiceClient) CancelJobs(ctx context.Context, req *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	response, err := c.cancelJobs.CallUnary(ctx, connect.NewRequest(req))
@@ -419,6 +439,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// SubmitJob accepts a job into a stream that the asked member reads.
+	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -498,6 +520,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSubmitJobHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceSubmitJobProcedure,
+		svc.SubmitJob,
+		connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceCancelJobsHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceCancelJobsProcedure,
 		svc.CancelJobs,
@@ -566,6 +594,8 @@
 			peerServiceInventoryHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceSubmitJobProcedure:
+			peerServiceSubmitJobHandler.ServeHTTP(w, r)
 		case PeerServiceCancelJobsProcedure:
 			peerServiceCancelJobsHandler.ServeHTTP(w, r)
 		case PeerServiceJobStatusProcedure:
@@ -627,6 +657,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.SubmitJob is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.CancelJobs is not implemented"))
 }
