Relayed workers: the test waits until the list holds every worker

Cause: the stand-in adds its workers to the instance list group by group, each shown after the lag. relayWorkers took the first list that held any worker; if it held the four of casa only, it put a relay before those and then waited in vain for a list of four. TestRequestsThroughSilentConnections is its only user.

--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -23,6 +23,9 @@
 	"dotterelhitch/internal/timeline"
 )
 
+// topologyWorkers is the number of workers of the topology.
+const topologyWorkers = 6
+
 const topology = `
 [log]
 appends_per_second = 400
@@ -191,10 +194,11 @@
 	c.t.Helper()
 	list := instancelist.New(instancelist.Config{Base: "http://" + c.addresses[standin.ListName]})
 	var workers []structs.Worker
-	await(c.t, "the instance list has the workers", func() bool {
+	// The stand-in adds the workers group by group: a list may hold some of them.
+	await(c.t, "the instance list has every worker", func() bool {
 		got, err := list.Read(context.Background(), 0, 0)
 		workers = got.Instances
-		return err == nil && len(workers) > 0
+		return err == nil && len(workers) == topologyWorkers
 	})
 	var targets []string
 	for _, w := range workers {
