--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -58,8 +59,8 @@
 region = %q
 domain = "%s-1"
 [listen]
-caller = "127.0.0.1:0"
-operator = "127.0.0.1:0"
+caller = %q
+operator = %q
 peer = %q
 %s
 metrics = "127.0.0.1:0"
@@ -75,6 +76,9 @@
 file = %q
 `
 
+// anyPort listens at a free port of the loopback interface.
+const anyPort = "127.0.0.1:0"
+
 // patience bounds every wait; no verdict depends on it.
 const patience = 30 * time.Second
 
@@ -86,11 +90,19 @@
 	entries   []*process
 	recorder  *event.Recorder
 	clock     *event.Clock
+	// bounds are those that the checker holds the run to.
+	bounds checker.Options
+}
+
+// running is a process that a test started; ended closes when it has ended.
+type running struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // process is an entry.
 type process struct {
-	cmd  *exec.Cmd
+	*running
 	addr entry.Addresses
 	name string
 }
@@ -98,7 +110,7 @@
 // startCell builds the programs and starts the stand-ins.
 func startCell(t *testing.T) *cell {
 	t.Helper()
-	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock)}
+	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock), bounds: checker.Options{LeavingBound: patience}}
 	build := exec.Command("go", "build", "-o", c.dir, "dotterelhitch/cmd/hitch-entry", "dotterelhitch/cmd/hitch-standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -132,7 +144,7 @@
 }
 
 // start runs a program until the test ends and waits for its address file.
-func (c *cell) start(addrFile string, out any, program string, args ...string) *exec.Cmd {
+func (c *cell) start(addrFile string, out any, program string, args ...string) *running {
 	c.t.Helper()
 	var stderr bytes.Buffer
 	cmd := exec.Command(filepath.Join(c.dir, program), args...)
@@ -140,10 +152,15 @@
 	if err := cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
+	r := &running{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		defer close(r.ended)
+		_ = cmd.Wait()
+	}()
 	c.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		<-r.ended
 		if c.t.Failed() && os.Getenv("HITCH_TEST_LOGS") != "" {
 			c.t.Logf("%s: %s", program, stderr.String())
 		}
@@ -152,7 +169,7 @@
 		b, err := os.ReadFile(addrFile)
 		return err == nil && json.Unmarshal(b, out) == nil
 	})
-	return cmd
+	return r
 }
 
 // startNamed starts a stand-in and returns its addresses by name.
@@ -221,28 +238,36 @@
 // entryPlace is where an entry stands and what it reaches.
 type entryPlace struct {
 	name, region      string
-	peer, far         string
 	logAddr, listAddr string
+	// caller, operator and peer are where it listens; empty for any free port.
+	caller, operator, peer string
+	// near and far are the addresses that it tells its peers, if not its own.
+	near, far string
 }
 
 func (c *cell) startEntry(name, region string) *process {
 	c.t.Helper()
 	return c.startEntryAt(entryPlace{
-		name: name, region: region, peer: "127.0.0.1:0",
+		name: name, region: region,
 		logAddr: c.addresses[standin.LogName], listAddr: c.addresses[standin.ListName],
 	})
 }
 
 func (c *cell) startEntryAt(at entryPlace) *process {
 	c.t.Helper()
-	name, far := at.name, ""
+	name, advertise := at.name, ""
+	if at.near != "" {
+		advertise += fmt.Sprintf("advertise_peer = %q\n", at.near)
+	}
 	if at.far != "" {
-		far = fmt.Sprintf("advertise_far = %q", at.far)
+		advertise += fmt.Sprintf("advertise_far = %q\n", at.far)
 	}
-	text := fmt.Sprintf(entrySettings, name, at.region, at.region, at.peer, far, at.logAddr, at.listAddr, c.events(name))
+	text := fmt.Sprintf(entrySettings, name, at.region, at.region,
+		cmp.Or(at.caller, anyPort), cmp.Or(at.operator, anyPort), cmp.Or(at.peer, anyPort),
+		advertise, at.logAddr, at.listAddr, c.events(name))
 	p := &process{name: name}
 	addrFile := filepath.Join(c.dir, name+".json")
-	p.cmd = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
+	p.running = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
 	return p
 }
 
@@ -255,8 +280,8 @@
 	c.recorder.Record(event.Event{Type: event.Fault, Member: p.addr.Member, State: state})
 }
 
-// check reads every process's events and fails the test for each violation.
-func (c *cell) check() checker.Counts {
+// timeline reads every process's events.
+func (c *cell) timeline() []event.Event {
 	c.t.Helper()
 	paths, err := filepath.Glob(filepath.Join(c.dir, "*.jsonl"))
 	if err != nil {
@@ -266,7 +291,14 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	report := checker.Check(events, checker.Options{LeavingBound: patience})
+	return events
+}
+
+// check fails the test for each violation in the time line.
+func (c *cell) check() checker.Counts {
+	c.t.Helper()
+	events := c.timeline()
+	report := checker.Check(events, c.bounds)
 	for _, v := range report.Violations {
 		c.t.Errorf("%s: %s", v.Kind, v.Message)
 	}
--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -62,12 +62,23 @@
 	for repeat := range maxRepeats {
 		call.ClientID = fmt.Sprintf("c%d-%d", n, repeat)
 		a := l.ask(l.clients[random.IntN(len(l.clients))], call)
+		waitAsTold(a)
 		if call.Key == "" || a.Outcome == structs.OutcomeAnswered {
 			return
 		}
 	}
 }
 
+// maxWait bounds the time that a refused caller waits.
+const maxWait = 100 * time.Millisecond
+
+// waitAsTold waits for the time after which a refusal says to come again.
+func waitAsTold(a structs.Answer) {
+	if a.Err != nil {
+		time.Sleep(min(time.Duration(a.Err.RetryAfterMs)*time.Millisecond, maxWait))
+	}
+}
+
 // ask sends one request and records it as a caller would.
 func (l *load) ask(client *caller.Client, call caller.Call) structs.Answer {
 	l.c.recorder.Record(event.Event{
@@ -136,14 +147,9 @@
 // serve states the class and waits until every entry answers requests.
 func (c *cell) serve() *load {
 	c.t.Helper()
-	operators := &operator.Client{Servers: []string{"http://" + c.entries[0].addr.Operator}, HTTP: http.DefaultClient}
-	class := structs.Class{
+	c.setClass(structs.Class{
 		Name: className, Kind: structs.KindService,
 		Target: structs.Target{AnswerWithin: structs.Duration(time.Second)},
-	}
-	await(c.t, "the class is accepted", func() bool {
-		got, err := operators.SetClass(context.Background(), class, 0)
-		return err == nil && (got.Accepted || got.Version > 0)
 	})
 	l := newLoad(c)
 	for _, client := range l.clients {
@@ -155,6 +161,16 @@
 	return l
 }
 
+// setClass states a new class.
+func (c *cell) setClass(class structs.Class) {
+	c.t.Helper()
+	operators := &operator.Client{Servers: []string{"http://" + c.entries[0].addr.Operator}, HTTP: http.DefaultClient}
+	await(c.t, "the class "+class.Name+" is accepted", func() bool {
+		got, err := operators.SetClass(context.Background(), class, 0)
+		return err == nil && (got.Accepted || got.Version > 0)
+	})
+}
+
 // admin posts to a stand-in's admin path.
 func (c *cell) admin(name, path, body string) {
 	c.t.Helper()
