TestRequestsThroughFaults: the entry that leaves is one that certainly runs

Cause: the test froze an entry, thawed it and later sent it SIGTERM. The others remove it while frozen (callers at it wait 4 s each), so it had ended by then; the signal went to a process that nobody had waited for, which succeeds.

--- a/internal/integration/requests_test.go
+++ b/internal/integration/requests_test.go
@@ -217,7 +217,8 @@
 	l.more(between)
 	c.admin("casa-w2", "/admin/drain", `{}`)
 	l.more(between)
-	if err := c.entries[2].cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	// The entry that was frozen may have been removed for that and have ended.
+	if err := c.entries[3].cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	l.more(between)
