--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -110,7 +110,15 @@
 // startCell builds the programs and starts the stand-ins.
 func startCell(t *testing.T) *cell {
 	t.Helper()
-	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock), bounds: checker.Options{LeavingBound: patience}}
+	c := startPrograms(t)
+	c.addresses = c.startNamed("standin", "all", "--topology", c.write("topology.toml", topology))
+	return c
+}
+
+// startPrograms builds the programs for a cell.
+func startPrograms(t *testing.T) *cell {
+	t.Helper()
+	c := &cell{t: t, dir: workDir(t), clock: new(event.Clock), bounds: checker.Options{LeavingBound: patience}}
 	build := exec.Command("go", "build", "-o", c.dir, "dotterelhitch/cmd/hitch-entry", "dotterelhitch/cmd/hitch-standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -121,10 +129,23 @@
 	}
 	t.Cleanup(func() { _ = own.Close() })
 	c.recorder = event.NewRecorder("caller", c.clock, own)
-	c.startStandin()
 	return c
 }
 
+// workDir is a directory for the run, kept within HITCH_TEST_DIR if that is set.
+func workDir(t *testing.T) string {
+	t.Helper()
+	keep := os.Getenv("HITCH_TEST_DIR")
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir, err := os.MkdirTemp(keep, t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
 // startEntries starts an entry in each region that is named.
 func (c *cell) startEntries(regions ...string) {
 	c.t.Helper()
@@ -174,20 +195,23 @@
 
 // startNamed starts a stand-in and returns its addresses by name.
 func (c *cell) startNamed(name string, args ...string) map[string]string {
+	c.t.Helper()
+	addresses, _ := c.startStandin(name, args...)
+	return addresses
+}
+
+// startStandin starts a stand-in and returns its addresses by name and its process.
+func (c *cell) startStandin(name string, args ...string) (map[string]string, *running) {
 	c.t.Helper()
 	var ready struct{ Addresses []standin.Address }
 	addrFile := filepath.Join(c.dir, name+".json")
 	args = append(args, "--addr-file", addrFile, "--events", c.events(name))
-	c.start(addrFile, &ready, "hitch-standin", args...)
+	r := c.start(addrFile, &ready, "hitch-standin", args...)
 	addresses := make(map[string]string)
 	for _, a := range ready.Addresses {
 		addresses[a.Name] = a.Addr
 	}
-	return addresses
-}
-
-func (c *cell) startStandin() {
-	c.addresses = c.startNamed("standin", "all", "--topology", c.write("topology.toml", topology))
+	return addresses, r
 }
 
 // relay starts a relay to the targets and returns their new addresses in order.
