A worker that refuses its owner does not lapse by time for it

Cause: the workers that the fresh owners had fenced refused the old owners' renewals, so the old owners heard nothing that counts as an answer, took the workers for silent past their leases, and started their tasks on the one worker that no new owner had reached. A refusal is proof of a newer owner that may renew leases there.

Change: a refused epoch keeps the worker unaccounted for until it is gained under a newer epoch. The epoch that a refusal answers is passed on, not the agent's present one.

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -41,6 +41,17 @@
 }
 
 func newFailureTest(t testing.TB, entries int) *failureTest {
+	t.Helper()
+	f := newCellTest(t, topology, testBound)
+	for range entries {
+		f.startEntry()
+	}
+	f.configure()
+	return f
+}
+
+// newCellTest starts the stand-ins of a cell without entries.
+func newCellTest(t testing.TB, topology string, bound time.Duration) *failureTest {
 	t.Helper()
 	top, err := standin.ParseTopology([]byte(topology))
 	if err != nil {
@@ -55,36 +66,37 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(cell.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
-	f := &failureTest{t: t, ctx: ctx, cell: cell}
-	for range entries {
-		f.startEntry()
-	}
-	f.must(cell.AwaitReady(ctx))
+	return &failureTest{t: t, ctx: ctx, cell: cell}
+}
+
+// configure waits for the entries and puts a class of each kind in force.
+func (f *failureTest) configure() {
+	f.t.Helper()
+	f.must(f.cell.AwaitReady(f.ctx))
 	for _, c := range []structs.Class{
 		{Name: "lookup", Kind: structs.KindService, Target: structs.Target{AnswerWithin: structs.Duration(2 * time.Second)}},
 		{Name: "reconcile", Kind: structs.KindBatch, Target: structs.Target{StartWithin: structs.Duration(time.Second)}},
 		{Name: "summary", Kind: structs.KindGang, Target: structs.Target{StartWithin: structs.Duration(time.Second)}},
 	} {
-		_, err := cell.Operator().SetClass(ctx, c, 0)
+		_, err := f.cell.Operator().SetClass(f.ctx, c, 0)
 		f.must(err)
 	}
 	f.await("classes in force", func() bool {
 		seen := map[string]int{}
-		for _, e := range cell.Events() {
+		for _, e := range f.cell.Events() {
 			if e.Type == event.ConfigInForce {
 				seen[e.Proc]++
 			}
 		}
-		for _, e := range cell.Live() {
+		for _, e := range f.cell.Live() {
 			if seen[e.Member().ID] < 3 {
 				return false
 			}
 		}
 		return true
 	})
-	return f
 }
 
 // shortTiming shortens leases and bounds, all by the same part, so that a test does
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -113,7 +113,7 @@
 	start := time.Now()
 	inv, err := a.client.Fence(ctx, cmd)
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
-		a.stale()
+		a.stale(cmd.Epoch, true)
 		return 0, false
 	}
 	if err != nil {
@@ -152,7 +152,7 @@
 			continue
 		}
 		if inv.Fence != cmd.Epoch || inv.Owner != cmd.Owner {
-			a.stale()
+			a.stale(cmd.Epoch, inv.Fence > cmd.Epoch)
 			return
 		}
 		seq = inv.Seq
@@ -193,7 +193,7 @@
 		renewed, err = a.tryRenew(ctx, cmd)
 	}
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
-		a.stale()
+		a.stale(cmd.Epoch, true)
 		return
 	}
 	if err == nil {
@@ -210,21 +210,16 @@
 	return a.client.RenewLeases(ctx, cmd, a.e.timing.Lease)
 }
 
-// stale asks the control goroutine what to do about a refused epoch.
-func (a *agent) stale() {
+// stale asks the control goroutine what to do about a worker whose fence is not that
+// of an epoch. newer says that the fence is above it: the worker has another owner.
+func (a *agent) stale(epoch int64, newer bool) {
 	a.e.do(func() {
-		if next, ok := a.e.core.staleFence(a.info.ID, a.current()); ok {
+		if next, ok := a.e.core.staleFence(a.info.ID, epoch, newer); ok {
 			a.regain(next)
 		}
 	})
 }
 
-func (a *agent) current() int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.epoch
-}
-
 // regain makes the agent raise the fence anew under an epoch.
 func (a *agent) regain(epoch int64) {
 	a.mu.Lock()
--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -104,7 +104,7 @@
 	}
 	results, uptime, err := a.client.StartTasks(ctx, cmd, tasks)
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
-		a.stale()
+		a.stale(cmd.Epoch, true)
 	}
 	if err != nil && !refusal(err) {
 		a.requeueStarts(ctx, starts)
@@ -193,7 +193,7 @@
 		cmd, _ := a.command()
 		results, err := a.client.StopTasks(ctx, cmd, refs, checkpoint)
 		if structs.CodeOf(err) == structs.CodeStaleEpoch {
-			a.stale()
+			a.stale(cmd.Epoch, true)
 		}
 		a.answerStops(batch, results, err)
 	}
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -164,10 +164,11 @@
 	return w != nil && w.Epoch == epoch
 }
 
-// staleFence is called when a worker refused the epoch of this entry: another
-// owner has been there since. If the worker is still owned by the present table
-// it is gained anew under that epoch.
-func (c *core) staleFence(id string, epoch int64) (next int64, ok bool) {
+// staleFence is called when a worker's fence is not that of the epoch at which this
+// entry gained it. If the worker is still owned by the present table it is gained anew
+// under that epoch. A newer fence than the present table's is of an owner that this
+// entry has not read of yet.
+func (c *core) staleFence(id string, epoch int64, newer bool) (next int64, ok bool) {
 	if !c.holds(id, epoch) {
 		return 0, false
 	}
@@ -176,6 +177,9 @@
 		return c.table.Epoch(), true
 	}
 	c.fleet.Regain(id, epoch)
+	if newer {
+		c.fleet.Refused(id)
+	}
 	return epoch, true
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,11 +86,21 @@
 	if w == nil {
 		return
 	}
+	w.refused = w.refused && epoch == w.Epoch
 	w.Epoch = epoch
 	w.Known = false
 	f.nodes.SetFlag(id, scheduler.FlagKnown, false)
 }
 
+// Refused notes that a worker refused the epoch under which it is owned. Time alone
+// does not account for it then, until it is gained anew under a newer epoch.
+func (f *Fleet) Refused(id string) {
+	if w := f.workers[id]; w != nil {
+		w.refused = true
+		w.accounted = false
+	}
+}
+
 // Lose gives up a worker that is another's now; its runs are no longer known here.
 func (f *Fleet) Lose(id string) {
 	for k, a := range f.allocs {
@@ -181,7 +191,7 @@
 			continue
 		}
 		f.nodes.SetFlag(id, scheduler.FlagUnreachable, true)
-		if w.accounted || proven.Before(f.leasesEnd(w)) || !former(w.Info, proven) {
+		if w.accounted || w.refused || proven.Before(f.leasesEnd(w)) || !former(w.Info, proven) {
 			continue
 		}
 		w.accounted = true
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,3 +27,24 @@
 		}
 	}
 }
+
+func TestWorkerThatRefusesItsOwnerDoesNotLapse(t *testing.T) {
+	f := New(Timing{Lease: 6 * time.Second, ClockMargin: time.Second, Silent: 2 * time.Second})
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f.Gain(structs.Worker{ID: "w-1"}, 1, start)
+	f.Heard("w-1", start, start)
+	f.Refused("w-1")
+	former := func(structs.Worker, time.Time) bool { return true }
+	now := start.Add(time.Minute)
+	if got := f.Tick(now, now, former); len(got) != 0 {
+		t.Errorf("lapsed %v: a newer owner may renew its leases", got)
+	}
+	f.Regain("w-1", 1)
+	if got := f.Tick(now, now, former); len(got) != 0 {
+		t.Errorf("lapsed %v after another try at the same epoch", got)
+	}
+	f.Regain("w-1", 2)
+	if got := f.Tick(now, now, former); len(got) != 1 {
+		t.Errorf("lapsed %v, want the worker, which was gained under a newer epoch", got)
+	}
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -27,6 +27,9 @@
 	// accounted is set when a silent worker's tasks have certainly ended.
 	accounted bool
 	gainedAt  time.Time
+	// refused is set once the worker has refused Epoch: it has a newer owner, which
+	// may renew leases there.
+	refused bool
 }
 
 // Reachable reports whether the worker answered within the bound.
