A group that is gone altogether is removed by another group

Each member watches its own group only, so after the death of all members of a region nobody proposed their removal: their jobs and workers stayed as they were until some entry happened to join.

Change: the first group that is not gone proposes the removal of groups whose members are all gone by the list or by the operator's word. The consent rules are unchanged: the record is a forced change.

--- a/internal/embedded/takeover_test.go
+++ b/internal/embedded/takeover_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/checker"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/instancelist"
 	"dotterelhitch/internal/settings"
@@ -164,3 +165,91 @@
 // longerThanLeases is a run time after which every lease that was renewed before the
 // run began has ended, with the bounds of shortTiming.
 const longerThanLeases = 8 * time.Second
+
+const regionsTopology = topology + `
+[[workers]]
+prefix = "f"
+count = 4
+region = "fes"
+domain = "fes-a"
+cores = 4
+memory_gib = 8
+`
+
+// startRegion runs entries of a region.
+func (f *failureTest) startRegion(region string, n int) []*Entry {
+	f.t.Helper()
+	var out []*Entry
+	for range n {
+		e, err := f.cell.StartEntry(region, region+"-a")
+		f.must(err)
+		out = append(out, e)
+	}
+	f.must(f.cell.AwaitReady(f.ctx))
+	return out
+}
+
+// TestRegionVanishesAndComesBack kills every entry of one region with jobs accepted
+// there. The list calls them gone, the other region's group takes the jobs over, and
+// gives those that still run back to the entries that come up there again.
+func TestRegionVanishesAndComesBack(t *testing.T) {
+	t.Run("with its workers", func(t *testing.T) {
+		t.Parallel()
+		testRegionVanishes(t, func(f *failureTest, workers []*standin.Running) {
+			for _, w := range workers {
+				w.Kill()
+				f.cell.Recorder("test").Record(event.Event{Type: event.Fault, Worker: w.ID(), State: checker.FaultKilled})
+			}
+		}, func(f *failureTest, workers []*standin.Running) {
+			for _, w := range workers {
+				f.must(f.cell.Standins.List().SetState(w.ID(), structs.WorkerGone))
+			}
+		})
+	})
+	t.Run("its workers run on", func(t *testing.T) {
+		t.Parallel()
+		nothing := func(*failureTest, []*standin.Running) {}
+		testRegionVanishes(t, nothing, nothing)
+	})
+}
+
+// testRegionVanishes calls fail with the region's workers when its entries end, and
+// gone once the other region has taken over.
+func testRegionVanishes(t *testing.T, fail, gone func(*failureTest, []*standin.Running)) {
+	f := newCellTest(t, regionsTopology, testBound)
+	f.startRegion("casa", 2)
+	fes := f.startRegion("fes", 2)
+	f.configure()
+	c := f.cell.NewCaller("caller")
+	var ids []string
+	for range 4 {
+		ids = append(ids, f.submit(c, "reconcile", 2, 10, 2*time.Second)...)
+		ids = append(ids, f.submit(c, "reconcile", 2, 2, longerThanLeases)...)
+		ids = append(ids, f.submit(c, "summary", 1, 6, 2*time.Second)...)
+	}
+	f.await("some tasks run", func() bool { return f.count(event.TaskRun) > 30 })
+	var workers []*standin.Running
+	for _, w := range f.cell.Standins.Workers() {
+		if w.Description.Region == "fes" {
+			workers = append(workers, w)
+		}
+	}
+	for _, e := range fes {
+		e.Kill()
+		<-e.Ended()
+	}
+	fail(f, workers)
+	f.showGone(fes)
+	f.await("the region's members are removed", func() bool { return f.count(event.MemberRemoved) >= 2*len(fes) })
+	gone(f, workers)
+	f.await("a job of the region ends elsewhere", func() bool {
+		return slices.ContainsFunc(f.cell.Events(), func(e event.Event) bool {
+			elsewhere := !slices.ContainsFunc(fes, func(o *Entry) bool { return o.Member().ID == e.Proc })
+			return e.Type == event.JobEnded && structs.JobGroup(e.Job) == "fes-0" && elsewhere
+		})
+	})
+	f.startRegion("fes", 2)
+	f.complete(c, ids)
+	f.complete(c, f.submit(c, "reconcile", 4, 6, 100*time.Millisecond))
+	f.check()
+}
--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -156,7 +156,8 @@
 }
 
 // guardMembership proposes the changes that this member sees a need for: the
-// removal of silent members, or a new epoch for members whose consent led to none.
+// removal of silent members of its group, that of a group which is gone altogether, or
+// a new epoch for members whose consent led to none.
 func (c *core) guardMembership(now time.Time) {
 	r := c.rights
 	if !c.joined || c.draining || r.proposing || !c.readLately(now) {
@@ -164,10 +165,13 @@
 	}
 	var change authority.Change
 	silent := r.watch.Silent(now)
+	gone := c.goneGroups(now)
 	stuck := !r.consentedAt.IsZero() && now.Sub(r.consentedAt) > consentLimit
 	switch {
 	case len(silent) > 0 && r.watch.Proposes(now):
 		change.Remove = silent
+	case len(gone) > 0 && r.watch.Proposes(now):
+		change.Remove = gone
 	case stuck && (r.watch.Proposes(now) || now.Sub(r.consentedAt) > 2*consentLimit):
 	default:
 		return
@@ -183,6 +187,28 @@
 	})
 }
 
+// goneGroups returns the members of the groups that are certainly gone altogether, if
+// this member's group is the first that is not: none of theirs is left to propose their
+// removal.
+func (c *core) goneGroups(now time.Time) []string {
+	var gone []string
+	first := ""
+	for _, g := range c.table.Groups() {
+		ids := g.IDs()
+		if !slices.ContainsFunc(ids, func(id string) bool { return !c.goneMember(id, now) }) {
+			gone = append(gone, ids...)
+			continue
+		}
+		if first == "" {
+			first = g.Name
+		}
+	}
+	if own, _ := c.table.GroupOfMember(c.self()); own.Name != first {
+		return nil
+	}
+	return gone
+}
+
 // propose gathers the consents for a change of the table and appends it.
 func (e *Entry) propose(ctx context.Context, change authority.Change) error {
 	change.ID = uuid.NewString()
