--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -172,6 +172,9 @@
 // OperatorAddr returns the address of the operators' interface.
 func (e *Entry) OperatorAddr() string { return e.operatorListener.Addr().String() }
 
+// PeerAddr returns the address on which the peers' interface listens.
+func (e *Entry) PeerAddr() string { return e.peerListener.Addr().String() }
+
 // MetricsAddr returns the address of the metrics interface.
 func (e *Entry) MetricsAddr() string { return e.metricsListener.Addr().String() }
 
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -221,7 +221,7 @@
 		resp.Tasks = append(resp.Tasks, taskState(a))
 	}
 	resp.UnknownWorkers = c.fleet.Unaccounted()
-	if !c.listRead.After(c.tableSince) {
+	if !c.listCurrent() {
 		resp.Error = fromError(structs.NewError(structs.CodeBehind, "the list of instances was not read since the table changed"))
 	}
 }
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -23,9 +23,15 @@
 	var after int64
 	for e.ctx.Err() == nil {
 		ctx, cancel := context.WithCancel(e.ctx)
-		e.do(func() { e.core.rereadList = cancel })
+		wait := listWait
+		e.do(func() {
+			e.core.rereadList = cancel
+			if !e.core.listCurrent() {
+				wait = 0
+			}
+		})
 		start := time.Now()
-		list, err := e.list.Read(ctx, after, listWait)
+		list, err := e.list.Read(ctx, after, wait)
 		cut := ctx.Err() != nil
 		cancel()
 		if cut {
@@ -46,6 +52,10 @@
 	}
 }
 
+// listCurrent reports whether the list was read since the table changed: only then are
+// all workers known that the table gives to this entry.
+func (c *core) listCurrent() bool { return c.listRead.After(c.tableSince) }
+
 // takeList takes a newer version of the platform's list.
 func (c *core) takeList(list instancelist.List) {
 	now := time.Now()
