--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -23,9 +23,15 @@
 	var after int64
 	for e.ctx.Err() == nil {
 		ctx, cancel := context.WithCancel(e.ctx)
-		e.do(func() { e.core.rereadList = cancel })
+		wait := listWait
+		e.do(func() {
+			e.core.rereadList = cancel
+			if !e.core.listCurrent() {
+				wait = 0
+			}
+		})
 		start := time.Now()
-		list, err := e.list.Read(ctx, after, listWait)
+		list, err := e.list.Read(ctx, after, wait)
 		cut := ctx.Err() != nil
 		cancel()
 		if cut {
@@ -46,6 +52,10 @@
 	}
 }
 
+// listCurrent reports whether the list was read since the table changed: only then are
+// all workers known that the table gives to this entry.
+func (c *core) listCurrent() bool { return c.listRead.After(c.tableSince) }
+
 // takeList takes a newer version of the platform's list.
 func (c *core) takeList(list instancelist.List) {
 	now := time.Now()
@@ -164,10 +174,11 @@
 	return w != nil && w.Epoch == epoch
 }
 
-// staleFence is called when a worker refused the epoch of this entry: another
-// owner has been there since. If the worker is still owned by the present table
-// it is gained anew under that epoch.
-func (c *core) staleFence(id string, epoch int64) (next int64, ok bool) {
+// staleFence is called when a worker's fence is not that of the epoch at which this
+// entry gained it. If the worker is still owned by the present table it is gained anew
+// under that epoch. A newer fence than the present table's is of an owner that this
+// entry has not read of yet.
+func (c *core) staleFence(id string, epoch int64, newer bool) (next int64, ok bool) {
 	if !c.holds(id, epoch) {
 		return 0, false
 	}
@@ -176,6 +187,9 @@
 		return c.table.Epoch(), true
 	}
 	c.fleet.Regain(id, epoch)
+	if newer {
+		c.fleet.Refused(id)
+	}
 	return epoch, true
 }
 
