A FIFO baseline before real workers; bytes of forwarded requests counted apart

Cause: the FIFO queue with random endpoints existed in the models only, and the bytes over the link mixed control and forwarded requests.

Ruled out: a setting of the entry for the baseline. It would be a second path through gate, picker and settings in what ships, and the entries' split of the workers would weaken the baseline; one process with one queue and full knowledge is the stronger one.

--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -45,7 +45,7 @@
 the time at which a caller meant to send. The seed decides every arrival.`,
 	}
 	cli.AddJSONFlag(root)
-	root.AddCommand(newRunCommand(), newCompareCommand(), newPlotCommand())
+	root.AddCommand(newRunCommand(), newCompareCommand(), newPlotCommand(), newBaselineCommand())
 	return root
 }
 
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -9,6 +9,7 @@
 	"dotterelhitch/internal/dispatch"
 	"dotterelhitch/internal/endpoint"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/peer"
 	"dotterelhitch/internal/peer/peerv1"
 	"dotterelhitch/internal/structs"
 )
@@ -21,6 +22,9 @@
 	dispatcher *dispatch.Dispatcher
 	sender     *endpoint.Client
 	slots      *slots
+	// pool carries forwarded requests on connections of their own: their bytes are
+	// counted apart from those of control, and no heartbeat waits behind a body.
+	pool *peer.Pool
 	// serviceMicros is a smoothed time of a request at an endpoint.
 	serviceMicros atomic.Int64
 }
@@ -28,7 +32,13 @@
 var _ caller.Backend = (*traffic)(nil)
 
 func newTraffic(e *Entry) *traffic {
-	t := &traffic{jobBackend: jobBackend{e: e}, e: e, slots: newSlots()}
+	t := &traffic{
+		jobBackend: jobBackend{e: e},
+		e:          e,
+		slots:      newSlots(),
+		pool:       peer.NewPool(e.settings.Auth.PeerKeys, e.clock, e.member.Region),
+	}
+	t.registerMetrics()
 	t.sender = endpoint.NewClient(endpoint.Options{
 		Keys:    e.settings.Auth.PlatformKeys,
 		Clock:   e.clock,
@@ -53,6 +63,18 @@
 	return t
 }
 
+// registerMetrics adds the byte counts of forwarded requests.
+func (t *traffic) registerMetrics() {
+	for name, bytes := range map[string]*atomic.Int64{
+		`hitch_peer_request_bytes{dir="out",link="local"}`: &t.pool.Local.Out,
+		`hitch_peer_request_bytes{dir="in",link="local"}`:  &t.pool.Local.In,
+		`hitch_peer_request_bytes{dir="out",link="cross"}`: &t.pool.Cross.Out,
+		`hitch_peer_request_bytes{dir="in",link="cross"}`:  &t.pool.Cross.In,
+	} {
+		t.e.metrics.NewGauge(name, func() float64 { return float64(bytes.Load()) })
+	}
+}
+
 // Request implements caller.Backend.
 func (t *traffic) Request(ctx context.Context, r structs.Request) structs.Answer {
 	return t.dispatcher.Request(ctx, r)
@@ -119,7 +141,7 @@
 	if !ok {
 		return nil, &dispatch.NotSentError{Cause: structs.NewError(structs.CodeUnavailable, "member %s has left", member)}
 	}
-	resp, err := t.e.pool.Client(m).Dispatch(ctx, r)
+	resp, err := t.pool.Client(m).Dispatch(ctx, r)
 	if err == nil {
 		return resp, nil
 	}
@@ -127,7 +149,7 @@
 	if structs.CodeOf(typed) != structs.CodeUnknown {
 		return nil, &dispatch.NotSentError{Cause: typed}
 	}
-	t.e.pool.Reset(m)
+	t.pool.Reset(m)
 	return nil, typed
 }
 
@@ -137,8 +159,10 @@
 }
 
 // shareLink gives this entry its share of the link between regions: what the
-// settings allow the region, divided by the region's members.
+// settings allow the region, divided by the region's members. Connections to entries
+// that have left are dropped.
 func (c *core) shareLink() {
+	c.e.traffic.pool.Keep(c.control.Members())
 	link := c.e.settings.Regions.LinkBytesPerSecond
 	c.e.traffic.dispatcher.SetFarBytes(linkShare(link, c.e.member.Region, c.control.Members()))
 }
--- a/internal/policytest/overload.go
+++ b/internal/policytest/overload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelhitch/internal/scheduler/admission"
+	"dotterelhitch/internal/scheduler/baseline"
 	"dotterelhitch/internal/scheduler/health"
 )
 
@@ -82,10 +83,9 @@
 	rng     *rand.Rand
 	control *admission.Controller
 	picker  *health.Picker
-	// fifo and free are the baseline's queue and free slots by endpoint.
-	fifo []*arrival
-	free []int
-	byID map[string]*arrival
+	// plain is the baseline's queue.
+	plain *baseline.Queue[*arrival]
+	byID  map[string]*arrival
 
 	capacity float64
 	answered map[string][]float64
@@ -120,8 +120,8 @@
 	m.picker = health.NewPicker(newRand(setup.Seed + 1))
 	for i := range overloadWorkers {
 		m.picker.Upsert(fmt.Sprint(i), overloadSlots)
-		m.free = append(m.free, overloadSlots)
 	}
+	m.plain = baseline.NewQueue[*arrival](m.rng, overloadWorkers, overloadSlots)
 	m.control.SetSlots(overloadWorkers * overloadSlots)
 	m.capacity = m.slotRate()
 	m.arrive()
@@ -150,7 +150,7 @@
 		m.offered[a.class.name]++
 	}
 	if m.Plain {
-		m.fifo = append(m.fifo, a)
+		m.plain.Add(a)
 		m.startPlain()
 		return
 	}
@@ -218,36 +218,21 @@
 	}
 }
 
-// startPlain sends the head of the queue to random endpoints while slots are free.
+// startPlain sends the head of the baseline's queue while slots are free.
 func (m *overload) startPlain() {
-	for len(m.fifo) > 0 {
-		worker, ok := m.randomFree()
+	for {
+		a, worker, ok := m.plain.Next()
 		if !ok {
 			return
 		}
-		a := m.fifo[0]
-		m.fifo = m.fifo[1:]
-		m.free[worker]--
 		m.after(m.took(a, worker), func() {
-			m.free[worker]++
+			m.plain.Done(worker)
 			m.answer(a)
 			m.startPlain()
 		})
 	}
 }
 
-// randomFree returns a random endpoint with a free slot.
-func (m *overload) randomFree() (int, bool) {
-	first := m.rng.IntN(overloadWorkers)
-	for i := range overloadWorkers {
-		worker := (first + i) % overloadWorkers
-		if m.free[worker] > 0 {
-			return worker, true
-		}
-	}
-	return 0, false
-}
-
 // took is how long an endpoint takes for a request.
 func (m *overload) took(a *arrival, worker int) time.Duration {
 	if m.counts(a) {
