One connection a peer, also when a burst opens it

Cause: after load over the link forwarded requests cost 5.9 KB/s there although none was under way. /proc/net/tcp showed up to 41 connections to one far entry: each of the first calls of a burst dialled its own, and HTTP/2 probes keep them all busy until they are closed as idle after 90 s. Before forwarded requests had a pool of their own the heartbeats had opened the one connection.

Checked: go test ./internal/integration for silent connections, graceful shutdowns and the relaying member.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -111,8 +111,11 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext:     httpx.CountDialer(bytes),
-		Protocols:       protocols,
+		DialContext: httpx.CountDialer(bytes),
+		Protocols:   protocols,
+		// A burst of first calls would open a connection each otherwise, which
+		// are all probed until they are closed as idle.
+		MaxConnsPerHost: 1,
 		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingAfter,
