A test of the link's budget

The bytes of forwarded requests and answers stay within the budget, one burst of the largest message and the last answer, in virtual time.

--- a/internal/dispatch/request_test.go
+++ b/internal/dispatch/request_test.go
@@ -465,3 +465,40 @@
 		t.Errorf("seed %d: %s ran %d times, answer %q", seed, r.ID, runs, a.Body)
 	}
 }
+
+// TestLinkBudgetIsObeyed has a region without slots ask for more than the link's budget
+// allows: what goes over the link is the budget, and the rest is not run.
+func TestLinkBudgetIsObeyed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			budget  = 100 << 10
+			answer  = 8 << 10
+			seconds = 30
+			every   = 10 * time.Millisecond
+		)
+		far := Load{Member: "far", TotalSlots: 8, FreeSlots: 8}
+		c := newCell(0, 1)
+		c.peers = []Load{far}
+		var bytes, answered int
+		c.dispatch = func(_ int, _ string, r *peerv1.DispatchRequest) (*peerv1.DispatchResponse, error) {
+			bytes += len(r.GetBody()) + answer + farOverhead
+			resp := peerAnswer(r, structs.OutcomeAnswered, "")
+			resp.Body = make([]byte, answer)
+			return resp, nil
+		}
+		d := c.dispatcher(t, Options{FarBytes: budget})
+		start := time.Now()
+		for i := 0; time.Since(start) < seconds*time.Second; i++ {
+			if ask(t, d, structs.Request{ID: fmt.Sprint(i), Idempotent: true}).Outcome == structs.OutcomeAnswered {
+				answered++
+			}
+			time.Sleep(every)
+		}
+		// An answer's length is known afterwards only, so that the last one may go over.
+		allowed := int(budget * time.Since(start).Seconds())
+		least, most := allowed*9/10, allowed+minFarBurst+answer
+		if bytes < least || bytes > most {
+			t.Errorf("%d bytes for %d answers, want %d to %d", bytes, answered, least, most)
+		}
+	})
+}
