Heartbeats outside the group go through one member for each pair of groups

Cause: each fourth heartbeat went to every member of the cell, about 70 KB/s an entry at 650 entries (docs/CAPACITY.md). Ruled out: rarer heartbeats, random partners, sums by group, one member for all (docs/design/control-cost.md). The control stream is relayed by group, not by region.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -67,6 +67,11 @@
 	peers map[string]*peerState
 	// beat counts heartbeats.
 	beat int
+	// directMembers is the size up to which all members of a cell exchange
+	// heartbeats.
+	directMembers int
+	// handedOn is the member outside the group whose load was handed on last.
+	handedOn string
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
@@ -79,11 +84,19 @@
 
 // peerState is what is known of another member.
 type peerState struct {
-	digest   *peerv1.Digest
+	digest *peerv1.Digest
+	// heard is when the member itself was last heard, at the earliest; first is when
+	// it came into the table.
 	heard    time.Time
 	first    time.Time
 	draining bool
 	epoch    int64
+	// groupEpoch is the lowest epoch in the member's group, by its word.
+	groupEpoch int64
+	// digestAt is when the digest was made at the latest, by whatever way it came.
+	digestAt time.Time
+	// missed is when the last heartbeat failed, zero if it did not.
+	missed time.Time
 	// probation are the workers that its jobs' results speak against.
 	probation []string
 	// roundTrip is a smoothed time of an exchange.
@@ -117,6 +130,8 @@
 		waiters: map[string][]chan state.Result{},
 		alarms:  map[structs.Code]string{},
 
+		directMembers: ownership.DirectMembers,
+
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -31,36 +31,49 @@
 	}
 }
 
-// exchange begins a heartbeat to each member that has answered its last one.
+// exchange begins a heartbeat to each member that is due one and has answered its
+// last one.
 func (c *core) exchange() {
 	if !c.joined {
 		return
 	}
-	req := &peerv1.ExchangeRequest{
+	now := time.Now()
+	c.beat++
+	near := c.heartbeatRequest()
+	near.Loads = c.handOn(now)
+	group, _ := c.table.GroupOfMember(c.self())
+	for _, m := range group.Members {
+		c.beginHeartbeat(m, near)
+	}
+	if c.beat%farHeartbeats != 0 {
+		return
+	}
+	far := c.heartbeatRequest()
+	for _, m := range c.farPeers(now) {
+		c.beginHeartbeat(m, far)
+	}
+}
+
+func (c *core) beginHeartbeat(m structs.Member, req *peerv1.ExchangeRequest) {
+	p := c.peers[m.ID]
+	if p == nil || p.busy {
+		return
+	}
+	p.busy = true
+	c.e.spawn(func() { c.e.heartbeat(m, req) })
+}
+
+func (c *core) heartbeatRequest() *peerv1.ExchangeRequest {
+	return &peerv1.ExchangeRequest{
 		Member:      c.self(),
 		Epoch:       c.table.Epoch(),
+		GroupEpoch:  c.groupEpoch(),
 		ControlNext: c.control.Next(),
 		Digest:      c.digest(),
 		Draining:    c.draining,
 		Attest:      true,
 		Probation:   c.jobs.Probation(),
 	}
-	c.beat++
-	for _, m := range c.control.Members() {
-		p := c.peers[m.ID]
-		if p == nil || p.busy || !c.beatDue(m) {
-			continue
-		}
-		p.busy = true
-		c.e.spawn(func() { c.e.heartbeat(m, req) })
-	}
-}
-
-// beatDue reports whether a member gets this heartbeat: each one within the group,
-// which attests, and fewer outside, where only load digests matter.
-func (c *core) beatDue(m structs.Member) bool {
-	group, _ := c.table.GroupOfMember(c.self())
-	return group.Has(m.ID) || c.beat%farHeartbeats == 0
 }
 
 // silentAfter is the time without a word after which a member is passed over.
@@ -90,9 +103,11 @@
 	}
 	p.busy = false
 	if err != nil || resp.Member != m.ID {
+		p.missed = time.Now()
 		return
 	}
 	c.heardMember(m.ID, resp.Epoch, start)
+	c.heardGroup(m.ID, resp.Epoch, resp.GroupEpoch)
 	if resp.Attested {
 		c.rights.authority.ObserveAttestation(m.ID, resp.Epoch, start)
 	}
@@ -101,6 +116,7 @@
 	}
 	took := time.Since(start)
 	p.take(resp.Digest, resp.Epoch, resp.Draining, start)
+	p.groupEpoch = resp.GroupEpoch
 	p.probation = resp.Probation
 	c.applyProbation()
 	p.roundTrip = smooth(p.roundTrip, took)
@@ -110,8 +126,10 @@
 	p.digest = d
 	p.epoch = epoch
 	p.draining = draining
+	p.missed = time.Time{}
 	if heard.After(p.heard) {
 		p.heard = heard
+		p.digestAt = heard
 	}
 }
 
@@ -155,15 +173,19 @@
 	now := time.Now()
 	if p := c.peers[r.Member]; p != nil {
 		p.take(r.Digest, r.Epoch, r.Draining, now)
+		p.groupEpoch = r.GroupEpoch
 		p.probation = r.Probation
 		c.applyProbation()
 		c.heardMember(r.Member, r.Epoch, now)
+		c.heardGroup(r.Member, r.Epoch, r.GroupEpoch)
+		c.takeLoads(r.Loads, now)
 	}
 	attested := r.Attest && c.rights.attester.Answer(r.Epoch) == authority.Attested
 	return &peerv1.ExchangeResponse{
 		Attested:    attested,
 		Member:      c.self(),
 		Epoch:       c.table.Epoch(),
+		GroupEpoch:  c.groupEpoch(),
 		ControlNext: c.control.Next(),
 		Digest:      c.digest(),
 		Draining:    c.draining,
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -98,8 +98,8 @@
 }
 
 // controlSource reads the control stream: from the log itself, or in a region
-// without the log through the region's relaying member, so that each record
-// crosses the link once.
+// without the log through the group's relaying member, so that each record
+// crosses the link once for a group.
 type controlSource struct {
 	e *Entry
 }
@@ -161,14 +161,11 @@
 // relay returns the member through which this entry reads the control stream; ok
 // is false if it reads the log itself.
 func (c *core) relay() (m structs.Member, ok bool) {
-	region := c.e.member.Region
-	if !c.joined || region == c.e.settings.Regions.Store {
+	if !c.joined || c.e.member.Region == c.e.settings.Regions.Store {
 		return structs.Member{}, false
 	}
-	for _, other := range c.control.Members() {
-		if other.Region != region {
-			continue
-		}
+	group, _ := c.table.GroupOfMember(c.self())
+	for _, other := range group.Members {
 		p := c.peers[other.ID]
 		alive := other.ID == c.self() || (p != nil && !p.draining && time.Since(p.heard) < c.silentAfter(other))
 		if alive {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -167,7 +167,7 @@
 	now := time.Now()
 	for _, m := range c.control.Members() {
 		p := c.peers[m.ID]
-		if p == nil || p.digest == nil || p.draining || now.Sub(p.heard) > c.silentAfter(m) {
+		if !c.heardLately(m, now) || p.draining {
 			continue
 		}
 		peers = append(peers, dispatch.Load{
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -58,11 +58,17 @@
 
 // startWith starts an entry that finds the log service at the given base URL.
 func (c *testCell) startWith(log string) *Entry {
+	c.t.Helper()
+	return c.startIn("casa", log, func(*Entry) {})
+}
+
+// startIn starts an entry of a region; adjust changes it before it runs.
+func (c *testCell) startIn(region, log string, adjust func(*Entry)) *Entry {
 	c.t.Helper()
 	s := settings.Default()
-	s.Identity.Region = "casa"
-	s.Identity.Domain = "casa-a"
-	s.Regions.Names = []string{"casa"}
+	s.Identity.Region = region
+	s.Identity.Domain = region + "-a"
+	s.Regions.Names = []string{"casa", "fes", "pwani"}
 	s.Regions.Store = "casa"
 	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
 	s.Platform.Log = log
@@ -76,6 +82,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	adjust(e)
 	ended := make(chan struct{})
 	go func() {
 		_ = e.Run(context.Background())
