One member of a group appends for the others

Cause: at the target's peak 93 groups of 7 members would append 2,100 times a second; the log takes several hundred (docs/CAPACITY.md). Ruled out: a longer linger, larger groups, shared streams, an acknowledgement before the log's (docs/design/control-cost.md). Change: members hand changes to the first member that answers, in an order by rendezvous, which puts them into its group commit and answers after the log. The linger now counts from the oldest change.

--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -127,7 +127,7 @@
 	if n == 0 {
 		return 0, nil
 	}
-	r, err := e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobCancel, Base: base, Filter: &f})
+	r, err := e.commit(ctx, s, state.Change{ID: changeID, Type: state.JobCancel, Base: base, Filter: &f})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -97,6 +97,8 @@
 	digestAt time.Time
 	// missed is when the last heartbeat failed, zero if it did not.
 	missed time.Time
+	// appendMissed is when it last failed to append for this entry.
+	appendMissed time.Time
 	// probation are the workers that its jobs' results speak against.
 	probation []string
 	// roundTrip is a smoothed time of an exchange.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -38,6 +38,7 @@
 		return
 	}
 	now := time.Now()
+	c.chooseAppenders(now)
 	c.beat++
 	near := c.heartbeatRequest()
 	near.Loads = c.handOn(now)
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -49,7 +49,7 @@
 	if id := b.acceptedElsewhere(ctx, j, changeID); id != "" {
 		return id, nil
 	}
-	r, err := b.e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base, Job: &j})
+	r, err := b.e.commit(ctx, s, state.Change{ID: changeID, Type: state.JobAccept, Base: base, Job: &j})
 	if err != nil {
 		return "", err
 	}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -163,6 +163,7 @@
 	c.shareLink()
 	c.assignWorkers(now)
 	c.assignStreams()
+	c.chooseAppenders(now)
 	c.assignJobs()
 	c.fleet.Rereport(now)
 	if lost(before, c.table) {
@@ -224,6 +225,11 @@
 // joinRetry is the pause between two tries to join or to leave.
 const joinRetry = 100 * time.Millisecond
 
+// submitter queues changes for a stream of the log.
+type submitter interface {
+	Submit(context.Context, state.Change) error
+}
+
 // commitControl appends a change to the control stream and waits for the fold's
 // result. After an error of any type but CodeUnknown the change certainly has no
 // effect.
@@ -231,7 +237,7 @@
 	return e.commit(ctx, e.controlLog, ch)
 }
 
-func (e *Entry) commit(ctx context.Context, to *journal.Committer, ch state.Change) (state.Result, error) {
+func (e *Entry) commit(ctx context.Context, to submitter, ch state.Change) (state.Result, error) {
 	var wait chan state.Result
 	if !e.do(func() { wait = e.core.wait(ch.ID) }) {
 		return state.Result{}, errEnding()
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"dotterelhitch/internal/event"
@@ -18,8 +19,11 @@
 	table     *state.Jobs
 	bridge    *state.Bridge
 	committer *journal.Committer
-	cancel    context.CancelFunc
-	caughtUp  bool
+	forwarder *journal.Forwarder
+	// appender is the member that appends for this one, nil for itself.
+	appender atomic.Pointer[structs.Member]
+	cancel   context.CancelFunc
+	caughtUp bool
 	// over are the jobs that the record at overAt was seen to end.
 	over   map[string]bool
 	overAt int64
@@ -79,8 +83,12 @@
 		committer: journal.NewCommitter(c.e.log, stream, c.e.timing.AppendLinger, c.e.logger),
 		cancel:    cancel,
 	}
+	s.forwarder = journal.NewForwarder(s.committer, func(ctx context.Context, data []byte) (bool, error) {
+		return c.e.forwardAppend(ctx, s, data)
+	}, c.e.logger)
 	c.streams[group] = s
 	c.e.spawn(func() { s.committer.Run(ctx) })
+	c.e.spawn(func() { s.forwarder.Run(ctx) })
 	follower := journal.NewFollower(journal.Direct{Log: c.e.log}, stream, jobsWait, func(p journal.Page) int64 {
 		next := int64(1)
 		c.e.do(func() { next = c.takeJobs(s, p) })
@@ -286,7 +294,7 @@
 
 			StartedMs: c.jobs.StartedMs(id),
 		}
-		if err := s.committer.Submit(c.e.ctx, change); err != nil {
+		if err := s.Submit(c.e.ctx, change); err != nil {
 			c.e.logger.Warn("ends of tasks wait for the log", "job", id, "tasks", len(ends), "error", err.Error())
 			c.jobs.Unsettle(id, ends)
 		}
@@ -308,7 +316,7 @@
 		}
 		c.jobs.End(id, false, reason)
 		change := state.Change{ID: "park/" + id, Type: state.JobPark, JobID: id, Reason: reason}
-		if err := s.committer.Submit(c.e.ctx, change); err != nil {
+		if err := s.Submit(c.e.ctx, change); err != nil {
 			c.e.logger.Warn("parking waits for the log", "job", id, "error", err.Error())
 		}
 	}
--- a/internal/journal/committer.go
+++ b/internal/journal/committer.go
@@ -35,9 +35,19 @@
 	queue  chan pending
 }
 
+// pending are changes that one call has queued.
 type pending struct {
-	ctx    context.Context
-	change state.Change
+	ctx     context.Context
+	changes []state.Change
+	// queued is when the call was made; the linger counts from it, so that what came
+	// while an append was under way does not wait for a whole one more.
+	queued time.Time
+	// appended is closed once the log has acknowledged them; it may be nil.
+	appended chan struct{}
+}
+
+func newPending(ctx context.Context, changes ...state.Change) pending {
+	return pending{ctx: ctx, changes: changes, queued: time.Now()}
 }
 
 // NewCommitter returns a committer that waits up to linger for changes to share a
@@ -56,14 +66,46 @@
 // append is tried, and no longer repeated once ctx has ended. The outcome is
 // learnt by reading the stream. It fails with CodeOverload if the queue is full.
 func (c *Committer) Submit(ctx context.Context, ch state.Change) error {
+	return c.enqueue(newPending(ctx, ch))
+}
+
+func (c *Committer) enqueue(p pending) error {
 	select {
-	case c.queue <- pending{ctx: ctx, change: ch}:
+	case c.queue <- p:
 		return nil
 	default:
 		return structs.RetryAfter(structs.CodeOverload, retryLongest, "stream %s: %d changes wait for the log", c.stream, queueLength)
 	}
 }
 
+// Commit queues the changes of another member and returns once the log has
+// acknowledged them. If ctx ends first it fails with CodeUnknown: they may have been
+// appended, or may yet be.
+func (c *Committer) Commit(ctx context.Context, changes []state.Change) error {
+	p := newPending(ctx, changes...)
+	p.appended = make(chan struct{})
+	if err := c.enqueue(p); err != nil {
+		return err
+	}
+	select {
+	case <-p.appended:
+		return nil
+	case <-ctx.Done():
+		return structs.NewError(structs.CodeUnknown, "stream %s: %d changes not acknowledged in time", c.stream, len(changes))
+	}
+}
+
+// resubmit queues changes that were accepted for the log before; it waits for room.
+func (c *Committer) resubmit(ctx context.Context, list []pending) {
+	for _, p := range list {
+		select {
+		case c.queue <- p:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Run appends what is submitted until ctx ends.
 func (c *Committer) Run(ctx context.Context) {
 	var carried *pending
@@ -80,29 +122,28 @@
 // collect waits for a first change and then for others until the linger has
 // passed or the record is full. A change that no longer fits is carried over.
 func (c *Committer) collect(ctx context.Context, carried *pending) (batch []pending, next *pending) {
-	size := 0
+	var record size
 	if carried != nil {
 		batch = append(batch, *carried)
-		size = sizeOf(carried.change)
+		record.add(*carried)
 	} else {
 		select {
 		case p := <-c.queue:
 			batch = append(batch, p)
-			size = sizeOf(p.change)
+			record.add(p)
 		case <-ctx.Done():
 			return nil, nil
 		}
 	}
-	full := time.NewTimer(c.linger)
+	full := time.NewTimer(c.linger - time.Since(batch[0].queued))
 	defer full.Stop()
-	for len(batch) < batchChanges {
+	for record.changes < batchChanges {
 		select {
 		case p := <-c.queue:
-			n := sizeOf(p.change)
-			if size+n > batchBytes {
+			if !record.fits(p) {
 				return batch, &p
 			}
-			size += n
+			record.add(p)
 			batch = append(batch, p)
 		case <-full.C:
 			return batch, nil
@@ -123,6 +164,7 @@
 		}
 		err := c.try(ctx, batch)
 		if err == nil {
+			acknowledge(batch)
 			return
 		}
 		c.logger.Warn("append failed", "stream", c.stream, "changes", len(batch), "error", err.Error())
@@ -132,11 +174,7 @@
 }
 
 func (c *Committer) try(ctx context.Context, batch []pending) error {
-	changes := make([]state.Change, len(batch))
-	for i, p := range batch {
-		changes[i] = p.change
-	}
-	data, err := state.Encode(changes)
+	data, err := encode(batch)
 	if err != nil {
 		return err
 	}
@@ -144,6 +182,23 @@
 	return err
 }
 
+// encode returns the record that holds a batch.
+func encode(batch []pending) ([]byte, error) {
+	var changes []state.Change
+	for _, p := range batch {
+		changes = append(changes, p.changes...)
+	}
+	return state.Encode(changes)
+}
+
+func acknowledge(batch []pending) {
+	for _, p := range batch {
+		if p.appended != nil {
+			close(p.appended)
+		}
+	}
+}
+
 // wanted returns the changes whose context has not ended.
 func wanted(batch []pending) []pending {
 	kept := batch[:0]
@@ -162,6 +217,27 @@
 	perChange = 400
 )
 
+// size is that of a record: its changes and its estimated bytes.
+type size struct {
+	changes int
+	bytes   int
+}
+
+func (s *size) add(p pending) {
+	s.changes += len(p.changes)
+	s.bytes += p.bytes()
+}
+
+func (s *size) fits(p pending) bool { return s.bytes+p.bytes() <= batchBytes }
+
+func (p pending) bytes() int {
+	n := 0
+	for _, ch := range p.changes {
+		n += sizeOf(ch)
+	}
+	return n
+}
+
 // sizeOf estimates the encoded size of a change in bytes.
 func sizeOf(ch state.Change) int {
 	n := perChange + perEnd*len(ch.Ends)
--- a/internal/ownership/carrier.go
+++ b/internal/ownership/carrier.go
@@ -25,3 +25,13 @@
 	}
 	return order
 }
+
+// Appenders returns the members of the group that decides for a jobs stream in the
+// order in which they append to it for the others.
+func (m *Map) Appenders(stream string) []structs.Member {
+	i, found := m.jobGroup(stream)
+	if !found {
+		return nil
+	}
+	return m.groups[i].rank(hashName("append/" + stream))
+}
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceInventoryProcedure = "/dotterelhitch.peer.v1.PeerService/Inventory"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
+	// PeerServiceAppendProcedure is the fully-qualified name of the PeerService's Append RPC.
+	PeerServiceAppendProcedure = "/dotterelhitch.peer.v1.PeerService/Append"
 	// PeerServiceCancelJobsProcedure is the fully-qualified name of the PeerService's CancelJobs RPC.
 	PeerServiceCancelJobsProcedure = "/dotterelhitch.peer.v1.PeerService/CancelJobs"
 	// PeerServiceJobStatusProcedure is the fully-qualified name of the PeerService's JobStatus RPC.
@@ -91,6 +93,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// Append has the callee append changes of the caller to a jobs stream.
+	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -174,6 +178,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		append: connect.NewClient[peerv1.AppendRequest, peerv1.AppendResponse](
+			httpClient,
+			baseURL+PeerServiceAppendProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Append")),
+			connect.WithClientOptions(opts...),
+		),
 		cancelJobs: connect.NewClient[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse](
 			httpClient,
 			baseURL+PeerServiceCancelJobsProcedure,
@@ -236,6 +246,7 @@
 	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	append       *connect.Client[peerv1.AppendRequest, peerv1.AppendResponse]
 	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
 	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
 	status       *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
@@ -327,6 +338,15 @@
 	return nil, err
 }
 
+// Append calls dotterelhitch.peer.v1.PeerService.Append.
+func (c *peerServiceClient) Append(ctx context.Context, req *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
+	response, err := c.append.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // CancelJobs calls dotterelhitch.peer.v1.PeerService.CancelJobs.
 func (c *peerServiceClient) CancelJobs(ctx context.Context, req *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	response, err := c.cancelJobs.CallUnary(ctx, connect.NewRequest(req))
@@ -419,6 +439,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// Append has the callee append changes of the caller to a jobs stream.
+	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -498,6 +520,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAppendHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceAppendProcedure,
+		svc.Append,
+		connect.WithSchema(peerServiceMethods.ByName("Append")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceCancelJobsHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceCancelJobsProcedure,
 		svc.CancelJobs,
@@ -566,6 +594,8 @@
 			peerServiceInventoryHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceAppendProcedure:
+			peerServiceAppendHandler.ServeHTTP(w, r)
 		case PeerServiceCancelJobsProcedure:
 			peerServiceCancelJobsHandler.ServeHTTP(w, r)
 		case PeerServiceJobStatusProcedure:
@@ -627,6 +657,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Append is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.CancelJobs is not implemented"))
 }
