An ended job keeps counts instead of the state of each task

Cause: 4,096 ended jobs are kept for status calls, each with the end of every task and its payload (up to the bound of a job's body). Ruled out: fewer ended jobs by a setting: the fold refuses repeats by what it has forgotten, so readers with other settings would disagree about the same record. Change: once all tasks are settled the job keeps counts; its payload goes at its end.

--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -210,16 +210,10 @@
 // endedStatus renders a job as the log has it.
 func endedStatus(owner string, j *state.Job) structs.JobStatus {
 	s := structs.JobStatus{Job: j.Job, Owner: owner, State: jobState(j), StartedMs: j.StartedMs}
-	for _, end := range j.Ends {
-		switch end {
-		case structs.AllocComplete:
-			s.Complete++
-		case structs.AllocFailed:
-			s.Failed++
-		}
-	}
+	sum := j.Settled()
+	s.Complete, s.Failed = sum.Complete, sum.Failed
 	if j.Cancelled {
-		s.Cancelled = j.Job.Count - len(j.Ends)
+		s.Cancelled = j.Job.Count - sum.Settled
 	}
 	if j.Parked != "" {
 		s.Reasons = append(s.Reasons, j.Parked)
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -15,8 +15,10 @@
 	Job structs.Job `json:"job"`
 	// Accepted is the offset of its acceptance.
 	Accepted int64 `json:"accepted"`
-	// Ends maps a task's index to its settled state.
+	// Ends maps a task's index to its settled state, until all are settled.
 	Ends map[int]structs.AllocState `json:"ends,omitempty"`
+	// Sum counts the settled tasks once all are.
+	Sum *EndSum `json:"sum,omitempty"`
 	// StartedMs is when the last task first ran, in Unix milliseconds.
 	StartedMs int64 `json:"started_ms,omitempty"`
 	Cancelled bool  `json:"cancelled,omitempty"`
@@ -26,6 +28,44 @@
 	EndedAt int64 `json:"ended_at,omitempty"`
 }
 
+// EndSum counts settled tasks by their state.
+type EndSum struct {
+	Settled  int `json:"settled"`
+	Complete int `json:"complete,omitempty"`
+	Failed   int `json:"failed,omitempty"`
+}
+
+// Settled counts the tasks that the log holds an end of.
+func (j *Job) Settled() EndSum {
+	if j.Sum != nil {
+		return *j.Sum
+	}
+	sum := EndSum{Settled: len(j.Ends)}
+	for _, end := range j.Ends {
+		switch end {
+		case structs.AllocComplete:
+			sum.Complete++
+		case structs.AllocFailed:
+			sum.Failed++
+		}
+	}
+	return sum
+}
+
+// shrink drops what an ended job needs no more: its payload, and the state of each
+// task once all are settled.
+func (j *Job) shrink() {
+	if !j.Ended() {
+		return
+	}
+	j.Job.Payload = ""
+	if len(j.Ends) == j.Job.Count {
+		sum := j.Settled()
+		j.Sum = &sum
+		j.Ends = nil
+	}
+}
+
 // Ended reports whether nothing more will be started for the job.
 func (j *Job) Ended() bool { return j.EndedAt != 0 }
 
@@ -145,6 +185,9 @@
 		return refuse(offset, ch, structs.CodeNotFound, "job %s", ch.JobID)
 	}
 	j.StartedMs = max(j.StartedMs, ch.StartedMs)
+	if j.Sum != nil {
+		return accept(offset, ch)
+	}
 	for _, e := range ch.Ends {
 		if e.Index < 0 || e.Index >= j.Job.Count {
 			continue
@@ -156,12 +199,14 @@
 	if !j.Ended() && len(j.Ends) == j.Job.Count {
 		t.end(ch.JobID, j, offset)
 	}
+	j.shrink()
 	return accept(offset, ch)
 }
 
 // end marks a job as ended and forgets the oldest ended ones past the bound.
 func (t *Jobs) end(id string, j *Job, offset int64) {
 	j.EndedAt = offset
+	j.shrink()
 	t.ended = append(t.ended, id)
 	for len(t.ended) > endedKept {
 		oldest := t.ended[0]
@@ -190,7 +235,8 @@
 	t.ended = slices.Clone(s.Ended)
 	for i := range s.Jobs {
 		j := s.Jobs[i]
-		if j.Ends == nil {
+		j.shrink()
+		if j.Ends == nil && j.Sum == nil {
 			j.Ends = map[int]structs.AllocState{}
 		}
 		t.jobs[j.Job.ID] = &j
