Of workers of other regions an entry keeps their kind only

Ruled out: own workers only, nothing of other regions (docs/design/control-cost.md). Change: the own region's workers are kept whole, of others region, size and whether they are gone, shared by kind. A region without members is read anew and kept. Held workers that a change of the table gives to others are looked for among the held ones, not in the list.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -40,9 +40,11 @@
 	transferring map[string]bool
 	recent       recentRecords
 
-	// instances is the platform's list by ID; listRead is when its last read began.
-	instances map[string]structs.Worker
+	// instances is the platform's list; listRead is when its last read began.
+	instances *instances
 	listRead  time.Time
+	// listWhole asks for the whole list with the next read.
+	listWhole bool
 	// rereadList cuts the wait of the list's reader short.
 	rereadList context.CancelFunc
 	// entryStates are the platform's states of entries by ID.
@@ -113,7 +115,7 @@
 		rights:      newRights(e, time.Now()),
 		control:     state.NewControl(),
 		table:       ownership.NewMap(ownership.Table{}),
-		instances:   map[string]structs.Worker{},
+		instances:   newInstances(),
 		rereadList:  func() {},
 		entryStates: map[string]structs.WorkerState{},
 		fleet: fleet.New(fleet.Timing{
--- a/internal/entry/far.go
+++ b/internal/entry/far.go
@@ -74,7 +74,7 @@
 	var owners []structs.Member
 	seen := map[string]bool{}
 	for _, id := range c.jobs.Probation() {
-		owner, ok := c.table.OwnerOfWorker(c.instances[id])
+		owner, ok := c.table.OwnerOfWorker(c.instances.place(id))
 		if ok && !seen[owner.ID] {
 			seen[owner.ID] = true
 			owners = append(owners, owner)
--- a/internal/entry/jobbackend.go
+++ b/internal/entry/jobbackend.go
@@ -126,10 +126,8 @@
 
 // everFits refuses a task size that no listed worker could ever hold.
 func (c *core) everFits(size structs.Resources) error {
-	for _, w := range c.instances {
-		if w.State != structs.WorkerGone && size.Fits(w.Size) {
-			return nil
-		}
+	if c.instances.fits(size) {
+		return nil
 	}
 	return structs.NewError(structs.CodeNeverFits, "no worker could ever hold a task of %d mCPU, %d MiB, %d accelerators",
 		size.CPUMilli, size.MemoryMiB, size.Accelerators)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -161,6 +161,7 @@
 		return
 	}
 	c.shareLink()
+	c.sortRegions()
 	c.assignWorkers(now)
 	c.assignStreams()
 	c.chooseAppenders(now)
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -167,5 +167,5 @@
 
 func (c *core) isLeaving(id string) bool {
 	_, declared := c.control.Leaving(id)
-	return declared || c.instances[id].State != structs.WorkerLive
+	return declared || c.fleet.Worker(id).Info.State != structs.WorkerLive
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -144,7 +144,7 @@
 func (c *core) sendStop(job string, refs []orchestrator.Ref) {
 	byOwner := map[structs.Member][]*peerv1.Task{}
 	for _, r := range refs {
-		owner, ok := c.table.OwnerOfWorker(c.instances[r.Worker])
+		owner, ok := c.table.OwnerOfWorker(c.instances.place(r.Worker))
 		if !ok {
 			continue
 		}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -28,7 +28,7 @@
 		return
 	}
 	c.nextSchedule = now.Add(placePause)
-	c.jobs.SetWorkers(len(c.instances))
+	c.jobs.SetWorkers(c.instances.len())
 	if !c.mayGrant(now) {
 		return
 	}
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -23,7 +23,13 @@
 	var after int64
 	for e.ctx.Err() == nil {
 		ctx, cancel := context.WithCancel(e.ctx)
-		e.do(func() { e.core.rereadList = cancel })
+		e.do(func() {
+			e.core.rereadList = cancel
+			if e.core.listWhole {
+				e.core.listWhole = false
+				after = 0
+			}
+		})
 		start := time.Now()
 		list, err := e.list.Read(ctx, after, listWait)
 		cut := ctx.Err() != nil
@@ -50,7 +56,7 @@
 func (c *core) takeList(list instancelist.List) {
 	now := time.Now()
 	for _, w := range list.Instances {
-		c.instances[w.ID] = w
+		c.instances.put(w, c.keepsRegion(w.Region))
 		c.fleet.Update(w)
 		c.applyLeaving(w.ID)
 	}
@@ -67,6 +73,21 @@
 	c.assignWorkers(now)
 }
 
+// keepsRegion reports whether this entry may own workers of a region: its own, and
+// one without members.
+func (c *core) keepsRegion(region string) bool {
+	return region == c.e.member.Region || (c.joined && !c.table.HasRegion(region))
+}
+
+// sortRegions drops what is known of the workers of regions that have members again,
+// and asks for the whole list if the workers of another region are to be kept.
+func (c *core) sortRegions() {
+	c.instances.drop(func(region string) bool { return !c.keepsRegion(region) })
+	if c.instances.lacks(c.keepsRegion) {
+		c.listWhole = true
+	}
+}
+
 // gone reports whether an instance certainly runs nothing any more: by the
 // platform's list, or by the operator's word.
 func (c *core) gone(w structs.Worker) bool {
@@ -92,19 +113,23 @@
 	if !c.joined {
 		return
 	}
-	for id, w := range c.instances {
-		owner, ok := c.table.OwnerOfWorker(w)
-		mine := ok && owner.ID == c.self()
-		held := c.fleet.Worker(id) != nil
-		switch {
-		case mine && !held:
+	for _, w := range c.fleet.Workers() {
+		if !c.ownsWorker(w.Info) {
+			c.loseWorker(w.Info.ID)
+		}
+	}
+	for id, w := range c.instances.kept {
+		if c.fleet.Worker(id) == nil && c.ownsWorker(w) {
 			c.gainWorker(w, now)
-		case !mine && held:
-			c.loseWorker(id)
 		}
 	}
 }
 
+func (c *core) ownsWorker(w structs.Worker) bool {
+	owner, ok := c.table.OwnerOfWorker(w)
+	return ok && owner.ID == c.self()
+}
+
 func (c *core) gainWorker(w structs.Worker, now time.Time) {
 	c.fleet.Gain(w, c.table.Epoch(), now)
 	c.applyLeaving(w.ID)
--- a/internal/ownership/map.go
+++ b/internal/ownership/map.go
@@ -76,6 +76,9 @@
 	return m.groups[i].Group, true
 }
 
+// HasRegion reports whether the region has members.
+func (m *Map) HasRegion(region string) bool { return len(m.byRegion[region]) > 0 }
+
 // GroupOfMember returns the group that a member is in.
 func (m *Map) GroupOfMember(id string) (Group, bool) {
 	i, found := m.byMember[id]
