--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -86,10 +86,8 @@
 
 // everFits refuses a task size that no listed worker could ever hold.
 func (c *core) everFits(size structs.Resources) error {
-	for _, w := range c.instances {
-		if w.State != structs.WorkerGone && size.Fits(w.Size) {
-			return nil
-		}
+	if c.instances.fits(size) {
+		return nil
 	}
 	return structs.NewError(structs.CodeNeverFits, "no worker could ever hold a task of %d mCPU, %d MiB, %d accelerators",
 		size.CPUMilli, size.MemoryMiB, size.Accelerators)
@@ -247,7 +245,7 @@
 	}
 	j.ID = jobID(group, j.Team, changeID)
 	j.AcceptedMs = time.Now().UnixMilli()
-	r, err := e.commit(ctx, s.committer, state.Change{ID: changeID, Type: state.JobAccept, Base: base - 1, Job: &j})
+	r, err := e.commit(ctx, s, state.Change{ID: changeID, Type: state.JobAccept, Base: base - 1, Job: &j})
 	if err != nil {
 		return "", err
 	}
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -54,6 +54,8 @@
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
 	// PeerServiceSubmitJobProcedure is the fully-qualified name of the PeerService's SubmitJob RPC.
 	PeerServiceSubmitJobProcedure = "/dotterelhitch.peer.v1.PeerService/SubmitJob"
+	// PeerServiceAppendProcedure is the fully-qualified name of the PeerService's Append RPC.
+	PeerServiceAppendProcedure = "/dotterelhitch.peer.v1.PeerService/Append"
 	// PeerServiceCancelJobsProcedure is the fully-qualified name of the PeerService's CancelJobs RPC.
 	PeerServiceCancelJobsProcedure = "/dotterelhitch.peer.v1.PeerService/CancelJobs"
 	// PeerServiceJobStatusProcedure is the fully-qualified name of the PeerService's JobStatus RPC.
@@ -95,6 +97,8 @@
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
 	// SubmitJob accepts a job into a stream that the asked member reads.
 	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
+	// Append has the callee append changes of the caller to a jobs stream.
+	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -184,6 +188,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
 			connect.WithClientOptions(opts...),
 		),
+		append: connect.NewClient[peerv1.AppendRequest, peerv1.AppendResponse](
+			httpClient,
+			baseURL+PeerServiceAppendProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Append")),
+			connect.WithClientOptions(opts...),
+		),
 		cancelJobs: connect.NewClient[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse](
 			httpClient,
 			baseURL+PeerServiceCancelJobsProcedure,
@@ -247,6 +257,7 @@
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
 	submitJob    *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
+	append       *connect.Client[peerv1.AppendRequest, peerv1.AppendResponse]
 	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
 	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
 	status       *connect.Client[peerv1.StatusRequest, peerv1.StatusResponse]
@@ -347,6 +358,15 @@
 	return nil, err
 }
 
+// Append calls dotterelhitch.peer.v1.PeerService.Append.
+func (c *peerServiceClient) Append(ctx context.Context, req *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
+	response, err := c.append.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // CancelJobs calls dotterelhitch.peer.v1.PeerService.CancelJobs.
 func (c *peerServiceClient) CancelJobs(ctx context.Context, req *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	response, err := c.cancelJobs.CallUnary(ctx, connect.NewRequest(req))
@@ -441,6 +461,8 @@
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
 	// SubmitJob accepts a job into a stream that the asked member reads.
 	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
+	// Append has the callee append changes of the caller to a jobs stream.
+	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
 	CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error)
 	// JobStatus asks a job's owner for its state.
@@ -526,6 +548,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAppendHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceAppendProcedure,
+		svc.Append,
+		connect.WithSchema(peerServiceMethods.ByName("Append")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceCancelJobsHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceCancelJobsProcedure,
 		svc.CancelJobs,
@@ -596,6 +624,8 @@
 			peerServiceReportHandler.ServeHTTP(w, r)
 		case PeerServiceSubmitJobProcedure:
 			peerServiceSubmitJobHandler.ServeHTTP(w, r)
+		case PeerServiceAppendProcedure:
+			peerServiceAppendHandler.ServeHTTP(w, r)
 		case PeerServiceCancelJobsProcedure:
 			peerServiceCancelJobsHandler.ServeHTTP(w, r)
 		case PeerServiceJobStatusProcedure:
@@ -661,6 +691,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.SubmitJob is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Append is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) CancelJobs(context.Context, *peerv1.CancelJobsRequest) (*peerv1.CancelJobsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.CancelJobs is not implemented"))
 }
