A declaration of an instance that nobody knows is refused

Cause (tried as a newcomer): hitch leaving add with a mistyped name was accepted, and the meant instance went on getting work until it was turned off. Ruled out: a look at hitch status by the command line (every member answers with every worker, too much for a wave of declarations at the target's size).

--- a/internal/command/hitch/leaving.go
+++ b/internal/command/hitch/leaving.go
@@ -23,7 +23,7 @@
 }
 
 func newLeavingAdd(g *globals) *cobra.Command {
-	var gone bool
+	var gone, unlisted bool
 	cmd := &cobra.Command{
 		Use:   "add INSTANCE",
 		Short: "Declare an instance as leaving",
@@ -32,14 +32,18 @@
 
 --gone is your word that the instance runs nothing any more, so that its tasks
 may start elsewhere. Give it only for an instance that you know is off: if it
-still runs, its tasks run twice.`,
+still runs, its tasks run twice.
+
+An instance that is neither a member nor in the platform's list is refused, as its
+name may be mistyped; --unlisted declares it all the same.`,
 		Example: "  hitch leaving add casa-1-rack3-w07\n  hitch leaving add casa-1-rack3-w07 --gone",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return changeLeaving(cmd, g, structs.Leaving{Instance: args[0], Gone: gone}, false)
+			return changeLeaving(cmd, g, structs.Leaving{Instance: args[0], Gone: gone, Unlisted: unlisted}, false)
 		},
 	}
 	cmd.Flags().BoolVar(&gone, "gone", false, "the instance runs nothing any more")
+	cmd.Flags().BoolVar(&unlisted, "unlisted", false, "declare an instance that the platform's list does not hold")
 	return cmd
 }
 
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -72,6 +72,9 @@
 
 func (l *instances) len() int { return len(l.kinds) }
 
+// has reports whether a worker is listed.
+func (l *instances) has(id string) bool { return l.kinds[id] != nil }
+
 // place returns what ownership needs of a worker, which is known of every one.
 func (l *instances) place(id string) structs.Worker {
 	w := structs.Worker{ID: id}
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -77,8 +77,15 @@
 	return out
 }
 
-// SetLeaving implements operator.Backend.
+// SetLeaving implements operator.Backend. An instance that nobody knows is refused, as
+// its name may be mistyped and the meant one would go on getting work.
 func (b *operatorBackend) SetLeaving(ctx context.Context, l structs.Leaving, remove bool, base int64, changeID string) (operator.Change, error) {
+	known := true
+	b.e.do(func() { known = b.e.core.knowsInstance(l.Instance) })
+	if !known && !remove && !l.Unlisted {
+		return operator.Change{}, structs.NewError(structs.CodeNotFound,
+			"instance %s is neither in the platform's list nor a member; it can be declared as unlisted", l.Instance)
+	}
 	ch := state.Change{ID: changeID, Type: state.LeavingAdd, Base: base, Leaving: &l}
 	if remove {
 		ch.Type = state.LeavingDrop
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// knowsInstance reports whether an instance is a member or in the platform's list. It
+// is true as long as the list was not read.
+func (c *core) knowsInstance(id string) bool {
+	if _, ok := c.table.Table().Member(id); ok || c.listRead.IsZero() {
+		return true
+	}
+	_, entry := c.entryStates[id]
+	return entry || c.instances.has(id)
+}
+
 // listCurrent reports whether the list was read since the table changed: only then are
 // all workers known that the table gives to this entry.
 func (c *core) listCurrent() bool { return c.listRead.After(c.tableSince) }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -74,7 +74,7 @@
 		method = http.MethodDelete
 		said.State = StateRemoved
 	}
-	out, err := c.change(ctx, method, leavingsPath, l.Instance, LeavingChange{Base: base, Gone: l.Gone}, &structs.Leaving{})
+	out, err := c.change(ctx, method, leavingsPath, l.Instance, LeavingChange{Base: base, Gone: l.Gone, Unlisted: l.Unlisted}, &structs.Leaving{})
 	c.record(out, said)
 	return out, err
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -128,7 +128,7 @@
 		httpx.WriteError(w, err)
 		return
 	}
-	leaving := structs.Leaving{Gone: in.Gone}
+	leaving := structs.Leaving{Gone: in.Gone, Unlisted: in.Unlisted}
 	if err := sameName(r.PathValue("instance"), &leaving.Instance); err != nil {
 		httpx.WriteError(w, err)
 		return
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -71,6 +71,8 @@
 	Base int64 `json:"base"`
 	// Gone is the operator's word that the instance no longer runs anything.
 	Gone bool `json:"gone,omitempty"`
+	// Unlisted declares an instance that the platform's list does not hold.
+	Unlisted bool `json:"unlisted,omitempty"`
 }
 
 // ClassList is the answer of GET /v1/classes.
--- a/internal/structs/class.go
+++ b/internal/structs/class.go
@@ -70,8 +70,10 @@
 type Leaving struct {
 	Instance string `json:"instance"`
 	// Gone is the operator's word that the instance no longer runs anything.
-	Gone    bool  `json:"gone,omitempty"`
-	Version int64 `json:"version,omitempty"`
+	Gone bool `json:"gone,omitempty"`
+	// Unlisted says that the platform's list need not hold the instance.
+	Unlisted bool  `json:"unlisted,omitempty"`
+	Version  int64 `json:"version,omitempty"`
 }
 
 // nameRE is the form of class, team and instance names.
