Quotas follow demand between groups, by parts in the log

Cause (read-through against the target): each group had an even part of a quota, so that a team working through one of 93 groups had 1/93 of it, in a cell of two regions half; the sum was exceeded while the number of groups changed; and the jobs of a group that had vanished were counted apart from its part. Change: the control stream holds each group's part; the owner of a series moves what it can spare to one that asks, based on the version of its part and the epoch; it counts a move as gone until it has read that it did not take effect. A busy group yields down to an even part. Before: TestQuotaFollowsDemand never holds more than half (fails after 60 s).

--- a/internal/embedded/quota_test.go
+++ b/internal/embedded/quota_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 )
@@ -43,6 +44,77 @@
 	f.check()
 }
 
+// TestQuotaFollowsDemand runs the jobs of a team in two regions. Its quota was split
+// between them; jobs of one region alone use all of it, and when jobs come to the other
+// region too, they start before the first ones are done.
+func TestQuotaFollowsDemand(t *testing.T) {
+	f := newFailureTest(t, 3)
+	far, err := f.cell.StartEntry("fes", "fes-1")
+	f.must(err)
+	f.must(f.cell.AwaitReady(f.ctx))
+	limit := structs.Resources{CPUMilli: 4000, MemoryMiB: 64 << 10}
+	_, err = f.cell.Operator().SetQuota(f.ctx, structs.Quota{Team: "audit", Limit: limit}, 0)
+	f.must(err)
+	f.await("quota and class at the far entry", func() bool {
+		_, ok := far.Class("reconcile")
+		return ok && f.quotaSeen(far)
+	})
+	near := f.cell.Live()[0]
+	submit := func(e *Entry, tasks int) string {
+		client := &caller.Client{Base: "http://" + e.CallerAddr()}
+		id, err := client.SubmitJob(f.ctx, structs.Job{
+			Class:   "reconcile",
+			Team:    "audit",
+			Count:   tasks,
+			Size:    structs.Resources{CPUMilli: 800, MemoryMiB: 128},
+			RunTime: structs.Duration(200 * time.Millisecond),
+		}, "")
+		f.must(err)
+		return id
+	}
+	first := submit(near, 100)
+	f.await("the whole quota is held", func() bool { return f.peakCPU() == limit.CPUMilli })
+	second := submit(far, 20)
+	near.Kill()
+	f.complete(f.cell.NewCaller("caller"), []string{first, second})
+	if peak := f.peakCPU(); peak > limit.CPUMilli {
+		t.Errorf("the team's tasks held %d mCPU at a time, its quota is %d", peak, limit.CPUMilli)
+	}
+	if !f.startsBeforeEnd(second, first) {
+		t.Error("the second region's tasks started only after the first region's job had ended")
+	}
+	f.check()
+}
+
+// quotaSeen reports whether an entry has a configuration with the quota in force: the
+// classes and the quota.
+func (f *failureTest) quotaSeen(e *Entry) bool {
+	seen := 0
+	for _, ev := range f.cell.Events() {
+		if ev.Type == event.ConfigInForce && ev.Proc == e.Member().ID {
+			seen++
+		}
+	}
+	return seen >= 4
+}
+
+// startsBeforeEnd reports whether a task of one job ran before the last task of another
+// job had ended.
+func (f *failureTest) startsBeforeEnd(job, other string) bool {
+	var started, lastEnd event.Time
+	for _, e := range f.cell.Events() {
+		id, _, err := e.Task.Split()
+		switch {
+		case err != nil:
+		case e.Type == event.TaskRun && id == job && started == (event.Time{}):
+			started = e.Time
+		case e.Type == event.TaskEnd && id == other:
+			lastEnd = e.Time
+		}
+	}
+	return started.Before(lastEnd)
+}
+
 // peakCPU is the most that all tasks held at a time, in thousandths of a core.
 func (f *failureTest) peakCPU() int64 {
 	var used, peak int64
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -80,6 +80,8 @@
 	// waitingGangs are the splits of gangs for which workers are held.
 	waitingGangs map[string][]gang.Part
 
+	quotas *quotas
+
 	nextSchedule time.Time
 	alarms       map[structs.Code]string
 }
@@ -139,6 +141,7 @@
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
+	c.quotas = newQuotas()
 	c.jobs.SetQuota(c.quotaShare)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
@@ -155,6 +158,7 @@
 	c.collect(now)
 	c.stopTasks(now)
 	c.schedule(now)
+	c.askQuotas(now)
 	c.parkJobs()
 	c.dropFinished()
 	c.takeSnapshots(now)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -96,6 +96,8 @@
 		c.noteMembers(r)
 	case state.ClassSet, state.QuotaSet:
 		c.noteConfig(r)
+	case state.QuotaMove:
+		c.nextSchedule = time.Time{}
 	case state.LeavingAdd, state.LeavingDrop:
 		c.noteConfig(r)
 		c.noteLeaving(r)
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -65,6 +65,7 @@
 // SetQuota implements operator.Backend.
 func (b *operatorBackend) SetQuota(ctx context.Context, q structs.Quota, base int64, changeID string) (operator.Change, error) {
 	ch := state.Change{ID: changeID, Type: state.QuotaSet, Base: base, Quota: &q}
+	b.e.do(func() { ch.Groups = b.e.core.firstGroups() })
 	return b.change(ctx, ch, func() (any, int64) {
 		v, _ := b.e.core.control.Quota(q.Team)
 		return v, v.Version
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,6 +16,7 @@
 	Stop(context.Context, *peerv1.StopRequest) (*peerv1.StopResponse, error)
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	MoveQuota(context.Context, *peerv1.MoveQuotaRequest) (*peerv1.MoveQuotaResponse, error)
 	JobStatus(context.Context, *peerv1.JobStatusRequest) (*peerv1.JobStatusResponse, error)
 	Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error)
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -29,13 +29,20 @@
 	health *health.Tracker
 	// quota tells what a team may hold; nil for no quotas.
 	quota QuotaOf
+	// short are the needs that quotas left unmet since Shortages was called.
+	short map[Series]structs.Resources
 
 	attention attention
 }
 
 // New returns an orchestrator that owns nothing.
 func New() *Orchestrator {
-	return &Orchestrator{jobs: map[string]*job{}, health: health.NewTracker(), attention: newAttention()}
+	return &Orchestrator{
+		jobs:      map[string]*job{},
+		health:    health.NewTracker(),
+		short:     map[Series]structs.Resources{},
+		attention: newAttention(),
+	}
 }
 
 // SetWorkers sets the number of usable workers of the cell.
--- a/internal/orchestrator/quota.go
+++ b/internal/orchestrator/quota.go
@@ -6,9 +6,16 @@
 	"dotterelhitch/internal/structs"
 )
 
-// QuotaOf returns what the tasks of a team may hold together at this owner; ok is
-// false for a team without a quota.
-type QuotaOf func(team string) (limit structs.Resources, ok bool)
+// Series are the jobs of one team in one group. One member decides for all of them.
+type Series struct{ Group, Team string }
+
+func (j *job) series() Series {
+	return Series{Group: structs.JobGroup(j.spec.ID), Team: j.spec.Team}
+}
+
+// QuotaOf returns what the tasks of a series may hold together; ok is false for a team
+// without a quota.
+type QuotaOf func(Series) (limit structs.Resources, ok bool)
 
 // quotaRetry is the pause of a job that waits for its team's quota.
 const quotaRetry = 50 * time.Millisecond
@@ -16,24 +23,57 @@
 // SetQuota sets where the teams' quotas are looked up.
 func (o *Orchestrator) SetQuota(q QuotaOf) { o.quota = q }
 
-// allowed returns how many of limit tasks of the job its team's quota leaves. Tasks
-// that may run, those in doubt included, count as held by their declared size.
+// Held returns what the tasks of a series that may run, those in doubt included, hold
+// by their declared size.
+func (o *Orchestrator) Held(s Series) structs.Resources {
+	o.attention.settleChanges()
+	return o.attention.held[s]
+}
+
+// Shortages returns what tasks waited for since the last call because a quota was used
+// up, by series: the need of the job that lacks the most.
+func (o *Orchestrator) Shortages() map[Series]structs.Resources {
+	out := o.short
+	o.short = map[Series]structs.Resources{}
+	return out
+}
+
+// allowed returns how many of limit tasks of the job its series may place. A gang
+// counts whole, whatever the limit.
 func (o *Orchestrator) allowed(j *job, limit int) int {
 	if o.quota == nil {
 		return limit
 	}
-	quota, ok := o.quota(j.spec.Team)
+	quota, ok := o.quota(j.series())
 	if !ok {
 		return limit
 	}
-	left := quota.Sub(o.attention.held[j.spec.Team])
-	n := min(limit, fitting(left, j.spec.Size))
-	if j.spec.Kind == structs.KindGang && n < j.count[pending] {
+	if j.spec.Kind == structs.KindGang {
+		limit = j.count[pending]
+	}
+	limit = min(limit, j.count[pending])
+	left := quota.Sub(o.attention.held[j.series()])
+	n := fitting(left, j.spec.Size)
+	if n >= limit {
+		return limit
+	}
+	o.noteShort(j, left)
+	if j.spec.Kind == structs.KindGang {
 		return 0
 	}
 	return n
 }
 
+// noteShort notes what the pending tasks of a job lack.
+func (o *Orchestrator) noteShort(j *job, left structs.Resources) {
+	need := j.spec.Size.Times(int64(j.count[pending]))
+	lack := need.Sub(left.Positive()).Positive()
+	s := j.series()
+	if o.short[s].CPUMilli < lack.CPUMilli || o.short[s].IsZero() {
+		o.short[s] = lack
+	}
+}
+
 // awaitQuota puts a job off until its team may hold more.
 func (j *job) awaitQuota(now time.Time) {
 	j.reason = "team " + j.spec.Team + " holds all of its quota"
--- a/internal/orchestrator/ready.go
+++ b/internal/orchestrator/ready.go
@@ -25,8 +25,8 @@
 	hopeless map[*job]struct{}
 	// waiting is the number of tasks that wait for a placement.
 	waiting int
-	// held is what the tasks of each team that may run hold by their declared size.
-	held map[string]structs.Resources
+	// held is what the tasks of each series that may run hold by their declared size.
+	held map[Series]structs.Resources
 }
 
 func newAttention() attention {
@@ -35,7 +35,7 @@
 		collect:  map[*job]struct{}{},
 		ending:   map[*job]struct{}{},
 		hopeless: map[*job]struct{}{},
-		held:     map[string]structs.Resources{},
+		held:     map[Series]structs.Resources{},
 	}
 }
 
@@ -85,7 +85,7 @@
 	a.enqueue(j)
 }
 
-// countHeld brings what the job's team holds up to date.
+// countHeld brings what the job's series holds up to date.
 func (a *attention) countHeld(j *job) {
 	live := 0
 	if !j.dropped {
@@ -94,11 +94,12 @@
 	if live == j.heldTasks || j.spec.Team == "" {
 		return
 	}
-	held := a.held[j.spec.Team].Add(j.spec.Size.Times(int64(live - j.heldTasks)))
+	s := j.series()
+	held := a.held[s].Add(j.spec.Size.Times(int64(live - j.heldTasks)))
 	j.heldTasks = live
-	a.held[j.spec.Team] = held
+	a.held[s] = held
 	if held.IsZero() {
-		delete(a.held, j.spec.Team)
+		delete(a.held, s)
 	}
 }
 
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceInventoryProcedure = "/dotterelhitch.peer.v1.PeerService/Inventory"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
+	// PeerServiceMoveQuotaProcedure is the fully-qualified name of the PeerService's MoveQuota RPC.
+	PeerServiceMoveQuotaProcedure = "/dotterelhitch.peer.v1.PeerService/MoveQuota"
 	// PeerServiceSubmitJobProcedure is the fully-qualified name of the PeerService's SubmitJob RPC.
 	PeerServiceSubmitJobProcedure = "/dotterelhitch.peer.v1.PeerService/SubmitJob"
 	// PeerServiceAppendProcedure is the fully-qualified name of the PeerService's Append RPC.
@@ -95,6 +97,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// MoveQuota asks for a part of a team's quota that the callee's group has to spare.
+	MoveQuota(context.Context, *peerv1.MoveQuotaRequest) (*peerv1.MoveQuotaResponse, error)
 	// SubmitJob accepts a job into a stream that the asked member reads.
 	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// Append has the callee append changes of the caller to a jobs stream.
@@ -182,6 +186,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		moveQuota: connect.NewClient[peerv1.MoveQuotaRequest, peerv1.MoveQuotaResponse](
+			httpClient,
+			baseURL+PeerServiceMoveQuotaProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("MoveQuota")),
+			connect.WithClientOptions(opts...),
+		),
 		submitJob: connect.NewClient[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse](
 			httpClient,
 			baseURL+PeerServiceSubmitJobProcedure,
@@ -256,6 +266,7 @@
 	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	moveQuota    *connect.Client[peerv1.MoveQuotaRequest, peerv1.MoveQuotaResponse]
 	submitJob    *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
 	append       *connect.Client[peerv1.AppendRequest, peerv1.AppendResponse]
 	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
@@ -349,6 +360,15 @@
 	return nil, err
 }
 
+// MoveQuota calls dotterelhitch.peer.v1.PeerService.MoveQuota.
+func (c *peerServiceClient) MoveQuota(ctx context.Context, req *peerv1.MoveQuotaRequest) (*peerv1.MoveQuotaResponse, error) {
+	response, err := c.moveQuota.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // SubmitJob calls dotterelhitch.peer.v1.PeerService.SubmitJob.
 func (c *peerServiceClient) SubmitJob(ctx context.Context, req *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
 	response, err := c.submitJob.CallUnary(ctx, connect.NewRequest(req))
@@ -459,6 +479,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// MoveQuota asks for a part of a team's quota that the callee's group has to spare.
+	MoveQuota(context.Context, *peerv1.MoveQuotaRequest) (*peerv1.MoveQuotaResponse, error)
 	// SubmitJob accepts a job into a stream that the asked member reads.
 	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// Append has the callee append changes of the caller to a jobs stream.
@@ -542,6 +564,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceMoveQuotaHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceMoveQuotaProcedure,
+		svc.MoveQuota,
+		connect.WithSchema(peerServiceMethods.ByName("MoveQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceSubmitJobHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceSubmitJobProcedure,
 		svc.SubmitJob,
@@ -622,6 +650,8 @@
 			peerServiceInventoryHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceMoveQuotaProcedure:
+			peerServiceMoveQuotaHandler.ServeHTTP(w, r)
 		case PeerServiceSubmitJobProcedure:
 			peerServiceSubmitJobHandler.ServeHTTP(w, r)
 		case PeerServiceAppendProcedure:
@@ -687,6 +717,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) MoveQuota(context.Context, *peerv1.MoveQuotaRequest) (*peerv1.MoveQuotaResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.MoveQuota is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.SubmitJob is not implemented"))
 }
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -25,6 +25,7 @@
 	Membership  ChangeType = "membership"
 	ClassSet    ChangeType = "class_set"
 	QuotaSet    ChangeType = "quota_set"
+	QuotaMove   ChangeType = "quota_move"
 	LeavingAdd  ChangeType = "leaving_add"
 	LeavingDrop ChangeType = "leaving_drop"
 	ControlSnap ChangeType = "control_snapshot"
@@ -53,9 +54,15 @@
 
 	Members *authority.Change `json:"members,omitempty"`
 
-	Class   *structs.Class   `json:"class,omitempty"`
-	Quota   *structs.Quota   `json:"quota,omitempty"`
-	Leaving *structs.Leaving `json:"leaving,omitempty"`
+	Class *structs.Class `json:"class,omitempty"`
+	Quota *structs.Quota `json:"quota,omitempty"`
+	// Groups are those that a quota is split among as far as no group has it yet.
+	Groups []string `json:"groups,omitempty"`
+	// Move is based on the version of the part that it takes from (Base) and on the
+	// epoch Epoch.
+	Move    *structs.QuotaMove `json:"move,omitempty"`
+	Epoch   int64              `json:"epoch,omitempty"`
+	Leaving *structs.Leaving   `json:"leaving,omitempty"`
 
 	Job   *structs.Job `json:"job,omitempty"`
 	JobID string       `json:"job_id,omitempty"`
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -16,6 +16,8 @@
 	members authority.State
 	classes map[string]structs.Class
 	quotas  map[string]structs.Quota
+	// parts are the parts of each team's quota by group.
+	parts   map[string]quotaParts
 	leaving map[string]structs.Leaving
 	// dropped keeps the version of a withdrawn leaving declaration, so that its
 	// next change still names a base.
@@ -24,13 +26,14 @@
 
 // ControlSnapshot is the whole of a Control as of offset Next-1.
 type ControlSnapshot struct {
-	Next    int64             `json:"next"`
-	Version int64             `json:"version"`
-	Members authority.State   `json:"members"`
-	Classes []structs.Class   `json:"classes"`
-	Quotas  []structs.Quota   `json:"quotas"`
-	Leaving []structs.Leaving `json:"leaving"`
-	Dropped map[string]int64  `json:"dropped,omitempty"`
+	Next    int64                 `json:"next"`
+	Version int64                 `json:"version"`
+	Members authority.State       `json:"members"`
+	Classes []structs.Class       `json:"classes"`
+	Quotas  []structs.Quota       `json:"quotas"`
+	Parts   map[string]quotaParts `json:"parts,omitempty"`
+	Leaving []structs.Leaving     `json:"leaving"`
+	Dropped map[string]int64      `json:"dropped,omitempty"`
 }
 
 // NewControl returns the table of an empty log.
@@ -39,6 +42,7 @@
 		next:    1,
 		classes: map[string]structs.Class{},
 		quotas:  map[string]structs.Quota{},
+		parts:   map[string]quotaParts{},
 		leaving: map[string]structs.Leaving{},
 		dropped: map[string]int64{},
 	}
@@ -116,6 +120,8 @@
 		return c.applyClass(offset, ch)
 	case QuotaSet:
 		return c.applyQuota(offset, ch)
+	case QuotaMove:
+		return c.applyMove(offset, ch)
 	case LeavingAdd, LeavingDrop:
 		return c.applyLeaving(offset, ch)
 	case ControlSnap:
@@ -166,6 +172,7 @@
 	quota := *ch.Quota
 	quota.Version = offset
 	c.quotas[quota.Team] = quota
+	c.parts[quota.Team] = c.parts[quota.Team].resize(quota.Limit, ch.Groups, offset)
 	c.version = offset
 	return accept(offset, ch)
 }
@@ -203,6 +210,7 @@
 		Members: c.members,
 		Classes: c.Classes(),
 		Quotas:  c.Quotas(),
+		Parts:   maps.Clone(c.parts),
 		Leaving: c.Leavings(),
 		Dropped: maps.Clone(c.dropped),
 	}
@@ -220,6 +228,7 @@
 	for _, v := range s.Quotas {
 		c.quotas[v.Team] = v
 	}
+	maps.Copy(c.parts, s.Parts)
 	for _, v := range s.Leaving {
 		c.leaving[v.Instance] = v
 	}
--- a/internal/structs/class.go
+++ b/internal/structs/class.go
@@ -66,6 +66,25 @@
 	Version int64     `json:"version,omitempty"`
 }
 
+// QuotaMove moves a part of a team's quota from one group of members to another.
+type QuotaMove struct {
+	Team   string    `json:"team"`
+	From   string    `json:"from"`
+	To     string    `json:"to"`
+	Amount Resources `json:"amount"`
+}
+
+// Validate checks that a move names two groups and an amount.
+func (m QuotaMove) Validate() error {
+	if m.Team == "" || m.To == "" || m.From == m.To {
+		return NewError(CodeInvalid, "quota move of team %q from %q to %q: want a team and two groups", m.Team, m.From, m.To)
+	}
+	if m.Amount.Negative() || m.Amount.IsZero() {
+		return NewError(CodeInvalid, "quota move of team %s: want an amount, no component negative", m.Team)
+	}
+	return nil
+}
+
 // Leaving declares that an instance (worker or entry) gets no new work.
 type Leaving struct {
 	Instance string `json:"instance"`
--- a/internal/structs/resources.go
+++ b/internal/structs/resources.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// Over returns r divided by n, rounded down.
+func (r Resources) Over(n int64) Resources {
+	return Resources{
+		CPUMilli:     r.CPUMilli / n,
+		MemoryMiB:    r.MemoryMiB / n,
+		Accelerators: r.Accelerators / n,
+	}
+}
+
 // Fits reports whether r is at most free in every component.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPUMilli <= free.CPUMilli &&
@@ -56,3 +65,21 @@
 func (r Resources) IsZero() bool {
 	return r == Resources{}
 }
+
+// Least returns the smaller of r and o in each component.
+func (r Resources) Least(o Resources) Resources {
+	return Resources{
+		CPUMilli:     min(r.CPUMilli, o.CPUMilli),
+		MemoryMiB:    min(r.MemoryMiB, o.MemoryMiB),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Positive returns r with zero in place of each negative component.
+func (r Resources) Positive() Resources {
+	return Resources{
+		CPUMilli:     max(r.CPUMilli, 0),
+		MemoryMiB:    max(r.MemoryMiB, 0),
+		Accelerators: max(r.Accelerators, 0),
+	}
+}
