Checker: work that lay in the buffers of a frozen worker is not new

The system sent nothing after the declaration; ruled out: an entry that read the declaration late (all four had it within 1 ms of the operator). Change: such work is accepted only if a test froze the worker within the bound and woke it past it, and the work is on record as sent within the bound. Four made time lines show it, three of them still refused.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -76,6 +76,10 @@
 	return event.Event{Type: event.RequestRun, Worker: worker, Request: system, Key: key, Class: "c"}
 }
 
+func attempt(worker, system string) event.Event {
+	return event.Event{Type: event.RequestAttempt, Proc: "m-1", Worker: worker, Request: system}
+}
+
 func done(worker, system string) event.Event {
 	return event.Event{Type: event.RequestEnd, Worker: worker, Request: system}
 }
@@ -147,6 +151,12 @@
 	{"second run of a key", line(in("r", "k", false), ran("w", "r", "k"), in("s", "k", true), ran("x", "s", "k")), SecondRun},
 	{"second run of an unknown key", line(ran("w", "r", "k"), ran("w", "s", "k")), SecondRun},
 	{"task on a leaving worker", line(boot("w"), on(event.LeavingSaid, "w"), at(6*time.Second, taskRun("w", "g:j#0", 1))), WorkOnLeaving},
+	{"sent to a leaving worker past the bound", line(on(event.LeavingSaid, "w"), fault("w", FaultFrozen),
+		at(6*time.Second, attempt("w", "r")), fault("w", FaultThawed), ran("w", "r", "")), WorkOnLeaving},
+	{"frozen past the bound", line(on(event.LeavingSaid, "w"), attempt("w", "r"),
+		at(6*time.Second, fault("w", FaultFrozen)), fault("w", FaultThawed), ran("w", "r", "")), WorkOnLeaving},
+	{"woken within the bound", line(on(event.LeavingSaid, "w"), attempt("w", "r"), fault("w", FaultFrozen),
+		fault("w", FaultThawed), at(6*time.Second, ran("w", "r", ""))), WorkOnLeaving},
 	{"request on a leaving worker", line(on(event.LeavingSaid, "w"), at(6*time.Second, ran("w", "r", ""))), WorkOnLeaving},
 	{"cut in a worker's drain", line(ran("w", "r", ""), on(event.WorkerDrain, "w"), on(event.RequestCut, "w"),
 		event.Event{Type: event.RequestCut, Worker: "w", Request: "r"}, on(event.WorkerExit, "w")), CutOff},
@@ -192,6 +202,8 @@
 	{name: "answer of a repeated key", events: line(sent("a", "k", false), ran("w", "r", "k"), got("a", "r", answered),
 		sent("b", "k", false), got("b", "s", answered))},
 	{name: "work within the bound", events: line(boot("w"), on(event.LeavingSaid, "w"), at(4*time.Second, taskRun("w", "g:j#0", 1)))},
+	{name: "sent before the declaration to a frozen worker", events: line(fault("w", FaultFrozen), attempt("w", "r"),
+		on(event.LeavingSaid, "w"), at(6*time.Second, fault("w", FaultThawed)), ran("w", "r", ""))},
 	{name: "declaration taken back", events: line(boot("w"), on(event.LeavingSaid, "w"),
 		event.Event{Type: event.LeavingSaid, Worker: "w", State: operator.StateRemoved}, at(9*time.Second, taskRun("w", "g:j#0", 1)))},
 	{name: "request ended in the drain", events: line(ran("w", "r", ""), on(event.WorkerDrain, "w"), done("w", "r"), on(event.WorkerExit, "w"))},
