A start that is refused after the job's owner was left in doubt is reported

Cause: a gang's start met a frozen worker; the job's owner was left in doubt and an inventory of the worker's owner then showed the runs as starting, so it counted them as placed. The worker woke and refused the start as too old. The worker's owner forgot the runs without a word, and the job stayed as running for ever. Ruled out: a lost place in the agent's queue (later starts on the same worker were made). Change: a refused run that an inventory has told of ends as stopped, which is reported until it is noted. Besides, read from the code: a start that was sent before and comes up again while authority has lapsed was answered as certainly not made; it is sent again instead, as an earlier copy may still reach the worker. TestRefusedStartThatAnInventoryShowedIsReported fails before and passes after.

--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if !a.e.mayGrant() {
-		a.answerStarts(starts, nil, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed"))
+		a.putOffStarts(ctx, starts)
 		return
 	}
 	starts = a.wantedStarts(starts)
@@ -116,6 +116,23 @@
 	}
 }
 
+// putOffStarts takes starts that came while the owner's authority has lapsed: only those
+// that were never sent are certainly not made. The others are sent again later.
+func (a *agent) putOffStarts(ctx context.Context, starts []startJob) {
+	var unsent, sent []startJob
+	for _, s := range starts {
+		if s.sent {
+			sent = append(sent, s)
+			continue
+		}
+		unsent = append(unsent, s)
+	}
+	a.answerStarts(unsent, nil, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed"))
+	if len(sent) > 0 {
+		a.requeueStarts(ctx, sent)
+	}
+}
+
 // wantedStarts drops the starts that are needed no more: of runs that an inventory
 // has shown meanwhile, and of runs that were given up. Only a start that was never
 // sent is answered as not made.
--- a/internal/fleet/alloc.go
+++ b/internal/fleet/alloc.go
@@ -49,6 +49,8 @@
 	reportAt time.Time
 	// reported is the last state that the job's owner has taken note of.
 	reported structs.AllocState
+	// listed is set once an inventory has told the job's owner of the run.
+	listed bool
 	// forget is set once the job's owner needs the run no more.
 	forget bool
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/worker"
 )
 
 func TestSilentWorkerLapsesOnlyAsFarAsOwnershipIsProven(t *testing.T) {
@@ -48,3 +50,28 @@
 		t.Errorf("lapsed %v, want the worker, which was gained under a newer epoch", got)
 	}
 }
+
+func TestRefusedStartThatAnInventoryShowedIsReported(t *testing.T) {
+	f := New(Timing{Lease: 6 * time.Second, ClockMargin: time.Second, Silent: 2 * time.Second})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	size := structs.Resources{CPUMilli: 1000, MemoryMiB: 1}
+	f.Gain(structs.Worker{ID: "w-1", Size: size, State: structs.WorkerLive}, 1, now)
+	f.Show("w-1", worker.Inventory{Whole: true}, true, now, now)
+	ask := scheduler.Ask{Job: "g:j", Class: "c", Kind: structs.KindBatch, Size: size, Tasks: []scheduler.TaskRef{{Task: "g:j#0", Attempt: 1}}}
+	placed, why := f.Place(Request{Ask: ask}, now)
+	if why != nil || len(placed) != 1 {
+		t.Fatalf("placed %v: %v", placed, why)
+	}
+	// The job's owner, left in doubt, counts the run that the inventory shows as placed.
+	if shown := f.Of(map[string]bool{"g:j": true}); len(shown) != 1 {
+		t.Fatalf("shown %v", shown)
+	}
+	f.StartDone(placed[0].Key(), structs.NewError(structs.CodeDeadline, "the command is too old"), now)
+	if got := f.Reports(now); len(got) != 1 || got[0].State != structs.AllocStopped {
+		t.Errorf("reports %v, want the run as stopped", got)
+	}
+	ask.Tasks[0].Attempt = 2
+	if _, why := f.Place(Request{Ask: ask}, now); why != nil {
+		t.Errorf("the room was not freed: %v", why)
+	}
+}
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -80,12 +80,13 @@
 	}
 }
 
-// Of returns the runs of some jobs.
+// Of returns the runs of some jobs, for an inventory that their owner asked for.
 func (f *Fleet) Of(jobs map[string]bool) []*Alloc {
 	var out []*Alloc
 	for _, a := range f.allocs {
 		job, _, err := a.Task.Split()
 		if err == nil && jobs[job] && !a.forget {
+			a.listed = true
 			out = append(out, a)
 		}
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -133,14 +133,19 @@
 }
 
 // StartDone takes a worker's word on a start: confirmed, or certainly refused. A
-// refused run is forgotten, unless the worker has shown it. A confirmed one is told
-// by the answer to the placement, and if that is lost by an inventory, so that it is
-// not reported besides.
+// refused run is forgotten, unless the worker has shown it; one that the job's owner
+// has seen in an inventory, and so counts as placed, is reported as stopped. A
+// confirmed one is told by the answer to the placement, and if that is lost by an
+// inventory, so that it is not reported besides.
 func (f *Fleet) StartDone(k Key, err error, now time.Time) {
 	a := f.allocs[k]
 	if a == nil || (err != nil && !a.confirmed.IsZero()) {
 		return
 	}
+	if err != nil && a.listed {
+		f.setState(a, structs.AllocStopped, now)
+		return
+	}
 	if err != nil {
 		f.nodes.Release(k.Task, k.Attempt)
 		delete(f.allocs, k)
