--- a/internal/standin/workersvc/faults.go
+++ b/internal/standin/workersvc/faults.go
@@ -29,6 +29,9 @@
 	LoseAnswers int `json:"lose_answers"`
 	// ServiceMs replaces the configured service time if it is positive.
 	ServiceMs int64 `json:"service_ms"`
+	// AcceptStale makes the worker obey commands and requests of any epoch. Its fence
+	// is then that of the last one.
+	AcceptStale bool `json:"accept_stale"`
 }
 
 // Change is a change of Faults: only the members that are given change.
@@ -39,6 +42,7 @@
 	LoseStarts  *int     `json:"lose_starts,omitempty"`
 	LoseAnswers *int     `json:"lose_answers,omitempty"`
 	ServiceMs   *int64   `json:"service_ms,omitempty"`
+	AcceptStale *bool    `json:"accept_stale,omitempty"`
 }
 
 // Validate refuses values that no worker could obey.
@@ -102,6 +106,7 @@
 	set(&w.faults.LoseStarts, c.LoseStarts)
 	set(&w.faults.LoseAnswers, c.LoseAnswers)
 	set(&w.faults.ServiceMs, c.ServiceMs)
+	set(&w.faults.AcceptStale, c.AcceptStale)
 	w.record(event.Event{Type: event.Fault, Detail: "worker: " + c.String()})
 	w.bump()
 	return nil
