A flood that begins at once does not fill the line first

Change: parts go by the larger of that rate and one of a window of 200 ms. The limit of the line still goes by the slow one, so that chance peaks are not refused.

TestSuddenFloodDoesNotFillTheLine: 870 ms with the slow rate alone, within 550 ms now.

--- a/internal/scheduler/admission/admission_test.go
+++ b/internal/scheduler/admission/admission_test.go
@@ -154,3 +154,27 @@
 		t.Errorf("the line takes %v under lasting overload", backlog)
 	}
 }
+
+// TestSuddenFloodDoesNotFillTheLine checks that the line is bounded by half of the target
+// also before the usual rates show the flood.
+func TestSuddenFloodDoesNotFillTheLine(t *testing.T) {
+	const limit = 500 * time.Millisecond
+	c := trained(2)
+	var most time.Duration
+	for ms := 0; ms < 1000; ms += 4 {
+		for c.Running() > 0 && ms%20 == 0 {
+			c.Done(at(ms), "lookup", 20*time.Millisecond)
+		}
+		for {
+			if _, ok := c.Next(at(ms)); !ok {
+				break
+			}
+		}
+		c.Offer(at(ms), Request{ID: fmt.Sprint(ms), Class: "lookup", Deadline: at(ms + 1000), Within: time.Second})
+		most = max(most, c.backlog())
+	}
+	// The parts are worked out anew each fairPeriod, in which the slots do as much work.
+	if most > limit+fairPeriod/2 {
+		t.Errorf("the line took %v", most)
+	}
+}
--- a/internal/scheduler/admission/fair.go
+++ b/internal/scheduler/admission/fair.go
@@ -12,6 +12,9 @@
 	// minDealt is the least part of the slots that is dealt out while the line is
 	// worked off to its limit.
 	minDealt = 0.5
+	// recentWindow is the time constant of the rates that parts go by, if they are
+	// above the usual ones: a flood that begins at once must not fill the line first.
+	recentWindow = 200 * time.Millisecond
 	// crowdedShare is the part of the shortest target that the line may fill before
 	// parts are enforced while no more is asked for than the slots can do.
 	crowdedShare = 0.5
@@ -42,6 +45,7 @@
 // demand counts the work that a request of the line asks for, in slots.
 func (l *line) demand(now time.Time) {
 	l.asked.Add(now, 1)
+	l.recent.Add(now, 1)
 }
 
 // refresh works out the share of its requests that each class may have admitted, with
@@ -54,16 +58,17 @@
 	order := slices.Clone(lines)
 	for _, l := range order {
 		l.work = l.asked.PerSecond(now) * l.service.Mean().Seconds()
+		l.sudden = max(l.work, l.recent.PerSecond(now)*l.service.Mean().Seconds())
 	}
 	f.limit = crowdedLimit(lines, slots)
-	slices.SortStableFunc(order, func(a, b *line) int { return cmp.Compare(a.work, b.work) })
+	slices.SortStableFunc(order, func(a, b *line) int { return cmp.Compare(a.sudden, b.sudden) })
 	left := float64(slots) * f.dealt(backlog)
 	for i, l := range order {
-		part := min(l.work, left/float64(len(order)-i))
+		part := min(l.sudden, left/float64(len(order)-i))
 		left -= part
 		l.admit = 1
-		if l.work > 0 {
-			l.admit = part / l.work
+		if l.sudden > 0 {
+			l.admit = part / l.sudden
 		}
 	}
 }
--- a/internal/scheduler/admission/line.go
+++ b/internal/scheduler/admission/line.go
@@ -18,10 +18,13 @@
 	head     int
 	// running counts requests of the class that hold a slot.
 	running int
-	// asked is the rate of requests, work what it asks for in slots, admit the
-	// share of requests that may be admitted and credit the rights not used yet.
+	// asked is the rate of requests and recent that of the last moment, work and
+	// sudden what they ask for in slots, admit the share of requests that may be
+	// admitted and credit the rights not used yet.
 	asked  Rate
+	recent Rate
 	work   float64
+	sudden float64
 	admit  float64
 	credit float64
 }
