--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -40,9 +40,11 @@
 	transferring map[string]bool
 	recent       recentRecords
 
-	// instances is the platform's list by ID; listRead is when its last read began.
-	instances map[string]structs.Worker
+	// instances is the platform's list; listRead is when its last read began.
+	instances *instances
 	listRead  time.Time
+	// listWhole asks for the whole list with the next read.
+	listWhole bool
 	// rereadList cuts the wait of the list's reader short.
 	rereadList context.CancelFunc
 	// entryStates are the platform's states of entries by ID.
@@ -67,6 +69,11 @@
 	peers map[string]*peerState
 	// beat counts heartbeats.
 	beat int
+	// directMembers is the size up to which all members of a cell exchange
+	// heartbeats.
+	directMembers int
+	// handedOn is the member outside the group whose load was handed on last.
+	handedOn string
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
@@ -79,11 +86,21 @@
 
 // peerState is what is known of another member.
 type peerState struct {
-	digest   *peerv1.Digest
+	digest *peerv1.Digest
+	// heard is when the member itself was last heard, at the earliest; first is when
+	// it came into the table.
 	heard    time.Time
 	first    time.Time
 	draining bool
 	epoch    int64
+	// groupEpoch is the lowest epoch in the member's group, by its word.
+	groupEpoch int64
+	// digestAt is when the digest was made at the latest, by whatever way it came.
+	digestAt time.Time
+	// missed is when the last heartbeat failed, zero if it did not.
+	missed time.Time
+	// appendMissed is when it last failed to append for this entry.
+	appendMissed time.Time
 	// probation are the workers that its jobs' results speak against.
 	probation []string
 	// roundTrip is a smoothed time of an exchange.
@@ -98,7 +115,7 @@
 		rights:      newRights(e, time.Now()),
 		control:     state.NewControl(),
 		table:       ownership.NewMap(ownership.Table{}),
-		instances:   map[string]structs.Worker{},
+		instances:   newInstances(),
 		rereadList:  func() {},
 		entryStates: map[string]structs.WorkerState{},
 		fleet: fleet.New(fleet.Timing{
@@ -117,6 +134,8 @@
 		waiters: map[string][]chan state.Result{},
 		alarms:  map[structs.Code]string{},
 
+		directMembers: ownership.DirectMembers,
+
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
