One call of the heartbeat attests in both directions

Cause: both members of a pair called each other at each heartbeat, 900 B/s for each other member of the group (docs/CAPACITY.md). Ruled out: a request that attests by itself (its age is not known to the callee), times in requests, rarer calls (docs/design/control-cost.md). Change: the table names the caller; a response asks under a number, the next request answers. An attestation still counts from when the asking member asked. Failed try: loads of other groups only in requests, which then reached half of a group (TestLoadsReachGroupsThroughCarriers, TestCarrierDies and others failed); responses bear them too.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -72,8 +72,10 @@
 	// directMembers is the size up to which all members of a cell exchange
 	// heartbeats.
 	directMembers int
-	// handedOn is the member outside the group whose load was handed on last.
+	// handedOn is the member outside the group whose load is handed on with this
+	// heartbeat, and handing is that load.
 	handedOn string
+	handing  []*peerv1.PeerLoad
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
@@ -106,6 +108,9 @@
 	// roundTrip is a smoothed time of an exchange.
 	roundTrip time.Duration
 	busy      bool
+	// asked is this entry's last ask to the member, toAnswer the member's last ask.
+	asked    ask
+	toAnswer ask
 }
 
 func newCore(e *Entry) *core {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -18,7 +18,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, e.timing.Drain)
 	defer cancel()
 	e.do(func() { e.core.draining = true })
-	e.do(func() { e.core.exchange() })
+	e.do(func() { e.core.exchange(true) })
 	_ = callers.Drain(ctx, drainLinger)
 	_ = e.traffic.dispatcher.Drain(ctx)
 	e.awaitSlots(ctx)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/peer/peerv1"
 	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/structs"
@@ -21,7 +20,7 @@
 		select {
 		case <-ticker.C:
 			e.do(func() {
-				e.core.exchange()
+				e.core.exchange(false)
 				e.core.guardMembership(time.Now())
 				e.core.transferKeys(time.Now())
 			})
@@ -32,26 +31,39 @@
 }
 
 // exchange begins a heartbeat to each member that is due one and has answered its
-// last one.
-func (c *core) exchange() {
+// last one; all asks for one to each member of the group.
+func (c *core) exchange(all bool) {
 	if !c.joined {
 		return
 	}
 	now := time.Now()
 	c.chooseAppenders(now)
 	c.beat++
-	near := c.heartbeatRequest()
-	near.Loads = c.handOn(now)
+	c.handing = c.handOn(now)
+	c.exchangeNear(all, now)
+	if c.beat%farHeartbeats == 0 {
+		c.exchangeFar(now)
+	}
+}
+
+// exchangeNear begins the heartbeats within the group, which attest.
+func (c *core) exchangeNear(all bool, now time.Time) {
 	group, _ := c.table.GroupOfMember(c.self())
 	for _, m := range group.Members {
-		c.beginHeartbeat(m, near)
-	}
-	if c.beat%farHeartbeats != 0 {
-		return
+		if !all && !c.calls(group, m, now) {
+			continue
+		}
+		req := c.heartbeatRequest()
+		req.Loads = c.handing
+		c.answerAsk(req, c.peers[m.ID])
+		c.beginHeartbeat(m, req)
 	}
-	far := c.heartbeatRequest()
+}
+
+func (c *core) exchangeFar(now time.Time) {
+	req := c.heartbeatRequest()
 	for _, m := range c.farPeers(now) {
-		c.beginHeartbeat(m, far)
+		c.beginHeartbeat(m, req)
 	}
 }
 
@@ -121,6 +133,8 @@
 	p.probation = resp.Probation
 	c.applyProbation()
 	p.roundTrip = smooth(p.roundTrip, took)
+	c.takeLoads(resp.Loads, time.Now())
+	p.toAnswer = ask{number: resp.Ask, epoch: resp.Epoch}
 }
 
 func (p *peerState) take(d *peerv1.Digest, epoch int64, draining bool, heard time.Time) {
@@ -172,7 +186,10 @@
 
 func (c *core) takeExchange(r *peerv1.ExchangeRequest) *peerv1.ExchangeResponse {
 	now := time.Now()
+	resp := &peerv1.ExchangeResponse{}
 	if p := c.peers[r.Member]; p != nil {
+		c.takeAnswer(r, p)
+		resp.Ask = p.newAsk(c.table.Epoch(), now)
 		p.take(r.Digest, r.Epoch, r.Draining, now)
 		p.groupEpoch = r.GroupEpoch
 		p.probation = r.Probation
@@ -181,17 +198,18 @@
 		c.heardGroup(r.Member, r.Epoch, r.GroupEpoch)
 		c.takeLoads(r.Loads, now)
 	}
-	attested := r.Attest && c.rights.attester.Answer(r.Epoch) == authority.Attested
-	return &peerv1.ExchangeResponse{
-		Attested:    attested,
-		Member:      c.self(),
-		Epoch:       c.table.Epoch(),
-		GroupEpoch:  c.groupEpoch(),
-		ControlNext: c.control.Next(),
-		Digest:      c.digest(),
-		Draining:    c.draining,
-		Probation:   c.jobs.Probation(),
+	resp.Attested = r.Attest && c.attests(r.Epoch)
+	resp.Member = c.self()
+	resp.Epoch = c.table.Epoch()
+	resp.GroupEpoch = c.groupEpoch()
+	resp.ControlNext = c.control.Next()
+	resp.Digest = c.digest()
+	resp.Draining = c.draining
+	resp.Probation = c.jobs.Probation()
+	if group, _ := c.table.GroupOfMember(c.self()); group.Has(r.Member) {
+		resp.Loads = c.handing
 	}
+	return resp
 }
 
 // applyProbation keeps new work from the owned workers that the results of some
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -171,7 +171,7 @@
 		c.jobs.Recheck()
 	}
 	c.round = nil
-	c.exchange()
+	c.exchange(true)
 	c.transferKeys(now)
 	c.rereadList()
 }
--- a/internal/ownership/group.go
+++ b/internal/ownership/group.go
@@ -110,3 +110,18 @@
 	}
 	return group[:i]
 }
+
+// Calls reports whether, of two members of the group, the first makes the calls
+// between them. Each makes about half of its calls.
+func (g Group) Calls(from, to string) bool {
+	i, j := g.index(from), g.index(to)
+	if i < 0 || j < 0 || i == j {
+		return false
+	}
+	return (i < j) == ((i+j)%2 == 1)
+}
+
+// index returns the place of a member in the group, -1 if it is not there.
+func (g Group) index(id string) int {
+	return slices.IndexFunc(g.Members, func(m structs.Member) bool { return m.ID == id })
+}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -208,3 +208,25 @@
 		}
 	}
 }
+
+// TestOneOfTwoCalls checks that of each pair in a group exactly one makes the calls,
+// and that no member makes more than half of its own, rounded up.
+func TestOneOfTwoCalls(t *testing.T) {
+	for n := 1; n <= MaxGroup; n++ {
+		g := Groups(table(map[string]int{"casa": n}))[0]
+		for _, a := range g.Members {
+			made := 0
+			for _, b := range g.Members {
+				if a.ID != b.ID && g.Calls(a.ID, b.ID) == g.Calls(b.ID, a.ID) {
+					t.Errorf("%d members: %s and %s call both or not at all", n, a.ID, b.ID)
+				}
+				if g.Calls(a.ID, b.ID) {
+					made++
+				}
+			}
+			if made > n/2 {
+				t.Errorf("%d members: %s makes %d calls", n, a.ID, made)
+			}
+		}
+	}
+}
