Sizes are learnt by class and declared size, shared between members, and not from what holding back shows

Cause: for the entries to learn, a class can't be one population (its jobs declare what they like), what a task uses while its worker has no processor left follows from its grant, and members of a group each see a ninth of the workers. Change: populations by class and declared size; held-back peaks never count below the mean, and rise while little else is known; exact moments in place of histograms (32 bytes in place of 2.8 KB each), so that equal uses are granted exactly; Share and Told exchange moments. The model's reports show what tasks got, no longer what they wanted, which no worker can see. The guard throttles to 99 percent, for 100 means no bound to a worker.

--- a/internal/policytest/packingpolicy.go
+++ b/internal/policytest/packingpolicy.go
@@ -30,7 +30,7 @@
 func (m *packing) start(t *packTask) bool {
 	t.granted = t.class.declared
 	if m.Learn {
-		t.granted = m.sizer.Grant(t.class.name, t.class.declared, workerSize)
+		t.granted = m.sizer.Grant(t.class.kind(), workerSize)
 	}
 	ask := scheduler.Ask{
 		Job: string(t.id), Class: t.class.name, Kind: structs.KindBatch, Size: t.granted,
@@ -50,8 +50,11 @@
 func (m *packing) report() {
 	r := report{at: m.now, use: make(map[*packTask]structs.Resources)}
 	for _, list := range m.running {
+		rate := rateOf(list)
 		for _, t := range list {
-			r.use[t] = t.use()
+			use := t.use()
+			use.CPUMilli = int64(float64(use.CPUMilli) * rate)
+			r.use[t] = use
 		}
 	}
 	m.reports = append(m.reports, r)
@@ -61,6 +64,15 @@
 	}
 }
 
+// rateOf returns the part of the processor they want that the tasks of a worker get.
+func rateOf(tasks []*packTask) float64 {
+	var wanted int64
+	for _, t := range tasks {
+		wanted += t.use().CPUMilli
+	}
+	return min(float64(workerSize.CPUMilli)/float64(max(wanted, 1)), 1)
+}
+
 // act learns from a report and guards each worker by it.
 func (m *packing) act(r report) {
 	for _, worker := range m.order {
@@ -68,12 +80,15 @@
 		seen := make([]sizing.TaskUse, 0, len(tasks))
 		for _, t := range tasks {
 			use := r.use[t]
-			m.sizer.Report(m.now, t.class.name, t.id, use)
 			seen = append(seen, sizing.TaskUse{
 				Task: t.id, Granted: t.granted, Used: use, Slack: t.work - t.done, Age: t.age,
 				Throttled: throttle(t),
 			})
 		}
+		saturated := sizing.Saturated(workerSize, seen)
+		for _, t := range tasks {
+			m.sizer.Report(m.now, t.class.kind(), t.id, r.use[t], t.throttled || saturated)
+		}
 		if m.Guard {
 			m.set.SetExcess(worker, sizing.Excess(seen))
 			m.obey(m.guard.Act(m.now, worker, workerSize, seen), tasks)
@@ -81,6 +96,9 @@
 	}
 }
 
+// kind names the population that the tasks of a class are.
+func (c *packClass) kind() sizing.Kind { return sizing.Kind{Class: c.name, Declared: c.declared} }
+
 // throttle returns the bound of a task in percent, zero for none.
 func throttle(t *packTask) int {
 	if t.throttled {
--- a/internal/scheduler/sizing/guard.go
+++ b/internal/scheduler/sizing/guard.go
@@ -20,9 +20,12 @@
 	stopAgainAfter = 20 * time.Second
 	// settleAge is the age from which on a task's use tells what it will need.
 	settleAge = time.Minute
-	// throttleFull is the processor share in percent of a task that is not
-	// throttled.
-	throttleFull = 100
+	// throttleTo is the share of its grant in percent that a throttled task is held
+	// to. It is just below 100, which to a worker means no bound.
+	throttleTo = 99
+	// saturatedAbove is the reported processor use in percent of a worker above
+	// which its tasks may have wanted more.
+	saturatedAbove = 98
 )
 
 // TaskUse is a running task with its grant and what it was last seen to use.
@@ -106,6 +109,12 @@
 	return structs.Resources{MemoryMiB: max(excess, 0)}
 }
 
+// Saturated reports whether a worker's tasks were last seen to use nearly all of its
+// processors, so that they may have wanted more.
+func Saturated(size structs.Resources, tasks []TaskUse) bool {
+	return sum(tasks).CPUMilli*100 >= size.CPUMilli*saturatedAbove
+}
+
 // guardProcessor throttles while the worker is short and lifts it after.
 func guardProcessor(size structs.Resources, tasks []TaskUse) []Action {
 	short := sum(tasks).CPUMilli*100 > size.CPUMilli*throttleAbove
@@ -114,7 +123,7 @@
 		over := t.Used.CPUMilli > t.Granted.CPUMilli
 		switch {
 		case short && over && t.Throttled == 0:
-			actions = append(actions, Action{Kind: Throttle, Task: t.Task, Attempt: t.Attempt, Percent: throttleFull})
+			actions = append(actions, Action{Kind: Throttle, Task: t.Task, Attempt: t.Attempt, Percent: throttleTo})
 		case !short && t.Throttled > 0 && fitsUnbound(size, tasks):
 			actions = append(actions, Action{Kind: Unthrottle, Task: t.Task, Attempt: t.Attempt})
 		}
--- /dev/null
+++ b/internal/scheduler/sizing/share.go
@@ -0,0 +1,55 @@
+package sizing
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Share returns what was learnt here of up to limit kinds, the next ones in turn with
+// each call. What other members told is left out, so that nothing counts twice.
+func (s *Sizer) Share(limit int) []Use {
+	kinds := make([]Kind, 0, len(s.kinds))
+	for kind := range s.kinds {
+		kinds = append(kinds, kind)
+	}
+	slices.SortFunc(kinds, compareKinds)
+	next, found := slices.BinarySearchFunc(kinds, s.shared, compareKinds)
+	if found {
+		next++
+	}
+	var out []Use
+	for i := range min(limit, len(kinds)) {
+		kind := kinds[(next+i)%len(kinds)]
+		out = append(out, s.own(kind))
+		s.shared = kind
+	}
+	return out
+}
+
+// Told takes what another member has learnt; it replaces what that member told of the
+// same kinds before.
+func (s *Sizer) Told(member string, list []Use) {
+	told := s.others[member]
+	if told == nil && len(list) > 0 {
+		told = make(map[Kind]Use)
+		s.others[member] = told
+	}
+	for _, u := range list {
+		if _, known := told[u.Kind]; known || len(told) < maxKinds {
+			told[u.Kind] = u
+		}
+	}
+}
+
+// ForgetMember drops what a member told that is no more.
+func (s *Sizer) ForgetMember(member string) { delete(s.others, member) }
+
+// compareKinds orders by class, then declared size.
+func compareKinds(a, b Kind) int {
+	return cmp.Or(
+		cmp.Compare(a.Class, b.Class),
+		cmp.Compare(a.Declared.CPUMilli, b.Declared.CPUMilli),
+		cmp.Compare(a.Declared.MemoryMiB, b.Declared.MemoryMiB),
+		cmp.Compare(a.Declared.Accelerators, b.Declared.Accelerators),
+	)
+}
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -8,7 +8,7 @@
 // than each. So a grant is the mean of the peaks plus a number of standard deviations
 // divided by the square root of the number of such tasks that fill a worker: the
 // normal form of effective bandwidth (Guerin, Ahmadi and Naghshineh, 1991). A task that
-// fills a worker alone is granted a high quantile of its own.
+// fills a worker alone is granted nearly the most that was seen.
 package sizing
 
 import (
@@ -34,38 +34,83 @@
 	// minProcessorMilli and minMemoryMiB are the least grants.
 	minProcessorMilli = 10
 	minMemoryMiB      = 16
+	// heldBackPercent is what the peak of processor of a held-back task counts as
+	// while little else is known of its kind.
+	heldBackPercent = 125
+	// maxKinds bounds the kinds of which something is kept.
+	maxKinds = 512
 )
 
-// Sizer learns the sizes of classes.
+// Kind names tasks that are taken as one population: those of a class that declare
+// the same size.
+type Kind struct {
+	Class    string
+	Declared structs.Resources
+}
+
+// Use is what the tasks of a kind were seen to use.
+type Use struct {
+	Kind      Kind
+	Processor Moments
+	Memory    Moments
+}
+
+// merge returns what both tell together.
+func (u Use) merge(o Use) Use {
+	u.Processor = u.Processor.merge(o.Processor)
+	u.Memory = u.Memory.merge(o.Memory)
+	return u
+}
+
+// usage is the peaks of the tasks of a kind.
+type usage struct {
+	cpu, memory window
+	// free counts the tasks that were never held back.
+	free int64
+}
+
+// Sizer learns the sizes of kinds.
 type Sizer struct {
-	classes map[string]*usage
-	tasks   map[structs.TaskID]*sample
+	kinds map[Kind]*usage
+	tasks map[structs.TaskID]*sample
+	// others is what other members have seen, by member.
+	others map[string]map[Kind]Use
+	// shared is the last kind that Share told of.
+	shared Kind
 }
 
 // sample is the peak of a task that still runs.
 type sample struct {
-	class string
+	kind  Kind
 	peak  structs.Resources
 	since time.Time
+	// heldBack is set if the task may have wanted more processor than it got.
+	heldBack bool
 }
 
 // NewSizer returns a sizer that has learnt nothing.
 func NewSizer() *Sizer {
-	return &Sizer{classes: make(map[string]*usage), tasks: make(map[structs.TaskID]*sample)}
+	return &Sizer{
+		kinds:  make(map[Kind]*usage),
+		tasks:  make(map[structs.TaskID]*sample),
+		others: make(map[string]map[Kind]Use),
+	}
 }
 
-// Report takes what a running task was last seen to use.
-func (s *Sizer) Report(now time.Time, class string, task structs.TaskID, used structs.Resources) {
+// Report takes what a running task was last seen to use. heldBack says that it was
+// throttled or that its worker had no processor left, so that it may want more.
+func (s *Sizer) Report(now time.Time, kind Kind, task structs.TaskID, used structs.Resources, heldBack bool) {
 	t := s.tasks[task]
 	if t == nil {
-		t = &sample{class: class, since: now}
+		t = &sample{kind: kind, since: now}
 		s.tasks[task] = t
 	}
 	t.peak.CPUMilli = max(t.peak.CPUMilli, used.CPUMilli)
 	t.peak.MemoryMiB = max(t.peak.MemoryMiB, used.MemoryMiB)
+	t.heldBack = t.heldBack || heldBack
 	if now.Sub(t.since) >= sampleEvery {
 		s.learn(t)
-		*t = sample{class: class, since: now}
+		*t = sample{kind: kind, since: now}
 	}
 }
 
@@ -82,41 +127,88 @@
 	}
 }
 
-// learn adds a peak to its class. A task of which no use was reported, such as one
+// learn adds a peak to its kind. A task of which no use was reported, such as one
 // that ended within the lag of the reports, teaches nothing.
 func (s *Sizer) learn(t *sample) {
 	if t.peak.IsZero() {
 		return
 	}
-	u := s.classes[t.class]
+	u := s.kinds[t.kind]
+	if u == nil && len(s.kinds) >= maxKinds {
+		return
+	}
 	if u == nil {
-		u = &usage{cpu: newWindow(), memory: newWindow()}
-		s.classes[t.class] = u
+		u = &usage{}
+		s.kinds[t.kind] = u
 	}
-	u.cpu.record(t.peak.CPUMilli)
+	u.cpu.record(u.unbound(t))
 	u.memory.record(t.peak.MemoryMiB)
 }
 
-// Grant returns what the next task of a class is granted: the learnt size once
+// unbound returns the processor that a task's sample counts as. What a held-back task
+// was seen to use follows from what it was granted; taken as it is, it would lower the
+// next grants, which hold back more. So it never counts below the mean, and is taken
+// to rise as long as few tasks of the kind were seen that were not held back.
+func (u *usage) unbound(t *sample) int64 {
+	if !t.heldBack {
+		u.free++
+		return t.peak.CPUMilli
+	}
+	mean := int64(u.cpu.moments().Mean)
+	if u.free >= minTasks {
+		return max(t.peak.CPUMilli, mean)
+	}
+	return max(t.peak.CPUMilli*heldBackPercent/100, mean)
+}
+
+// Grant returns what the next task of a kind is granted: the learnt size once
 // enough tasks were seen, the declared size before. Accelerators are granted as
 // declared. A learnt grant never exceeds limit, the size of the largest worker.
-func (s *Sizer) Grant(class string, declared, limit structs.Resources) structs.Resources {
-	u := s.classes[class]
-	if u == nil || u.cpu.count() < minTasks {
-		return declared
+func (s *Sizer) Grant(kind Kind, limit structs.Resources) structs.Resources {
+	u := s.use(kind)
+	if u.Processor.Count < minTasks {
+		return kind.Declared
 	}
 	return structs.Resources{
-		CPUMilli:     u.cpu.grant(processorDeviations, minProcessorMilli, limit.CPUMilli),
-		MemoryMiB:    u.memory.grant(memoryDeviations, minMemoryMiB, limit.MemoryMiB),
-		Accelerators: declared.Accelerators,
+		CPUMilli:     u.Processor.grant(processorDeviations, minProcessorMilli, limit.CPUMilli),
+		MemoryMiB:    u.Memory.grant(memoryDeviations, minMemoryMiB, limit.MemoryMiB),
+		Accelerators: kind.Declared.Accelerators,
+	}
+}
+
+// Learnt reports whether grants of a kind are learnt.
+func (s *Sizer) Learnt(kind Kind) bool { return s.use(kind).Processor.Count >= minTasks }
+
+// own returns what was learnt here of a kind.
+func (s *Sizer) own(kind Kind) Use {
+	u := s.kinds[kind]
+	if u == nil {
+		return Use{Kind: kind}
 	}
+	return Use{Kind: kind, Processor: u.cpu.moments(), Memory: u.memory.moments()}
 }
 
-// Learnt reports whether grants of a class are learnt.
-func (s *Sizer) Learnt(class string) bool {
-	u := s.classes[class]
-	return u != nil && u.cpu.count() >= minTasks
+// use returns what is known of a kind, here and from other members.
+func (s *Sizer) use(kind Kind) Use {
+	u := s.own(kind)
+	for _, told := range s.others {
+		u = u.merge(told[kind])
+	}
+	return u
 }
 
 // ForgetClass drops what was learnt of a class that no longer exists.
-func (s *Sizer) ForgetClass(class string) { delete(s.classes, class) }
+func (s *Sizer) ForgetClass(class string) {
+	for kind := range s.kinds {
+		if kind.Class == class {
+			delete(s.kinds, kind)
+		}
+	}
+	for _, told := range s.others {
+		for kind := range told {
+			if kind.Class == class {
+				delete(told, kind)
+			}
+		}
+	}
+}
--- a/internal/scheduler/sizing/window.go
+++ b/internal/scheduler/sizing/window.go
@@ -1,77 +1,86 @@
 package sizing
 
-import (
-	"math"
+import "math"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-)
+// windowTasks is the number of tasks after which the older window is dropped.
+const windowTasks = 1000
 
-const (
-	// windowTasks is the number of tasks after which the older window is dropped.
-	windowTasks = 1000
-	// maxAmount is the largest amount in thousandths of a core or MiB that the
-	// histograms tell apart.
-	maxAmount = 1 << 24
-	// histogramDigits is the number of significant digits kept.
-	histogramDigits = 1
-	// refreshEvery is the number of samples after which the mean and the deviation
-	// are worked out anew.
-	refreshEvery = 10
-	// highPercentile bounds a grant from above: no task is granted more than nearly
-	// all were seen to use.
-	highPercentile = 99.5
-)
+// Moments are the moments of a set of samples.
+type Moments struct {
+	Count     int64
+	Mean      float64
+	Deviation float64
+	Most      int64
+}
 
-// usage is the peaks of the tasks of a class.
-type usage struct {
-	cpu, memory window
+// merge returns the moments of both sets together.
+func (m Moments) merge(o Moments) Moments {
+	count := m.Count + o.Count
+	if count == 0 {
+		return Moments{}
+	}
+	n, p := float64(m.Count), float64(o.Count)
+	mean := (n*m.Mean + p*o.Mean) / (n + p)
+	second := (n*m.square() + p*o.square()) / (n + p)
+	return Moments{
+		Count:     count,
+		Mean:      mean,
+		Deviation: math.Sqrt(max(second-mean*mean, 0)),
+		Most:      max(m.Most, o.Most),
+	}
 }
 
-// window is a histogram over the last windowTasks to twice as many samples, with what
-// was last read from it.
+// square is the mean of the squares.
+func (m Moments) square() float64 { return m.Mean*m.Mean + m.Deviation*m.Deviation }
+
+// grant returns the mean plus the task's part of the deviations of the sum over a
+// worker of size most, within bounds. No more is granted than was seen.
+func (m Moments) grant(deviations float64, least, most int64) int64 {
+	tasks := max(float64(most)/max(m.Mean, 1), 1)
+	v := m.Mean + deviations*m.Deviation/math.Sqrt(tasks)
+	return min(max(int64(math.Ceil(min(v, float64(m.Most)))), least), max(most, least))
+}
+
+// window keeps the last windowTasks to twice as many samples.
 type window struct {
-	now, old              *hdrhistogram.Histogram
-	mean, deviation, high float64
+	now, old tally
 }
 
-func newWindow() window {
-	return window{
-		now: hdrhistogram.New(1, maxAmount, histogramDigits),
-		old: hdrhistogram.New(1, maxAmount, histogramDigits),
-	}
+// tally is a running sum of samples.
+type tally struct {
+	count       int64
+	sum, square float64
+	most        int64
 }
 
-// record adds a sample.
-func (w *window) record(v int64) {
-	_ = w.now.RecordValue(min(max(v, 1), maxAmount))
-	if w.now.TotalCount()%refreshEvery == 0 {
-		w.refresh()
+func (t *tally) add(v int64) {
+	t.count++
+	t.sum += float64(v)
+	t.square += float64(v) * float64(v)
+	t.most = max(t.most, v)
+}
+
+func (t *tally) moments() Moments {
+	if t.count == 0 {
+		return Moments{}
 	}
-	if w.now.TotalCount() >= windowTasks {
-		w.now, w.old = w.old, w.now
-		w.now.Reset()
+	n := float64(t.count)
+	mean := t.sum / n
+	return Moments{
+		Count:     t.count,
+		Mean:      mean,
+		Deviation: math.Sqrt(max(t.square/n-mean*mean, 0)),
+		Most:      t.most,
 	}
 }
 
-// refresh reads both windows.
-func (w *window) refresh() {
-	n := float64(w.now.TotalCount())
-	o := float64(w.old.TotalCount())
-	m, p := w.now.Mean(), w.old.Mean()
-	w.mean = (n*m + o*p) / (n + o)
-	square := func(mean, deviation float64) float64 { return mean*mean + deviation*deviation }
-	second := (n*square(m, w.now.StdDev()) + o*square(p, w.old.StdDev())) / (n + o)
-	w.deviation = math.Sqrt(max(second-w.mean*w.mean, 0))
-	w.high = float64(max(w.now.ValueAtPercentile(highPercentile), w.old.ValueAtPercentile(highPercentile)))
+// record adds a sample.
+func (w *window) record(v int64) {
+	w.now.add(v)
+	if w.now.count >= windowTasks {
+		w.now, w.old = tally{}, w.now
+	}
 }
 
-// count returns the number of samples kept.
-func (w *window) count() int64 { return w.now.TotalCount() + w.old.TotalCount() }
-
-// grant returns the mean plus the task's part of the deviations of the sum over a
-// worker of size most, within bounds.
-func (w *window) grant(deviations float64, least, most int64) int64 {
-	tasks := max(float64(most)/max(w.mean, 1), 1)
-	v := w.mean + deviations*w.deviation/math.Sqrt(tasks)
-	return min(max(int64(math.Ceil(min(v, w.high))), least), max(most, least))
-}
+// moments returns those of both windows together.
+func (w *window) moments() Moments { return w.now.moments().merge(w.old.moments()) }
