Entries grant learnt sizes and guard their workers; stand-in tasks use what they use

Cause: sizing was decided and modelled only; the entries placed by declared sizes, and what the stand-in's tasks used was a factor of the grant, so that learning from it would feed back. Ruled out: granting at the job's owner (the room is counted at the worker's owner; two counts could pass the size); the declared size in the inventory (a change of the platform's protocol that only long-running tasks after a change of owner would gain by). Change: the worker's owner turns the declared size into the grant just before it counts and places; the inventory shows the granted size, so that a new owner counts the same. Members of a group tell each other their moments, 8 kinds every 20 heartbeats. The guard looks at workers of which use was shown, four times a second. The stand-in's payload word use states what a task uses, drawn by seed and index; its memory grows; processors are shared in proportion; a worker without memory kills the task furthest above its grant. Inventories show the throttle, so that a new owner can lift it.

--- a/internal/command/standin/workers.go
+++ b/internal/command/standin/workers.go
@@ -46,7 +46,12 @@
 
   fail               it fails
   fail-on:w1,w2      it fails on these workers
-  usage:cpu=1,mem=1  what it uses as a factor of its declared size
+  usage:cpu=1,mem=1  what it uses as a factor of its granted size
+  use:cpu=500,mem=300,spread=0.3,seed=7,grow=200
+                     what it uses whatever it is granted: the means over the tasks
+                     of the job in thousandths of a core and MiB, their spread as
+                     the standard deviation of the logarithm, and the milliseconds
+                     over which memory grows; a worker without memory left kills
   run:2.5            its run time as a factor of the declared one
   checkpoint         it can save its progress when it is stopped
 
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -35,8 +35,10 @@
 	uptimeMs int64
 	starts   []startJob
 	stops    []stopJob
-	forgets  []worker.TaskRef
-	wake     chan struct{}
+	// throttles are the bounds to be set, in percent.
+	throttles []throttleJob
+	forgets   []worker.TaskRef
+	wake      chan struct{}
 	// refence asks for the fence to be raised anew.
 	refence chan struct{}
 }
@@ -54,6 +56,11 @@
 	done       func(fleet.Key, error)
 }
 
+type throttleJob struct {
+	task worker.TaskThrottle
+	done func(fleet.Key, error)
+}
+
 func newAgent(e *Entry, w structs.Worker, epoch int64, cancel context.CancelFunc) *agent {
 	return &agent{
 		epoch: epoch,
--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -55,6 +55,51 @@
 	a.kick()
 }
 
+// throttle queues a bound on a run's processor share to be set; zero lifts it. done is
+// called on the control goroutine.
+func (a *agent) throttle(k fleet.Key, percent int, done func(fleet.Key, error)) {
+	if percent == 0 {
+		percent = noThrottle
+	}
+	ref := worker.TaskRef{Task: k.Task, Attempt: k.Attempt}
+	a.mu.Lock()
+	a.throttles = append(a.throttles, throttleJob{task: worker.TaskThrottle{TaskRef: ref, CPUPercent: percent}, done: done})
+	a.mu.Unlock()
+	a.kick()
+}
+
+// noThrottle is the share in percent that means no bound.
+const noThrottle = 100
+
+// sendThrottles sets what is queued. What fails is decided anew by the guard.
+func (a *agent) sendThrottles(ctx context.Context) {
+	a.mu.Lock()
+	queued := a.throttles
+	a.throttles = nil
+	a.mu.Unlock()
+	if len(queued) == 0 {
+		return
+	}
+	cmd, _ := a.command()
+	tasks := make([]worker.TaskThrottle, len(queued))
+	for i, q := range queued {
+		tasks[i] = q.task
+	}
+	results, err := a.client.Throttle(ctx, cmd, tasks)
+	if structs.CodeOf(err) == structs.CodeStaleEpoch {
+		a.stale()
+	}
+	a.e.post(func() {
+		for i, q := range queued {
+			result := err
+			if err == nil && results[i].Error != nil {
+				result = results[i].Error
+			}
+			q.done(fleet.Key{Task: q.task.Task, Attempt: q.task.Attempt}, result)
+		}
+	})
+}
+
 // take empties the queues.
 func (a *agent) take() (starts []startJob, stops []stopJob, forgets []worker.TaskRef) {
 	a.mu.Lock()
@@ -78,6 +123,7 @@
 		}
 		starts, stops, forgets := a.take()
 		a.sendStops(ctx, stops)
+		a.sendThrottles(ctx)
 		a.sendStarts(ctx, starts)
 		a.sendForgets(ctx, forgets)
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -63,6 +63,8 @@
 	ends map[string][]state.TaskEnd
 	// nextReport is when owned runs are next looked over for reports.
 	nextReport time.Time
+	// nextGuard is when workers are next looked at for shortage.
+	nextGuard time.Time
 
 	peers map[string]*peerState
 	// beat counts heartbeats.
@@ -121,6 +123,7 @@
 		waitingGangs: map[string][]gang.Part{},
 	}
 	c.jobs.SetQuota(c.quotaShare)
+	c.fleet.SetLearning(e.settings.Packing.Learn)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
 }
@@ -133,6 +136,7 @@
 	c.syncEndpoints()
 	c.flushEnds()
 	c.report(now)
+	c.guardWorkers(now)
 	c.collect(now)
 	c.stopTasks(now)
 	c.schedule(now)
--- a/internal/entry/evict.go
+++ b/internal/entry/evict.go
@@ -41,9 +41,10 @@
 
 // chooseEvict picks a member whose workers could hold a task of the order.
 func (c *core) chooseEvict(order orchestrator.Order, asked map[string]bool) (structs.Member, bool) {
+	size := c.grantOf(order)
 	return c.chooseMember(asked, func(m structs.Member) bool {
 		o, ok := c.gangOwner(m, true)
-		return ok && order.Job.Size.Fits(o.Free)
+		return ok && size.Fits(o.Free)
 	})
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dotterelhitch/internal/authority"
 	"dotterelhitch/internal/peer/peerv1"
 	"dotterelhitch/internal/scheduler"
@@ -46,27 +48,37 @@
 		Probation:   c.jobs.Probation(),
 	}
 	c.beat++
+	near := proto.CloneOf(req)
+	near.Learnt = c.shareLearnt()
 	for _, m := range c.control.Members() {
 		p := c.peers[m.ID]
 		if p == nil || p.busy || !c.beatDue(m) {
 			continue
 		}
 		p.busy = true
-		c.e.spawn(func() { c.e.heartbeat(m, req) })
+		message := req
+		if c.inGroup(m) {
+			message = near
+		}
+		c.e.spawn(func() { c.e.heartbeat(m, message) })
 	}
 }
 
 // beatDue reports whether a member gets this heartbeat: each one within the group,
 // which attests, and fewer outside, where only load digests matter.
 func (c *core) beatDue(m structs.Member) bool {
+	return c.inGroup(m) || c.beat%farHeartbeats == 0
+}
+
+// inGroup reports whether a member is of this entry's group.
+func (c *core) inGroup(m structs.Member) bool {
 	group, _ := c.table.GroupOfMember(c.self())
-	return group.Has(m.ID) || c.beat%farHeartbeats == 0
+	return group.Has(m.ID)
 }
 
 // silentAfter is the time without a word after which a member is passed over.
 func (c *core) silentAfter(m structs.Member) time.Duration {
-	group, _ := c.table.GroupOfMember(c.self())
-	if group.Has(m.ID) {
+	if c.inGroup(m) {
 		return suspectHeartbeats * c.e.timing.Heartbeat
 	}
 	return suspectHeartbeats * farHeartbeats * c.e.timing.Heartbeat
@@ -157,6 +169,7 @@
 		p.take(r.Digest, r.Epoch, r.Draining, now)
 		p.probation = r.Probation
 		c.applyProbation()
+		c.takeLearnt(r.Member, r.Learnt)
 		c.heardMember(r.Member, r.Epoch, now)
 	}
 	attested := r.Attest && c.rights.attester.Answer(r.Epoch) == authority.Attested
--- a/internal/entry/gang.go
+++ b/internal/entry/gang.go
@@ -98,6 +98,7 @@
 // splitGang splits the tasks over the members of this region or, if they do not hold
 // them, of the cell: by their free room, or by all of their room.
 func (c *core) splitGang(order orchestrator.Order, all bool) []gang.Part {
+	size := c.grantOf(order)
 	var near, owners []gang.Owner
 	for _, m := range c.control.Members() {
 		o, ok := c.gangOwner(m, all)
@@ -109,10 +110,10 @@
 			near = append(near, o)
 		}
 	}
-	if parts := gang.Split(len(order.Tasks), order.Job.Size, near, nil); parts != nil {
+	if parts := gang.Split(len(order.Tasks), size, near, nil); parts != nil {
 		return parts
 	}
-	return gang.Split(len(order.Tasks), order.Job.Size, owners, nil)
+	return gang.Split(len(order.Tasks), size, owners, nil)
 }
 
 // digestOf is the load of a member as far as it is known; nil for one that is not
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -211,6 +211,7 @@
 		if !c.control.HasMember(id) {
 			delete(c.peers, id)
 			delete(c.barrier, id)
+			c.fleet.Sizes().ForgetMember(id)
 		}
 	}
 	now := time.Now()
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -104,6 +104,7 @@
 func requestOf(r *peerv1.PlaceRequest) fleet.Request {
 	request := fleet.Request{
 		Ask:          askOf(r),
+		Declared:     toResources(r.Size),
 		RunMs:        r.RunMs,
 		Payload:      r.Payload,
 		Slack:        time.Duration(r.SlackMs) * time.Millisecond,
@@ -111,6 +112,7 @@
 		Evict:        r.Evict,
 		Earlier:      map[structs.TaskID]fleet.Earlier{},
 	}
+	request.LeastMemoryMiB = r.LeastMemoryMib
 	for _, t := range r.Tasks {
 		if t.Checkpoint != "" || t.Evictions > 0 {
 			request.Earlier[structs.TaskID(t.Task)] = fleet.Earlier{Checkpoint: t.Checkpoint, Evictions: int(t.Evictions)}
@@ -231,6 +233,9 @@
 	if a.State == structs.AllocStopped {
 		t.Checkpoint = a.Checkpoint
 	}
+	if a.State.Terminal() {
+		t.LeastMemoryMib = a.LeastMemoryMiB
+	}
 	return t
 }
 
@@ -299,7 +304,7 @@
 // refOf splits a task's message for the orchestrator.
 func refOf(t *peerv1.TaskState) (job string, ref orchestrator.Ref, err error) {
 	job, index, err := structs.TaskID(t.Task).Split()
-	ref = orchestrator.Ref{Index: index, Attempt: int(t.Attempt), Worker: t.Worker, Checkpoint: t.Checkpoint}
+	ref = orchestrator.Ref{Index: index, Attempt: int(t.Attempt), Worker: t.Worker, Checkpoint: t.Checkpoint, LeastMemoryMiB: t.LeastMemoryMib}
 	if t.Evicted {
 		ref.Evictions = 1
 	}
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -136,6 +136,7 @@
 		AvoidWorkers: order.Avoid,
 		Probes:       order.Probes,
 
+		LeastMemoryMib: order.LeastMemoryMiB,
 		LatestStartMs:  order.LatestStart.UnixMilli(),
 		RunningSlackMs: order.RunningSlack.Milliseconds(),
 	}
@@ -198,7 +199,8 @@
 // room, the one with more free; members of other regions only if none here has
 // room.
 func (c *core) choosePlace(order orchestrator.Order, asked map[string]bool) (structs.Member, bool) {
-	return c.chooseMember(asked, func(m structs.Member) bool { return c.hasRoom(m, order.Job.Size) })
+	size := c.grantOf(order)
+	return c.chooseMember(asked, func(m structs.Member) bool { return c.hasRoom(m, size) })
 }
 
 // chooseMember picks one of the members that were not asked yet and are worth it.
--- /dev/null
+++ b/internal/entry/sizing.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"time"
+
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/fleet"
+	"dotterelhitch/internal/orchestrator"
+	"dotterelhitch/internal/peer/peerv1"
+	"dotterelhitch/internal/scheduler/sizing"
+	"dotterelhitch/internal/structs"
+)
+
+// Bounds of learnt sizes.
+const (
+	// guardPeriod is how often workers of which use was shown are looked at.
+	guardPeriod = 250 * time.Millisecond
+	// shareBeats is the number of heartbeats from one summary to the next, and
+	// shareKinds the number of kinds in each, so that the sharing stays within some
+	// hundreds of bytes a second.
+	shareBeats = 20
+	shareKinds = 8
+)
+
+// grantOf is what the tasks of an order would be granted by this entry's own
+// knowledge. The owners of workers decide; it tells which of them are worth asking.
+func (c *core) grantOf(order orchestrator.Order) structs.Resources {
+	return c.fleet.Grant(order.Job.Class, order.Job.Size, order.LeastMemoryMiB)
+}
+
+// guardWorkers throttles and checkpoints tasks on owned workers that are short.
+func (c *core) guardWorkers(now time.Time) {
+	if !c.joined || now.Before(c.nextGuard) {
+		return
+	}
+	c.nextGuard = now.Add(guardPeriod)
+	for _, action := range c.fleet.Guard(now, c.control.Class) {
+		if action.Kind == sizing.Checkpoint {
+			c.checkpointRun(action.Alloc)
+			continue
+		}
+		c.throttleRun(action)
+	}
+}
+
+// checkpointRun stops a run of which the worker is short of memory.
+func (c *core) checkpointRun(a *fleet.Alloc) {
+	c.noteEvicted(a, "")
+	id := a.Worker
+	c.stopRun(a.Key(), true, func(k fleet.Key, err error) { c.fleet.EvictDone(id, k, err) })
+}
+
+// throttleRun sets or lifts the bound on a run's processor share.
+func (c *core) throttleRun(action fleet.GuardAction) {
+	a := action.Alloc
+	agent := c.agents[a.Worker]
+	if agent == nil {
+		c.fleet.ThrottleDone(a.Key(), structs.NewError(structs.CodeUnavailable, "worker %s has no agent", a.Worker))
+		return
+	}
+	c.e.events.Record(event.Event{
+		Type:    event.TaskThrottled,
+		Task:    a.Task,
+		Attempt: a.Attempt,
+		Worker:  a.Worker,
+		Class:   a.Class,
+		Count:   action.Percent,
+	})
+	agent.throttle(a.Key(), action.Percent, c.fleet.ThrottleDone)
+}
+
+// shareLearnt returns the next part of what was learnt here, if it is time.
+func (c *core) shareLearnt() []*peerv1.LearntUse {
+	if c.beat%shareBeats != 0 || !c.e.settings.Packing.Learn {
+		return nil
+	}
+	var out []*peerv1.LearntUse
+	for _, u := range c.fleet.Sizes().Share(shareKinds) {
+		out = append(out, &peerv1.LearntUse{
+			Class:     u.Kind.Class,
+			Declared:  fromResources(u.Kind.Declared),
+			Processor: fromMoments(u.Processor),
+			Memory:    fromMoments(u.Memory),
+		})
+	}
+	return out
+}
+
+// takeLearnt takes what another member has learnt.
+func (c *core) takeLearnt(member string, list []*peerv1.LearntUse) {
+	uses := make([]sizing.Use, len(list))
+	for i, u := range list {
+		uses[i] = sizing.Use{
+			Kind:      sizing.Kind{Class: u.Class, Declared: toResources(u.Declared)},
+			Processor: toMoments(u.Processor),
+			Memory:    toMoments(u.Memory),
+		}
+	}
+	c.fleet.Sizes().Told(member, uses)
+}
+
+func fromMoments(m sizing.Moments) *peerv1.Moments {
+	return &peerv1.Moments{Count: m.Count, Mean: int64(m.Mean), Deviation: int64(m.Deviation), Most: m.Most}
+}
+
+func toMoments(m *peerv1.Moments) sizing.Moments {
+	if m == nil {
+		return sizing.Moments{}
+	}
+	return sizing.Moments{Count: m.Count, Mean: float64(m.Mean), Deviation: float64(m.Deviation), Most: m.Most}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,7 @@
 	JobEnded       Type = "job_ended"       // the owner recorded the end: Job, State
 	TaskPlaced     Type = "task_placed"     // a worker's owner chose: Task, Attempt, Worker
 	TaskEvicted    Type = "task_evicted"    // a worker's owner stops it to make room: Task, Attempt, Worker, Job (that needs the room)
+	TaskThrottled  Type = "task_throttled"  // a worker's owner bounds its processor share: Task, Attempt, Worker, Count (percent of its grant; none if lifted)
 	TaskSettled    Type = "task_settled"    // the outcome is in the log: Task, Attempt, State
 	LeavingSeen    Type = "leaving_seen"    // an entry has the declaration in force: Worker, Version
 	LeavingSaid    Type = "leaving_said"    // an operator was told that it is accepted: Worker, Version
--- a/internal/fleet/alloc.go
+++ b/internal/fleet/alloc.go
@@ -19,6 +19,12 @@
 // Alloc is one run of a task on an owned worker.
 type Alloc struct {
 	structs.Alloc
+	// Declared is the declared size of the task; zero if a former owner placed it.
+	// The size that counts, and that the worker knows, is the granted one.
+	Declared structs.Resources
+	// LeastMemoryMiB is what the task has to be granted next, once the run was stopped
+	// or killed for memory; zero if it was not.
+	LeastMemoryMiB int64
 	// RunMs and Payload are handed to the worker at the start.
 	RunMs   int64
 	Payload string
@@ -38,6 +44,10 @@
 	Due time.Time
 	// Evicted is set once the run is to be stopped to make room.
 	Evicted bool
+	// used is what the run was last seen to use.
+	used structs.Resources
+	// throttled is the bound on its processor share in percent; zero for none.
+	throttled int
 	// confirmed is when the worker first showed or acknowledged the run; zero
 	// before.
 	confirmed time.Time
--- a/internal/fleet/evict.go
+++ b/internal/fleet/evict.go
@@ -49,6 +49,7 @@
 // chosen with a checkpoint and places once it is told that they have ended; until
 // then their room stays counted. It returns none if the request may not evict.
 func (f *Fleet) Evict(r Request, class ClassOf, now time.Time) []*Alloc {
+	r = f.sized(r)
 	ask := r.Ask
 	ask.Tasks = f.unknownTasks(ask.Tasks)
 	if !r.Evict || len(ask.Tasks) == 0 {
@@ -79,7 +80,7 @@
 		if a == nil || !known || c.Kind != structs.KindBatch || f.evicting[a.Worker] > 0 {
 			return 0, false
 		}
-		if a.State != structs.AllocRunning || a.Evictions >= maxEvictions {
+		if a.State != structs.AllocRunning || a.Evicted || a.Evictions >= maxEvictions {
 			return 0, false
 		}
 		slack := a.runningSlack(c)
@@ -131,6 +132,7 @@
 	}
 	if a := f.allocs[k]; a != nil && err != nil && !a.State.Terminal() {
 		a.Evicted = false
+		a.LeastMemoryMiB = 0
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/scheduler/gang"
+	"dotterelhitch/internal/scheduler/sizing"
 	"dotterelhitch/internal/structs"
 )
 
@@ -33,6 +34,14 @@
 	// evicting counts the runs on each worker that are being stopped to make room.
 	evicting map[string]int
 	budget   evictBudget
+
+	sizer    *sizing.Sizer
+	guard    *sizing.Guard
+	learning bool
+	// seen are the workers of which use was shown since the guard last looked, and
+	// saturated those that had no processor left when it did.
+	seen      map[string]bool
+	saturated map[string]bool
 }
 
 // New returns a fleet without workers.
@@ -44,6 +53,11 @@
 		allocs:  map[Key]*Alloc{},
 
 		evicting: map[string]int{},
+
+		sizer:     sizing.NewSizer(),
+		guard:     sizing.NewGuard(),
+		seen:      map[string]bool{},
+		saturated: map[string]bool{},
 	}
 }
 
@@ -93,6 +107,7 @@
 
 // Lose gives up a worker that is another's now; its runs are no longer known here.
 func (f *Fleet) Lose(id string) {
+	f.forgetSizes(id)
 	for k, a := range f.allocs {
 		if a.Worker == id {
 			delete(f.allocs, k)
@@ -130,6 +145,7 @@
 	a.State = st
 	a.reportAt = now
 	if st.Terminal() {
+		f.sizer.Ended(a.Task, false)
 		f.nodes.Release(a.Task, a.Attempt)
 		return
 	}
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -22,6 +22,7 @@
 // later one loses what it has reserved and not started. The first gang that waits
 // has workers held for it, on which nothing else is placed.
 func (f *Fleet) Reserve(r Request, rank gang.Rank, now time.Time) ([]*Alloc, error) {
+	r = f.sized(r)
 	f.expireClaims(now)
 	if known := f.reservedOf(r.Ask.Tasks); len(known) == len(r.Ask.Tasks) {
 		return known, nil
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -54,6 +54,8 @@
 		f.nodes.Add(a.Alloc)
 	}
 	a.confirm(now)
+	f.learn(a, t, now)
+	f.noteKill(a, t)
 	f.showCheckpoint(a, t, now)
 	f.setState(a, t.State, now)
 	return k
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -9,7 +9,14 @@
 
 // Request is a wish of a job's owner to start or reserve tasks here.
 type Request struct {
-	Ask     scheduler.Ask
+	// Ask is what is asked of the scheduler; its size is set to what the tasks are
+	// granted.
+	Ask scheduler.Ask
+	// Declared is the declared size of each task, LeastMemoryMiB the least memory
+	// that it is to be granted.
+	Declared       structs.Resources
+	LeastMemoryMiB int64
+
 	RunMs   int64
 	Payload string
 	Slack   time.Duration
@@ -35,6 +42,7 @@
 // to be started (or are reserved); why explains those that found no room. Runs
 // that are here already, by a repeat of the call, are not chosen again.
 func (f *Fleet) Place(r Request, now time.Time) (chosen []*Alloc, why error) {
+	r = f.sized(r)
 	ask := r.Ask
 	ask.Tasks = f.unknownTasks(ask.Tasks)
 	if len(ask.Tasks) == 0 {
@@ -73,6 +81,7 @@
 	earlier := r.Earlier[a.Task]
 	alloc := &Alloc{
 		Alloc:        a,
+		Declared:     r.Declared,
 		RunMs:        r.RunMs,
 		Payload:      r.Payload,
 		Checkpoint:   earlier.Checkpoint,
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -43,6 +43,10 @@
 	checkpoint string
 	// evictions is how often runs were stopped to make room.
 	evictions int
+	// leastMemory is what the task has to be granted at least, in MiB.
+	leastMemory int64
+	// kills is how often runs were killed for memory.
+	kills int
 }
 
 // job is one owned job.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -53,12 +53,17 @@
 	Checkpoint string
 	// Evictions is how often runs of the task were stopped to make room.
 	Evictions int
+	// LeastMemoryMiB is what the task has to be granted next, since the run was
+	// stopped or killed for memory; zero if it was not.
+	LeastMemoryMiB int64
 }
 
 // Order is a placement to ask for.
 type Order struct {
 	Job   structs.Job
 	Tasks []Ref
+	// LeastMemoryMiB is the least memory that the tasks are to be granted.
+	LeastMemoryMiB int64
 	// Slack is the time left to the class's target, negative if late.
 	Slack time.Duration
 	// RunningSlack is how far the target lets the tasks be put off while they run.
@@ -197,6 +202,9 @@
 		if len(order.Tasks) >= limit && j.spec.Kind != structs.KindGang {
 			break
 		}
+		if !order.join(t) {
+			continue
+		}
 		t.attempt++
 		j.move(i, placing)
 		order.Tasks = append(order.Tasks, Ref{Index: i, Attempt: t.attempt, Checkpoint: t.checkpoint, Evictions: t.evictions})
@@ -321,6 +329,10 @@
 	case structs.AllocComplete:
 		changes = o.health.Success(now, j.spec.ID, r.Worker)
 	case structs.AllocFailed:
+		t := &j.tasks[r.Index]
+		if t.noteKill(r, st); t.excused(r, st) {
+			return
+		}
 		changes = o.health.Failure(now, j.spec.ID, r.Worker)
 	}
 	for _, ch := range changes {
@@ -377,7 +389,7 @@
 		j.move(r.Index, ending)
 		return Wait, true
 	}
-	if st != structs.AllocStopped {
+	if st != structs.AllocStopped && !t.excused(r, st) {
 		t.fails++
 		j.delay(backoffAfter(t.fails), now)
 	}
--- a/internal/scheduler/nodeset.go
+++ b/internal/scheduler/nodeset.go
@@ -194,6 +194,10 @@
 	}
 }
 
+// Largest returns the size of the largest worker that the set has held, each component
+// by itself.
+func (s *NodeSet) Largest() structs.Resources { return s.index.unit }
+
 // EverFits reports whether some worker of the set, empty, could hold a task of a
 // size, whatever its present state.
 func (s *NodeSet) EverFits(size structs.Resources) bool {
--- a/internal/scheduler/sizing/share.go
+++ b/internal/scheduler/sizing/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -29,18 +30,35 @@
 // Told takes what another member has learnt; it replaces what that member told of the
 // same kinds before.
 func (s *Sizer) Told(member string, list []Use) {
-	told := s.others[member]
-	if told == nil && len(list) > 0 {
-		told = make(map[Kind]Use)
-		s.others[member] = told
+	known := s.others[member]
+	if known == nil && len(list) > 0 {
+		known = make(map[Kind]told)
+		s.others[member] = known
 	}
 	for _, u := range list {
-		if _, known := told[u.Kind]; known || len(told) < maxKinds {
-			told[u.Kind] = u
+		if _, found := known[u.Kind]; !found {
+			dropOldest(known, func(t told) int64 { return t.turn })
 		}
+		s.turn++
+		known[u.Kind] = told{use: u, turn: s.turn}
 	}
 }
 
+// dropOldest makes room for one more kind.
+func dropOldest[V any](kinds map[Kind]V, turn func(V) int64) {
+	if len(kinds) < maxKinds {
+		return
+	}
+	var oldest Kind
+	least := int64(math.MaxInt64)
+	for kind, v := range kinds {
+		if t := turn(v); t < least {
+			oldest, least = kind, t
+		}
+	}
+	delete(kinds, oldest)
+}
+
 // ForgetMember drops what a member told that is no more.
 func (s *Sizer) ForgetMember(member string) { delete(s.others, member) }
 
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -67,6 +67,14 @@
 	cpu, memory window
 	// free counts the tasks that were never held back.
 	free int64
+	// turn is when something was last learnt.
+	turn int64
+}
+
+// told is what another member told of a kind, and when.
+type told struct {
+	use  Use
+	turn int64
 }
 
 // Sizer learns the sizes of kinds.
@@ -74,7 +82,9 @@
 	kinds map[Kind]*usage
 	tasks map[structs.TaskID]*sample
 	// others is what other members have seen, by member.
-	others map[string]map[Kind]Use
+	others map[string]map[Kind]told
+	// turn counts what was learnt and told.
+	turn int64
 	// shared is the last kind that Share told of.
 	shared Kind
 }
@@ -93,7 +103,7 @@
 	return &Sizer{
 		kinds:  make(map[Kind]*usage),
 		tasks:  make(map[structs.TaskID]*sample),
-		others: make(map[string]map[Kind]Use),
+		others: make(map[string]map[Kind]told),
 	}
 }
 
@@ -134,13 +144,13 @@
 		return
 	}
 	u := s.kinds[t.kind]
-	if u == nil && len(s.kinds) >= maxKinds {
-		return
-	}
 	if u == nil {
+		dropOldest(s.kinds, func(u *usage) int64 { return u.turn })
 		u = &usage{}
 		s.kinds[t.kind] = u
 	}
+	s.turn++
+	u.turn = s.turn
 	u.cpu.record(u.unbound(t))
 	u.memory.record(t.peak.MemoryMiB)
 }
@@ -191,8 +201,8 @@
 // use returns what is known of a kind, here and from other members.
 func (s *Sizer) use(kind Kind) Use {
 	u := s.own(kind)
-	for _, told := range s.others {
-		u = u.merge(told[kind])
+	for _, list := range s.others {
+		u = u.merge(list[kind].use)
 	}
 	return u
 }
@@ -204,10 +214,10 @@
 			delete(s.kinds, kind)
 		}
 	}
-	for _, told := range s.others {
-		for kind := range told {
+	for _, list := range s.others {
+		for kind := range list {
 			if kind.Class == class {
-				delete(told, kind)
+				delete(list, kind)
 			}
 		}
 	}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -62,6 +62,7 @@
 		{"timing.leaving_bound", false, duration(&e.Timing.LeavingBound)},
 		{"timing.drain", false, duration(&e.Timing.Drain)},
 
+		{"packing.learn", false, boolean(&e.Packing.Learn)},
 		{"worker_fencing", false, boolean(&e.WorkerFencing)},
 		{"log.level", false, text(&e.LogLevel)},
 		{"events.file", false, text(&e.EventsFile)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	Limits Limits
 	// Timing holds periods, leases and bounds.
 	Timing Timing
+	// Packing says how sizes of tasks are chosen.
+	Packing Packing
 	// WorkerFencing says that the platform's workers refuse an older epoch.
 	WorkerFencing bool
 	// LogLevel is debug, info, warn or error.
@@ -99,6 +101,13 @@
 	PeerConnections     int
 }
 
+// Packing is the [packing] table.
+type Packing struct {
+	// Learn grants tasks what tasks of their class and declared size were seen to
+	// use; otherwise they are granted what was declared.
+	Learn bool
+}
+
 // Timing is the [timing] table.
 type Timing struct {
 	// Heartbeat is the period of messages between the members of a group.
@@ -151,6 +160,7 @@
 			LeavingBound: 5 * time.Second,
 			Drain:        20 * time.Second,
 		},
+		Packing:       Packing{Learn: true},
 		WorkerFencing: true,
 		LogLevel:      "info",
 	}
--- a/internal/standin/workersvc/payload.go
+++ b/internal/standin/workersvc/payload.go
@@ -15,7 +15,9 @@
 //
 //	fail               the task fails
 //	fail-on:w1,w2      the task fails on these workers
-//	usage:cpu=1,mem=1  what it uses as a factor of its declared size
+//	usage:cpu=1,mem=1  what it uses as a factor of its granted size
+//	use:cpu=500,mem=300,spread=0.3,seed=7,grow=200
+//	                   what it uses whatever it is granted; see trueUse
 //	run:2.5            its run time as a factor of the declared one
 //	checkpoint         it can save its progress when it is stopped
 //
@@ -27,6 +29,8 @@
 	memFactor  float64
 	runFactor  float64
 	checkpoint bool
+	// use is nil for a task that uses factors of its granted size.
+	use *trueUse
 }
 
 func parsePayload(text string) payload {
@@ -40,6 +44,8 @@
 			p.failOn = strings.Split(value, ",")
 		case "usage":
 			p.parseUsage(value)
+		case "use":
+			p.use = parseUse(value)
 		case "run":
 			p.runFactor = factor(value)
 		case "checkpoint":
--- a/internal/standin/workersvc/task.go
+++ b/internal/standin/workersvc/task.go
@@ -35,6 +35,10 @@
 	fails     bool
 	// percent is the processor share under a throttle.
 	percent int
+	// need is what a task of true use uses at most; share is the part of the
+	// processor it wants that it gets.
+	need  structs.Resources
+	share float64
 	// reportAt is when the usage shows; usage is what shows.
 	reportAt   time.Time
 	usage      structs.Resources
@@ -52,6 +56,10 @@
 		countedAt: now,
 		endless:   start.RunMs <= 0,
 		percent:   fullPercent,
+		share:     1,
+	}
+	if t.truly() {
+		t.need = t.payload.use.draw(start.Task)
 	}
 	t.workTotal = time.Duration(float64(millis(start.RunMs)) * t.payload.runFactor)
 	t.workLeft = max(0, t.workTotal-savedProgress(start.Checkpoint))
@@ -69,6 +77,9 @@
 
 // speed is the rate at which work gets done, 1 at full speed.
 func (t *task) speed(slow float64) float64 {
+	if t.need.CPUMilli > 0 {
+		return float64(t.wanted()) / float64(t.need.CPUMilli) * t.share / slow
+	}
 	return float64(t.percent) / fullPercent / slow
 }
 
@@ -82,7 +93,7 @@
 // doneAt returns when the work will be done at the present speed; ok is false
 // for a task that runs until it is stopped.
 func (t *task) doneAt(slow float64) (at time.Time, ok bool) {
-	if t.endless || t.percent == 0 {
+	if t.endless || t.speed(slow) == 0 {
 		return time.Time{}, false
 	}
 	return t.countedAt.Add(time.Duration(float64(t.workLeft) / t.speed(slow))), true
@@ -117,6 +128,9 @@
 		Checkpoint: t.checkpoint,
 		Reason:     t.reason,
 	}
+	if t.percent < fullPercent {
+		info.CPUPercent = t.percent
+	}
 	if t.running() {
 		info.LeaseLeftMs = t.leaseEnd.Sub(now).Milliseconds()
 	}
--- a/internal/standin/workersvc/worker.go
+++ b/internal/standin/workersvc/worker.go
@@ -154,6 +154,8 @@
 		}
 		now := w.lock()
 		w.finish(now)
+		w.killForMemory(now)
+		w.contend(now)
 		w.report(now)
 		w.sweep()
 		next := w.nextDue(now)
@@ -196,8 +198,11 @@
 		if !t.running() || t.reportAt.IsZero() || now.Before(t.reportAt) {
 			continue
 		}
-		t.usage = t.payload.usage(t.start.Size, t.percent)
+		t.usage = t.use(now)
 		t.reportAt = time.Time{}
+		if t.growing(now) {
+			w.reportLater(t, now)
+		}
 		t.seq = w.seq + 1
 		shown = true
 	}
@@ -222,6 +227,9 @@
 		if done, ok := t.doneAt(w.faults.slow()); ok {
 			next = earlier(next, done)
 		}
+		if t.growing(now) {
+			next = earlier(next, now.Add(growStep))
+		}
 		if !t.reportAt.IsZero() {
 			next = earlier(next, t.reportAt)
 		}
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -109,10 +109,21 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// LeaseLeftMs is what is left of the lease in milliseconds.
 	LeaseLeftMs int64 `json:"lease_left_ms"`
+	// CPUPercent is the bound on the task's processor share; zero for none.
+	CPUPercent int `json:"cpu_percent,omitempty"`
 	// Reason says why the task ended.
 	Reason string `json:"reason,omitempty"`
 }
 
+// ReasonOutOfMemory is the reason of a failed task that was killed since its worker
+// had no memory left.
+const ReasonOutOfMemory = "out of memory"
+
+// OutOfMemory reports whether the task was killed since its worker had no memory left.
+func (t TaskInfo) OutOfMemory() bool {
+	return t.State == structs.AllocFailed && t.Reason == ReasonOutOfMemory
+}
+
 // Inventory is what a worker runs and the ended tasks not yet forgotten.
 type Inventory struct {
 	// Whole is true if Tasks holds all tasks, false if it holds those that changed
