--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -41,6 +41,12 @@
 }
 
 func newFailureTest(t testing.TB, entries int) *failureTest {
+	t.Helper()
+	return newCellTest(t, topology, entries, testBound, shortTiming)
+}
+
+// newCellTest runs a cell of a topology and gives up after a bound.
+func newCellTest(t testing.TB, topology string, entries int, bound time.Duration, adjust func(*settings.Entry)) *failureTest {
 	t.Helper()
 	top, err := standin.ParseTopology([]byte(topology))
 	if err != nil {
@@ -50,12 +56,12 @@
 	if os.Getenv("HITCH_TEST_LOGS") != "" {
 		logger = slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	}
-	cell, err := Start(Config{Topology: top, Regions: []string{"casa", "fes"}, Logger: logger, Adjust: shortTiming})
+	cell, err := Start(Config{Topology: top, Regions: []string{"casa", "fes"}, Logger: logger, Adjust: adjust})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(cell.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
 	f := &failureTest{t: t, ctx: ctx, cell: cell}
 	for range entries {
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -66,7 +66,7 @@
 type usage struct {
 	cpu, memory window
 	// guessed is what held-back tasks may want; it counts until enough were seen that
-	// were not. free counts those.
+	// got what they wanted at some time. free counts those.
 	guessed window
 	free    int64
 	// turn is when something was last learnt.
@@ -96,8 +96,9 @@
 	kind  Kind
 	peak  structs.Resources
 	since time.Time
-	// heldBack is set if the task may have wanted more processor than it got.
-	heldBack bool
+	// heldBack is set if the task may have wanted more processor than it got, free if
+	// at some time it certainly got what it wanted.
+	heldBack, free bool
 }
 
 // NewSizer returns a sizer that has learnt nothing.
@@ -120,6 +121,7 @@
 	t.peak.CPUMilli = max(t.peak.CPUMilli, used.CPUMilli)
 	t.peak.MemoryMiB = max(t.peak.MemoryMiB, used.MemoryMiB)
 	t.heldBack = t.heldBack || heldBack
+	t.free = t.free || !heldBack
 	if now.Sub(t.since) >= sampleEvery {
 		s.learn(t)
 		*t = sample{kind: kind, since: now}
@@ -159,15 +161,18 @@
 
 // learnProcessor adds a peak of processor. What a held-back task was seen to use follows
 // from what it was granted; taken as it is, it would lower the next grants, which hold
-// back more. So it never counts below the mean. As long as few tasks were seen that
-// were not held back, it is taken for half of what the task wants.
+// back more. So it never counts below the mean. As long as few tasks were ever seen to
+// get what they wanted, that of one which never did is taken for half of it.
 func (u *usage) learnProcessor(t *sample) {
-	switch {
-	case !t.heldBack:
+	known := u.free >= minTasks
+	if t.free {
 		u.free++
-		u.cpu.record(t.peak.CPUMilli)
-	case u.free >= minTasks:
+	}
+	switch {
+	case t.heldBack && known:
 		u.cpu.record(max(t.peak.CPUMilli, int64(u.cpu.moments().Mean)))
+	case t.free:
+		u.cpu.record(t.peak.CPUMilli)
 	default:
 		u.guessed.record(max(t.peak.CPUMilli*heldBackPercent/100, int64(u.processor().Mean)))
 	}
