Summaries of learnt sizes go out only while something is new

Cause: 2 kinds each 4 heartbeats were 384 B/s to 8 members (96 B a summary, ShareLearnt) also when nothing had changed; a node's budget is 4 KB/s. Change: kinds of which the samples have doubled since they were told, at once; all others in turn each 40 heartbeats, for members that joined since: 38 B/s.

--- a/internal/entry/sizing.go
+++ b/internal/entry/sizing.go
@@ -21,6 +21,8 @@
 	// hundreds of bytes a second.
 	shareBeats = 4
 	shareKinds = 2
+	// shareAllBeats is the same for summaries of kinds of which nothing is new.
+	shareAllBeats = 40
 )
 
 // grantOf is what the tasks of an order would be granted by this entry's own
@@ -76,7 +78,7 @@
 		return nil
 	}
 	var out []*peerv1.LearntUse
-	for _, u := range c.fleet.Sizes().Share(shareKinds) {
+	for _, u := range c.fleet.Sizes().Share(shareKinds, c.beat%shareAllBeats == 0) {
 		out = append(out, &peerv1.LearntUse{
 			Class:     u.Kind.Class,
 			Declared:  fromResources(u.Kind.Declared),
--- a/internal/scheduler/sizing/share.go
+++ b/internal/scheduler/sizing/share.go
@@ -19,13 +19,15 @@
 // may change.
 func (u *usage) news() bool { return u.samples() >= 2*max(u.sharedWhen.samples, 1) }
 
-// Share returns what was learnt here of up to limit kinds: first those of which much is
-// new, then the others in turn. What other members told is left out, so that nothing
-// counts twice.
-func (s *Sizer) Share(limit int) []Use {
+// Share returns what was learnt here of up to limit kinds of which much is new. With all
+// set the others follow in turn, for members that have not heard of them. What other
+// members told is left out, so that nothing counts twice.
+func (s *Sizer) Share(limit int, all bool) []Use {
 	kinds := make([]Kind, 0, len(s.kinds))
-	for kind := range s.kinds {
-		kinds = append(kinds, kind)
+	for kind, u := range s.kinds {
+		if all || u.news() {
+			kinds = append(kinds, kind)
+		}
 	}
 	slices.SortFunc(kinds, s.compareShares)
 	var out []Use
--- a/internal/scheduler/sizing/sizing_test.go
+++ b/internal/scheduler/sizing/sizing_test.go
@@ -163,8 +163,8 @@
 	teach(a, 0, 400)
 	teach(b, 100, 600)
 	for range 5 {
-		a.Told("b", b.Share(8))
-		b.Told("a", a.Share(8))
+		a.Told("b", b.Share(8, true))
+		b.Told("a", a.Share(8, true))
 	}
 	for name, s := range map[string]*Sizer{"a": a, "b": b} {
 		if u := s.use(kind).Processor; u.Count != minTasks || u.Mean != 500 || u.Deviation != 100 {
@@ -192,13 +192,19 @@
 	}
 	seen := map[Kind]bool{}
 	for range maxKinds / 8 {
-		for _, u := range s.Share(8) {
+		for _, u := range s.Share(8, false) {
 			seen[u.Kind] = true
 		}
 	}
 	if len(seen) != maxKinds {
 		t.Errorf("%d of %d kinds were told of in one turn", len(seen), maxKinds)
 	}
+	if again := s.Share(8, false); len(again) != 0 {
+		t.Errorf("%d kinds were told of again with nothing new", len(again))
+	}
+	if again := s.Share(8, true); len(again) != 8 {
+		t.Errorf("%d kinds were told of in turn, want 8", len(again))
+	}
 }
 
 func TestKillsRaiseGrantsBeforeTasksHaveEnded(t *testing.T) {
