--- a/internal/embedded/packing_test.go
+++ b/internal/embedded/packing_test.go
@@ -66,6 +66,17 @@
 	return classes
 }
 
+// newPackTest runs a cell of three entries.
+func newPackTest(t testing.TB, topology string, bound time.Duration, adjust func(*settings.Entry)) *failureTest {
+	t.Helper()
+	f := newAdjustedTest(t, topology, bound, adjust)
+	for range 3 {
+		f.startEntry()
+	}
+	f.configure()
+	return f
+}
+
 // submitLoad adds the classes and submits all jobs at once.
 func (f *failureTest) submitLoad(c *Caller, l packLoad, classes []packClass) []string {
 	f.t.Helper()
@@ -158,7 +169,7 @@
 // either way, through the death of an entry, so that workers change their owner with
 // learnt grants on them.
 func TestCellPacksByLearntSizes(t *testing.T) {
-	f := newCellTest(t, packTopology, 3, 2*testBound, shortTiming)
+	f := newPackTest(t, packTopology, 2*testBound, shortTiming)
 	load := packLoad{
 		seed: 26, classes: 5, jobs: 6, tasks: 20,
 		least: structs.Resources{CPUMilli: 100, MemoryMiB: 150},
@@ -230,7 +241,7 @@
 	classes := load.draw()
 	size := structs.Resources{CPUMilli: 24 * 16000, MemoryMiB: 24 * 64 << 10}
 	for b.Loop() {
-		f := newCellTest(b, packBenchTopology, 3, packBenchBound, adjust)
+		f := newPackTest(b, packBenchTopology, packBenchBound, adjust)
 		c := f.cell.NewCaller("caller")
 		began := time.Now()
 		f.complete(c, f.submitLoad(c, load, classes))
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -23,9 +23,19 @@
 	var after int64
 	for e.ctx.Err() == nil {
 		ctx, cancel := context.WithCancel(e.ctx)
-		e.do(func() { e.core.rereadList = cancel })
+		wait := listWait
+		e.do(func() {
+			e.core.rereadList = cancel
+			if e.core.listWhole {
+				e.core.listWhole = false
+				after = 0
+			}
+			if !e.core.listCurrent() {
+				wait = 0
+			}
+		})
 		start := time.Now()
-		list, err := e.list.Read(ctx, after, listWait)
+		list, err := e.list.Read(ctx, after, wait)
 		cut := ctx.Err() != nil
 		cancel()
 		if cut {
@@ -46,11 +56,25 @@
 	}
 }
 
+// knowsInstance reports whether an instance is a member or in the platform's list. It
+// is true as long as the list was not read.
+func (c *core) knowsInstance(id string) bool {
+	if _, ok := c.table.Table().Member(id); ok || c.listRead.IsZero() {
+		return true
+	}
+	_, entry := c.entryStates[id]
+	return entry || c.instances.has(id)
+}
+
+// listCurrent reports whether the list was read since the table changed: only then are
+// all workers known that the table gives to this entry.
+func (c *core) listCurrent() bool { return c.listRead.After(c.tableSince) }
+
 // takeList takes a newer version of the platform's list.
 func (c *core) takeList(list instancelist.List) {
 	now := time.Now()
 	for _, w := range list.Instances {
-		c.instances[w.ID] = w
+		c.instances.put(w, c.keepsRegion(w.Region))
 		c.fleet.Update(w)
 		c.applyLeaving(w.ID)
 	}
@@ -67,6 +91,21 @@
 	c.assignWorkers(now)
 }
 
+// keepsRegion reports whether this entry may own workers of a region: its own, and
+// one without members.
+func (c *core) keepsRegion(region string) bool {
+	return region == c.e.member.Region || (c.joined && !c.table.HasRegion(region))
+}
+
+// sortRegions drops what is known of the workers of regions that have members again,
+// and asks for the whole list if the workers of another region are to be kept.
+func (c *core) sortRegions() {
+	c.instances.drop(func(region string) bool { return !c.keepsRegion(region) })
+	if c.instances.lacks(c.keepsRegion) {
+		c.listWhole = true
+	}
+}
+
 // gone reports whether an instance certainly runs nothing any more: by the
 // platform's list, or by the operator's word.
 func (c *core) gone(w structs.Worker) bool {
@@ -92,19 +131,23 @@
 	if !c.joined {
 		return
 	}
-	for id, w := range c.instances {
-		owner, ok := c.table.OwnerOfWorker(w)
-		mine := ok && owner.ID == c.self()
-		held := c.fleet.Worker(id) != nil
-		switch {
-		case mine && !held:
+	for _, w := range c.fleet.Workers() {
+		if !c.ownsWorker(w.Info) {
+			c.loseWorker(w.Info.ID)
+		}
+	}
+	for id, w := range c.instances.kept {
+		if c.fleet.Worker(id) == nil && c.ownsWorker(w) {
 			c.gainWorker(w, now)
-		case !mine && held:
-			c.loseWorker(id)
 		}
 	}
 }
 
+func (c *core) ownsWorker(w structs.Worker) bool {
+	owner, ok := c.table.OwnerOfWorker(w)
+	return ok && owner.ID == c.self()
+}
+
 func (c *core) gainWorker(w structs.Worker, now time.Time) {
 	c.fleet.Gain(w, c.table.Epoch(), now)
 	c.applyLeaving(w.ID)
@@ -164,10 +207,11 @@
 	return w != nil && w.Epoch == epoch
 }
 
-// staleFence is called when a worker refused the epoch of this entry: another
-// owner has been there since. If the worker is still owned by the present table
-// it is gained anew under that epoch.
-func (c *core) staleFence(id string, epoch int64) (next int64, ok bool) {
+// staleFence is called when a worker's fence is not that of the epoch at which this
+// entry gained it. If the worker is still owned by the present table it is gained anew
+// under that epoch. A newer fence than the present table's is of an owner that this
+// entry has not read of yet.
+func (c *core) staleFence(id string, epoch int64, newer bool) (next int64, ok bool) {
 	if !c.holds(id, epoch) {
 		return 0, false
 	}
@@ -176,6 +220,9 @@
 		return c.table.Epoch(), true
 	}
 	c.fleet.Regain(id, epoch)
+	if newer {
+		c.fleet.Refused(id)
+	}
 	return epoch, true
 }
 
--- a/internal/integration/cell_test.go
+++ b/internal/integration/cell_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,6 +24,9 @@
 	"dotterelhitch/internal/timeline"
 )
 
+// topologyWorkers is the number of workers of the topology.
+const topologyWorkers = 6
+
 const topology = `
 [log]
 appends_per_second = 400
@@ -55,8 +59,8 @@
 region = %q
 domain = "%s-1"
 [listen]
-caller = "127.0.0.1:0"
-operator = "127.0.0.1:0"
+caller = %q
+operator = %q
 peer = %q
 %s
 metrics = "127.0.0.1:0"
@@ -72,6 +76,9 @@
 file = %q
 `
 
+// anyPort listens at a free port of the loopback interface.
+const anyPort = "127.0.0.1:0"
+
 // patience bounds every wait; no verdict depends on it.
 const patience = 30 * time.Second
 
@@ -83,11 +90,19 @@
 	entries   []*process
 	recorder  *event.Recorder
 	clock     *event.Clock
+	// bounds are those that the checker holds the run to.
+	bounds checker.Options
+}
+
+// running is a process that a test started; ended closes when it has ended.
+type running struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // process is an entry.
 type process struct {
-	cmd  *exec.Cmd
+	*running
 	addr entry.Addresses
 	name string
 }
@@ -95,7 +110,15 @@
 // startCell builds the programs and starts the stand-ins.
 func startCell(t *testing.T) *cell {
 	t.Helper()
-	c := &cell{t: t, dir: t.TempDir(), clock: new(event.Clock)}
+	c := startPrograms(t)
+	c.addresses = c.startNamed("standin", "all", "--topology", c.write("topology.toml", topology))
+	return c
+}
+
+// startPrograms builds the programs for a cell.
+func startPrograms(t *testing.T) *cell {
+	t.Helper()
+	c := &cell{t: t, dir: workDir(t), clock: new(event.Clock), bounds: checker.Options{LeavingBound: patience}}
 	build := exec.Command("go", "build", "-o", c.dir, "dotterelhitch/cmd/hitch-entry", "dotterelhitch/cmd/hitch-standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -106,10 +129,23 @@
 	}
 	t.Cleanup(func() { _ = own.Close() })
 	c.recorder = event.NewRecorder("caller", c.clock, own)
-	c.startStandin()
 	return c
 }
 
+// workDir is a directory for the run, kept within HITCH_TEST_DIR if that is set.
+func workDir(t *testing.T) string {
+	t.Helper()
+	keep := os.Getenv("HITCH_TEST_DIR")
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir, err := os.MkdirTemp(keep, t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
 // startEntries starts an entry in each region that is named.
 func (c *cell) startEntries(regions ...string) {
 	c.t.Helper()
@@ -129,7 +165,7 @@
 }
 
 // start runs a program until the test ends and waits for its address file.
-func (c *cell) start(addrFile string, out any, program string, args ...string) *exec.Cmd {
+func (c *cell) start(addrFile string, out any, program string, args ...string) *running {
 	c.t.Helper()
 	var stderr bytes.Buffer
 	cmd := exec.Command(filepath.Join(c.dir, program), args...)
@@ -137,10 +173,15 @@
 	if err := cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
+	r := &running{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		defer close(r.ended)
+		_ = cmd.Wait()
+	}()
 	c.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		<-r.ended
 		if c.t.Failed() && os.Getenv("HITCH_TEST_LOGS") != "" {
 			c.t.Logf("%s: %s", program, stderr.String())
 		}
@@ -149,25 +190,28 @@
 		b, err := os.ReadFile(addrFile)
 		return err == nil && json.Unmarshal(b, out) == nil
 	})
-	return cmd
+	return r
 }
 
 // startNamed starts a stand-in and returns its addresses by name.
 func (c *cell) startNamed(name string, args ...string) map[string]string {
+	c.t.Helper()
+	addresses, _ := c.startStandin(name, args...)
+	return addresses
+}
+
+// startStandin starts a stand-in and returns its addresses by name and its process.
+func (c *cell) startStandin(name string, args ...string) (map[string]string, *running) {
 	c.t.Helper()
 	var ready struct{ Addresses []standin.Address }
 	addrFile := filepath.Join(c.dir, name+".json")
 	args = append(args, "--addr-file", addrFile, "--events", c.events(name))
-	c.start(addrFile, &ready, "hitch-standin", args...)
+	r := c.start(addrFile, &ready, "hitch-standin", args...)
 	addresses := make(map[string]string)
 	for _, a := range ready.Addresses {
 		addresses[a.Name] = a.Addr
 	}
-	return addresses
-}
-
-func (c *cell) startStandin() {
-	c.addresses = c.startNamed("standin", "all", "--topology", c.write("topology.toml", topology))
+	return addresses, r
 }
 
 // relay starts a relay to the targets and returns their new addresses in order.
@@ -191,10 +235,11 @@
 	c.t.Helper()
 	list := instancelist.New(instancelist.Config{Base: "http://" + c.addresses[standin.ListName]})
 	var workers []structs.Worker
-	await(c.t, "the instance list has the workers", func() bool {
+	// The stand-in adds the workers group by group: a list may hold some of them.
+	await(c.t, "the instance list has every worker", func() bool {
 		got, err := list.Read(context.Background(), 0, 0)
 		workers = got.Instances
-		return err == nil && len(workers) > 0
+		return err == nil && len(workers) == topologyWorkers
 	})
 	var targets []string
 	for _, w := range workers {
@@ -217,28 +262,36 @@
 // entryPlace is where an entry stands and what it reaches.
 type entryPlace struct {
 	name, region      string
-	peer, far         string
 	logAddr, listAddr string
+	// caller, operator and peer are where it listens; empty for any free port.
+	caller, operator, peer string
+	// near and far are the addresses that it tells its peers, if not its own.
+	near, far string
 }
 
 func (c *cell) startEntry(name, region string) *process {
 	c.t.Helper()
 	return c.startEntryAt(entryPlace{
-		name: name, region: region, peer: "127.0.0.1:0",
+		name: name, region: region,
 		logAddr: c.addresses[standin.LogName], listAddr: c.addresses[standin.ListName],
 	})
 }
 
 func (c *cell) startEntryAt(at entryPlace) *process {
 	c.t.Helper()
-	name, far := at.name, ""
+	name, advertise := at.name, ""
+	if at.near != "" {
+		advertise += fmt.Sprintf("advertise_peer = %q\n", at.near)
+	}
 	if at.far != "" {
-		far = fmt.Sprintf("advertise_far = %q", at.far)
+		advertise += fmt.Sprintf("advertise_far = %q\n", at.far)
 	}
-	text := fmt.Sprintf(entrySettings, name, at.region, at.region, at.peer, far, at.logAddr, at.listAddr, c.events(name))
+	text := fmt.Sprintf(entrySettings, name, at.region, at.region,
+		cmp.Or(at.caller, anyPort), cmp.Or(at.operator, anyPort), cmp.Or(at.peer, anyPort),
+		advertise, at.logAddr, at.listAddr, c.events(name))
 	p := &process{name: name}
 	addrFile := filepath.Join(c.dir, name+".json")
-	p.cmd = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
+	p.running = c.start(addrFile, &p.addr, "hitch-entry", "--settings", c.write(name+".toml", text), "--addr-file", addrFile)
 	return p
 }
 
@@ -251,8 +304,8 @@
 	c.recorder.Record(event.Event{Type: event.Fault, Member: p.addr.Member, State: state})
 }
 
-// check reads every process's events and fails the test for each violation.
-func (c *cell) check() checker.Counts {
+// timeline reads every process's events.
+func (c *cell) timeline() []event.Event {
 	c.t.Helper()
 	paths, err := filepath.Glob(filepath.Join(c.dir, "*.jsonl"))
 	if err != nil {
@@ -262,7 +315,14 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	report := checker.Check(events, checker.Options{LeavingBound: patience})
+	return events
+}
+
+// check fails the test for each violation in the time line.
+func (c *cell) check() checker.Counts {
+	c.t.Helper()
+	events := c.timeline()
+	report := checker.Check(events, c.bounds)
 	for _, v := range report.Violations {
 		c.t.Errorf("%s: %s", v.Kind, v.Message)
 	}
