Tasks that never got what they wanted raise no grant; gangs are granted what they declare at most

The next gang, of the whole cell, was granted double and could never start. Change: only a task that got what it wanted at some time teaches processor before the mean is known; guesses are gone, and a class stays at what it declares until then. A gang's tasks are never granted above what they declare, since together they must fit.

--- a/internal/entry/sizing.go
+++ b/internal/entry/sizing.go
@@ -28,7 +28,7 @@
 // grantOf is what the tasks of an order would be granted by this entry's own
 // knowledge. The owners of workers decide; it tells which of them are worth asking.
 func (c *core) grantOf(order orchestrator.Order) structs.Resources {
-	return c.fleet.Grant(order.Job.Class, order.Job.Size, order.LeastMemoryMiB)
+	return c.fleet.Grant(order.Job.Class, order.Job.Kind, order.Job.Size, order.LeastMemoryMiB)
 }
 
 // guardWorkers throttles and checkpoints tasks on owned workers that are short.
--- a/internal/fleet/sizing.go
+++ b/internal/fleet/sizing.go
@@ -20,13 +20,18 @@
 func (f *Fleet) SetLearning(on bool) { f.learning = on }
 
 // Grant returns what a task of a class with a declared size would be granted here, and
-// at least an amount of memory as far as a worker has it.
-func (f *Fleet) Grant(class string, declared structs.Resources, leastMemoryMiB int64) structs.Resources {
+// at least an amount of memory as far as a worker has it. What the tasks of a gang
+// declare fits all at once, or the gang could never start; so they are granted no more.
+func (f *Fleet) Grant(class string, kind structs.Kind, declared structs.Resources, leastMemoryMiB int64) structs.Resources {
 	granted := declared
 	limit := f.nodes.Largest()
 	if f.learning {
 		granted = f.sizer.Grant(sizing.Kind{Class: class, Declared: declared}, limit)
 	}
+	if kind == structs.KindGang {
+		granted.CPUMilli = min(granted.CPUMilli, declared.CPUMilli)
+		granted.MemoryMiB = min(granted.MemoryMiB, declared.MemoryMiB)
+	}
 	granted.MemoryMiB = max(granted.MemoryMiB, min(leastMemoryMiB, limit.MemoryMiB))
 	if granted != declared && !f.nodes.EverFits(granted) {
 		return declared
@@ -36,7 +41,7 @@
 
 // sized returns the request with what its tasks are granted.
 func (f *Fleet) sized(r Request) Request {
-	r.Ask.Size = f.Grant(r.Ask.Class, r.Declared, r.LeastMemoryMiB)
+	r.Ask.Size = f.Grant(r.Ask.Class, r.Ask.Kind, r.Declared, r.LeastMemoryMiB)
 	return r
 }
 
--- a/internal/scheduler/sizing/share.go
+++ b/internal/scheduler/sizing/share.go
@@ -13,7 +13,7 @@
 }
 
 // samples is the number of samples of a kind.
-func (u *usage) samples() int64 { return u.processor().Count + u.memoryUse().Count }
+func (u *usage) samples() int64 { return u.cpu.moments().Count + u.memoryUse().Count }
 
 // news reports whether so much has come since a kind was last told of that grants
 // may change.
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -34,10 +34,8 @@
 	// minProcessorMilli and minMemoryMiB are the least grants.
 	minProcessorMilli = 10
 	minMemoryMiB      = 16
-	// heldBackPercent is what the peak of processor of a held-back task counts as
-	// while little else is known of its kind.
-	heldBackPercent = 200
-	// killedPercent is the same for the memory of a task that was killed for it.
+	// killedPercent is what the use of a task that was killed for memory counts as while
+	// little else is known of its kind.
 	killedPercent = 150
 	// maxKinds bounds the kinds of which something is kept.
 	maxKinds = 512
@@ -67,11 +65,8 @@
 // usage is the peaks of the tasks of a kind.
 type usage struct {
 	cpu, memory window
-	// guessed is what held-back tasks may want; it counts until enough were seen that
-	// got what they wanted at some time. free counts those.
-	guessed window
-	// killed is the same for the memory of tasks that were killed for it; whole counts
-	// those that were not.
+	// killed is what tasks that were killed for memory may need; it counts until enough
+	// were seen to their end. whole counts those.
 	killed window
 	whole  int64
 	// sharedWhen is the number of samples and the turn at which Share last told of the
@@ -182,29 +177,16 @@
 
 // learnProcessor adds a peak of processor. What a held-back task was seen to use follows
 // from what it was granted; taken as it is, it would lower the next grants, which hold
-// back more. So it never counts below the mean. As long as few tasks were ever seen to
-// get what they wanted, that of one which never did is taken for half of it.
+// back more. So it never counts below the mean. One that never got what it wanted tells
+// nothing while little is known of its kind.
 func (u *usage) learnProcessor(t *sample) {
-	known := u.free >= minTasks
-	if t.free {
-		u.free++
-	}
+	known := u.cpu.moments().Count >= minTasks
 	switch {
 	case t.heldBack && known:
 		u.cpu.record(max(t.peak.CPUMilli, int64(u.cpu.moments().Mean)))
 	case t.free:
 		u.cpu.record(t.peak.CPUMilli)
-	default:
-		u.guessed.record(max(t.peak.CPUMilli*heldBackPercent/100, int64(u.processor().Mean)))
-	}
-}
-
-// processor returns the moments of the peaks of processor.
-func (u *usage) processor() Moments {
-	if u.free >= minTasks {
-		return u.cpu.moments()
 	}
-	return u.cpu.moments().merge(u.guessed.moments())
 }
 
 // memoryUse returns the moments of the peaks of memory.
@@ -239,7 +221,7 @@
 	if u == nil {
 		return Use{Kind: kind}
 	}
-	return Use{Kind: kind, Processor: u.processor(), Memory: u.memoryUse()}
+	return Use{Kind: kind, Processor: u.cpu.moments(), Memory: u.memoryUse()}
 }
 
 // use returns what is known of a kind, here and from other members.
