--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -65,6 +65,8 @@
 	ends map[string][]state.TaskEnd
 	// nextReport is when owned runs are next looked over for reports.
 	nextReport time.Time
+	// nextGuard is when workers are next looked at for shortage.
+	nextGuard time.Time
 
 	peers map[string]*peerState
 	// beat counts heartbeats.
@@ -76,6 +78,8 @@
 	// heartbeat, and handing is that load.
 	handedOn string
 	handing  []*peerv1.PeerLoad
+	// learnt is the part of what was learnt here that this heartbeat tells.
+	learnt []*peerv1.LearntUse
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
@@ -148,6 +152,7 @@
 	}
 	c.quotas = newQuotas()
 	c.jobs.SetQuota(c.quotaShare)
+	c.fleet.SetLearning(e.settings.Packing.Learn)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
 }
@@ -160,6 +165,7 @@
 	c.syncEndpoints()
 	c.flushEnds()
 	c.report(now)
+	c.guardWorkers(now)
 	c.collect(now)
 	c.stopTasks(now)
 	c.schedule(now)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,6 +40,7 @@
 	c.chooseAppenders(now)
 	c.beat++
 	c.handing = c.handOn(now)
+	c.learnt = c.shareLearnt()
 	c.exchangeNear(all, now)
 	if c.beat%farHeartbeats == 0 {
 		c.exchangeFar(now)
@@ -55,6 +56,7 @@
 		}
 		req := c.heartbeatRequest()
 		req.Loads = c.handing
+		req.Learnt = c.learnt
 		c.answerAsk(req, c.peers[m.ID])
 		c.beginHeartbeat(m, req)
 	}
@@ -134,6 +136,7 @@
 	c.applyProbation()
 	p.roundTrip = smooth(p.roundTrip, took)
 	c.takeLoads(resp.Loads, time.Now())
+	c.takeLearnt(m.ID, resp.Learnt)
 	p.toAnswer = ask{number: resp.Ask, epoch: resp.Epoch}
 }
 
@@ -194,6 +197,7 @@
 		p.groupEpoch = r.GroupEpoch
 		p.probation = r.Probation
 		c.applyProbation()
+		c.takeLearnt(r.Member, r.Learnt)
 		c.heardMember(r.Member, r.Epoch, now)
 		c.heardGroup(r.Member, r.Epoch, r.GroupEpoch)
 		c.takeLoads(r.Loads, now)
@@ -208,6 +212,7 @@
 	resp.Probation = c.jobs.Probation()
 	if group, _ := c.table.GroupOfMember(c.self()); group.Has(r.Member) {
 		resp.Loads = c.handing
+		resp.Learnt = c.learnt
 	}
 	return resp
 }
