A gained job's ends are read from the log before its tasks count as free

The new owner's read of the jobs stream had hung in an outage of the log, so it did not know the end; the worker had forgotten the run, no inventory showed it, and the five tasks were placed again 11 ms after the change of the table: 5 violations, task_run_after_end. Ruled out: a lost end (the log had it 0.5 s before). The read that the entry had done to the stream's end lay before the change. Change: once the inventories are there, the stream is read to its end before a gained job's tasks count as free. A worker forgets a run only after its end is in the log, so whatever the inventory lacks for that reason is read then. While the log is out, such tasks wait. Besides, a record of acceptance that may lie before the change of the table no longer counts as a fresh job: it gets an inventory too.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -56,6 +56,8 @@
 	streams map[string]*jobStream
 	jobs    *orchestrator.Orchestrator
 	round   *round
+	// unread are gained jobs whose ends have not been read since an inventory.
+	unread map[string]bool
 	// seq numbers this member's placement and inventory calls.
 	seq int64
 	// barrier is the seq of the last inventory call of each member.
@@ -117,6 +119,7 @@
 		table:       ownership.NewMap(ownership.Table{}),
 		instances:   newInstances(),
 		rereadList:  func() {},
+		unread:      map[string]bool{},
 		entryStates: map[string]structs.WorkerState{},
 		fleet: fleet.New(fleet.Timing{
 			Lease:       t.Lease,
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -234,9 +234,63 @@
 		r.addAnswer(m, resp)
 	}
 	if len(r.open) == 0 {
-		c.jobs.Collected(r.collection, r.found, !r.incomplete)
-		c.nextSchedule = time.Time{}
+		c.closeRound(r)
+	}
+}
+
+// endsOfTasks stands for the log among the members that a round waits for.
+const endsOfTasks = "the log"
+
+// closeRound ends a round whose inventories are there. A run that none of them shows
+// may have ended under the job's former owner, which had the end in the log before any
+// worker forgot the run: so the log is read once more before a task of a job that was
+// gained counts as free.
+func (c *core) closeRound(r *round) {
+	groups := map[string]bool{}
+	for _, id := range r.collection.Jobs {
+		if c.unread[id] {
+			groups[structs.JobGroup(id)] = true
+		}
+	}
+	if r.incomplete || len(groups) == 0 {
+		c.decideRound(r)
+		return
+	}
+	r.open[endsOfTasks] = true
+	c.e.spawn(func() { c.e.readEnds(r, groups) })
+}
+
+// readEnds reads the ends of tasks that the log holds by now.
+func (e *Entry) readEnds(r *round, groups map[string]bool) {
+	var err error
+	for group := range groups {
+		if err == nil {
+			err = e.refreshJobs(e.ctx, group)
+		}
 	}
+	e.post(func() { e.core.endsRead(r, err) })
+}
+
+func (c *core) endsRead(r *round, err error) {
+	if c.round != r || r.epoch != c.table.Epoch() {
+		return
+	}
+	clear(r.open)
+	if err != nil {
+		r.incomplete = true
+		r.reason = "the ends of tasks are not read: " + err.Error()
+	}
+	for _, id := range r.collection.Jobs {
+		if err == nil {
+			delete(c.unread, id)
+		}
+	}
+	c.decideRound(r)
+}
+
+func (c *core) decideRound(r *round) {
+	c.jobs.Collected(r.collection, r.found, !r.incomplete)
+	c.nextSchedule = time.Time{}
 }
 
 func (r *round) addAnswer(m structs.Member, resp *peerv1.InventoryResponse) {
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -24,6 +24,8 @@
 	appender atomic.Pointer[structs.Member]
 	cancel   context.CancelFunc
 	caughtUp bool
+	// tailAt is when the latest read that reached the end of the stream began.
+	tailAt time.Time
 	// over are the jobs that the record at overAt was seen to end.
 	over   map[string]bool
 	overAt int64
@@ -123,6 +125,9 @@
 			c.noteJobs(s, result)
 		}
 	}
+	if p.Tail && p.Start.After(s.tailAt) {
+		s.tailAt = p.Start
+	}
 	if p.Tail && !s.caughtUp {
 		s.caughtUp = true
 		c.assignJobs()
@@ -184,11 +189,16 @@
 		Class: j.Job.Class,
 		Count: j.Job.Count,
 	})
-	c.gainJob(j, true)
+	// A record that was there before the table changed may have had another owner.
+	c.gainJob(j, s.tailAt.After(c.tableSince))
 	c.nextSchedule = time.Time{}
 }
 
+// gainJob takes over a job; fresh says that no other owner can have placed a task of it.
 func (c *core) gainJob(j *state.Job, fresh bool) {
+	if !fresh && !c.jobs.Owns(j.Job.ID) {
+		c.unread[j.Job.ID] = true
+	}
 	class, _ := c.control.Class(j.Job.Class)
 	c.jobs.Gain(j, class, fresh)
 }
@@ -257,6 +267,7 @@
 			switch {
 			case !c.ownsJob(id):
 				c.jobs.Drop(id)
+				delete(c.unread, id)
 			case !j.Ended():
 				c.gainJob(j, false)
 			}
@@ -327,6 +338,7 @@
 	for _, id := range c.jobs.Finished() {
 		if _, j := c.jobRecord(id); j == nil || j.Ended() {
 			c.jobs.Drop(id)
+			delete(c.unread, id)
 			delete(c.waitingGangs, id)
 			delete(c.stopped, id)
 		}
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"log/slog"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"dotterelhitch/internal/caller"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/settings"
 	"dotterelhitch/internal/standin"
 	"dotterelhitch/internal/standin/relay"
@@ -31,6 +33,8 @@
 	t       *testing.T
 	cell    *standin.Cell
 	entries []*Entry
+	// runs counts the tasks that workers have begun.
+	runs atomic.Int64
 }
 
 func newTestCell(t *testing.T, entries int) *testCell {
@@ -39,12 +43,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cell, err := standin.Start(topology, standin.Options{})
+	c := &testCell{t: t}
+	c.cell, err = standin.Start(topology, standin.Options{OnEvent: func(e event.Event) {
+		if e.Type == event.TaskRun {
+			c.runs.Add(1)
+		}
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(cell.Close)
-	c := &testCell{t: t, cell: cell}
+	t.Cleanup(c.cell.Close)
 	for range entries {
 		c.start()
 	}
