--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceInventoryProcedure = "/dotterelhitch.peer.v1.PeerService/Inventory"
 	// PeerServiceReportProcedure is the fully-qualified name of the PeerService's Report RPC.
 	PeerServiceReportProcedure = "/dotterelhitch.peer.v1.PeerService/Report"
+	// PeerServiceSubmitJobProcedure is the fully-qualified name of the PeerService's SubmitJob RPC.
+	PeerServiceSubmitJobProcedure = "/dotterelhitch.peer.v1.PeerService/SubmitJob"
 	// PeerServiceAppendProcedure is the fully-qualified name of the PeerService's Append RPC.
 	PeerServiceAppendProcedure = "/dotterelhitch.peer.v1.PeerService/Append"
 	// PeerServiceCancelJobsProcedure is the fully-qualified name of the PeerService's CancelJobs RPC.
@@ -93,6 +95,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// SubmitJob accepts a job into a stream that the asked member reads.
+	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// Append has the callee append changes of the caller to a jobs stream.
 	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
@@ -178,6 +182,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		submitJob: connect.NewClient[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse](
+			httpClient,
+			baseURL+PeerServiceSubmitJobProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
+			connect.WithClientOptions(opts...),
+		),
 		append: connect.NewClient[peerv1.AppendRequest, peerv1.AppendResponse](
 			httpClient,
 			baseURL+PeerServiceAppendProcedure,
@@ -246,6 +256,7 @@
 	stop         *connect.Client[peerv1.StopRequest, peerv1.StopResponse]
 	inventory    *connect.Client[peerv1.InventoryRequest, peerv1.InventoryResponse]
 	report       *connect.Client[peerv1.ReportRequest, peerv1.ReportResponse]
+	submitJob    *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
 	append       *connect.Client[peerv1.AppendRequest, peerv1.AppendResponse]
 	cancelJobs   *connect.Client[peerv1.CancelJobsRequest, peerv1.CancelJobsResponse]
 	jobStatus    *connect.Client[peerv1.JobStatusRequest, peerv1.JobStatusResponse]
@@ -338,6 +349,15 @@
 	return nil, err
 }
 
+// SubmitJob calls dotterelhitch.peer.v1.PeerService.SubmitJob.
+func (c *peerServiceClient) SubmitJob(ctx context.Context, req *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	response, err := c.submitJob.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Append calls dotterelhitch.peer.v1.PeerService.Append.
 func (c *peerServiceClient) Append(ctx context.Context, req *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
 	response, err := c.append.CallUnary(ctx, connect.NewRequest(req))
@@ -439,6 +459,8 @@
 	Inventory(context.Context, *peerv1.InventoryRequest) (*peerv1.InventoryResponse, error)
 	// Report tells a job's owner what became of tasks.
 	Report(context.Context, *peerv1.ReportRequest) (*peerv1.ReportResponse, error)
+	// SubmitJob accepts a job into a stream that the asked member reads.
+	SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error)
 	// Append has the callee append changes of the caller to a jobs stream.
 	Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error)
 	// CancelJobs cancels jobs of the callee's group.
@@ -520,6 +542,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSubmitJobHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceSubmitJobProcedure,
+		svc.SubmitJob,
+		connect.WithSchema(peerServiceMethods.ByName("SubmitJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceAppendHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceAppendProcedure,
 		svc.Append,
@@ -594,6 +622,8 @@
 			peerServiceInventoryHandler.ServeHTTP(w, r)
 		case PeerServiceReportProcedure:
 			peerServiceReportHandler.ServeHTTP(w, r)
+		case PeerServiceSubmitJobProcedure:
+			peerServiceSubmitJobHandler.ServeHTTP(w, r)
 		case PeerServiceAppendProcedure:
 			peerServiceAppendHandler.ServeHTTP(w, r)
 		case PeerServiceCancelJobsProcedure:
@@ -657,6 +687,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Report is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) SubmitJob(context.Context, *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.SubmitJob is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Append(context.Context, *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.peer.v1.PeerService.Append is not implemented"))
 }
