A given-up attempt at a peer does not cost a connection

Cause: after load over the link forwarded requests cost 4.4 KB/s there although none was under way. Each second attempt that lost its race was cancelled, its call counted as failed, and the peer's connection was replaced; the old one stayed, and was probed, until it was closed as idle after 90 s.

Change: only a call that failed while its caller still waited replaces the connection.

--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"dotterelhitch/internal/caller"
 	"dotterelhitch/internal/dispatch"
 	"dotterelhitch/internal/endpoint"
@@ -149,7 +151,10 @@
 	if structs.CodeOf(typed) != structs.CodeUnknown {
 		return nil, &dispatch.NotSentError{Cause: typed}
 	}
-	t.pool.Reset(m)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// An attempt that was given up says nothing of its connection.
+		t.pool.Reset(m)
+	}
 	return nil, typed
 }
 
