--- a/internal/embedded/cancel_test.go
+++ b/internal/embedded/cancel_test.go
@@ -12,13 +12,7 @@
 // its ID through an entry of the other region.
 func TestCancellationsReachEveryGroup(t *testing.T) {
 	f := newFailureTest(t, 2)
-	far, err := f.cell.StartEntry("fes", "fes-1")
-	f.must(err)
-	f.must(f.cell.AwaitReady(f.ctx))
-	f.await("the class at the far entry", func() bool {
-		_, ok := far.Class("reconcile")
-		return ok
-	})
+	far := f.startFarEntry()
 	near := f.cell.Live()[0]
 	submit := func(e *Entry, key string) string {
 		client := &caller.Client{Base: "http://" + e.CallerAddr()}
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -123,6 +123,19 @@
 	return e
 }
 
+// startFarEntry starts an entry in the other region and waits until it has the classes.
+func (f *failureTest) startFarEntry() *Entry {
+	f.t.Helper()
+	far, err := f.cell.StartEntry("fes", "fes-1")
+	f.must(err)
+	f.must(f.cell.AwaitReady(f.ctx))
+	f.await("the class at the far entry", func() bool {
+		_, ok := far.Class("reconcile")
+		return ok
+	})
+	return far
+}
+
 func (f *failureTest) must(err error) {
 	f.t.Helper()
 	if err != nil {
--- a/internal/embedded/jobkey_test.go
+++ b/internal/embedded/jobkey_test.go
@@ -14,13 +14,7 @@
 // under one key.
 func TestOneJobForOneKey(t *testing.T) {
 	f := newFailureTest(t, 2)
-	far, err := f.cell.StartEntry("fes", "fes-1")
-	f.must(err)
-	f.must(f.cell.AwaitReady(f.ctx))
-	f.await("the class at the far entry", func() bool {
-		_, ok := far.Class("reconcile")
-		return ok
-	})
+	far := f.startFarEntry()
 	submit := func(e *Entry, key string) string {
 		client := &caller.Client{Base: "http://" + e.CallerAddr()}
 		id, err := client.SubmitJob(f.ctx, structs.Job{
--- a/internal/embedded/quota_test.go
+++ b/internal/embedded/quota_test.go
@@ -49,16 +49,11 @@
 // region too, they start before the first ones are done.
 func TestQuotaFollowsDemand(t *testing.T) {
 	f := newFailureTest(t, 3)
-	far, err := f.cell.StartEntry("fes", "fes-1")
-	f.must(err)
-	f.must(f.cell.AwaitReady(f.ctx))
+	far := f.startFarEntry()
 	limit := structs.Resources{CPUMilli: 4000, MemoryMiB: 64 << 10}
-	_, err = f.cell.Operator().SetQuota(f.ctx, structs.Quota{Team: "audit", Limit: limit}, 0)
+	_, err := f.cell.Operator().SetQuota(f.ctx, structs.Quota{Team: "audit", Limit: limit}, 0)
 	f.must(err)
-	f.await("quota and class at the far entry", func() bool {
-		_, ok := far.Class("reconcile")
-		return ok && f.quotaSeen(far)
-	})
+	f.await("the quota at the far entry", func() bool { return f.quotaSeen(far) })
 	near := f.cell.Live()[0]
 	submit := func(e *Entry, tasks int) string {
 		client := &caller.Client{Base: "http://" + e.CallerAddr()}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -64,19 +64,12 @@
 // cancelIn cancels the selected jobs of one group: here if this entry reads its
 // stream, else through a member that does.
 func (e *Entry) cancelIn(ctx context.Context, group string, f structs.JobFilter, changeID string) (int, error) {
-	var here bool
-	var members []structs.Member
-	e.do(func() {
-		here = e.core.streams[group] != nil
-		if g, ok := e.core.table.GroupOfJobs(group); ok {
-			members = g.Members
-		}
-	})
+	here, others := e.readersOf(group)
 	if here {
 		return e.cancelHere(ctx, group, f, changeID)
 	}
 	err := structs.NewError(structs.CodeUnavailable, "no member of group %q answers", group)
-	for _, m := range members {
+	for _, m := range others {
 		var n int
 		if n, err = e.cancelAt(ctx, m, group, f, changeID); err == nil {
 			return n, nil
--- a/internal/entry/refresh.go
+++ b/internal/entry/refresh.go
@@ -33,6 +33,22 @@
 	})
 }
 
+// readersOf reports whether this entry has read a jobs stream to its end, and returns
+// the other members that follow it.
+func (e *Entry) readersOf(group string) (here bool, others []structs.Member) {
+	e.do(func() {
+		s, _ := e.core.readJobs(group)
+		here = s != nil
+		g, _ := e.core.table.GroupOfJobs(group)
+		for _, m := range g.Members {
+			if m.ID != e.member.ID {
+				others = append(others, m)
+			}
+		}
+	})
+	return here, others
+}
+
 // readJobs returns a jobs stream that was read to its end once, and the offset to
 // read next; nil if there is none.
 func (c *core) readJobs(group string) (*jobStream, int64) {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -179,23 +179,12 @@
 // submitTo accepts a job into the stream of a group: here if this entry reads it,
 // else through a member that does.
 func (e *Entry) submitTo(ctx context.Context, group string, j structs.Job, changeID string) (string, error) {
-	var here bool
-	var members []structs.Member
-	e.do(func() {
-		s, _ := e.core.readJobs(group)
-		here = s != nil
-		if g, ok := e.core.table.GroupOfJobs(group); ok {
-			members = g.Members
-		}
-	})
+	here, others := e.readersOf(group)
 	if here {
 		return e.submitHere(ctx, group, j, changeID)
 	}
 	err := structs.NewError(structs.CodeUnavailable, "the change ID belongs to group %q, of which no member answers", group)
-	for _, m := range members {
-		if m.ID == e.member.ID {
-			continue
-		}
+	for _, m := range others {
 		id, asked := e.submitAt(ctx, m, group, j, changeID)
 		if asked == nil {
 			return id, nil
