--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -52,6 +52,12 @@
 
 // newCellTest starts the stand-ins of a cell without entries.
 func newCellTest(t testing.TB, topology string, bound time.Duration) *failureTest {
+	t.Helper()
+	return newAdjustedTest(t, topology, bound, shortTiming)
+}
+
+// newAdjustedTest is newCellTest with other settings of the entries.
+func newAdjustedTest(t testing.TB, topology string, bound time.Duration, adjust func(*settings.Entry)) *failureTest {
 	t.Helper()
 	top, err := standin.ParseTopology([]byte(topology))
 	if err != nil {
@@ -61,7 +67,7 @@
 	if os.Getenv("HITCH_TEST_LOGS") != "" {
 		logger = slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	}
-	cell, err := Start(Config{Topology: top, Regions: []string{"casa", "fes"}, Logger: logger, Adjust: shortTiming})
+	cell, err := Start(Config{Topology: top, Regions: []string{"casa", "fes"}, Logger: logger, Adjust: adjust})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -67,6 +67,8 @@
 	ends map[string][]state.TaskEnd
 	// nextReport is when owned runs are next looked over for reports.
 	nextReport time.Time
+	// nextGuard is when workers are next looked at for shortage.
+	nextGuard time.Time
 
 	peers map[string]*peerState
 	// beat counts heartbeats.
@@ -74,14 +76,20 @@
 	// directMembers is the size up to which all members of a cell exchange
 	// heartbeats.
 	directMembers int
-	// handedOn is the member outside the group whose load was handed on last.
+	// handedOn is the member outside the group whose load is handed on with this
+	// heartbeat, and handing is that load.
 	handedOn string
+	handing  []*peerv1.PeerLoad
+	// learnt is the part of what was learnt here that this heartbeat tells.
+	learnt []*peerv1.LearntUse
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
 	// waitingGangs are the splits of gangs for which workers are held.
 	waitingGangs map[string][]gang.Part
 
+	quotas *quotas
+
 	nextSchedule time.Time
 	alarms       map[structs.Code]string
 }
@@ -108,6 +116,9 @@
 	// roundTrip is a smoothed time of an exchange.
 	roundTrip time.Duration
 	busy      bool
+	// asked is this entry's last ask to the member, toAnswer the member's last ask.
+	asked    ask
+	toAnswer ask
 }
 
 func newCore(e *Entry) *core {
@@ -142,7 +153,9 @@
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
+	c.quotas = newQuotas()
 	c.jobs.SetQuota(c.quotaShare)
+	c.fleet.SetLearning(e.settings.Packing.Learn)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
 	return c
 }
@@ -155,9 +168,11 @@
 	c.syncEndpoints()
 	c.flushEnds()
 	c.report(now)
+	c.guardWorkers(now)
 	c.collect(now)
 	c.stopTasks(now)
 	c.schedule(now)
+	c.askQuotas(now)
 	c.parkJobs()
 	c.dropFinished()
 	c.takeSnapshots(now)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -96,6 +96,8 @@
 		c.noteMembers(r)
 	case state.ClassSet, state.QuotaSet:
 		c.noteConfig(r)
+	case state.QuotaMove:
+		c.nextSchedule = time.Time{}
 	case state.LeavingAdd, state.LeavingDrop:
 		c.noteConfig(r)
 		c.noteLeaving(r)
@@ -171,7 +173,7 @@
 		c.jobs.Recheck()
 	}
 	c.round = nil
-	c.exchange()
+	c.exchange(true)
 	c.transferKeys(now)
 	c.rereadList()
 }
@@ -213,6 +215,7 @@
 		if !c.control.HasMember(id) {
 			delete(c.peers, id)
 			delete(c.barrier, id)
+			c.fleet.Sizes().ForgetMember(id)
 		}
 	}
 	now := time.Now()
--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -8,7 +8,7 @@
 // than each. So a grant is the mean of the peaks plus a number of standard deviations
 // divided by the square root of the number of such tasks that fill a worker: the
 // normal form of effective bandwidth (Guerin, Ahmadi and Naghshineh, 1991). A task that
-// fills a worker alone is granted a high quantile of its own.
+// fills a worker alone is granted nearly the most that was seen.
 package sizing
 
 import (
@@ -34,38 +34,99 @@
 	// minProcessorMilli and minMemoryMiB are the least grants.
 	minProcessorMilli = 10
 	minMemoryMiB      = 16
+	// killedPercent is what the use of a task that was killed for memory counts as while
+	// little else is known of its kind.
+	killedPercent = 150
+	// maxKinds bounds the kinds of which something is kept.
+	maxKinds = 512
 )
 
-// Sizer learns the sizes of classes.
+// Kind names tasks that are taken as one population: those of a class that declare
+// the same size.
+type Kind struct {
+	Class    string
+	Declared structs.Resources
+}
+
+// Use is what the tasks of a kind were seen to use.
+type Use struct {
+	Kind      Kind
+	Processor Moments
+	Memory    Moments
+}
+
+// merge returns what both tell together.
+func (u Use) merge(o Use) Use {
+	u.Processor = u.Processor.merge(o.Processor)
+	u.Memory = u.Memory.merge(o.Memory)
+	return u
+}
+
+// usage is the peaks of the tasks of a kind.
+type usage struct {
+	cpu, memory window
+	// killed is what tasks that were killed for memory may need; it counts until enough
+	// were seen to their end. whole counts those.
+	killed window
+	whole  int64
+	// sharedWhen is the number of samples and the turn at which Share last told of the
+	// kind.
+	sharedWhen shareMark
+	free       int64
+	// turn is when something was last learnt.
+	turn int64
+}
+
+// told is what another member told of a kind, and when.
+type told struct {
+	use  Use
+	turn int64
+}
+
+// Sizer learns the sizes of kinds.
 type Sizer struct {
-	classes map[string]*usage
-	tasks   map[structs.TaskID]*sample
+	kinds map[Kind]*usage
+	tasks map[structs.TaskID]*sample
+	// others is what other members have seen, by member.
+	others map[string]map[Kind]told
+	// turn counts what was learnt and told.
+	turn int64
 }
 
 // sample is the peak of a task that still runs.
 type sample struct {
-	class string
+	kind  Kind
 	peak  structs.Resources
 	since time.Time
+	// heldBack is set if the task may have wanted more processor than it got, free if
+	// at some time it certainly got what it wanted.
+	heldBack, free bool
 }
 
 // NewSizer returns a sizer that has learnt nothing.
 func NewSizer() *Sizer {
-	return &Sizer{classes: make(map[string]*usage), tasks: make(map[structs.TaskID]*sample)}
+	return &Sizer{
+		kinds:  make(map[Kind]*usage),
+		tasks:  make(map[structs.TaskID]*sample),
+		others: make(map[string]map[Kind]told),
+	}
 }
 
-// Report takes what a running task was last seen to use.
-func (s *Sizer) Report(now time.Time, class string, task structs.TaskID, used structs.Resources) {
+// Report takes what a running task was last seen to use. heldBack says that it was
+// throttled or that its worker had no processor left, so that it may want more.
+func (s *Sizer) Report(now time.Time, kind Kind, task structs.TaskID, used structs.Resources, heldBack bool) {
 	t := s.tasks[task]
 	if t == nil {
-		t = &sample{class: class, since: now}
+		t = &sample{kind: kind, since: now}
 		s.tasks[task] = t
 	}
 	t.peak.CPUMilli = max(t.peak.CPUMilli, used.CPUMilli)
 	t.peak.MemoryMiB = max(t.peak.MemoryMiB, used.MemoryMiB)
+	t.heldBack = t.heldBack || heldBack
+	t.free = t.free || !heldBack
 	if now.Sub(t.since) >= sampleEvery {
 		s.learn(t)
-		*t = sample{class: class, since: now}
+		*t = sample{kind: kind, since: now}
 	}
 }
 
@@ -82,41 +143,108 @@
 	}
 }
 
-// learn adds a peak to its class. A task of which no use was reported, such as one
+// learn adds a peak to its kind. A task of which no use was reported, such as one
 // that ended within the lag of the reports, teaches nothing.
 func (s *Sizer) learn(t *sample) {
 	if t.peak.IsZero() {
 		return
 	}
-	u := s.classes[t.class]
+	u := s.usageOf(t.kind)
+	u.learnProcessor(t)
+	u.whole++
+	u.memory.record(t.peak.MemoryMiB)
+}
+
+// Killed ends a task that was killed for memory, of which a use was seen. It tells that
+// the kind needs more before any of its tasks has ended.
+func (s *Sizer) Killed(kind Kind, task structs.TaskID, used structs.Resources) {
+	delete(s.tasks, task)
+	s.usageOf(kind).killed.record(used.MemoryMiB * killedPercent / 100)
+}
+
+// usageOf returns what is kept of a kind of which something is learnt now.
+func (s *Sizer) usageOf(kind Kind) *usage {
+	u := s.kinds[kind]
 	if u == nil {
-		u = &usage{cpu: newWindow(), memory: newWindow()}
-		s.classes[t.class] = u
+		dropOldest(s.kinds, func(u *usage) int64 { return u.turn })
+		u = &usage{}
+		s.kinds[kind] = u
+	}
+	s.turn++
+	u.turn = s.turn
+	return u
+}
+
+// learnProcessor adds a peak of processor. What a held-back task was seen to use follows
+// from what it was granted; taken as it is, it would lower the next grants, which hold
+// back more. So it never counts below the mean. One that never got what it wanted tells
+// nothing while little is known of its kind.
+func (u *usage) learnProcessor(t *sample) {
+	known := u.cpu.moments().Count >= minTasks
+	switch {
+	case t.heldBack && known:
+		u.cpu.record(max(t.peak.CPUMilli, int64(u.cpu.moments().Mean)))
+	case t.free:
+		u.cpu.record(t.peak.CPUMilli)
 	}
-	u.cpu.record(t.peak.CPUMilli)
-	u.memory.record(t.peak.MemoryMiB)
 }
 
-// Grant returns what the next task of a class is granted: the learnt size once
+// memoryUse returns the moments of the peaks of memory.
+func (u *usage) memoryUse() Moments {
+	if u.whole >= minTasks {
+		return u.memory.moments()
+	}
+	return u.memory.moments().merge(u.killed.moments())
+}
+
+// Grant returns what the next task of a kind is granted: the learnt size once
 // enough tasks were seen, the declared size before. Accelerators are granted as
 // declared. A learnt grant never exceeds limit, the size of the largest worker.
-func (s *Sizer) Grant(class string, declared, limit structs.Resources) structs.Resources {
-	u := s.classes[class]
-	if u == nil || u.cpu.count() < minTasks {
-		return declared
+func (s *Sizer) Grant(kind Kind, limit structs.Resources) structs.Resources {
+	u := s.use(kind)
+	granted := kind.Declared
+	if u.Processor.Count >= minTasks {
+		granted.CPUMilli = u.Processor.grant(processorDeviations, minProcessorMilli, limit.CPUMilli)
+	}
+	if u.Memory.Count >= minTasks {
+		granted.MemoryMiB = u.Memory.grant(memoryDeviations, minMemoryMiB, limit.MemoryMiB)
 	}
-	return structs.Resources{
-		CPUMilli:     u.cpu.grant(processorDeviations, minProcessorMilli, limit.CPUMilli),
-		MemoryMiB:    u.memory.grant(memoryDeviations, minMemoryMiB, limit.MemoryMiB),
-		Accelerators: declared.Accelerators,
+	return granted
+}
+
+// Learnt reports whether grants of a kind are learnt.
+func (s *Sizer) Learnt(kind Kind) bool { return s.use(kind).Processor.Count >= minTasks }
+
+// own returns what was learnt here of a kind.
+func (s *Sizer) own(kind Kind) Use {
+	u := s.kinds[kind]
+	if u == nil {
+		return Use{Kind: kind}
 	}
+	return Use{Kind: kind, Processor: u.cpu.moments(), Memory: u.memoryUse()}
 }
 
-// Learnt reports whether grants of a class are learnt.
-func (s *Sizer) Learnt(class string) bool {
-	u := s.classes[class]
-	return u != nil && u.cpu.count() >= minTasks
+// use returns what is known of a kind, here and from other members.
+func (s *Sizer) use(kind Kind) Use {
+	u := s.own(kind)
+	for _, list := range s.others {
+		u = u.merge(list[kind].use)
+	}
+	return u
 }
 
 // ForgetClass drops what was learnt of a class that no longer exists.
-func (s *Sizer) ForgetClass(class string) { delete(s.classes, class) }
+func (s *Sizer) ForgetClass(class string) {
+	for kind := range s.kinds {
+		if kind.Class == class {
+			delete(s.kinds, kind)
+		}
+	}
+	for _, list := range s.others {
+		for kind := range list {
+			if kind.Class == class {
+				delete(list, kind)
+			}
+		}
+	}
+}
--- a/internal/scheduler/sizing/sizing_test.go
+++ b/internal/scheduler/sizing/sizing_test.go
@@ -19,25 +19,26 @@
 	s := NewSizer()
 	rng := rand.New(rand.NewPCG(1, 1))
 	declared := structs.Resources{CPUMilli: 4000, MemoryMiB: 8000, Accelerators: 1}
+	kind := Kind{"c", declared}
 	limit := amount(16000, 64000)
 	for i := range 200 {
-		if i == minTasks-1 && s.Grant("c", declared, limit) != declared {
+		if i == minTasks-1 && s.Grant(kind, limit) != declared {
 			t.Fatal("learnt from too few tasks")
 		}
 		task := structs.NewTaskID("j", i)
 		for range 3 {
-			s.Report(start, "c", task, amount(800+rng.Int64N(200), 1500+rng.Int64N(500)))
+			s.Report(start, kind, task, amount(800+rng.Int64N(200), 1500+rng.Int64N(500)), false)
 		}
 		s.Ended(task, true)
 	}
-	got := s.Grant("c", declared, limit)
+	got := s.Grant(kind, limit)
 	if got.CPUMilli < 900 || got.CPUMilli > 1100 || got.MemoryMiB < 1850 || got.MemoryMiB > 2200 || got.Accelerators != 1 {
 		t.Errorf("grant %+v", got)
 	}
-	if got := s.Grant("c", declared, amount(500, 600)); got.CPUMilli != 500 || got.MemoryMiB != 600 {
+	if got := s.Grant(kind, amount(500, 600)); got.CPUMilli != 500 || got.MemoryMiB != 600 {
 		t.Errorf("grant %+v passes the largest worker", got)
 	}
-	if got := s.Grant("other", declared, limit); got != declared {
+	if got := s.Grant(Kind{"other", declared}, limit); got != declared {
 		t.Errorf("grant of an unknown class %+v", got)
 	}
 }
@@ -46,12 +47,12 @@
 	s := NewSizer()
 	for i := range 100 {
 		task := structs.NewTaskID("j", i)
-		s.Report(start, "c", task, amount(1, 1))
+		s.Report(start, Kind{Class: "c"}, task, amount(1, 1), false)
 		s.Ended(task, false)
-		s.Report(start, "c", task, amount(0, 0))
+		s.Report(start, Kind{Class: "c"}, task, amount(0, 0), false)
 		s.Ended(task, true)
 	}
-	if s.Learnt("c") || len(s.tasks) != 0 {
+	if s.Learnt(Kind{Class: "c"}) || len(s.tasks) != 0 {
 		t.Error("learnt from tasks that were cut short or not reported")
 	}
 }
@@ -60,10 +61,10 @@
 	s := NewSizer()
 	for h := range 3 {
 		for i := range minTasks {
-			s.Report(start.Add(time.Duration(h)*time.Hour), "svc", structs.NewTaskID("s", i), amount(100, 200))
+			s.Report(start.Add(time.Duration(h)*time.Hour), Kind{Class: "svc"}, structs.NewTaskID("s", i), amount(100, 200), false)
 		}
 	}
-	if !s.Learnt("svc") {
+	if !s.Learnt(Kind{Class: "svc"}) {
 		t.Error("services never end and taught nothing")
 	}
 }
@@ -84,7 +85,7 @@
 		want  string
 	}{
 		"calm":      {[]TaskUse{use("a", amount(1000, 1000), amount(900, 900))}, "[]"},
-		"processor": {[]TaskUse{use("a", amount(8000, 1), amount(12000, 1)), use("b", amount(8000, 1), amount(4000, 1))}, "[{1 a 0 100}]"},
+		"processor": {[]TaskUse{use("a", amount(8000, 1), amount(12000, 1)), use("b", amount(8000, 1), amount(4000, 1))}, "[{1 a 0 99}]"},
 		"lifted":    {[]TaskUse{throttled}, "[{2 throttled 0 0}]"},
 		"memory takes the overuser": {
 			[]TaskUse{service, patient, use("greedy", amount(1, 1000), amount(1, 20000))}, "[{3 greedy 0 0}]",
@@ -122,3 +123,124 @@
 		t.Errorf("excess %d MiB, want 30", got)
 	}
 }
+
+// TestGrantsDoNotFeedBack lets tasks that are held back to their grants be learnt from,
+// generation after generation. By that no grant may fall, and none may rise: a class that
+// uses just what it declares fills its workers, and must fit them again.
+func TestGrantsDoNotFeedBack(t *testing.T) {
+	const want = 1000
+	limit := amount(16000, 64000)
+	for _, declared := range []int64{want / 5, want, want * 5} {
+		kind := Kind{"c", amount(declared, 100)}
+		s := NewSizer()
+		teach := func(i int, heldBack bool) {
+			used := int64(want)
+			if heldBack {
+				used = min(s.Grant(kind, limit).CPUMilli, want)
+			}
+			task := structs.NewTaskID("j", i)
+			s.Report(start, kind, task, amount(used, 100), heldBack)
+			s.Ended(task, true)
+		}
+		for i := range 400 {
+			teach(i, true)
+		}
+		if got := s.Grant(kind, limit).CPUMilli; got != declared {
+			t.Errorf("declared %d: granted %d by tasks that were held back", declared, got)
+		}
+		for i := range minTasks {
+			teach(1000+i, false)
+		}
+		for i := range 3000 {
+			teach(2000+i, true)
+		}
+		if got := s.Grant(kind, limit).CPUMilli; got != want {
+			t.Errorf("declared %d: granted %d, want %d as free tasks used", declared, got, want)
+		}
+	}
+}
+
+func TestWhatMembersTellCountsOnce(t *testing.T) {
+	limit := amount(16000, 64000)
+	kind := Kind{"c", amount(5000, 5000)}
+	teach := func(s *Sizer, from, cpu int64) {
+		for i := range minTasks / 2 {
+			task := structs.NewTaskID("j", int(from)+i)
+			s.Report(start, kind, task, amount(cpu, 100), false)
+			s.Ended(task, true)
+		}
+	}
+	a, b := NewSizer(), NewSizer()
+	teach(a, 0, 400)
+	teach(b, 100, 600)
+	for range 5 {
+		a.Told("b", b.Share(8, true))
+		b.Told("a", a.Share(8, true))
+	}
+	for name, s := range map[string]*Sizer{"a": a, "b": b} {
+		if u := s.use(kind).Processor; u.Count != minTasks || u.Mean != 500 || u.Deviation != 100 {
+			t.Errorf("%s knows %+v, want %d tasks of 500 and 100", name, u, minTasks)
+		}
+	}
+	if a.Grant(kind, limit) != b.Grant(kind, limit) || !a.Learnt(kind) {
+		t.Error("the members grant unlike sizes")
+	}
+	a.ForgetMember("b")
+	if a.Learnt(kind) {
+		t.Error("a member that is no more still counts")
+	}
+}
+
+func TestShareTakesTurnsAndKindsAreBounded(t *testing.T) {
+	s := NewSizer()
+	for i := range maxKinds + 5 {
+		task := structs.NewTaskID("j", i)
+		s.Report(start, Kind{"c", amount(int64(i+1), 1)}, task, amount(1, 1), false)
+		s.Ended(task, true)
+	}
+	if len(s.kinds) != maxKinds || s.kinds[Kind{"c", amount(5, 1)}] != nil {
+		t.Errorf("%d kinds are kept, want the latest %d", len(s.kinds), maxKinds)
+	}
+	seen := map[Kind]bool{}
+	for range maxKinds / 8 {
+		for _, u := range s.Share(8, false) {
+			seen[u.Kind] = true
+		}
+	}
+	if len(seen) != maxKinds {
+		t.Errorf("%d of %d kinds were told of in one turn", len(seen), maxKinds)
+	}
+	if again := s.Share(8, false); len(again) != 0 {
+		t.Errorf("%d kinds were told of again with nothing new", len(again))
+	}
+	if again := s.Share(8, true); len(again) != 8 {
+		t.Errorf("%d kinds were told of in turn, want 8", len(again))
+	}
+}
+
+func TestKillsRaiseGrantsBeforeTasksHaveEnded(t *testing.T) {
+	s := NewSizer()
+	kind := Kind{"c", amount(500, 900)}
+	limit := amount(16000, 64000)
+	end := func(i int, used int64, killed bool) {
+		task := structs.NewTaskID("j", i)
+		s.Report(start, kind, task, amount(400, used), false)
+		if killed {
+			s.Killed(kind, task, amount(400, used))
+			return
+		}
+		s.Ended(task, true)
+	}
+	for i := range minTasks {
+		end(i, 2000, true)
+	}
+	if got := s.Grant(kind, limit); got != amount(500, 3000) {
+		t.Errorf("granted %+v after %d kills at 2000 MiB, want 3000 MiB", got, minTasks)
+	}
+	for i := range minTasks {
+		end(100+i, 2500, false)
+	}
+	if got := s.Grant(kind, limit); got != amount(400, 2500) {
+		t.Errorf("granted %+v, want 2500 MiB as tasks that ended used", got)
+	}
+}
