No group of fewer than five members where a region has several

At the target a group of one decides for 140 workers, and has no quorum after its death. Ruled out by a trial (217 members, 300 joins and removals): weights by group size (workers would move between groups that did not consent); no slack in the groups' room (not tried: each join would shift a chain of members). Change: a group of fewer than five takes members from the largest groups, each time the one for which it ranks highest.

--- a/internal/ownership/group.go
+++ b/internal/ownership/group.go
@@ -18,6 +18,10 @@
 	// groupSlack is how far a group may pass the mean before members go to
 	// their next choice.
 	groupSlack = 1
+	// MinGroup is the least number of members of a group in a region that has
+	// several. It keeps a quorum through two deaths, and its share of the workers
+	// stays near that of others.
+	MinGroup = 5
 )
 
 // Group is the set of members that decide for the same workers, jobs and keys.
@@ -85,9 +89,44 @@
 		i := choose(hashName(m.ID), groups, hashes, room)
 		groups[i].Members = append(groups[i].Members, m)
 	}
+	if count > 1 {
+		fillUp(groups, hashes)
+	}
 	return slices.DeleteFunc(groups, func(g Group) bool { return len(g.Members) == 0 })
 }
 
+// fillUp moves members from the largest groups to those that have too few: each time
+// the one for which the small group ranks highest.
+func fillUp(groups []Group, hashes []uint64) {
+	for i := range groups {
+		for len(groups[i].Members) < MinGroup {
+			from, at := spare(groups, hashes[i])
+			m := groups[from].Members[at]
+			groups[from].Members = slices.Delete(groups[from].Members, at, at+1)
+			groups[i].Members = append(groups[i].Members, m)
+		}
+		slices.SortFunc(groups[i].Members, func(a, b structs.Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// spare returns the member of the largest groups for which a group of the given hash
+// ranks highest, as the index of its group and that in the group.
+func spare(groups []Group, hash uint64) (group, member int) {
+	largest := slices.MaxFunc(groups, func(a, b Group) int { return cmp.Compare(len(a.Members), len(b.Members)) })
+	best := uint64(0)
+	for i, g := range groups {
+		if len(g.Members) < len(largest.Members) {
+			continue
+		}
+		for j, m := range g.Members {
+			if s := score(hash, hashName(m.ID)); s >= best {
+				group, member, best = i, j, s
+			}
+		}
+	}
+	return group, member
+}
+
 // choose returns the index of the highest ranked group with room.
 func choose(member uint64, groups []Group, hashes []uint64, room int) int {
 	best := -1
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"dotterelhitch/internal/structs"
@@ -230,3 +231,27 @@
 		}
 	}
 }
+
+// TestGroupsAreNeitherSmallNorLarge cuts regions of each size into groups.
+func TestGroupsAreNeitherSmallNorLarge(t *testing.T) {
+	var members []structs.Member
+	for n := 1; n <= 300; n++ {
+		members = append(members, structs.Member{ID: fmt.Sprintf("casa-%x", n*2654435761), Region: "casa"})
+		groups := Groups(Table{Members: slices.Clone(members)})
+		total := 0
+		for _, g := range groups {
+			size := len(g.Members)
+			total += size
+			if size > MaxGroup || len(groups) > 1 && size < MinGroup {
+				t.Fatalf("%d members: group %s has %d", n, g.Name, size)
+			}
+			sorted := slices.IsSortedFunc(g.Members, func(a, b structs.Member) int { return strings.Compare(a.ID, b.ID) })
+			if !sorted {
+				t.Fatalf("%d members: group %s is not in order", n, g.Name)
+			}
+		}
+		if total != n {
+			t.Fatalf("%d members, %d in groups", n, total)
+		}
+	}
+}
