--- a/internal/scheduler/sizing/sizing.go
+++ b/internal/scheduler/sizing/sizing.go
@@ -72,7 +72,6 @@
 	// sharedWhen is the number of samples and the turn at which Share last told of the
 	// kind.
 	sharedWhen shareMark
-	free       int64
 	// turn is when something was last learnt.
 	turn int64
 }
