--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -56,6 +56,8 @@
 	streams map[string]*jobStream
 	jobs    *orchestrator.Orchestrator
 	round   *round
+	// unread are gained jobs whose ends have not been read since an inventory.
+	unread map[string]bool
 	// seq numbers this member's placement and inventory calls.
 	seq int64
 	// barrier is the seq of the last inventory call of each member.
@@ -74,14 +76,20 @@
 	// directMembers is the size up to which all members of a cell exchange
 	// heartbeats.
 	directMembers int
-	// handedOn is the member outside the group whose load was handed on last.
+	// handedOn is the member outside the group whose load is handed on with this
+	// heartbeat, and handing is that load.
 	handedOn string
+	handing  []*peerv1.PeerLoad
+	// learnt is the part of what was learnt here that this heartbeat tells.
+	learnt []*peerv1.LearntUse
 	// waiters wait for the fold's result of a change.
 	waiters map[string][]chan state.Result
 
 	// waitingGangs are the splits of gangs for which workers are held.
 	waitingGangs map[string][]gang.Part
 
+	quotas *quotas
+
 	nextSchedule time.Time
 	alarms       map[structs.Code]string
 }
@@ -108,6 +116,9 @@
 	// roundTrip is a smoothed time of an exchange.
 	roundTrip time.Duration
 	busy      bool
+	// asked is this entry's last ask to the member, toAnswer the member's last ask.
+	asked    ask
+	toAnswer ask
 }
 
 func newCore(e *Entry) *core {
@@ -119,6 +130,7 @@
 		table:       ownership.NewMap(ownership.Table{}),
 		instances:   newInstances(),
 		rereadList:  func() {},
+		unread:      map[string]bool{},
 		entryStates: map[string]structs.WorkerState{},
 		fleet: fleet.New(fleet.Timing{
 			Lease:       t.Lease,
@@ -141,6 +153,7 @@
 		transferring: map[string]bool{},
 		waitingGangs: map[string][]gang.Part{},
 	}
+	c.quotas = newQuotas()
 	c.jobs.SetQuota(c.quotaShare)
 	c.fleet.SetLearning(e.settings.Packing.Learn)
 	c.keys = keyhome.NewStore(e.member.ID, keyhome.DefaultLimits(e.authorityConfig()), keyRights{c: c})
@@ -159,6 +172,7 @@
 	c.collect(now)
 	c.stopTasks(now)
 	c.schedule(now)
+	c.askQuotas(now)
 	c.parkJobs()
 	c.dropFinished()
 	c.takeSnapshots(now)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"dotterelhitch/internal/structs"
@@ -208,3 +209,49 @@
 		}
 	}
 }
+
+// TestOneOfTwoCalls checks that of each pair in a group exactly one makes the calls,
+// and that no member makes more than half of its own, rounded up.
+func TestOneOfTwoCalls(t *testing.T) {
+	for n := 1; n <= MaxGroup; n++ {
+		g := Groups(table(map[string]int{"casa": n}))[0]
+		for _, a := range g.Members {
+			made := 0
+			for _, b := range g.Members {
+				if a.ID != b.ID && g.Calls(a.ID, b.ID) == g.Calls(b.ID, a.ID) {
+					t.Errorf("%d members: %s and %s call both or not at all", n, a.ID, b.ID)
+				}
+				if g.Calls(a.ID, b.ID) {
+					made++
+				}
+			}
+			if made > n/2 {
+				t.Errorf("%d members: %s makes %d calls", n, a.ID, made)
+			}
+		}
+	}
+}
+
+// TestGroupsAreNeitherSmallNorLarge cuts regions of each size into groups.
+func TestGroupsAreNeitherSmallNorLarge(t *testing.T) {
+	var members []structs.Member
+	for n := 1; n <= 300; n++ {
+		members = append(members, structs.Member{ID: fmt.Sprintf("casa-%x", n*2654435761), Region: "casa"})
+		groups := Groups(Table{Members: slices.Clone(members)})
+		total := 0
+		for _, g := range groups {
+			size := len(g.Members)
+			total += size
+			if size > MaxGroup || len(groups) > 1 && size < MinGroup {
+				t.Fatalf("%d members: group %s has %d", n, g.Name, size)
+			}
+			sorted := slices.IsSortedFunc(g.Members, func(a, b structs.Member) int { return strings.Compare(a.ID, b.ID) })
+			if !sorted {
+				t.Fatalf("%d members: group %s is not in order", n, g.Name)
+			}
+		}
+		if total != n {
+			t.Fatalf("%d members, %d in groups", n, total)
+		}
+	}
+}
