Without fencing a new owner waits for the former one before it gives work

Ruled out: gaining the worker anew after the wait (renewals stop while the inventory's long poll lasts, so that leases could end). Change: a gained worker gets no work before the authority of every former owner has ended (Handover.GrantsLapse) and an inventory begun after that was read. Leases are renewed meanwhile.

--- a/internal/authority/handover.go
+++ b/internal/authority/handover.go
@@ -110,6 +110,12 @@
 	return h.lapse(h.cfg.Lease+h.cfg.Margin, owner)
 }
 
+// GrantsLapse says when old owners of a worker can't give it work any more. That matters
+// only where a worker does not refuse an old owner itself.
+func (h *Handover) GrantsLapse(owner func(*ownership.Map) string) Lapse {
+	return h.lapse(0, owner)
+}
+
 // lapse returns the latest time over all steps, with extra added to each.
 func (h *Handover) lapse(extra time.Duration, owner func(*ownership.Map) string) Lapse {
 	var total Lapse
--- a/internal/embedded/fencing_test.go
+++ b/internal/embedded/fencing_test.go
@@ -17,6 +17,56 @@
 	})
 }
 
+// startUnfenced starts an entry that counts on no fence at the workers.
+func (f *failureTest) startUnfenced(adjust func(*settings.Entry)) *Entry {
+	f.t.Helper()
+	f.cell.cfg.Adjust = func(s *settings.Entry) {
+		adjust(s)
+		s.WorkerFencing = false
+	}
+	return f.startEntry()
+}
+
+// TestNewOwnerWaitsForTheFormerOne kills an owner of workers that refuse no old epoch.
+// The new owner can't know that it is dead, so it gives no work to them before the
+// authority of the former one has certainly ended.
+func TestNewOwnerWaitsForTheFormerOne(t *testing.T) {
+	f := newCellTest(t, topology, testBound)
+	for range 3 {
+		f.startUnfenced(shortTiming)
+	}
+	f.configure()
+	c := f.cell.NewCaller("caller")
+	ids := f.submit(c, "reconcile", 10, 40, 300*time.Millisecond)
+	f.await("some tasks run", func() bool { return f.count(event.TaskRun) > 100 })
+	former := f.cell.Live()[0]
+	owned := map[string]bool{}
+	for _, e := range f.cell.Events() {
+		if e.Type == event.WorkerGained {
+			owned[e.Worker] = e.Member == former.Member().ID
+		}
+	}
+	former.Kill()
+	f.complete(c, ids)
+	var settings settings.Entry
+	shortTiming(&settings)
+	var removed time.Time
+	for _, e := range f.cell.Events() {
+		at := time.UnixMicro(e.Time.Micros)
+		switch {
+		case e.Type == event.MemberRemoved && e.Member == former.Member().ID && removed.IsZero():
+			removed = at
+		case e.Type == event.TaskRun && owned[e.Worker] && !removed.IsZero() && at.Sub(removed) < settings.Timing.Authority:
+			t.Errorf("%s began on %s %v after the removal of its former owner, whose authority lasts %v",
+				e.Task, e.Worker, at.Sub(removed), settings.Timing.Authority)
+		}
+	}
+	if removed.IsZero() {
+		t.Error("the dead member was not removed")
+	}
+	f.check()
+}
+
 // TestWorkersThatRefuseNoOldEpoch runs a cell whose workers obey every owner, under
 // more work than they hold, while a member is cut off from the log, another joins and
 // dies, and a worker is paused past its leases.
@@ -28,13 +78,7 @@
 		f.must(w.Change(workersvc.Change{AcceptStale: &accept}))
 	}
 	link, throughLink := f.relayPlatform()
-	start := func(adjust func(*settings.Entry)) *Entry {
-		f.cell.cfg.Adjust = func(s *settings.Entry) {
-			adjust(s)
-			s.WorkerFencing = false
-		}
-		return f.startEntry()
-	}
+	start := f.startUnfenced
 	start(throughLink)
 	start(shortTiming)
 	start(shortTiming)
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -165,6 +165,7 @@
 	c.noteAuthority(now)
 	c.noteLog(now)
 	c.lapse(now)
+	c.awaitFormer(now)
 	c.syncEndpoints()
 	c.flushEnds()
 	c.report(now)
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -150,6 +150,7 @@
 
 func (c *core) gainWorker(w structs.Worker, now time.Time) {
 	c.fleet.Gain(w, c.table.Epoch(), now)
+	c.fleet.Nodes().SetFlag(w.ID, scheduler.FlagFormer, !c.e.settings.WorkerFencing)
 	c.applyLeaving(w.ID)
 	if c.gone(w) {
 		return
@@ -190,14 +191,42 @@
 	}
 }
 
+// awaitFormer lets work go to gained workers once their former owners can give them none
+// and an inventory has shown what those gave. Workers that refuse a former owner
+// themselves need no wait.
+func (c *core) awaitFormer(now time.Time) {
+	if c.e.settings.WorkerFencing {
+		return
+	}
+	changed := false
+	for _, w := range c.fleet.Workers() {
+		id := w.Info.ID
+		if !c.fleet.Nodes().Node(id).Has(scheduler.FlagFormer) {
+			continue
+		}
+		lapse := c.rights.handover.GrantsLapse(ownerOf(w.Info))
+		if lapse.Over(now) && w.Shown.After(lapse.At) {
+			c.fleet.Nodes().SetFlag(id, scheduler.FlagFormer, false)
+			changed = true
+		}
+	}
+	if changed {
+		c.syncEndpoints()
+	}
+}
+
+// ownerOf returns the function that names a worker's owner under a table.
+func ownerOf(w structs.Worker) func(*ownership.Map) string {
+	return func(m *ownership.Map) string {
+		owner, _ := m.OwnerOfWorker(w)
+		return owner.ID
+	}
+}
+
 // formerLapsed reports whether the leases that former owners of a worker may have
 // renewed had certainly ended at the given time.
 func (c *core) formerLapsed(w structs.Worker, proven time.Time) bool {
-	lapse := c.rights.handover.TasksLapse(func(m *ownership.Map) string {
-		owner, _ := m.OwnerOfWorker(w)
-		return owner.ID
-	})
-	return lapse.Over(proven)
+	return c.rights.handover.TasksLapse(ownerOf(w)).Over(proven)
 }
 
 // holds reports whether a worker is still owned under the epoch that an agent
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -19,6 +19,7 @@
 		return
 	}
 	f.Heard(id, start, now)
+	w.Shown = start
 	w.Boot = inv.Boot
 	w.Draining = inv.Draining
 	f.nodes.SetFlag(id, scheduler.FlagDraining, inv.Draining)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -18,6 +18,9 @@
 	// Draining is what the worker says of itself.
 	Draining bool
 
+	// Shown is the start of the last inventory call that the worker answered.
+	Shown time.Time
+
 	// heard is the start of the last call that the worker answered.
 	heard time.Time
 	// answered is when its last answer arrived. The answer bears a reading of
--- a/internal/scheduler/flag.go
+++ b/internal/scheduler/flag.go
@@ -16,7 +16,9 @@
 	FlagProbation
 	// FlagUnreachable is set while calls to the worker fail.
 	FlagUnreachable
+	// FlagFormer is set while a former owner may still give work to the worker.
+	FlagFormer
 )
 
 // blocking are the flags of which any one keeps new work away.
-const blocking = FlagLeaving | FlagDraining | FlagProbation | FlagUnreachable
+const blocking = FlagLeaving | FlagDraining | FlagProbation | FlagUnreachable | FlagFormer
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -68,7 +68,7 @@
 func TestFlagsKeepWorkAwayWithReasons(t *testing.T) {
 	for flag, want := range map[Flag]Reason{
 		FlagLeaving: ReasonLeaving, FlagDraining: ReasonDraining,
-		FlagProbation: ReasonProbation, FlagUnreachable: ReasonUnreachable,
+		FlagProbation: ReasonProbation, FlagFormer: ReasonFormer, FlagUnreachable: ReasonUnreachable,
 	} {
 		s := cell(3)
 		for _, n := range s.Nodes() {
--- a/internal/scheduler/reason.go
+++ b/internal/scheduler/reason.go
@@ -19,6 +19,7 @@
 	ReasonLeaving      Reason = "leaving"
 	ReasonDraining     Reason = "draining"
 	ReasonProbation    Reason = "probation"
+	ReasonFormer       Reason = "former_owner"
 	ReasonTooSmall     Reason = "worker_too_small"
 	ReasonAvoided      Reason = "task_failed_there"
 	ReasonHeld         Reason = "held_for_another_job"
@@ -94,6 +95,8 @@
 		return ReasonDraining
 	case n.Has(FlagProbation):
 		return ReasonProbation
+	case n.Has(FlagFormer):
+		return ReasonFormer
 	case !n.Usable():
 		return ReasonLeaving
 	}
--- a/internal/standin/workersvc/use_test.go
+++ b/internal/standin/workersvc/use_test.go
@@ -10,10 +10,7 @@
 
 // withMemory is withWorker with a worker of 4 cores and 1,000 MiB.
 func withMemory(t *testing.T, f func(h *harness)) {
-	withWorker(t, func(h *harness) {
-		h.cfg.Worker.Size.MemoryMiB = 1000
-		f(h)
-	})
+	withSize(t, structs.Resources{CPUMilli: 4000, MemoryMiB: 1000}, f)
 }
 
 func TestTrueUseDoesNotDependOnTheGrant(t *testing.T) {
--- a/internal/standin/workersvc/worker_test.go
+++ b/internal/standin/workersvc/worker_test.go
@@ -25,12 +25,17 @@
 
 // withWorker runs f in virtual time with a new worker of two slots.
 func withWorker(t *testing.T, f func(h *harness)) {
+	withSize(t, structs.Resources{CPUMilli: 4000}, f)
+}
+
+// withSize is withWorker with a worker of a size.
+func withSize(t *testing.T, size structs.Resources, f func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &harness{t: t}
 		recorder := event.NewRecorder("w1", &event.Clock{}, nil)
 		recorder.OnEvent(func(e event.Event) { h.events = append(h.events, e) })
 		h.Worker = New(Config{
-			Worker:      structs.Worker{ID: "w1", Slots: 2, Size: structs.Resources{CPUMilli: 4000}},
+			Worker:      structs.Worker{ID: "w1", Slots: 2, Size: size},
 			Recorder:    recorder,
 			ServiceTime: 10 * time.Millisecond,
 			UsageLag:    200 * time.Millisecond,
