hitch status tells of targets that will be missed, before they are

Cause (read-through): the forecast of late classes had no caller; a class showed as late only once its tasks had waited past the target. Change: a job owner forecasts by the rate of starts over the last 30 s, its tasks taken in the order of their latest start. Forecast is a function of what waits, not of the Queue, which the entries do not use. TestLateIsToldBeforeTheTargetIsMissed: 70 wait, a minute is left at one start a second: 10 are told as expected to be late; before, nothing.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -234,6 +234,22 @@
 	}
 }
 
+// lateClasses tells what of a class is late, and what will be.
+func lateClasses(w scheduler.LateWork) []structs.LateClass {
+	var out []structs.LateClass
+	if w.Missed > 0 {
+		out = append(out, structs.LateClass{Class: w.Class, Work: w.Missed, Reason: "tasks wait past their target"})
+	}
+	if w.Expected > 0 {
+		out = append(out, structs.LateClass{
+			Class:  w.Class,
+			Work:   w.Expected,
+			Reason: "tasks will start after their target at the present rate of starts",
+		})
+	}
+	return out
+}
+
 // status is this entry's view of itself.
 func (c *core) status(now time.Time) structs.EntryStatus {
 	group, _ := c.table.GroupOfMember(c.self())
@@ -252,8 +268,8 @@
 	for _, w := range c.fleet.Workers() {
 		s.Workers = append(s.Workers, c.workerStatus(w.Info.ID, now))
 	}
-	for class, n := range c.jobs.Late(now) {
-		s.Late = append(s.Late, structs.LateClass{Class: class, Work: n, Reason: "tasks wait past the start target"})
+	for _, late := range c.jobs.Late(now) {
+		s.Late = append(s.Late, lateClasses(late)...)
 	}
 	for code, detail := range c.alarms {
 		s.Alarms = append(s.Alarms, string(code)+": "+detail)
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/scheduler/admission"
 	"dotterelhitch/internal/scheduler/health"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
@@ -32,15 +33,22 @@
 	// short are the needs that quotas left unmet since Shortages was called.
 	short map[Series]structs.Resources
 
+	// starts is the rate of task starts.
+	starts admission.Rate
+
 	attention attention
 }
 
+// startsWindow is the time over which the rate of starts is taken.
+const startsWindow = 30 * time.Second
+
 // New returns an orchestrator that owns nothing.
 func New() *Orchestrator {
 	return &Orchestrator{
 		jobs:      map[string]*job{},
 		health:    health.NewTracker(),
 		short:     map[Series]structs.Resources{},
+		starts:    admission.NewRate(startsWindow),
 		attention: newAttention(),
 	}
 }
@@ -156,15 +164,16 @@
 	return j.status(now), true
 }
 
-// Late counts the tasks of each class that wait past their target.
-func (o *Orchestrator) Late(now time.Time) map[string]int {
-	late := map[string]int{}
+// Late returns the classes of which tasks wait past their target, or will by the rate
+// at which tasks have started of late.
+func (o *Orchestrator) Late(now time.Time) []scheduler.LateWork {
+	var waiting []scheduler.Waiting
 	for _, j := range o.jobs {
-		if j.count[pending] > 0 && !j.over() && now.After(j.due) {
-			late[j.spec.Class] += j.count[pending]
+		if j.count[pending] > 0 && !j.over() {
+			waiting = append(waiting, scheduler.Waiting{Class: j.spec.Class, Tasks: j.count[pending], LatestStart: j.due})
 		}
 	}
-	return late
+	return scheduler.Forecast(waiting, now, o.starts.PerSecond(now))
 }
 
 // Due returns placements to ask for now, the least slack first, at most limit
@@ -227,6 +236,7 @@
 	if j == nil {
 		return
 	}
+	o.starts.Add(now, len(done))
 	for _, r := range done {
 		if j.settlePlacing(r, placed) {
 			j.noteRan(r.Index, now)
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("status %+v: want 2 cancelled, 1 running, none pending", s)
 	}
 }
+
+// TestLateIsToldBeforeTheTargetIsMissed has 30 of 100 tasks start at once: one a second
+// over the window of the rate, while 70 have a minute left.
+func TestLateIsToldBeforeTheTargetIsMissed(t *testing.T) {
+	o := newJobs(structs.KindBatch, 100, true)
+	order := o.Due(now, 30)[0]
+	o.Placed(order, on("w1", order.Tasks), nil, nil, now)
+	late := o.Late(now)
+	if len(late) != 1 || late[0].Missed != 0 || late[0].Expected != 10 {
+		t.Errorf("late %+v, want 10 expected of 70 that wait, at 1 a second for %v", late, DefaultStartWithin)
+	}
+	if late := o.Late(now.Add(2 * time.Minute)); len(late) != 1 || late[0].Missed != 70 {
+		t.Errorf("late %+v, want 70 missed", late)
+	}
+}
--- a/internal/scheduler/admission/controller.go
+++ b/internal/scheduler/admission/controller.go
@@ -160,7 +160,7 @@
 func (c *Controller) line(class string) *line {
 	l := c.class[class]
 	if l == nil {
-		l = &line{class: class, service: NewServiceTime(), admit: 1, recent: Rate{window: recentWindow}}
+		l = &line{class: class, service: NewServiceTime(), admit: 1, recent: NewRate(recentWindow)}
 		c.class[class] = l
 		c.lines = append(c.lines, l)
 	}
--- a/internal/scheduler/admission/rate.go
+++ b/internal/scheduler/admission/rate.go
@@ -17,6 +17,9 @@
 	window time.Duration
 }
 
+// NewRate returns a rate of the given time constant.
+func NewRate(window time.Duration) Rate { return Rate{window: window} }
+
 // Add counts n events at a time that never goes back.
 func (r *Rate) Add(now time.Time, n int) {
 	r.decay(now)
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+// Waiting is the waiting tasks of one job.
+type Waiting struct {
+	Class string
+	Tasks int
+	// LatestStart is when they have to start to meet the class's target.
+	LatestStart time.Time
+}
+
 // LateWork is the waiting tasks of a class that have missed its target or will.
 type LateWork struct {
 	Class string
@@ -16,24 +24,24 @@
 	Expected int
 }
 
-// Forecast reports the classes whose targets are missed or will be, if tasks go on
-// to start at a rate a second in the queue's order. Without a rate it reports only
-// what is missed already. It sorts the whole queue.
-func (q *Queue) Forecast(now time.Time, startsPerSecond float64) []LateWork {
+// Forecast reports the classes whose targets are missed or will be, ordered by class,
+// if tasks go on to start at a rate a second in the order of their latest start.
+// Without a rate it reports only what is missed already. It sorts the list given.
+func Forecast(waiting []Waiting, now time.Time, startsPerSecond float64) []LateWork {
+	slices.SortFunc(waiting, func(a, b Waiting) int { return a.LatestStart.Compare(b.LatestStart) })
 	late := make(map[string]*LateWork)
 	ahead := 0
-	for _, e := range q.inOrder() {
-		w := LateWork{Class: e.Class}
+	for _, w := range waiting {
+		slack := w.LatestStart.Sub(now)
 		switch {
-		case e.Slack(now) < 0:
-			w.Missed = e.Pending
+		case slack < 0:
+			lateOf(late, w.Class).Missed += w.Tasks
 		case startsPerSecond > 0:
-			inTime := int(e.Slack(now).Seconds()*startsPerSecond) - ahead
-			w.Expected = max(e.Pending-max(inTime, 0), 0)
-			ahead += e.Pending
-		}
-		if w.Missed+w.Expected > 0 {
-			addLate(late, w)
+			inTime := int(slack.Seconds()*startsPerSecond) - ahead
+			ahead += w.Tasks
+			if over := w.Tasks - max(inTime, 0); over > 0 {
+				lateOf(late, w.Class).Expected += over
+			}
 		}
 	}
 	list := make([]LateWork, 0, len(late))
@@ -44,23 +52,11 @@
 	return list
 }
 
-// inOrder returns the entries by latest start.
-func (q *Queue) inOrder() []*queued {
-	list := make([]*queued, 0, len(q.items))
-	for _, e := range q.items {
-		list = append(list, e)
-	}
-	slices.SortFunc(list, compareQueued)
-	return list
-}
-
-// addLate adds w to the counts of its class.
-func addLate(late map[string]*LateWork, w LateWork) {
-	sum := late[w.Class]
-	if sum == nil {
-		late[w.Class] = &w
-		return
+func lateOf(late map[string]*LateWork, class string) *LateWork {
+	w := late[class]
+	if w == nil {
+		w = &LateWork{Class: class}
+		late[class] = w
 	}
-	sum.Missed += w.Missed
-	sum.Expected += w.Expected
+	return w
 }
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -224,20 +224,16 @@
 }
 
 func TestForecastTellsLateClassesBeforeTheyAreLate(t *testing.T) {
-	q := NewQueue()
-	for job, i := range map[string]Item{
-		"missed": {Class: "a", Pending: 3, LatestStart: epoch.Add(-time.Second)},
-		"soon":   {Class: "b", Pending: 10, LatestStart: epoch.Add(time.Second)},
-		"ample":  {Class: "c", Pending: 10, LatestStart: epoch.Add(time.Minute)},
-	} {
-		i.Job = job
-		q.Push(i)
+	waiting := []Waiting{
+		{Class: "c", Tasks: 10, LatestStart: epoch.Add(time.Minute)},
+		{Class: "a", Tasks: 3, LatestStart: epoch.Add(-time.Second)},
+		{Class: "b", Tasks: 10, LatestStart: epoch.Add(time.Second)},
 	}
-	got := fmt.Sprint(q.Forecast(epoch, 4))
+	got := fmt.Sprint(Forecast(waiting, epoch, 4))
 	if got != "[{a 3 0} {b 0 6}]" {
 		t.Errorf("forecast %s", got)
 	}
-	if got := fmt.Sprint(q.Forecast(epoch, 0)); got != "[{a 3 0}]" {
+	if got := fmt.Sprint(Forecast(waiting, epoch, 0)); got != "[{a 3 0}]" {
 		t.Errorf("without a rate: %s", got)
 	}
 }
