--- a/internal/command/hitch/status.go
+++ b/internal/command/hitch/status.go
@@ -100,6 +100,7 @@
 	add(!s.Known, "inventory unread")
 	add(s.Leaving, "leaving")
 	add(s.Probation, "probation")
+	add(s.Former, "former owner may act")
 	if len(states) == 0 {
 		return "ready"
 	}
--- a/internal/entry/operatorbackend.go
+++ b/internal/entry/operatorbackend.go
@@ -9,7 +9,6 @@
 
 	"dotterelhitch/internal/operator"
 	"dotterelhitch/internal/peer/peerv1"
-	"dotterelhitch/internal/scheduler"
 	"dotterelhitch/internal/state"
 	"dotterelhitch/internal/structs"
 )
@@ -156,23 +155,6 @@
 	return b.e.traffic.JobStatus(ctx, jobID, 0)
 }
 
-// workerStatus is what this entry knows of an owned worker.
-func (c *core) workerStatus(id string, now time.Time) structs.WorkerStatus {
-	w := c.fleet.Worker(id)
-	n := c.fleet.Nodes().Node(id)
-	return structs.WorkerStatus{
-		Worker:    w.Info,
-		Owner:     c.self(),
-		Used:      n.Used(),
-		SlotsUsed: n.SlotsUsed(),
-		Tasks:     n.Tasks(),
-		Known:     w.Known,
-		Reachable: w.Reachable(now, 2*c.e.timing.Renew),
-		Leaving:   c.isLeaving(id),
-		Probation: n.Has(scheduler.FlagProbation),
-	}
-}
-
 func (c *core) isLeaving(id string) bool {
 	_, declared := c.control.Leaving(id)
 	return declared || c.fleet.Worker(id).Info.State != structs.WorkerLive
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"dotterelhitch/internal/scheduler"
+	"dotterelhitch/internal/structs"
+)
+
+// lateClasses tells what of a class is late, and what will be.
+func lateClasses(w scheduler.LateWork) []structs.LateClass {
+	var out []structs.LateClass
+	if w.Missed > 0 {
+		out = append(out, structs.LateClass{Class: w.Class, Work: w.Missed, Reason: "tasks wait past their target"})
+	}
+	if w.Expected > 0 {
+		out = append(out, structs.LateClass{
+			Class:  w.Class,
+			Work:   w.Expected,
+			Reason: "tasks will start after their target at the present rate of starts",
+		})
+	}
+	return out
+}
+
+// status is this entry's view of itself.
+func (c *core) status(now time.Time) structs.EntryStatus {
+	group, _ := c.table.GroupOfMember(c.self())
+	s := structs.EntryStatus{
+		Member:        c.e.member,
+		Epoch:         c.table.Epoch(),
+		Group:         group.Name,
+		ConfigVersion: c.control.Version(),
+		Authority:     c.mayGrant(now),
+		Draining:      c.draining,
+		LogAgeMs:      now.Sub(c.controlRead).Milliseconds(),
+		JobsOwned:     c.jobs.Len(),
+		QueuedTasks:   c.jobs.Waiting(),
+		QueuedReqs:    c.e.traffic.queued(),
+	}
+	for _, w := range c.fleet.Workers() {
+		s.Workers = append(s.Workers, c.workerStatus(w.Info.ID, now))
+	}
+	for _, late := range c.jobs.Late(now) {
+		s.Late = append(s.Late, lateClasses(late)...)
+	}
+	for code, detail := range c.alarms {
+		s.Alarms = append(s.Alarms, string(code)+": "+detail)
+	}
+	return s
+}
+
+// workerStatus is what this entry knows of an owned worker.
+func (c *core) workerStatus(id string, now time.Time) structs.WorkerStatus {
+	w := c.fleet.Worker(id)
+	n := c.fleet.Nodes().Node(id)
+	return structs.WorkerStatus{
+		Worker:    w.Info,
+		Owner:     c.self(),
+		Used:      n.Used(),
+		SlotsUsed: n.SlotsUsed(),
+		Tasks:     n.Tasks(),
+		Known:     w.Known,
+		Reachable: w.Reachable(now, 2*c.e.timing.Renew),
+		Leaving:   c.isLeaving(id),
+		Probation: n.Has(scheduler.FlagProbation),
+		Former:    n.Has(scheduler.FlagFormer),
+	}
+}
--- a/internal/structs/status.go
+++ b/internal/structs/status.go
@@ -66,6 +66,9 @@
 	Reachable bool `json:"reachable"`
 	Leaving   bool `json:"leaving"`
 	Probation bool `json:"probation"`
+	// Former is true while a former owner may still give the worker work, so that its
+	// owner gives it none. It happens only where workers refuse no old epoch.
+	Former bool `json:"former,omitempty"`
 }
 
 // LateClass is a class whose target is missed or will be.
