--- a/internal/state/quota.go
+++ b/internal/state/quota.go
@@ -126,7 +126,13 @@
 
 // share returns the first of n even shares of an amount, rounded up.
 func share(amount structs.Resources, n int) structs.Resources {
-	up := func(v int64) int64 { return (v + int64(n) - 1) / int64(n) }
+	up := func(v int64) int64 {
+		least := v / int64(n)
+		if v%int64(n) != 0 {
+			least++
+		}
+		return least
+	}
 	return structs.Resources{
 		CPUMilli:     up(amount.CPUMilli),
 		MemoryMiB:    up(amount.MemoryMiB),
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -126,6 +126,10 @@
 	f.Add([]byte(`{"changes":[{"id":"a","type":"class_set","class":{"name":"x","kind":"batch","target":{"start_within":"1s"}}}]}`))
 	f.Add([]byte(`{"changes":[{"id":"a","type":"membership","members":{"id":"a","base":0,"join":[{"id":"m","region":"r"}]}}]}`))
 	f.Add([]byte(`{"changes":[{"id":"a","type":"job_accept","job":{"id":"g:1","class":"c","count":1,"size":{"cpu_milli":1}}}]}`))
+	const setQuota = `{"changes":[{"type":"quota_set","groups":["a","b"],"quota":{"team":"t","limit":{"cpu_milli":9223372036854775807}}}`
+	f.Add([]byte(setQuota + "]}"))
+	f.Add([]byte(setQuota + `,{"type":"quota_set","base":1,"quota":{"team":"t","limit":{"cpu_milli":7}}},` +
+		`{"type":"quota_move","base":1,"move":{"team":"t","from":"a","to":"c","amount":{"cpu_milli":2}}}]}`))
 	f.Add([]byte(`{"changes":[{"type":"control_snapshot","part":{"snapshot":"s","next":9,"parts":1,"data":"aGk="}}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		control, jobs := NewControl(), NewJobs()
@@ -134,6 +138,18 @@
 				t.Errorf("result %+v: accepted and error disagree", r)
 			}
 		}
+		for _, q := range control.Quotas() {
+			var sum structs.Resources
+			for _, p := range control.QuotaParts(q.Team) {
+				sum = sum.Add(p.Limit)
+				if p.Limit.Negative() {
+					t.Errorf("part %+v of %+v", p, q)
+				}
+			}
+			if sum != q.Limit {
+				t.Errorf("parts of %+v sum to %+v", q, sum)
+			}
+		}
 		jobs.Apply(1, data)
 		NewBridge(1).Control(data)
 		if control.Next() != 2 || jobs.Next() != 2 {
