Runs of a former owner never share an attempt with runs of the present one

The new owner accounted for the worker by time, knew of no attempt, and placed the tasks anew as attempt 1 elsewhere. The woken worker reported its own attempt 1 as stopped; the new owner took that for the end of its run and placed attempt 2, while attempt 1 ran. Ruled out: leases (the worker stopped its runs before anything else), the wait (the placement came after the lapse), the last changes (the numbers were given so from the start). Change: the owner of a gained job counts attempts from the epoch at which it gained it. TestRunOfAFormerOwnerIsNotTakenForThePresentOne fails before and passes after.

--- a/internal/entry/gang.go
+++ b/internal/entry/gang.go
@@ -161,7 +161,7 @@
 	for _, r := range s.tasks {
 		req.Tasks = append(req.Tasks, &peerv1.Placement{
 			Task:    string(structs.NewTaskID(order.Job.ID, r.Index)),
-			Attempt: int32(r.Attempt),
+			Attempt: int64(r.Attempt),
 			Worker:  r.Worker,
 		})
 	}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -166,7 +166,7 @@
 	}
 	var out []*peerv1.Task
 	for _, k := range g.stopped {
-		out = append(out, &peerv1.Task{Task: string(k.Task), Attempt: int32(k.Attempt)})
+		out = append(out, &peerv1.Task{Task: string(k.Task), Attempt: int64(k.Attempt)})
 	}
 	return out
 }
--- a/internal/entry/peerserver.go
+++ b/internal/entry/peerserver.go
@@ -130,7 +130,7 @@
 }
 
 func placementOf(a structs.Alloc) *peerv1.Placement {
-	return &peerv1.Placement{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker}
+	return &peerv1.Placement{Task: string(a.Task), Attempt: int64(a.Attempt), Worker: a.Worker}
 }
 
 // Commit implements peerv1connect.PeerServiceHandler.
@@ -229,7 +229,7 @@
 }
 
 func taskState(a *fleet.Alloc) *peerv1.TaskState {
-	t := &peerv1.TaskState{Task: string(a.Task), Attempt: int32(a.Attempt), Worker: a.Worker, State: string(a.State), Evicted: a.Evicted}
+	t := &peerv1.TaskState{Task: string(a.Task), Attempt: int64(a.Attempt), Worker: a.Worker, State: string(a.State), Evicted: a.Evicted}
 	if a.State == structs.AllocStopped {
 		t.Checkpoint = a.Checkpoint
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -150,7 +150,7 @@
 		}
 		byOwner[owner] = append(byOwner[owner], &peerv1.Task{
 			Task:    string(structs.NewTaskID(job, r.Index)),
-			Attempt: int32(r.Attempt),
+			Attempt: int64(r.Attempt),
 		})
 	}
 	for owner, tasks := range byOwner {
--- a/internal/entry/schedule.go
+++ b/internal/entry/schedule.go
@@ -143,7 +143,7 @@
 	for _, r := range tasks {
 		req.Tasks = append(req.Tasks, &peerv1.Task{
 			Task:    string(structs.NewTaskID(order.Job.ID, r.Index)),
-			Attempt: int32(r.Attempt),
+			Attempt: int64(r.Attempt),
 
 			Checkpoint: r.Checkpoint,
 			Evictions:  int32(r.Evictions),
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -24,8 +24,6 @@
 	appender atomic.Pointer[structs.Member]
 	cancel   context.CancelFunc
 	caughtUp bool
-	// tailAt is when the latest read that reached the end of the stream began.
-	tailAt time.Time
 	// over are the jobs that the record at overAt was seen to end.
 	over   map[string]bool
 	overAt int64
@@ -125,9 +123,6 @@
 			c.noteJobs(s, result)
 		}
 	}
-	if p.Tail && p.Start.After(s.tailAt) {
-		s.tailAt = p.Start
-	}
 	if p.Tail && !s.caughtUp {
 		s.caughtUp = true
 		c.assignJobs()
@@ -189,8 +184,12 @@
 		Class: j.Job.Class,
 		Count: j.Job.Count,
 	})
-	// A record that was there before the table changed may have had another owner.
-	c.gainJob(j, s.tailAt.After(c.tableSince))
+	if r.Change.Epoch > c.table.Epoch() {
+		// Another member may own the job at the epoch that is still to be read.
+		return
+	}
+	// A job that was submitted at an older epoch may have had another owner.
+	c.gainJob(j, r.Change.Epoch == c.table.Epoch())
 	c.nextSchedule = time.Time{}
 }
 
@@ -200,7 +199,7 @@
 		c.unread[j.Job.ID] = true
 	}
 	class, _ := c.control.Class(j.Job.Class)
-	c.jobs.Gain(j, class, fresh)
+	c.jobs.Gain(j, class, c.table.Epoch(), fresh)
 }
 
 // noteEnds tells the orchestrator of settled tasks.
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -225,8 +225,11 @@
 // submitHere appends the acceptance of a job to a stream that this entry reads.
 func (e *Entry) submitHere(ctx context.Context, group string, j structs.Job, changeID string) (string, error) {
 	var s *jobStream
-	var base int64
-	if !e.do(func() { s, base = e.core.readJobs(group) }) {
+	var base, epoch int64
+	if !e.do(func() {
+		s, base = e.core.readJobs(group)
+		epoch = e.core.table.Epoch()
+	}) {
 		return "", errEnding()
 	}
 	if s == nil {
@@ -234,7 +237,7 @@
 	}
 	j.ID = jobID(group, j.Team, changeID)
 	j.AcceptedMs = time.Now().UnixMilli()
-	r, err := e.commit(ctx, s, state.Change{ID: changeID, Type: state.JobAccept, Base: base - 1, Job: &j})
+	r, err := e.commit(ctx, s, state.Change{ID: changeID, Type: state.JobAccept, Base: base - 1, Epoch: epoch, Job: &j})
 	if err != nil {
 		return "", err
 	}
--- a/internal/orchestrator/bench_test.go
+++ b/internal/orchestrator/bench_test.go
@@ -18,7 +18,7 @@
 	class := structs.Class{Name: "c", Kind: structs.KindBatch, Target: structs.Target{StartWithin: structs.Duration(time.Hour)}}
 	for i := range n {
 		job := structs.Job{ID: fmt.Sprintf("g:%d", i), Class: "c", Kind: structs.KindBatch, Count: benchTasks, AcceptedMs: 1}
-		o.Gain(&state.Job{Job: job}, class, true)
+		o.Gain(&state.Job{Job: job}, class, 1, true)
 	}
 	now := time.UnixMilli(2)
 	for _, order := range o.Due(now, n*benchTasks) {
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -58,6 +58,8 @@
 	due time.Time
 	// target is that of the class when the job was gained.
 	target structs.Target
+	// floor is the attempt above which this owner places.
+	floor int
 	// retryAt is the earliest time of the next placement.
 	retryAt time.Time
 	backoff time.Duration
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -91,9 +91,15 @@
 	Probes []string
 }
 
-// Gain takes over a job. fresh says that nobody can have placed a task of it
-// before, so that no inventory is needed.
-func (o *Orchestrator) Gain(sj *state.Job, class structs.Class, fresh bool) {
+// attemptBits is the number of bits of an attempt that count the runs placed by one
+// owner; those above them are the epoch at which it gained the job.
+const attemptBits = 20
+
+// Gain takes over a job at an epoch. fresh says that nobody can have placed a task of
+// it before, so that no inventory is needed and attempts count from one. Otherwise
+// they count from the epoch: what former owners have placed may be unknown for long,
+// and no two runs of a task may have the same attempt.
+func (o *Orchestrator) Gain(sj *state.Job, class structs.Class, epoch int64, fresh bool) {
 	if o.jobs[sj.Job.ID] != nil || sj.Ended() {
 		return
 	}
@@ -104,6 +110,7 @@
 		j.move(index, ended)
 	}
 	if !fresh {
+		j.floor = int(epoch) << attemptBits
 		j.collect = true
 		for i := range j.tasks {
 			if j.tasks[i].phase == pending {
@@ -221,7 +228,7 @@
 		if !order.join(t) {
 			continue
 		}
-		t.attempt++
+		t.attempt = max(t.attempt, j.floor) + 1
 		j.move(i, placing)
 		order.Tasks = append(order.Tasks, Ref{Index: i, Attempt: t.attempt, Checkpoint: t.checkpoint, Evictions: t.evictions})
 	}
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -19,7 +19,7 @@
 	o.Gain(&state.Job{
 		Job:  structs.Job{ID: jobID, Class: "c", Kind: kind, Count: n, AcceptedMs: now.UnixMilli()},
 		Ends: map[int]structs.AllocState{},
-	}, structs.Class{}, fresh)
+	}, structs.Class{}, 3, fresh)
 	return o
 }
 
@@ -158,3 +158,24 @@
 		t.Errorf("late %+v, want 70 missed", late)
 	}
 }
+
+// TestRunOfAFormerOwnerIsNotTakenForThePresentOne has a task placed anew after its worker
+// was accounted for by time, and the worker then report the former run as stopped.
+func TestRunOfAFormerOwnerIsNotTakenForThePresentOne(t *testing.T) {
+	o := newJobs(structs.KindBatch, 1, false)
+	o.Collected(o.Collect(), nil, true)
+	order := place(t, o, now)
+	o.Placed(order, on("w2", order.Tasks), nil, nil, now)
+	former := Ref{Index: 0, Attempt: 1, Worker: "w1"}
+	if v, settle := o.Report(jobID, former, structs.AllocStopped, now); v != Forget || settle {
+		t.Errorf("the former run: verdict %v, settle %t, want it forgotten", v, settle)
+	}
+	if orders := o.Due(now.Add(time.Minute), 10); len(orders) != 0 {
+		t.Errorf("the task is placed again while it runs: %+v", orders)
+	}
+	end := order.Tasks[0]
+	end.Worker = "w2"
+	if _, settle := o.Report(jobID, end, structs.AllocComplete, now); !settle {
+		t.Error("the end of the present run is not taken")
+	}
+}
--- a/internal/orchestrator/ready_test.go
+++ b/internal/orchestrator/ready_test.go
@@ -90,7 +90,7 @@
 		kind := kinds[r.IntN(len(kinds))]
 		spec := structs.Job{ID: fmt.Sprintf("g:%d", step), Kind: kind, Count: 1 + r.IntN(5), AcceptedMs: now.UnixMilli()}
 		target := structs.Target{StartWithin: structs.Duration(time.Duration(1+r.IntN(3)) * time.Second)}
-		o.Gain(&state.Job{Job: spec}, structs.Class{Target: target}, r.IntN(4) > 0)
+		o.Gain(&state.Job{Job: spec}, structs.Class{Target: target}, 1, r.IntN(4) > 0)
 		return
 	}
 	id := ids[r.IntN(len(ids))]
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -51,6 +51,9 @@
 	// Base is the version (configuration) or the read position (jobs) that the
 	// change is based on.
 	Base int64 `json:"base,omitempty"`
+	// Epoch is that of the author when it made the change; it is set for acceptances
+	// of jobs and moves of quotas.
+	Epoch int64 `json:"epoch,omitempty"`
 
 	Members *authority.Change `json:"members,omitempty"`
 
@@ -58,10 +61,8 @@
 	Quota *structs.Quota `json:"quota,omitempty"`
 	// Groups are those that a quota is split among as far as no group has it yet.
 	Groups []string `json:"groups,omitempty"`
-	// Move is based on the version of the part that it takes from (Base) and on the
-	// epoch Epoch.
+	// Move is based on the version of the part that it takes from (Base).
 	Move    *structs.QuotaMove `json:"move,omitempty"`
-	Epoch   int64              `json:"epoch,omitempty"`
 	Leaving *structs.Leaving   `json:"leaving,omitempty"`
 
 	Job   *structs.Job `json:"job,omitempty"`
