quotas: rounds have a counter of their own

Read-through of the change: the choice of groups to ask counted its rounds with the number of placement calls; a filter for parts of zero was dead, since the state keeps none; parts were compared by a difference in place of cmp.Compare.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -30,6 +31,8 @@
 	// began.
 	asking map[orchestrator.Series]bool
 	asked  map[orchestrator.Series]time.Time
+	// rounds counts those that could not ask every group.
+	rounds int
 	// leaving is what a move that may still take effect takes from a series.
 	leaving map[orchestrator.Series]structs.Resources
 	// yields are kept for groups that have less than their even part.
@@ -115,11 +118,11 @@
 // as a large part may be in use.
 func (c *core) quotaSources(s orchestrator.Series) []quotaSource {
 	parts := c.control.QuotaParts(s.Team)
-	parts = slices.DeleteFunc(parts, func(p state.QuotaPart) bool { return p.Group == s.Group || p.Limit.IsZero() })
-	slices.SortStableFunc(parts, func(a, b state.QuotaPart) int { return int(b.Limit.CPUMilli - a.Limit.CPUMilli) })
+	parts = slices.DeleteFunc(parts, func(p state.QuotaPart) bool { return p.Group == s.Group })
+	slices.SortStableFunc(parts, func(a, b state.QuotaPart) int { return cmp.Compare(b.Limit.CPUMilli, a.Limit.CPUMilli) })
 	if len(parts) > askQuotaMost {
-		c.seq++
-		shift := int(c.seq) * askQuotaMost % len(parts)
+		c.quotas.rounds++
+		shift := c.quotas.rounds * askQuotaMost % len(parts)
 		parts = append(parts[shift:], parts[:shift]...)[:askQuotaMost]
 	}
 	var out []quotaSource
