Controller: what a lost controller had started of later steps goes on; a world of fakes with seeded faults

Found by the random mix besides (seeds of internal/controller): a start that reached the next boot of a worker counted as lost; a look with the former boot's count of ends made the next boot forget its own; a gang that no set of workers holds kept workers from others for ever; ends of a gang's other members were forgotten before the gang's end was stored. Change: runs of known tasks are adopted whatever waits; a run that is being stopped bars its task; a run counts as lost by a reboot only if the former boot has shown it; a look after a failed one forgets nothing.

--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,227 @@
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/workload"
+)
+
+// TestJobOfTwoStepsCompletes plays the whole way of a job: stored, started, ended,
+// stored again, shown.
+func TestJobOfTwoStepsCompletes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(3, 4000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	job := simpleJob("j1", "batch", 5, 1000, nil)
+	job.Steps = append(job.Steps, job.Steps[0])
+	job.Steps[1].After = []int{0}
+	w.submit(job)
+	w.play(1500 * time.Millisecond)
+	if got := w.state("j1"); got != workload.JobRunning {
+		t.Fatalf("state %q, want running", got)
+	}
+	w.play(2 * time.Second)
+	if got := w.state("j1"); got != workload.JobCompleted {
+		t.Fatalf("state %q, want completed", got)
+	}
+}
+
+// TestDependentsRunOnOverALostController kills the controller between the end of a step
+// and its storing: what the former one had started of the next step is neither stopped
+// nor started twice (trouble-1, seed 361955916996: TWICE).
+func TestDependentsRunOnOverALostController(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(3, 4000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	job := simpleJob("j1", "batch", 3, 1000, nil)
+	job.Steps = append(job.Steps, job.Steps[0])
+	job.Steps[1].After = []int{0}
+	w.submit(job)
+	w.play(500 * time.Millisecond)
+	w.down = true
+	w.play(900 * time.Millisecond)
+	w.ctl = nil
+	w.play(300 * time.Millisecond)
+	w.down = false
+	w.lead(true)
+	w.play(3 * time.Second)
+	if got := w.state("j1"); got != workload.JobCompleted {
+		t.Fatalf("state %q, want completed", got)
+	}
+	if w.ctl.stats.Starts != 0 {
+		t.Errorf("%d starts by the second controller, want none", w.ctl.stats.Starts)
+	}
+}
+
+// TestRandomTroubles plays seeded mixes of all faults that workers, store and controllers
+// have, and checks every start. In the end all jobs must be complete.
+func TestRandomTroubles(t *testing.T) {
+	for seed := range *randomSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playTroubles(t, seed) })
+	}
+}
+
+// randomSeeds is the number of seeds that a test run plays.
+var randomSeeds = flag.Uint64("seeds", 60, "number of random mixes that are played")
+
+func playTroubles(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	rng := rand.New(rand.NewPCG(seed, 2))
+	w.addWorkers(8, 8000)
+	w.lost = 0.03 * rng.Float64()
+	w.late = 0.03 * rng.Float64()
+	w.run = func(_ workload.TaskID, _ *fakeWorker) (time.Duration, workload.End) {
+		how := workload.EndDone
+		if rng.Float64() < 0.03 {
+			how = workload.EndFailed
+		}
+		return time.Duration(300+rng.IntN(2000)) * time.Millisecond, how
+	}
+	w.lead(true)
+	w.play(200 * time.Millisecond)
+	var ids []string
+	for i := range 30 {
+		w.play(time.Duration(rng.IntN(700)) * time.Millisecond)
+		w.trouble(rng)
+		if w.ctl == nil {
+			continue
+		}
+		job := randomJob(fmt.Sprintf("j%d", i), rng)
+		w.submit(job)
+		ids = append(ids, job.ID)
+		if rng.IntN(8) == 0 {
+			w.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { w.cancel(job.ID) })
+		}
+	}
+	w.calm()
+	w.play(90 * time.Second)
+	for _, id := range ids {
+		if w.accepted[id] && !w.state(id).Ended() && w.feasible(w.jobs[id]) {
+			t.Errorf("job %s is %q in the end", id, w.state(id))
+		}
+	}
+}
+
+// feasible reports whether the workers that the advisor allows hold each step of a job
+// when they are empty.
+func (w *world) feasible(job *workload.Job) bool {
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		room := 0
+		for _, id := range w.workerIDs() {
+			advised := w.config.Classes[job.Class].Advice != nil
+			if !advised || w.allows(workload.StepID{Job: job.ID, Step: i}, id) {
+				room += times(w.workers[id].capacity, step.Counted())
+			}
+		}
+		if room == 0 || step.Gang && room < step.Count {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) cancel(id string) {
+	if w.ctl != nil {
+		w.ctl.Cancel(id, w.now)
+	}
+}
+
+func randomJob(id string, rng *rand.Rand) *workload.Job {
+	class := "batch"
+	if rng.IntN(3) == 0 {
+		class = "gang"
+	}
+	job := &workload.Job{ID: id, Class: class, Payload: "payload of " + id}
+	for i := range 1 + rng.IntN(3) {
+		step := simpleJob(id, class, 1+rng.IntN(6), int64(500+rng.IntN(2500)), nil).Steps[0]
+		step.Gang = class == "gang"
+		if i > 0 {
+			step.After = []int{rng.IntN(i)}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	return job
+}
+
+// trouble starts one fault, or none.
+func (w *world) trouble(rng *rand.Rand) {
+	ids := w.workerIDs()
+	f := w.workers[ids[rng.IntN(len(ids))]]
+	long := time.Duration(500+rng.IntN(9000)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0:
+		if f.up {
+			f.crash()
+			w.after(long, func() {
+				f.start()
+				w.list(f)
+			})
+		}
+	case 1:
+		f.cut = true
+		w.after(long, func() { f.cut = false })
+	case 2:
+		w.down = true
+		w.after(long, func() { w.down = false })
+	case 3:
+		w.loseController(rng, long)
+	case 4:
+		f.listed = false
+		if w.ctl != nil {
+			w.ctl.DropWorker(f.id, w.now)
+		}
+		w.after(long, func() { w.list(f) })
+	}
+}
+
+// list shows a worker in the platform's list.
+func (w *world) list(f *fakeWorker) {
+	f.listed = true
+	if w.ctl != nil && f.up {
+		w.ctl.SetWorker(f.info(), w.now)
+	}
+}
+
+// loseController kills the controller, or makes another member take over while it lives.
+func (w *world) loseController(rng *rand.Rand, long time.Duration) {
+	dead := rng.IntN(2) == 0
+	if dead {
+		w.ctl = nil
+	}
+	w.after(long/4, func() { w.takeOver(dead) })
+}
+
+// takeOver starts the next controller once the store answers.
+func (w *world) takeOver(dead bool) {
+	if w.down {
+		w.after(100*time.Millisecond, func() { w.takeOver(dead) })
+		return
+	}
+	w.lead(dead)
+}
+
+// calm ends all faults.
+func (w *world) calm() {
+	w.play(15 * time.Second)
+	w.lost = 0
+	w.late = 0
+	w.down = false
+	for _, id := range w.workerIDs() {
+		f := w.workers[id]
+		f.cut = false
+		if !f.up {
+			f.start()
+		}
+		w.list(f)
+	}
+	if w.ctl == nil {
+		w.lead(false)
+	}
+}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -33,6 +33,9 @@
 	due        time.Time // when the job has to be complete to be on time
 	below      []time.Duration
 	notes      []note // ends that are noted once the progress is stored
+	// changes counts the changes of the job's progress, storedChanges those that the
+	// store holds.
+	changes, storedChanges int
 }
 
 // note is an end that the worker may forget once it is stored.
@@ -94,6 +97,8 @@
 	savedRun int64
 	// uncertain tasks may run on a worker that is not accounted for.
 	uncertain bool
+	// aliens counts runs that are being stopped and not counted in runs.
+	aliens    int
 	notBefore time.Time
 }
 
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -93,7 +93,7 @@
 			c.sortStep(s)
 		}
 	}
-	c.dirty.progress(j)
+	c.change(j)
 	c.recordJob(event.JobEnded, j, why)
 	if state != workload.JobCancelled {
 		c.stopRuns(j, now)
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -125,7 +125,8 @@
 }
 
 // reboot takes the word that a worker runs a new boot: what ran in the former one has
-// ended with it. A start that got no answer may still reach the new boot.
+// ended with it. A run that the former boot has not shown may have been started by the
+// new one: the new boot's lists tell.
 func (c *Controller) reboot(w *worker, boot int64, now time.Time) {
 	if w.boot != 0 {
 		c.recordWorker(event.WorkerBoot, w, "")
@@ -138,14 +139,15 @@
 	w.seenSeq = 0
 	clear(w.noted)
 	clear(w.handled)
-	clear(w.alien)
+	for id := range w.alien {
+		c.dropAlien(w, id)
+	}
 	for _, r := range w.runs {
-		if r.state == runDoubt || r.inFlight {
-			r.boot = boot
-			r.stopping = true
+		if r.shown {
+			c.lose(r, now)
 			continue
 		}
-		c.lose(r, now)
+		r.boot = boot
 	}
 }
 
@@ -165,6 +167,7 @@
 
 // showRun takes what a worker shows of a run.
 func (c *Controller) showRun(r *run, row *workload.RunningTask, now time.Time) {
+	r.shown = true
 	if r.state == runStarting || r.state == runDoubt {
 		r.state = runRunning
 	}
@@ -236,7 +239,7 @@
 // adoptable reports whether an unknown run may stay.
 func (c *Controller) adoptable(t *task, r workload.Run) bool {
 	s := t.step
-	if s.job().over() || t.done || s.waits > 0 {
+	if s.job().over() || t.done {
 		return false
 	}
 	if s.gang != nil {
@@ -249,6 +252,8 @@
 func (c *Controller) addAlien(w *worker, id workload.Run, t *task, now time.Time) {
 	a := &alien{run: id}
 	if t != nil {
+		a.task = t
+		t.aliens++
 		a.size = t.step.size
 		a.known = true
 	} else if size, ok := c.sizeOf(id.Task); ok {
@@ -281,6 +286,9 @@
 	}
 	delete(w.alien, id)
 	w.used = w.used.Sub(a.size)
+	if a.task != nil {
+		a.task.aliens--
+	}
 }
 
 // task returns a task of an open occurrence, nil if there is none.
@@ -315,17 +323,18 @@
 		t = r.task
 		c.detach(r)
 	}
-	if j == nil || t == nil || j.over() {
-		c.noteEnd(note{w: w, boot: w.boot, seq: e.Seq})
-		return
+	stored := true
+	if j != nil && t != nil && !j.over() {
+		c.stats.Ends++
+		stored = !c.endTask(t, r, e, now)
 	}
-	c.stats.Ends++
-	if c.endTask(t, r, e, now) {
-		j.notes = append(j.notes, note{w: w, boot: w.boot, seq: e.Seq})
-		c.dirty.progress(j)
+	n := note{w: w, boot: w.boot, seq: e.Seq}
+	if j == nil || stored && !j.unstored() {
+		c.noteEnd(n)
 		return
 	}
-	c.noteEnd(note{w: w, boot: w.boot, seq: e.Seq})
+	j.notes = append(j.notes, n)
+	c.change(j)
 }
 
 // skipForgotten starts the count of ends at the first one listed: those before were
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -177,7 +177,7 @@
 func (s *step) startable(now time.Time) []*task {
 	var out []*task
 	for _, t := range s.tasks {
-		if !t.done && len(t.runs) == 0 && !t.uncertain && !now.Before(t.notBefore) {
+		if !t.done && len(t.runs) == 0 && t.aliens == 0 && !t.uncertain && !now.Before(t.notBefore) {
 			out = append(out, t)
 		}
 	}
@@ -195,7 +195,7 @@
 	for i := range found {
 		cand := &found[i]
 		for cand.fit > 0 && len(tasks) > 0 {
-			c.start(tasks[0], cand.w, cand.ticket, s.tasks[0].nextNumber(tasks[0]), now)
+			c.start(tasks[0], cand.w, cand.ticket, tasks[0].last+1, now)
 			tasks = tasks[1:]
 			cand.fit--
 		}
@@ -205,9 +205,6 @@
 	}
 }
 
-// nextNumber returns the number of the next run of a task.
-func (*task) nextNumber(t *task) int64 { return t.last + 1 }
-
 // oneRack keeps the candidates of the rack with the most room for a step whose tasks
 // should stand together, if that rack holds them all.
 func oneRack(s *step, found []candidate, want int) []candidate {
@@ -319,6 +316,14 @@
 			options = append(options, option{w: w, most: most, free: leftShare(w, structs.Resources{})})
 		}
 	}
+	total := 0
+	for _, o := range options {
+		total += o.most
+	}
+	if total < need {
+		// It would not fit if all else had ended: nothing is kept from others for it.
+		return
+	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
 	for _, o := range options {
 		if need <= 0 {
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -35,6 +35,7 @@
 	Ended    []string
 
 	jobs    []*job
+	changes []int // of jobs, the changes that the batch holds
 	notes   []note
 	workers []*worker
 }
@@ -94,6 +95,15 @@
 	return n == 0 && !d.settled
 }
 
+// change marks the progress of a job as not stored.
+func (c *Controller) change(j *job) {
+	j.changes++
+	c.dirty.progress(j)
+}
+
+// unstored reports whether the job's progress has changed since it was last stored.
+func (j *job) unstored() bool { return j.changes != j.storedChanges }
+
 // Unstored reports whether something waits to be stored.
 func (c *Controller) Unstored() bool { return !c.dirty.empty() }
 
@@ -146,6 +156,7 @@
 		add(jobPrefix+j.spec.ID, mustJSON(j.spec))
 		b.Accepted = append(b.Accepted, j.spec.ID)
 		b.jobs = append(b.jobs, j)
+		b.changes = append(b.changes, 0)
 	}
 	for j := range c.dirty.changed {
 		if _, waits := c.dirty.accepted[j]; waits || full() {
@@ -159,6 +170,7 @@
 			b.Ended = append(b.Ended, j.spec.ID)
 		}
 		b.jobs = append(b.jobs, j)
+		b.changes = append(b.changes, j.changes)
 	}
 	for j := range c.dirty.retired {
 		if _, waits := c.dirty.changed[j]; waits || !j.shown || full() {
@@ -182,7 +194,8 @@
 
 // Stored notes that a batch is in the store.
 func (c *Controller) Stored(b *Batch, now time.Time) {
-	for _, j := range b.jobs {
+	for i, j := range b.jobs {
+		j.storedChanges = max(j.storedChanges, b.changes[i])
 		c.jobStored(j, now)
 	}
 	for _, id := range b.Ended {
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -45,7 +45,9 @@
 			w.granted = max(w.granted, l.DeadlineMs)
 		}
 		if w.failures > 0 {
+			// It may run a new boot by now, whose ends count from 1.
 			l.Wait = 0
+			l.Seen = 0
 		}
 		c.orders.Looks = append(c.orders.Looks, l)
 	}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -56,6 +56,7 @@
 // alien is a run on a worker that belongs to no task as the controller knows it.
 type alien struct {
 	run     workload.Run
+	task    *task // nil if the task is not known
 	size    structs.Resources
 	known   bool // whether size is
 	stopped bool
@@ -88,6 +89,7 @@
 	stopping  bool
 	retryAt   time.Time
 	inFlight  bool
+	shown     bool // by a look at the boot
 
 	percent    int
 	percentAt  time.Time
