--- /dev/null
+++ b/internal/cell/cell_test.go
@@ -0,0 +1,320 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/election"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/stream"
+	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/workload"
+)
+
+// testCell is a cell of nodes on loopback over one log in memory.
+type testCell struct {
+	t       *testing.T
+	log     *fakeLog
+	workers *stubWorkers
+	nodes   []*testNode
+}
+
+type testNode struct {
+	*Node
+	cut  atomic.Bool // from the log
+	dark atomic.Bool // from its peers
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func newTestCell(t *testing.T, nodes int) *testCell {
+	c := &testCell{t: t, log: newFakeLog(), workers: newStubWorkers()}
+	c.configure(1)
+	c.addWorker("i-1")
+	for i := range nodes {
+		c.addNode(fmt.Sprintf("node-%d", i))
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.kill()
+		}
+	})
+	return c
+}
+
+func (c *testCell) configure(version int64) {
+	value, err := json.Marshal(&workload.Config{
+		Version: version,
+		Classes: map[string]*workload.Class{"batch": {Name: "batch", Service: "svc", Stretch: 2, Target: time.Second}},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mustAppend("keyed.op", "config", value)
+}
+
+func (c *testCell) addWorker(id string) {
+	value, err := json.Marshal(workload.Worker{
+		ID: id, Service: "svc", Addr: id, BootMs: 1,
+		Capacity: structs.Resources{CPUMilli: 4000, MemoryMiB: 4000},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mustAppend("keyed.servers", id, value)
+}
+
+func (c *testCell) mustAppend(topic, key string, value []byte) {
+	_, err := c.log.append(stream.Append{Topic: topic, Records: []stream.Record{{Key: key, Value: value}}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *testCell) addNode(name string) *testNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n := &testNode{done: make(chan struct{})}
+	n.Node = New(Options{
+		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d"},
+		Listener: &darkListener{Listener: listener, dark: &n.dark},
+		Log:      c.log.view(n.cut.Load),
+		Workers:  c.workers,
+		Catalog: Catalog{
+			ConfigTopic:  "keyed.op",
+			ConfigKey:    "config",
+			DecodeConfig: decodeJSON[workload.Config],
+			WorkerTopic:  "keyed.servers",
+			DecodeWorker: func(_ string, value []byte) (workload.Worker, error) {
+				w, err := decodeJSON[workload.Worker](value)
+				if err != nil {
+					return workload.Worker{}, err
+				}
+				return *w, nil
+			},
+		},
+		Timing: controller.Timing{
+			MaxLease: 6 * time.Second, Lease: 5 * time.Second, Authority: 20 * time.Second,
+			GangTimeout: 3 * time.Second, LookWait: time.Second, LookGap: 10 * time.Millisecond,
+			StatusRetention: time.Minute,
+		},
+		Election: election.Timing{Silence: time.Second, Alone: 4 * time.Second},
+		Events:   event.NewRecorder(name, &event.Clock{}, nil),
+	})
+	n.opts.Events.OnEvent(func(e event.Event) {
+		if testing.Verbose() {
+			b, _ := json.Marshal(e)
+			fmt.Println(string(b))
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() {
+		n.Run(ctx)
+		close(n.done)
+	}()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func decodeJSON[T any](value []byte) (*T, error) {
+	v := new(T)
+	return v, json.Unmarshal(value, v)
+}
+
+// kill ends a node at once.
+func (n *testNode) kill() {
+	n.stop()
+	<-n.done
+}
+
+// leader waits until a node leads and serves.
+func (c *testCell) leader(within time.Duration) *testNode {
+	c.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range c.nodes {
+			if l := n.lead.Load(); l != nil && l.serving() && n.ctx.Err() == nil {
+				return n
+			}
+		}
+	}
+	c.t.Fatal("no controller")
+	return nil
+}
+
+// other returns a node that is not n and runs.
+func (c *testCell) other(n *testNode) *testNode {
+	for _, o := range c.nodes {
+		if o != n && o.ctx.Err() == nil {
+			return o
+		}
+	}
+	c.t.Fatal("no other node")
+	return nil
+}
+
+func (c *testCell) submit(n *testNode, id string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var err error
+	for ctx.Err() == nil {
+		err = n.Submit(ctx, testJob(id))
+		if structs.CodeOf(err) != structs.CodeUnavailable {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err != nil {
+		c.t.Fatalf("submit %s: %v", id, err)
+	}
+}
+
+func testJob(id string) *workload.Job {
+	return &workload.Job{ID: id, Class: "batch", Steps: []workload.Step{{
+		Count: 2, Size: structs.Resources{CPUMilli: 1000, MemoryMiB: 100}, EstimateMs: 100,
+	}}}
+}
+
+// completes waits until a node shows a job as completed.
+func (c *testCell) completes(n *testNode, id string) {
+	c.t.Helper()
+	var state workload.JobState
+	var err error
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		state, err = n.State(ctx, id)
+		cancel()
+		if state == workload.JobCompleted {
+			return
+		}
+	}
+	c.t.Fatalf("job %s is %q (%v)", id, state, err)
+}
+
+// stubWorkers are workers on which every task takes a moment and ends well.
+type stubWorkers struct {
+	mu      sync.Mutex
+	workers map[string]*stubWorker
+}
+
+type stubWorker struct {
+	fence int64
+	seq   int64
+	runs  map[workload.Run]time.Time
+	ends  []workload.EndedTask
+	since time.Time
+}
+
+func newStubWorkers() *stubWorkers { return &stubWorkers{workers: map[string]*stubWorker{}} }
+
+// stubTask is how long a task takes.
+const stubTask = 150 * time.Millisecond
+
+func (s *stubWorkers) worker(id string) *stubWorker {
+	w := s.workers[id]
+	if w == nil {
+		w = &stubWorker{runs: map[workload.Run]time.Time{}, since: time.Now()}
+		s.workers[id] = w
+	}
+	return w
+}
+
+// settle ends the runs that have taken long enough.
+func (w *stubWorker) settle() {
+	for run, at := range w.runs {
+		if time.Since(at) > stubTask {
+			delete(w.runs, run)
+			w.seq++
+			w.ends = append(w.ends, workload.EndedTask{Seq: w.seq, Run: run, How: workload.EndDone})
+		}
+	}
+}
+
+func (w *stubWorker) clock() int64 { return time.Since(w.since).Milliseconds() + 1 }
+
+func (s *stubWorkers) Look(ctx context.Context, token int64, l *controller.Look) (*workload.Observation, controller.Answer) {
+	end := time.Now().Add(l.Wait)
+	for {
+		s.mu.Lock()
+		w := s.worker(l.Worker)
+		if token < w.fence {
+			s.mu.Unlock()
+			return nil, controller.RefusedFence
+		}
+		w.fence = token
+		w.settle()
+		for len(w.ends) > 0 && w.ends[0].Seq <= l.Seen {
+			w.ends = w.ends[1:]
+		}
+		if len(w.ends) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
+			obs := &workload.Observation{BootMs: 1, ClockMs: w.clock(), Ended: append([]workload.EndedTask(nil), w.ends...)}
+			for run := range w.runs {
+				obs.Running = append(obs.Running, workload.RunningTask{Run: run})
+			}
+			s.mu.Unlock()
+			return obs, controller.Obeyed
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *stubWorkers) Start(_ context.Context, token int64, o *controller.Start) (controller.Answer, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.worker(o.Worker)
+	if token < w.fence {
+		return controller.RefusedFence, w.clock()
+	}
+	w.fence = token
+	w.runs[o.Run] = time.Now()
+	return controller.Obeyed, w.clock()
+}
+
+func (s *stubWorkers) Stop(_ context.Context, token int64, o *controller.Stop) (controller.Answer, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.worker(o.Worker)
+	if token < w.fence {
+		return controller.RefusedFence, w.clock()
+	}
+	delete(w.runs, o.Run)
+	return controller.Obeyed, w.clock()
+}
+
+// TestJobThroughAnyMember submits through a member that is not the controller.
+func TestJobThroughAnyMember(t *testing.T) {
+	c := newTestCell(t, 3)
+	l := c.leader(5 * time.Second)
+	c.submit(c.other(l), "j1")
+	c.completes(c.other(l), "j1")
+	c.completes(l, "j1")
+}
+
+// TestControllerKilled kills the controller: another takes over, and nothing accepted is
+// lost.
+func TestControllerKilled(t *testing.T) {
+	c := newTestCell(t, 3)
+	l := c.leader(5 * time.Second)
+	o := c.other(l)
+	c.submit(o, "j1")
+	l.kill()
+	began := time.Now()
+	next := c.leader(5 * time.Second)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("took over after %v", took)
+	}
+	c.submit(next, "j2")
+	c.completes(next, "j1")
+	c.completes(next, "j2")
+}
--- /dev/null
+++ b/internal/cell/fakelog_test.go
@@ -0,0 +1,167 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelhitch/internal/stream"
+	"dotterelhitch/internal/structs"
+)
+
+// fakeLog is an append-only log in memory with what cells use of the platform's.
+type fakeLog struct {
+	mu     sync.Mutex
+	topics map[string]*fakeTopic
+	grown  chan struct{}
+}
+
+type fakeTopic struct {
+	records   []stream.Record
+	producers map[string]*fakeProducer
+}
+
+type fakeProducer struct {
+	epoch, next int64
+	last        stream.Appended
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{topics: map[string]*fakeTopic{}, grown: make(chan struct{})}
+}
+
+func (f *fakeLog) topic(name string) *fakeTopic {
+	t := f.topics[name]
+	if t == nil {
+		t = &fakeTopic{producers: map[string]*fakeProducer{}}
+		f.topics[name] = t
+	}
+	return t
+}
+
+// view returns the log as a machine sees it whose path is cut while cut returns true.
+func (f *fakeLog) view(cut func() bool) Log { return &logView{log: f, cut: cut} }
+
+type logView struct {
+	log *fakeLog
+	cut func() bool
+}
+
+func (v *logView) gone() error {
+	if v.cut() {
+		return structs.NewError(structs.CodeUnavailable, "cut off")
+	}
+	return nil
+}
+
+func (v *logView) Append(_ context.Context, a stream.Append) (stream.Appended, error) {
+	if err := v.gone(); err != nil {
+		return stream.Appended{}, err
+	}
+	return v.log.append(a)
+}
+
+func (v *logView) Read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
+	if err := v.gone(); err != nil {
+		return stream.Batch{}, err
+	}
+	return v.log.read(ctx, topic, from, wait)
+}
+
+func (v *logView) Newest(_ context.Context, topic, after string) (stream.Page, error) {
+	if err := v.gone(); err != nil {
+		return stream.Page{}, err
+	}
+	return v.log.newest(topic, after), nil
+}
+
+func (f *fakeLog) append(a stream.Append) (stream.Appended, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.topic(a.Topic)
+	end := int64(len(t.records))
+	if a.AsOf != nil && *a.AsOf != end {
+		return stream.Appended{End: end}, structs.NewError(structs.CodeConflict, "ends at %d", end)
+	}
+	if a.Producer != nil {
+		p := t.producers[a.Producer.Name]
+		if p == nil {
+			p = &fakeProducer{}
+			t.producers[a.Producer.Name] = p
+		}
+		if a.Producer.Epoch < p.epoch {
+			return stream.Appended{}, structs.NewError(structs.CodeStaleEpoch, "fenced")
+		}
+		if a.Producer.Epoch > p.epoch {
+			*p = fakeProducer{epoch: a.Producer.Epoch, next: a.Producer.Sequence}
+		}
+		if len(a.Records) == 0 {
+			return stream.Appended{Offset: end, End: end}, nil
+		}
+		if a.Producer.Sequence == p.next-1 {
+			return p.last, nil
+		}
+		p.next = a.Producer.Sequence + 1
+		defer func() { p.last = stream.Appended{Offset: end, End: int64(len(t.records))} }()
+	}
+	for i, r := range a.Records {
+		r.Offset = end + int64(i)
+		t.records = append(t.records, r)
+	}
+	close(f.grown)
+	f.grown = make(chan struct{})
+	return stream.Appended{Offset: end, End: int64(len(t.records))}, nil
+}
+
+func (f *fakeLog) read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
+	timeout := time.After(wait)
+	for {
+		f.mu.Lock()
+		t := f.topic(topic)
+		end := int64(len(t.records))
+		grown := f.grown
+		if from < end {
+			out := slices.Clone(t.records[from:])
+			f.mu.Unlock()
+			return stream.Batch{Records: out, Next: end, End: end}, nil
+		}
+		f.mu.Unlock()
+		select {
+		case <-grown:
+		case <-timeout:
+			return stream.Batch{Next: from, End: end}, nil
+		case <-ctx.Done():
+			return stream.Batch{}, structs.NewError(structs.CodeUnknown, "%v", ctx.Err())
+		}
+	}
+}
+
+// newestPage is the number of records in a page.
+const newestPage = 50
+
+func (f *fakeLog) newest(topic, after string) stream.Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.topic(topic)
+	byKey := map[string]stream.Record{}
+	for _, r := range t.records {
+		if len(r.Value) == 0 {
+			delete(byKey, r.Key)
+			continue
+		}
+		byKey[r.Key] = r
+	}
+	var keys []string
+	for key := range byKey {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := stream.Page{End: int64(len(t.records)), More: len(keys) > newestPage}
+	for _, key := range keys[:min(len(keys), newestPage)] {
+		page.Records = append(page.Records, byKey[key])
+	}
+	return page
+}
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -22,8 +22,8 @@
 	claimsWait = 2 * time.Second
 	// heartbeatPeriod is that of calls to the controller, heartbeatTimeout how long
 	// one may take.
-	heartbeatPeriod  = 300 * time.Millisecond
-	heartbeatTimeout = 900 * time.Millisecond
+	heartbeatPeriod  = 200 * time.Millisecond
+	heartbeatTimeout = 600 * time.Millisecond
 	// probeTimeout bounds the question whether another member hears the controller.
 	probeTimeout = 400 * time.Millisecond
 	// electPeriod is how often a member considers a claim.
@@ -172,15 +172,17 @@
 		if !loaded || n.lead.Load() != nil || n.isLeaving() || n.config.Load() == nil {
 			continue
 		}
-		v := n.view.election(n.self, time.Now())
-		decision, at := election.Decide(v, n.opts.Election)
+		v, end := n.view.election(n.self, time.Now())
+		timing := n.electionTiming()
+		decision, at := election.Decide(v, timing)
 		if decision == election.MakeClaim && v.Others > 0 && !v.LeaderGone && v.Newest.Node != n.self.Node {
 			v.Reached, v.OthersHear = n.askOthers(v.Newest)
 			v.Now = time.Now()
-			decision, at = election.Decide(v, n.opts.Election)
+			decision, at = election.Decide(v, timing)
+			n.recordSuspicion(v, decision)
 		}
 		if decision == election.MakeClaim {
-			n.claim(v)
+			n.claim(v, end)
 			continue
 		}
 		if wait := time.Until(at); decision == election.Follow && wait > electPeriod {
@@ -189,6 +191,43 @@
 	}
 }
 
+const (
+	// distanceWeight is how much later a member claims for each unit of time that its
+	// calls of the store take.
+	distanceWeight = 10
+	// noPathHandicap puts off the claim of a member that reaches the store only through
+	// others.
+	noPathHandicap = 500 * time.Millisecond
+)
+
+// electionTiming is the election's timing with this member's handicap.
+func (n *Node) electionTiming() election.Timing {
+	t := n.opts.Election
+	distance, direct := n.log.distance()
+	t.Handicap += distanceWeight * distance
+	if !direct {
+		t.Handicap += noPathHandicap
+	}
+	return t
+}
+
+// recordSuspicion tells what speaks for and against replacing a silent controller.
+func (n *Node) recordSuspicion(v election.View, d election.Decision) {
+	since := v.LeaderHeard
+	if since.IsZero() {
+		since = v.Watched
+	}
+	n.record(event.Event{
+		Type:       event.LeaderLost,
+		Member:     v.Newest.Node,
+		Epoch:      v.Newest.Epoch,
+		AgeMs:      v.Now.Sub(since).Milliseconds(),
+		Candidates: v.Others,
+		Count:      v.Reached,
+		State:      d.String(),
+	})
+}
+
 func (n *Node) isLeaving() bool {
 	select {
 	case <-n.leaving:
@@ -222,15 +261,15 @@
 	return reached, hear
 }
 
-// claim appends a claim, on the condition that no other was made, and takes the office.
-func (n *Node) claim(v election.View) {
+// claim appends a claim, on the condition that the claims end where v was taken, and takes
+// the office.
+func (n *Node) claim(v election.View, end int64) {
 	claim := election.Claim{Node: n.self.Node, Boot: n.self.Boot, Addr: n.self.Addr, Former: v.Newest.Epoch}
 	record, err := claim.Record()
 	if err != nil {
 		n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
 		return
 	}
-	_, end, _ := n.view.leader()
 	ctx, cancel := context.WithTimeout(n.ctx, heartbeatTimeout)
 	defer cancel()
 	sent := time.Now()
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -20,6 +20,8 @@
 	// works; retryAt is when it is tried first again.
 	badSince atomic.Int64
 	retryAt  atomic.Int64
+	// fastest is the shortest time of a direct call in nanoseconds, zero before one.
+	fastest atomic.Int64
 }
 
 const (
@@ -38,6 +40,25 @@
 	return r.badSince.Load() != 0 && now.UnixNano() < r.retryAt.Load()
 }
 
+// timed notes how long a direct call took.
+func (r *relayLog) timed(began time.Time, err error) {
+	if err != nil {
+		return
+	}
+	took := int64(time.Since(began))
+	for {
+		old := r.fastest.Load()
+		if old != 0 && old <= took || r.fastest.CompareAndSwap(old, took) {
+			return
+		}
+	}
+}
+
+// distance is the shortest time of a direct call, and whether the direct way works.
+func (r *relayLog) distance() (time.Duration, bool) {
+	return time.Duration(r.fastest.Load()), !r.bad(time.Now())
+}
+
 // note takes the result of a direct call.
 func (r *relayLog) note(err error) {
 	now := time.Now()
@@ -121,7 +142,12 @@
 // Newest implements stream.Reader.
 func (r *relayLog) Newest(ctx context.Context, topic, after string) (stream.Page, error) {
 	return viaRelay(r, true,
-		func() (stream.Page, error) { return r.direct.Newest(ctx, topic, after) },
+		func() (stream.Page, error) {
+			began := time.Now()
+			page, err := r.direct.Newest(ctx, topic, after)
+			r.timed(began, err)
+			return page, err
+		},
 		func(m Member) (stream.Page, error) { return r.n.relayNewest(ctx, m, topic, after) })
 }
 
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -172,8 +172,9 @@
 	return out
 }
 
-// election fills what the view knows into an election's view.
-func (v *view) election(self Member, now time.Time) election.View {
+// election fills what the view knows into an election's view, and returns the end of the
+// topic of claims that it goes with.
+func (v *view) election(self Member, now time.Time) (election.View, int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return election.View{
@@ -186,7 +187,9 @@
 		LeaderGone:    v.gone,
 		LeaderRefused: v.refused >= refusalsToSuspect,
 		Others:        len(v.members),
-	}
+		// Until they are asked, the others count as reached.
+		Reached: len(v.members),
+	}, v.end
 }
 
 // refusalsToSuspect is the number of refused connections after which the controller's
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -96,6 +96,18 @@
 	MakeClaim
 )
 
+// String names the decision.
+func (d Decision) String() string {
+	switch d {
+	case Follow:
+		return "follow"
+	case Wait:
+		return "wait"
+	default:
+		return "claim"
+	}
+}
+
 // Decide says what a member does and when to look again.
 func Decide(v View, t Timing) (Decision, time.Time) {
 	vacant := v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderGone
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,49 @@
+package election
+
+import (
+	"testing"
+	"time"
+)
+
+var testTiming = Timing{Silence: time.Second, Alone: 4 * time.Second, Handicap: 100 * time.Millisecond}
+
+func TestDecide(t *testing.T) {
+	start := time.Unix(1000, 0)
+	held := Claim{Node: "a", Boot: "a1", Epoch: 3}
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for name, c := range map[string]struct {
+		view View
+		want Decision
+	}{
+		"nobody yet, before the handicap":   {View{Now: start, Watched: start}, Wait},
+		"nobody yet":                        {View{Now: at(100 * time.Millisecond), Watched: start}, MakeClaim},
+		"heard lately":                      {View{Now: at(5 * time.Second), Watched: start, Newest: held, LeaderHeard: at(4 * time.Second)}, Follow},
+		"silent":                            {View{Now: at(2 * time.Second), Watched: start, Newest: held, LeaderHeard: at(time.Millisecond), Others: 2, Reached: 2}, MakeClaim},
+		"silent, but others hear it":        {View{Now: at(2 * time.Second), Watched: start, Newest: held, Others: 2, Reached: 2, OthersHear: true}, Follow},
+		"silent, and no other is reached":   {View{Now: at(2 * time.Second), Watched: start, Newest: held, Others: 2}, Follow},
+		"silent for long, no other reached": {View{Now: at(5 * time.Second), Watched: start, Newest: held, Others: 2}, MakeClaim},
+		"silent, no other known":            {View{Now: at(2 * time.Second), Watched: start, Newest: held}, MakeClaim},
+		"refuses connections":               {View{Now: at(500 * time.Millisecond), Watched: start, Newest: held, LeaderRefused: true, Others: 1, Reached: 1}, MakeClaim},
+		"its machine runs another process":  {View{Now: at(100 * time.Millisecond), Watched: start, Newest: held, LeaderHeard: start, LeaderGone: true}, MakeClaim},
+		"resigned":                          {View{Now: at(100 * time.Millisecond), Watched: start, Newest: Claim{Node: "a", Boot: "a1", Resigned: true, Epoch: 4}}, MakeClaim},
+		"own machine, an earlier process":   {View{Now: start, Watched: start, Newest: held, Node: "a", Boot: "a2"}, MakeClaim},
+	} {
+		if got, _ := Decide(c.view, testTiming); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+func TestClaimRoundTrip(t *testing.T) {
+	c := Claim{Node: "a", Boot: "a1", Addr: "10.0.0.1:80", Resigned: true, Former: 7}
+	r, err := c.Record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Offset = 11
+	got, err := ParseClaim(r)
+	c.Epoch = 12
+	if err != nil || got != c {
+		t.Errorf("%+v, %v; want %+v", got, err, c)
+	}
+}
