Controller: a silent worker's lease is not renewed unseen; lanes rest after a failure

Ruled out: the fold of 'broken' ends (noted at once in the trace). Change: looks after a failed one renew nothing. Lanes to the advisor rest 400 ms after a failed call (a killed member's lane failed ten times a second). TestTasksOfAGoneWorkerStartElsewhere fails before; the random mix now has workers away for 40 s.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -73,8 +73,13 @@
 	busy bool
 	at   time.Time
 	ask  *Ask
+	// restTo is until when the lane is not used after a call that failed.
+	restTo time.Time
 }
 
+// laneRest is how long a lane rests after a call that failed: its member may be away.
+const laneRest = 400 * time.Millisecond
+
 // SetLanes tells which entries may ask the advisor.
 func (c *Controller) SetLanes(names []string) {
 	for name, l := range c.lanes {
@@ -127,7 +132,7 @@
 
 // askAdvice asks about the steps that wait for tickets, the most urgent first.
 func (c *Controller) askAdvice(pool []*worker, now time.Time) {
-	idle := c.idleLanes()
+	idle := c.idleLanes(now)
 	for _, s := range c.readySteps() {
 		if len(idle) == 0 {
 			return
@@ -157,10 +162,10 @@
 }
 
 // idleLanes returns the lanes without a call, in the order of their names.
-func (c *Controller) idleLanes() []*lane {
+func (c *Controller) idleLanes(now time.Time) []*lane {
 	var idle []*lane
 	for _, l := range c.lanes {
-		if !l.busy {
+		if !l.busy && !now.Before(l.restTo) {
 			idle = append(idle, l)
 		}
 	}
@@ -245,6 +250,10 @@
 	if l := c.lanes[ask.Lane]; l != nil && l.busy && l.ask.Step == ask.Step && l.at.Equal(ask.Sent) {
 		l.busy = false
 		l.ask = nil
+		if err != nil {
+			l.restTo = now.Add(laneRest)
+			c.wakes.add(l.restTo)
+		}
 	}
 	c.needPlan(now)
 	s := c.step(ask.Step)
@@ -263,7 +272,7 @@
 }
 
 // adviceRetry is the pause after a call that failed.
-const adviceRetry = 100 * time.Millisecond
+const adviceRetry = 10 * time.Millisecond
 
 func (c *Controller) takeVerdicts(s *step, ask *Ask, good []workload.Ticket, validity time.Duration, now time.Time) {
 	if validity <= 0 {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -59,6 +59,34 @@
 	}
 }
 
+// TestTasksOfAGoneWorkerStartElsewhere takes a worker away for good: its runs count as
+// lost once its lease has ended, and a gang of which members ran there starts anew
+// (tairi-bale scale-1: LOST).
+func TestTasksOfAGoneWorkerStartElsewhere(t *testing.T) {
+	w := newWorld(t, 1)
+	w.goodShare = 1
+	w.addWorkers(3, 4000)
+	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) { return 8 * time.Second, workload.EndDone }
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	w.submit(simpleJob("j1", "batch", 4, 1000, nil))
+	w.submit(simpleJob("j2", "gang", 4, 1000, func(s *workload.Step) { s.Gang = true }))
+	w.play(2 * time.Second)
+	gone := w.workers["i-aa"]
+	if len(gone.runs) == 0 {
+		t.Fatal("nothing runs on the worker that goes")
+	}
+	gone.crash()
+	w.play(time.Second)
+	w.ctl.DropWorker(gone.id, w.now)
+	w.play(16 * time.Second)
+	for _, id := range []string{"j1", "j2"} {
+		if got := w.state(id); got != workload.JobCompleted {
+			t.Errorf("job %s is %q, want completed", id, got)
+		}
+	}
+}
+
 // TestRandomTroubles plays seeded mixes of all faults that workers, store and controllers
 // have, and checks every start. In the end all jobs must be complete.
 func TestRandomTroubles(t *testing.T) {
@@ -159,6 +187,10 @@
 	case 0:
 		if f.up {
 			f.crash()
+			if rng.IntN(3) == 0 {
+				// It comes back long after its lease has ended.
+				long += 40 * time.Second
+			}
 			w.after(long, func() {
 				f.start()
 				w.list(f)
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -39,16 +39,16 @@
 		w.looking = true
 		w.lookSent = now
 		l := Look{Worker: w.info.ID, Addr: w.info.Addr, Seen: w.seenSeq}
-		if w.seen {
+		switch {
+		case w.failures > 0:
+			// It may run a new boot by now, whose ends count from 1. Its lease is not
+			// renewed unseen, so that it ends.
+			l.Seen = 0
+		case w.seen:
 			l.Wait = c.timing.LookWait
 			l.DeadlineMs = w.deadline(now, c.timing.Lease)
 			w.granted = max(w.granted, l.DeadlineMs)
 		}
-		if w.failures > 0 {
-			// It may run a new boot by now, whose ends count from 1.
-			l.Wait = 0
-			l.Seen = 0
-		}
 		c.orders.Looks = append(c.orders.Looks, l)
 	}
 }
