Slow machines hand the controller's office on; a silent append refuses new work; Retry-After as long as the outage

Change: each member times a fixed piece of work; a slow one claims later and a slow controller resigns; an append under way for 0.7 s refuses what no batch holds; Retry-After is as long as the outage has lasted (1 to 8 s). Submissions that are refused at an entry are logged with what was known.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -14,8 +14,9 @@
 	commitGap = 12 * time.Millisecond
 	// commitPause is the pause after an append that failed.
 	commitPause = 60 * time.Millisecond
-	// storeFailing is how long appends must fail before submissions are refused.
-	storeFailing = 400 * time.Millisecond
+	// storeFailing is how long an append may be under way before submissions are
+	// refused: a store that is only slow answers in less.
+	storeFailing = 700 * time.Millisecond
 )
 
 // commit stores batches one after the other.
@@ -44,7 +45,13 @@
 // takeBatch asks the control goroutine for what has to be stored.
 func (l *lead) takeBatch() *controller.Batch {
 	taken := make(chan *controller.Batch, 1)
-	l.post(func(time.Time) { taken <- l.ctl.TakeBatch() })
+	l.post(func(now time.Time) {
+		b := l.ctl.TakeBatch()
+		if b != nil {
+			l.appending = now
+		}
+		taken <- b
+	})
 	select {
 	case b := <-taken:
 		return b
@@ -55,7 +62,6 @@
 
 // appendBatch appends a batch until it is stored. It returns false if the term ends.
 func (l *lead) appendBatch(b *controller.Batch) bool {
-	began := time.Now()
 	for l.ctx.Err() == nil {
 		sent := time.Now()
 		err := l.store.Append(l.ctx, b.Records)
@@ -71,7 +77,6 @@
 			l.stop()
 			return false
 		}
-		l.post(func(now time.Time) { l.storeFails(began, now) })
 		select {
 		case <-l.ctx.Done():
 		case <-time.After(commitPause):
@@ -82,7 +87,7 @@
 
 // stored tells those who wait that a batch is stored.
 func (l *lead) stored(b *controller.Batch, now time.Time) {
-	l.failSince = time.Time{}
+	l.appending = time.Time{}
 	l.ctl.Stored(b, now)
 	for _, id := range b.Accepted {
 		answerAll(l.accepts, id, nil)
@@ -92,15 +97,23 @@
 	}
 }
 
-// storeFails refuses what no batch holds once appends have failed for a while: it has
-// certainly not been accepted.
-func (l *lead) storeFails(since, now time.Time) {
-	l.failSince = since
-	if now.Sub(since) < storeFailing {
+// storeAway returns how long the store has not answered, zero while it does.
+func (l *lead) storeAway(now time.Time) time.Duration {
+	if l.appending.IsZero() || now.Sub(l.appending) < storeFailing {
+		return 0
+	}
+	return now.Sub(l.appending)
+}
+
+// refuseUnsent refuses what no batch holds while the store is away: it has certainly not
+// been accepted.
+func (l *lead) refuseUnsent(now time.Time) {
+	away := l.storeAway(now)
+	if away == 0 || len(l.accepts) == 0 {
 		return
 	}
 	for _, id := range l.ctl.DropUnsent() {
-		answerAll(l.accepts, id, errStoreAway())
+		answerAll(l.accepts, id, errStoreAway(away))
 	}
 }
 
@@ -112,9 +125,15 @@
 	delete(waits, id)
 }
 
-// storeRetryAfter is when a caller should come back while the store is away.
-const storeRetryAfter = time.Second
+// Bounds on when a caller should come back while the store is away.
+const (
+	retryAfterLeast = time.Second
+	retryAfterMost  = 8 * time.Second
+)
 
-func errStoreAway() error {
-	return structs.RetryAfter(structs.CodeUnavailable, storeRetryAfter, "the platform's store is away")
+// errStoreAway refuses a submission. How long an outage will last is not known; as long
+// again as it has lasted is the estimate.
+func errStoreAway(away time.Duration) error {
+	after := min(max(away, retryAfterLeast), retryAfterMost)
+	return structs.RetryAfter(structs.CodeUnavailable, after, "the platform's store is away")
 }
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
@@ -31,11 +32,13 @@
 }
 
 // Submit hands a job in and returns once it is stored.
-func (n *Node) Submit(ctx context.Context, job *workload.Job) error {
+func (n *Node) Submit(ctx context.Context, job *workload.Job) (err error) {
 	raw, err := json.Marshal(job)
 	if err != nil {
 		return structs.NewError(structs.CodeInvalid, "job: %v", err)
 	}
+	began := time.Now()
+	defer func() { n.recordSubmitted(job, began, err) }()
 	_, err = forward(ctx, n, call[struct{}]{
 		local: func(ctx context.Context, l *lead) (struct{}, error) {
 			own := *job
@@ -53,6 +56,26 @@
 	return err
 }
 
+// recordSubmitted tells why a submission through this member was not accepted.
+func (n *Node) recordSubmitted(job *workload.Job, began time.Time, err error) {
+	if err == nil {
+		return
+	}
+	claim, _, _ := n.view.leader()
+	since, _ := n.view.sinceHeard(time.Now())
+	n.record(event.Event{
+		Type:    event.SubmitFailed,
+		Request: job.ID,
+		Class:   job.Class,
+		Code:    structs.CodeOf(err),
+		Member:  claim.Node,
+		Epoch:   claim.Epoch,
+		AgeMs:   since.Milliseconds(),
+		Count:   int(time.Since(began).Milliseconds()),
+		Detail:  structs.AsError(err).Message,
+	})
+}
+
 // Cancel ends a job and returns once that is stored.
 func (n *Node) Cancel(ctx context.Context, id string) error {
 	_, err := forward(ctx, n, call[struct{}]{
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -43,7 +43,7 @@
 	// The control goroutine's own.
 	accepts   map[string][]chan error // by job, callers that wait for its acceptance
 	endWaits  map[string][]chan error // by job, callers that wait for its stored end
-	failSince time.Time               // since when appends fail, zero while they do not
+	appending time.Time               // since when an append is under way, zero if none is
 	members   map[string]time.Time
 	lanes     []string
 	former    former
@@ -255,6 +255,7 @@
 		return
 	}
 	l.setLanes(now)
+	l.refuseUnsent(now)
 	orders := l.ctl.Take(now)
 	l.execute(&orders)
 	if l.ctl.Unstored() {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -59,6 +59,7 @@
 	lead atomic.Pointer[lead]
 
 	view  view
+	pace  pace
 	group sync.WaitGroup
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -116,6 +117,7 @@
 	n.spawn(n.register)
 	n.spawn(n.heartbeats)
 	n.spawn(n.elect)
+	n.spawn(n.keepPace)
 	<-n.ctx.Done()
 	if l := n.lead.Load(); l != nil {
 		l.stop()
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -198,6 +198,8 @@
 	// noPathHandicap puts off the claim of a member that reaches the store only through
 	// others.
 	noPathHandicap = 500 * time.Millisecond
+	// slowHandicap puts off the claim of a machine that runs slow.
+	slowHandicap = 800 * time.Millisecond
 )
 
 // electionTiming is the election's timing with this member's handicap.
@@ -208,6 +210,9 @@
 	if !direct {
 		t.Handicap += noPathHandicap
 	}
+	if n.pace.slow() {
+		t.Handicap += slowHandicap
+	}
 	return t
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -55,9 +55,8 @@
 
 // submitNow takes a job on the control goroutine.
 func (l *lead) submitNow(job *workload.Job, ch chan error, now time.Time) {
-	_, known := l.ctl.State(job.ID)
-	if !known && !l.failSince.IsZero() && now.Sub(l.failSince) > storeFailing {
-		l.refuse(job, ch, errStoreAway())
+	if away := l.storeAway(now); away > 0 && !l.ctl.Has(job.ID) {
+		l.refuse(job, ch, errStoreAway(away))
 		return
 	}
 	what, err := l.ctl.Submit(job, now)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -66,7 +66,9 @@
 	w := newWorld(t, 1)
 	w.goodShare = 1
 	w.addWorkers(3, 4000)
-	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) { return 8 * time.Second, workload.EndDone }
+	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) {
+		return 8 * time.Second, workload.EndDone
+	}
 	w.lead(true)
 	w.play(100 * time.Millisecond)
 	w.submit(simpleJob("j1", "batch", 4, 1000, nil))
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// Has reports whether a job is known, be it stored or on its way to the store.
+func (c *Controller) Has(id string) bool { return c.jobs[id] != nil }
+
 // State returns the state of a job as callers may be told: a final state is shown only
 // once it is stored.
 func (c *Controller) State(id string) (workload.JobState, bool) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -75,6 +75,7 @@
 	LeaderFound     Type = "leader_found"     // Member, Epoch
 	SettingsTaken   Type = "settings_taken"   // the settings were read again
 	SettingsRefused Type = "settings_refused" // Detail: what is wrong with them
+	SubmitFailed    Type = "submit_failed"    // an entry answered a submission with an error: Request, Code, Member (controller), AgeMs (since it was heard), Count (ms held)
 	TaskNoted       Type = "task_noted"       // the controller saw a run's end: Task, Attempt, Worker, State
 	Fault           Type = "fault"            // a test injected a fault: Detail
 	Alarm           Type = "alarm"            // Code, Detail
