--- a/internal/cell/dark_test.go
+++ b/internal/cell/dark_test.go
@@ -58,13 +58,7 @@
 	l.cut.Store(true)
 	defer l.dark.Store(false)
 	began := time.Now()
-	for {
-		if next := o.lead.Load(); next != nil && next.serving() {
-			break
-		}
-		if next := c.nodes[len(c.nodes)-1].lead.Load(); next != nil && next.serving() && c.nodes[len(c.nodes)-1] != l {
-			break
-		}
+	for !c.leadsBut(l) {
 		if time.Since(began) > 3*time.Second {
 			t.Fatal("nobody took over")
 		}
@@ -72,3 +66,13 @@
 	}
 	t.Logf("took over after %v", time.Since(began))
 }
+
+// leadsBut reports whether a node other than n leads and serves.
+func (c *testCell) leadsBut(n *testNode) bool {
+	for _, o := range c.nodes {
+		if l := o.lead.Load(); o != n && l != nil && l.serving() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -17,8 +17,9 @@
 	// forwardTimeout bounds a call to the controller; calls without an answer are made
 	// again.
 	forwardTimeout = 1500 * time.Millisecond
-	// forwardPause is the pause before a call is made again.
-	forwardPause = 40 * time.Millisecond
+	// forwardPause is the longest pause before a call is made again; a change of the
+	// controller ends it. Calls that wait must not load those that they wait for.
+	forwardPause = 400 * time.Millisecond
 	// leaderRetryAfter is when a caller should come back while there is no controller.
 	leaderRetryAfter = time.Second
 )
@@ -140,6 +141,7 @@
 	began := time.Now()
 	open := false
 	for {
+		changed := n.view.wait()
 		out, err := c.once(ctx, n)
 		switch structs.CodeOf(err) {
 		case structs.CodeNotOwner:
@@ -158,6 +160,7 @@
 		select {
 		case <-ctx.Done():
 			return out, outcome(open)
+		case <-changed:
 		case <-time.After(forwardPause):
 		}
 	}
@@ -177,13 +180,18 @@
 		return c.local(ctx, l)
 	}
 	claim, _, _ := n.view.leader()
-	if claim.Epoch == 0 || claim.Resigned || claim.Boot == n.self.Boot {
+	if claim.Boot == n.self.Boot || !n.view.leaderServes(time.Now()) {
 		var zero T
 		return zero, errNotLeading()
 	}
 	out, err := c.remote(ctx, claim.Addr)
-	if structs.CodeOf(err) == structs.CodeUnavailable && !n.view.leaderServes(time.Now()) {
-		return out, errNotLeading()
+	switch structs.CodeOf(err) {
+	case structs.CodeNotOwner:
+		n.view.leaderHeard(claim.Epoch, false, nil, time.Now())
+	case structs.CodeUnavailable:
+		if !n.view.leaderServes(time.Now()) {
+			return out, errNotLeading()
+		}
 	}
 	return out, err
 }
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -64,7 +64,7 @@
 }
 
 // startLead begins a term.
-func startLead(n *Node, claim election.Claim, v election.View, sent time.Time) *lead {
+func startLead(n *Node, claim election.Claim, v election.View, sent time.Time) {
 	l := &lead{
 		n:        n,
 		epoch:    claim.Epoch,
@@ -80,8 +80,8 @@
 	l.ctx, l.abort = context.WithCancel(n.ctx)
 	l.proven.Store(sent.UnixNano())
 	n.record(event.Event{Type: event.AuthorityOn, Member: n.self.Boot, Epoch: l.epoch, Detail: n.self.Node})
+	n.lead.Store(l)
 	n.spawn(func() { l.run(v, sent) })
-	return l
 }
 
 // stop ends the term.
@@ -185,7 +185,7 @@
 
 // formerEnded notes that the process of the controller before has ended or stepped down.
 func (l *lead) formerEnded(now time.Time) {
-	if l.ctl.FormerSettled(l.former.epoch) {
+	if l.ctl.LastFormer(l.former.epoch) {
 		l.ctl.FormerEnded(now)
 	}
 }
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		if m.Node != n.self.Node {
-			n.view.met(m, time.Time{})
+			n.view.met(m, false, time.Time{})
 		}
 	}
 }
@@ -158,7 +158,7 @@
 
 func (n *Node) hello(addr string, timeout time.Duration) (*cellv1.HelloResponse, error) {
 	claim, _, _ := n.view.leader()
-	req := &cellv1.HelloRequest{From: toMember(n.self), Epoch: claim.Epoch}
+	req := &cellv1.HelloRequest{From: toMember(n.self), Epoch: claim.Epoch, Slow: n.pace.slow()}
 	if cfg := n.config.Load(); cfg != nil {
 		req.ConfigVersion = cfg.Version
 	}
@@ -281,14 +281,14 @@
 	got, err := n.log.Append(ctx, stream.Append{Topic: election.Topic, Records: []stream.Record{record}, AsOf: &end})
 	if err != nil {
 		// After a lost answer the follower of the claims reads whether it was done.
-		n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Detail: "claim: " + structs.AsError(err).Message})
+		n.record(event.Event{Type: event.ClaimRefused, Code: structs.CodeOf(err), Detail: structs.AsError(err).Message})
 		n.adoptLostClaim(v, sent)
 		return
 	}
 	claim.Epoch = got.Offset + 1
 	n.view.claim(claim, sent)
 	n.view.claimsRead(got.End)
-	n.lead.Store(startLead(n, claim, v, sent))
+	startLead(n, claim, v, sent)
 }
 
 // adoptLostClaim takes the office if a claim without an answer was done all the same.
@@ -296,6 +296,6 @@
 	n.sleep(electPeriod)
 	newest, _, _ := n.view.leader()
 	if newest.Boot == n.self.Boot && newest.Epoch > v.Newest.Epoch && !newest.Resigned && n.lead.Load() == nil {
-		n.lead.Store(startLead(n, newest, v, sent))
+		startLead(n, newest, v, sent)
 	}
 }
--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -28,7 +28,9 @@
 	pacePeriod = 150 * time.Millisecond
 	// slowBy is how many times as long the work must take for the machine to count as
 	// slow.
-	slowBy = 2.2
+	slowBy = 3
+	// resignPause is the least time between two resignations for running slow.
+	resignPause = 10 * time.Second
 )
 
 // measure takes one reading.
@@ -65,16 +67,19 @@
 	return float64(fastest) > slowBy*float64(p.best)
 }
 
-// keepPace measures, and hands the office on while this machine is slow and another
-// member is there to take it.
+// keepPace measures, and hands the office on when this machine runs slow and another
+// member does not.
 func (n *Node) keepPace() {
+	var resigned time.Time
 	for n.sleep(pacePeriod) {
 		n.pace.measure()
 		l := n.lead.Load()
 		if l == nil || !l.ready.Load() || !n.pace.slow() {
 			continue
 		}
-		if len(n.view.others(time.Now().Add(-membersFresh))) > 0 {
+		now := time.Now()
+		if now.Sub(resigned) > resignPause && n.view.fastOthers(now.Add(-membersFresh)) > 0 {
+			resigned = now
 			n.recordSlow(l)
 			l.resign()
 		}
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	from := fromMember(req.From)
 	if from.Node != "" && from.Node != n.self.Node {
-		n.view.met(from, now)
+		n.view.met(from, req.Slow, now)
 	}
 	newest, _, _ := n.view.leader()
 	resp := &cellv1.HelloResponse{From: toMember(n.self), Epoch: newest.Epoch, LeaderHeardMs: -1}
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -25,6 +25,7 @@
 	waiting map[string]int32
 	members map[string]Member // by node, without this one
 	seen    map[string]time.Time
+	slow    map[string]bool // members that say that their machine runs slow
 	changed chan struct{}
 }
 
@@ -33,6 +34,7 @@
 	v.waiting = map[string]int32{}
 	v.members = map[string]Member{}
 	v.seen = map[string]time.Time{}
+	v.slow = map[string]bool{}
 	v.changed = make(chan struct{})
 }
 
@@ -139,12 +141,26 @@
 	return now.Sub(v.heard), true
 }
 
-// met notes a member.
-func (v *view) met(m Member, now time.Time) {
+// met notes a member and whether its machine runs slow.
+func (v *view) met(m Member, slow bool, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.members[m.Node] = m
 	v.seen[m.Node] = now
+	v.slow[m.Node] = slow
+}
+
+// fastOthers returns the number of members met since a time that do not run slow.
+func (v *view) fastOthers(since time.Time) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for node := range v.members {
+		if !v.seen[node].Before(since) && !v.slow[node] {
+			n++
+		}
+	}
+	return n
 }
 
 // replaceMembers takes the controller's list of members.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,14 @@
 	StatusRetention time.Duration
 }
 
+// longestLease is how long a lease lasts at most after it was given: its end is worked out
+// from a reading of the worker's clock that may be as old as two looks, and runs on that
+// clock.
+func (t *Timing) longestLease() time.Duration {
+	asked := t.Lease + time.Duration(clockSlowness*float64(2*lookPatience))
+	return time.Duration(float64(min(asked, t.MaxLease))/(1-clockSlowness)) + leaseMargin
+}
+
 const (
 	// clockSlowness is how much slower a worker's clock may run.
 	clockSlowness = 0.02
@@ -61,9 +69,10 @@
 	// formerEnd is when the authority of every former controller has ended; zero if
 	// there can't have been one.
 	formerEnd time.Time
-	// formerSettled is the newest epoch whose controller had accounted for all workers
-	// of earlier ones.
-	formerSettled int64
+	// endedBefore is the newest epoch of which the store says that no controller of an
+	// earlier one orders any more; formersNoted says that it says so of this epoch.
+	endedBefore  int64
+	formersNoted bool
 	// settled says that every worker that a former controller may have used is
 	// accounted for.
 	settled bool
@@ -150,10 +159,10 @@
 	}
 }
 
-// FormerSettled reports whether the controller of an epoch had accounted for all workers
-// of those before it: then nobody but itself can have ordered since.
-func (c *Controller) FormerSettled(epoch int64) bool {
-	return epoch == 0 || epoch == c.formerSettled
+// LastFormer reports whether the controller of an epoch is the only former one that may
+// still order: all before it are known to have ended.
+func (c *Controller) LastFormer(epoch int64) bool {
+	return epoch == 0 || epoch == c.endedBefore
 }
 
 // SetConfig puts a version of the configuration in force.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -259,3 +259,28 @@
 		w.lead(false)
 	}
 }
+
+// TestChainOfControllersSettles loses two controllers within the time in which a worker
+// that is gone leaves its runs in doubt. The second one's end is known, and the store
+// knows that the first ended before it: only the longest lease has to pass
+// (hunt-f677-35: LOST).
+func TestChainOfControllersSettles(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(3, 4000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	w.submit(simpleJob("j1", "batch", 9, 1000, func(s *workload.Step) { s.LongRunning = true }))
+	w.play(time.Second)
+	w.workers["i-aa"].crash()
+	w.workers["i-aa"].listed = false
+	for range 2 {
+		w.ctl = nil
+		w.play(500 * time.Millisecond)
+		w.lead(true)
+		w.play(time.Second)
+	}
+	w.play(w.timing.longestLease())
+	if !w.ctl.settled {
+		t.Error("not settled after the longest lease")
+	}
+}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -21,9 +21,9 @@
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
 	workerPrefix   = "w/"
-	// settledKey holds the newest epoch whose controller has accounted for all workers
-	// of earlier ones.
-	settledKey = "m/settled"
+	// endedKey holds the newest epoch of which it is known that no controller of an
+	// earlier one orders any more.
+	endedKey = "m/ended"
 )
 
 // Batch is what has to be stored next, in one append.
@@ -54,8 +54,8 @@
 	dropped   map[string]struct{}
 	workers   map[*worker]struct{}
 	forgotten map[string]struct{}
-	// settled says that the epoch's settling is to be stored.
-	settled bool
+	// formersEnded says that the end of all former controllers is to be stored.
+	formersEnded bool
 }
 
 func newDirtySet() dirtySet {
@@ -92,7 +92,7 @@
 
 func (d *dirtySet) empty() bool {
 	n := len(d.accepted) + len(d.changed) + len(d.retired) + len(d.dropped) + len(d.workers) + len(d.forgotten)
-	return n == 0 && !d.settled
+	return n == 0 && !d.formersEnded
 }
 
 // change marks the progress of a job as not stored.
@@ -135,9 +135,9 @@
 		size += len(key) + len(value)
 	}
 	full := func() bool { return size > maxBatchBytes || len(b.Records) > maxBatchRecords }
-	if c.dirty.settled {
-		c.dirty.settled = false
-		add(settledKey, mustJSON(c.epoch))
+	if c.dirty.formersEnded {
+		c.dirty.formersEnded = false
+		add(endedKey, mustJSON(c.epoch))
 	}
 	for w := range c.dirty.workers {
 		delete(c.dirty.workers, w)
@@ -303,8 +303,8 @@
 			if err := c.loadWorker(strings.TrimPrefix(r.Key, workerPrefix), r.Value, now); err != nil {
 				return err
 			}
-		case r.Key == settledKey:
-			if err := json.Unmarshal(r.Value, &c.formerSettled); err != nil {
+		case r.Key == endedKey:
+			if err := json.Unmarshal(r.Value, &c.endedBefore); err != nil {
 				return structs.NewError(structs.CodeInternal, "stored %s: %v", r.Key, err)
 			}
 		}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -13,6 +13,7 @@
 	}
 	c.openDue(now)
 	c.forgetEnded(now)
+	c.noteFormers(now)
 	c.lapse(now)
 	if !c.Authorized(now) {
 		return
@@ -21,6 +22,15 @@
 	c.sendRetries(now)
 }
 
+// noteFormers has it stored that no former controller orders any more.
+func (c *Controller) noteFormers(now time.Time) {
+	if c.formersNoted || c.formerEnd.IsZero() || now.Before(c.formerEnd) {
+		return
+	}
+	c.formersNoted = true
+	c.dirty.formersEnded = true
+}
+
 // openDue opens the occurrences of timed jobs that have come due.
 func (c *Controller) openDue(now time.Time) {
 	for _, j := range c.active {
@@ -93,8 +103,7 @@
 	if c.formerEnd.IsZero() {
 		return time.Time{}
 	}
-	longest := time.Duration(float64(c.timing.MaxLease)/(1-clockSlowness)) + leaseMargin
-	return c.formerEnd.Add(longest)
+	return c.formerEnd.Add(c.timing.longestLease())
 }
 
 // lapseWorker ends everything on a worker by time.
@@ -127,7 +136,6 @@
 // may have used is accounted for.
 func (c *Controller) settle(now time.Time) {
 	c.settled = true
-	c.dirty.settled = true
 	for _, j := range c.active {
 		for _, occ := range j.open {
 			for _, s := range occ.steps {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -209,7 +209,7 @@
 	}
 	ctl.Prove(w.now)
 	ctl.FormerEnded(w.now.Add(w.timing.Authority))
-	if formerDead && ctl.FormerSettled(w.fence-1) {
+	if formerDead && ctl.LastFormer(w.fence-1) {
 		ctl.FormerEnded(w.now)
 	}
 	ctl.SetLanes(w.lanes)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -72,6 +72,7 @@
 	StoreLost       Type = "store_lost"       // Detail
 	StoreRegained   Type = "store_regained"   // AgeMs (how long it was away)
 	LeaderLost      Type = "leader_lost"      // Member (the controller), Epoch, AgeMs, Detail
+	ClaimRefused    Type = "claim_refused"    // an append of a claim failed: Code, Detail
 	LeaderFound     Type = "leader_found"     // Member, Epoch
 	SettingsTaken   Type = "settings_taken"   // the settings were read again
 	SettingsRefused Type = "settings_refused" // Detail: what is wrong with them
