The store is reached through members that reach it; calls that take long are hedged

Ruled out: the election (the controller was heard). Change: members say whether they reach the store and those are tried first; the direct way is probed apart; a call that may be repeated goes through another member after 0.35 s without an answer.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -318,3 +318,31 @@
 	c.completes(next, "j1")
 	c.completes(next, "j2")
 }
+
+// TestControllerWithoutAPathToTheStore cuts the controller and another member off from the
+// store only: appends go through the member that still reaches it (tairi-bale scale-2).
+func TestControllerWithoutAPathToTheStore(t *testing.T) {
+	c := newTestCell(t, 5)
+	l := c.leader(5 * time.Second)
+	c.submit(l, "j1")
+	time.Sleep(2 * heartbeatPeriod)
+	l.cut.Store(true)
+	for _, n := range c.nodes[:4] {
+		n.cut.Store(true)
+	}
+	if l == c.nodes[4] {
+		c.nodes[3].cut.Store(false)
+	}
+	time.Sleep(2*silence + 3*heartbeatPeriod)
+	for i := range 5 {
+		began := time.Now()
+		c.submit(l, fmt.Sprintf("k%d", i))
+		if took := time.Since(began); took > silence/2 {
+			t.Errorf("k%d was accepted after %v", i, took)
+		}
+	}
+	c.completes(l, "k4")
+	if c.leader(time.Second) != l {
+		t.Error("the controller was replaced")
+	}
+}
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -48,11 +48,15 @@
 	cut func() bool
 }
 
+// silence is how long a call takes to be given up on a path that is cut.
+const silence = 900 * time.Millisecond
+
 func (v *logView) gone() error {
-	if v.cut() {
-		return structs.NewError(structs.CodeUnavailable, "cut off")
+	if !v.cut() {
+		return nil
 	}
-	return nil
+	time.Sleep(silence)
+	return structs.NewError(structs.CodeUnknown, "no answer")
 }
 
 func (v *logView) Append(_ context.Context, a stream.Append) (stream.Appended, error) {
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -318,7 +318,7 @@
 	for _, m := range l.n.view.others(now.Add(-membersFresh)) {
 		resp.Members = append(resp.Members, toMember(m))
 	}
-	resp.Members = append(resp.Members, toMember(l.n.self))
+	resp.Members = append(resp.Members, toMember(l.n.present()))
 	l.post(func(now time.Time) { l.memberSeen(from, epoch, now) })
 }
 
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -25,6 +25,8 @@
 	// Addr is where peers reach the process.
 	Addr   string `json:"addr"`
 	Domain string `json:"domain"`
+	// ReachesStore says that the member has a path of its own to the store.
+	ReachesStore bool `json:"-"`
 }
 
 // Options is what a node is made of.
@@ -118,6 +120,7 @@
 	n.spawn(n.heartbeats)
 	n.spawn(n.elect)
 	n.spawn(n.keepPace)
+	n.spawn(n.log.probe)
 	<-n.ctx.Done()
 	if l := n.lead.Load(); l != nil {
 		l.stop()
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -158,7 +158,7 @@
 
 func (n *Node) hello(addr string, timeout time.Duration) (*cellv1.HelloResponse, error) {
 	claim, _, _ := n.view.leader()
-	req := &cellv1.HelloRequest{From: toMember(n.self), Epoch: claim.Epoch, Slow: n.pace.slow()}
+	req := &cellv1.HelloRequest{From: toMember(n.present()), Epoch: claim.Epoch, Slow: n.pace.slow()}
 	if cfg := n.config.Load(); cfg != nil {
 		req.ConfigVersion = cfg.Version
 	}
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -82,11 +82,17 @@
 }
 
 func toMember(m Member) *cellv1.Member {
-	return &cellv1.Member{Node: m.Node, Boot: m.Boot, Addr: m.Addr, Domain: m.Domain}
+	return &cellv1.Member{Node: m.Node, Boot: m.Boot, Addr: m.Addr, Domain: m.Domain, ReachesStore: m.ReachesStore}
 }
 
 func fromMember(m *cellv1.Member) Member {
-	return Member{Node: m.GetNode(), Boot: m.GetBoot(), Addr: m.GetAddr(), Domain: m.GetDomain()}
+	return Member{
+		Node:         m.GetNode(),
+		Boot:         m.GetBoot(),
+		Addr:         m.GetAddr(),
+		Domain:       m.GetDomain(),
+		ReachesStore: m.GetReachesStore(),
+	}
 }
 
 func toError(err error) *cellv1.Error {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -1,11 +1,14 @@
 package cell
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/structs"
@@ -17,16 +20,15 @@
 	direct Log
 	n      *Node
 	// badSince is when the direct way began to fail, in Unix nanoseconds, zero while it
-	// works; retryAt is when it is tried first again.
+	// works.
 	badSince atomic.Int64
-	retryAt  atomic.Int64
 	// fastest is the shortest time of a direct call in nanoseconds, zero before one.
 	fastest atomic.Int64
 }
 
 const (
-	// directPause is how long the direct way is not tried first after a failure.
-	directPause = time.Second
+	// probePeriod is that of trying the direct way while it fails.
+	probePeriod = 500 * time.Millisecond
 	// relayTimeout bounds a call through another member beyond what it waits for.
 	relayTimeout = 1500 * time.Millisecond
 	// relayTries is the number of members that are tried.
@@ -35,9 +37,19 @@
 
 func newRelayLog(direct Log, n *Node) *relayLog { return &relayLog{direct: direct, n: n} }
 
-// bad reports whether the direct way failed a moment ago.
-func (r *relayLog) bad(now time.Time) bool {
-	return r.badSince.Load() != 0 && now.UnixNano() < r.retryAt.Load()
+// bad reports whether the direct way fails at present.
+func (r *relayLog) bad() bool { return r.badSince.Load() != 0 }
+
+// probe tries the direct way while it fails, so that calls need not wait for that.
+func (r *relayLog) probe() {
+	for r.n.sleep(probePeriod) {
+		if !r.bad() {
+			continue
+		}
+		_, end, _ := r.n.view.leader()
+		_, err := r.direct.Read(r.n.ctx, election.Topic, end, 0)
+		r.note(r.n.ctx, err)
+	}
 }
 
 // timed notes how long a direct call took.
@@ -56,11 +68,14 @@
 
 // distance is the shortest time of a direct call, and whether the direct way works.
 func (r *relayLog) distance() (time.Duration, bool) {
-	return time.Duration(r.fastest.Load()), !r.bad(time.Now())
+	return time.Duration(r.fastest.Load()), !r.bad()
 }
 
-// note takes the result of a direct call.
-func (r *relayLog) note(err error) {
+// note takes the result of a direct call, unless its caller has given it up.
+func (r *relayLog) note(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	now := time.Now()
 	if !pathFailed(err) {
 		if since := r.badSince.Swap(0); since != 0 {
@@ -68,7 +83,6 @@
 		}
 		return
 	}
-	r.retryAt.Store(now.Add(directPause).UnixNano())
 	if r.badSince.CompareAndSwap(0, now.UnixNano()) {
 		r.n.record(event.Event{Type: event.StoreLost, Code: structs.CodeOf(err), Detail: structs.AsError(err).Message})
 	}
@@ -84,33 +98,91 @@
 	return false
 }
 
-// viaRelay makes a call directly, and through others while that fails. A call that may
-// not be repeated goes through others only if it certainly was not done.
-func viaRelay[T any](r *relayLog, repeatable bool, direct func() (T, error), relayed func(Member) (T, error)) (T, error) {
-	var out T
-	var err error
-	tried := false
-	if !r.bad(time.Now()) {
-		out, err = direct()
-		r.note(err)
-		if !pathFailed(err) || !mayRelay(err, repeatable) {
+// hedgeAfter is how long a call of the store that may be repeated goes without an answer
+// before it is made through another member besides.
+const hedgeAfter = 350 * time.Millisecond
+
+// result is what a call of the store came to.
+type result[T any] struct {
+	out T
+	err error
+}
+
+// viaRelay makes a call directly, and through others while that fails or takes long. A
+// call that may not be repeated goes through others only if it certainly was not done.
+func viaRelay[T any](
+	ctx context.Context,
+	r *relayLog,
+	repeatable bool,
+	wait time.Duration,
+	direct func() (T, error),
+	relayed func(Member) (T, error),
+) (T, error) {
+	if r.bad() {
+		if out, err := throughOthers(r, repeatable, relayed); !pathFailed(err) || !mayRelay(err, repeatable) {
 			return out, err
 		}
-		tried = true
 	}
-	for _, m := range r.n.relays() {
-		var relayErr error
-		out, relayErr = relayed(m)
-		if !pathFailed(relayErr) || !mayRelay(relayErr, repeatable) {
-			return out, relayErr
+	first := make(chan result[T], 1)
+	go func() {
+		out, err := direct()
+		r.note(ctx, err)
+		first <- result[T]{out, err}
+	}()
+	if !repeatable {
+		got := <-first
+		if !pathFailed(got.err) || !mayRelay(got.err, repeatable) {
+			return got.out, got.err
+		}
+		return throughOthers(r, repeatable, relayed)
+	}
+	return hedge(r, first, wait+hedgeAfter, relayed)
+}
+
+// hedge waits for a direct call and makes it through others too if that fails or takes
+// longer than patience. The first answer counts.
+func hedge[T any](r *relayLog, first <-chan result[T], patience time.Duration, relayed func(Member) (T, error)) (T, error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case got := <-first:
+		if !pathFailed(got.err) {
+			return got.out, got.err
 		}
-		err = relayErr
+		return throughOthers(r, true, relayed)
+	case <-timer.C:
 	}
-	if tried {
-		return out, err
+	second := make(chan result[T], 1)
+	go func() {
+		out, err := throughOthers(r, true, relayed)
+		second <- result[T]{out, err}
+	}()
+	select {
+	case got := <-first:
+		if !pathFailed(got.err) {
+			return got.out, got.err
+		}
+		got = <-second
+		return got.out, got.err
+	case got := <-second:
+		if !pathFailed(got.err) {
+			return got.out, got.err
+		}
+		got = <-first
+		return got.out, got.err
+	}
+}
+
+// throughOthers makes a call through other members, one after the other.
+func throughOthers[T any](r *relayLog, repeatable bool, relayed func(Member) (T, error)) (T, error) {
+	var out T
+	err := structs.NewError(structs.CodeUnavailable, "no other member is known")
+	for _, m := range r.n.relays() {
+		out, err = relayed(m)
+		if !pathFailed(err) || !mayRelay(err, repeatable) {
+			return out, err
+		}
 	}
-	out, err = direct()
-	r.note(err)
 	return out, err
 }
 
@@ -119,29 +191,46 @@
 	return repeatable || structs.CodeOf(err) != structs.CodeUnknown && structs.CodeOf(err) != structs.CodeDeadline
 }
 
-// relays returns the members through which the store may be reached.
+// relays returns the members through which the store may be reached, those first that
+// said that they reach it.
 func (n *Node) relays() []Member {
 	others := n.view.others(time.Time{})
+	slices.SortStableFunc(others, func(a, b Member) int { return cmp.Compare(reachRank(a), reachRank(b)) })
 	return others[:min(len(others), relayTries)]
 }
 
+// reachRank orders members that reach the store before others.
+func reachRank(m Member) int {
+	if m.ReachesStore {
+		return 0
+	}
+	return 1
+}
+
+// present is this member as others should see it now.
+func (n *Node) present() Member {
+	m := n.self
+	m.ReachesStore = !n.log.bad()
+	return m
+}
+
 // Append implements Log.
 func (r *relayLog) Append(ctx context.Context, a stream.Append) (stream.Appended, error) {
-	return viaRelay(r, a.Producer != nil,
+	return viaRelay(ctx, r, a.Producer != nil, 0,
 		func() (stream.Appended, error) { return r.direct.Append(ctx, a) },
 		func(m Member) (stream.Appended, error) { return r.n.relayAppend(ctx, m, a) })
 }
 
 // Read implements stream.Reader.
 func (r *relayLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
-	return viaRelay(r, true,
+	return viaRelay(ctx, r, true, wait,
 		func() (stream.Batch, error) { return r.direct.Read(ctx, topic, from, wait) },
 		func(m Member) (stream.Batch, error) { return r.n.relayRead(ctx, m, topic, from, wait) })
 }
 
 // Newest implements stream.Reader.
 func (r *relayLog) Newest(ctx context.Context, topic, after string) (stream.Page, error) {
-	return viaRelay(r, true,
+	return viaRelay(ctx, r, true, 0,
 		func() (stream.Page, error) {
 			began := time.Now()
 			page, err := r.direct.Newest(ctx, topic, after)
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -37,7 +37,7 @@
 		n.view.met(from, req.Slow, now)
 	}
 	newest, _, _ := n.view.leader()
-	resp := &cellv1.HelloResponse{From: toMember(n.self), Epoch: newest.Epoch, LeaderHeardMs: -1}
+	resp := &cellv1.HelloResponse{From: toMember(n.present()), Epoch: newest.Epoch, LeaderHeardMs: -1}
 	if since, heard := n.view.sinceHeard(now); heard {
 		resp.LeaderHeardMs = since.Milliseconds()
 	}
@@ -107,7 +107,7 @@
 
 // direct returns the log for calls of other members, which are not relayed on.
 func (s *peerServer) direct() (Log, error) {
-	if s.n.log.bad(time.Now()) {
+	if s.n.log.bad() {
 		return nil, structs.NewError(structs.CodeUnavailable, "this member does not reach the store either")
 	}
 	return s.n.log.direct, nil
@@ -124,7 +124,7 @@
 		a.Producer = &stream.Producer{Name: req.Producer, Epoch: req.Epoch, Sequence: req.Sequence}
 	}
 	got, err := log.Append(ctx, a)
-	s.n.log.note(err)
+	s.n.log.note(ctx, err)
 	return &cellv1.AppendResponse{Offset: got.Offset, End: got.End, Error: toError(err)}, nil
 }
 
@@ -135,7 +135,7 @@
 		return &cellv1.ReadResponse{Error: toError(err)}, nil
 	}
 	batch, err := log.Read(ctx, req.Topic, req.From, time.Duration(req.WaitMs)*time.Millisecond)
-	s.n.log.note(err)
+	s.n.log.note(ctx, err)
 	return &cellv1.ReadResponse{
 		Records: toRecords(batch.Records),
 		Next:    batch.Next,
@@ -152,7 +152,7 @@
 		return &cellv1.NewestResponse{Error: toError(err)}, nil
 	}
 	page, err := log.Newest(ctx, req.Topic, req.After)
-	s.n.log.note(err)
+	s.n.log.note(ctx, err)
 	return &cellv1.NewestResponse{
 		Records: toRecords(page.Records),
 		More:    page.More,
