--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -319,6 +319,21 @@
 	c.completes(next, "j2")
 }
 
+// awaitReach waits until a node knows of just so many others that reach the store.
+func (c *testCell) awaitReach(n *testNode, want int) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		reach := 0
+		for _, m := range n.view.others(time.Time{}) {
+			reach += 1 - reachRank(m)
+		}
+		if reach == want {
+			return
+		}
+	}
+	c.t.Fatalf("the others' path to the store is not known")
+}
+
 // TestControllerWithoutAPathToTheStore cuts the controller and another member off from the
 // store only: appends go through the member that still reaches it (tairi-bale scale-2).
 func TestControllerWithoutAPathToTheStore(t *testing.T) {
@@ -333,7 +348,7 @@
 	if l == c.nodes[4] {
 		c.nodes[3].cut.Store(false)
 	}
-	time.Sleep(2*silence + 3*heartbeatPeriod)
+	c.awaitReach(l, 1)
 	for i := range 5 {
 		began := time.Now()
 		c.submit(l, fmt.Sprintf("k%d", i))
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -20,12 +20,14 @@
 const (
 	// claimsWait is how long a read of the claims waits for a new one.
 	claimsWait = 2 * time.Second
-	// heartbeatPeriod is that of calls to the controller, heartbeatTimeout how long
+	// heartbeatPeriod is that of calls to the controller in a cell of up to smallCell
+	// members; in a larger one it grows with their number. heartbeatTimeout is how long
 	// one may take.
-	heartbeatPeriod  = 200 * time.Millisecond
-	heartbeatTimeout = 600 * time.Millisecond
+	heartbeatPeriod  = 120 * time.Millisecond
+	heartbeatTimeout = 400 * time.Millisecond
+	smallCell        = 10
 	// probeTimeout bounds the question whether another member hears the controller.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
 	// electPeriod is how often a member considers a claim.
 	electPeriod = 50 * time.Millisecond
 	// membersFresh is how long ago the controller must have met a member to list it.
@@ -117,10 +119,10 @@
 func (n *Node) heartbeats() {
 	for n.ctx.Err() == nil {
 		claim, _, _ := n.view.leader()
-		period := heartbeatPeriod
+		period := n.heartbeatPeriod()
 		if claim.Epoch != 0 && !claim.Resigned && n.lead.Load() == nil && claim.Boot != n.self.Boot {
 			if !n.helloLeader(claim) {
-				period = heartbeatPeriod / 3
+				period /= 2
 			}
 		}
 		select {
@@ -131,6 +133,12 @@
 	}
 }
 
+// heartbeatPeriod keeps the calls that the controller gets a second in bounds.
+func (n *Node) heartbeatPeriod() time.Duration {
+	members := len(n.view.others(time.Time{})) + 1
+	return heartbeatPeriod * time.Duration(max(members, smallCell)) / smallCell
+}
+
 // helloLeader calls the controller of a claim once.
 func (n *Node) helloLeader(claim election.Claim) bool {
 	resp, err := n.hello(claim.Addr, heartbeatTimeout)
@@ -198,6 +206,9 @@
 	// noPathHandicap puts off the claim of a member that reaches the store only through
 	// others.
 	noPathHandicap = 500 * time.Millisecond
+	// silentBeats is the number of heartbeats that must fail at least before the
+	// controller counts as silent.
+	silentBeats = 4
 	// slowHandicap puts off the claim of a machine that runs slow.
 	slowHandicap = 800 * time.Millisecond
 )
@@ -205,6 +216,7 @@
 // electionTiming is the election's timing with this member's handicap.
 func (n *Node) electionTiming() election.Timing {
 	t := n.opts.Election
+	t.Silence = max(t.Silence, silentBeats*n.heartbeatPeriod())
 	distance, direct := n.log.distance()
 	t.Handicap += distanceWeight * distance
 	if !direct {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -173,15 +173,34 @@
 	}
 }
 
-// throughOthers makes a call through other members, one after the other.
+// throughOthers makes a call through other members: one after the other, or through all of
+// them at once if it may be repeated. The first answer counts.
 func throughOthers[T any](r *relayLog, repeatable bool, relayed func(Member) (T, error)) (T, error) {
 	var out T
 	err := structs.NewError(structs.CodeUnavailable, "no other member is known")
-	for _, m := range r.n.relays() {
-		out, err = relayed(m)
-		if !pathFailed(err) || !mayRelay(err, repeatable) {
-			return out, err
+	relays := r.n.relays()
+	if !repeatable {
+		for _, m := range relays {
+			out, err = relayed(m)
+			if !pathFailed(err) || !mayRelay(err, repeatable) {
+				return out, err
+			}
+		}
+		return out, err
+	}
+	answers := make(chan result[T], len(relays))
+	for _, m := range relays {
+		go func() {
+			out, err := relayed(m)
+			answers <- result[T]{out, err}
+		}()
+	}
+	for range relays {
+		got := <-answers
+		if !pathFailed(got.err) {
+			return got.out, got.err
 		}
+		out, err = got.out, got.err
 	}
 	return out, err
 }
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -306,7 +306,7 @@
 }
 
 // retryStart is the pause before a start without an answer is sent again.
-const retryStart = 150 * time.Millisecond
+const retryStart = 30 * time.Millisecond
 
 // refused takes back a run that certainly was not started.
 func (c *Controller) refused(r *run, answer Answer, now time.Time) {
