--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -70,7 +70,11 @@
 	if err := v.gone(); err != nil {
 		return stream.Batch{}, err
 	}
-	return v.log.read(ctx, topic, from, wait)
+	batch, err := v.log.read(ctx, topic, from, wait)
+	if cut := v.gone(); cut != nil {
+		return stream.Batch{}, cut
+	}
+	return batch, err
 }
 
 func (v *logView) Newest(_ context.Context, topic, after string) (stream.Page, error) {
