Gangs: wide first advice, room reserved by expected ends, batch that loses little is preempted

Change: the first call names 24 workers or more whatever room they have; room is held where the gang fits first, by the progress and the estimates of what runs there, and lent to tasks that end before; fresh tickets are asked for when it is about to fit; if it would be late, checkpointed batch tasks are stopped, the cheapest first. Steps that can't be in time come after those that can.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
@@ -133,7 +134,7 @@
 // askAdvice asks about the steps that wait for tickets, the most urgent first.
 func (c *Controller) askAdvice(pool []*worker, now time.Time) {
 	idle := c.idleLanes(now)
-	for _, s := range c.readySteps() {
+	for _, s := range c.readySteps(now) {
 		if len(idle) == 0 {
 			return
 		}
@@ -191,10 +192,97 @@
 	if a.asking > 0 || now.Before(a.retryAt) || need == 0 {
 		return nil
 	}
-	if s.gang != nil && s.gang.number != 0 {
+	if s.gang == nil {
+		return c.chooseAsked(s, pool, need, now)
+	}
+	if s.gang.number != 0 || need < len(s.tasks) {
+		return nil
+	}
+	return c.chooseForGang(s, pool, need, now)
+}
+
+const (
+	// gangSurplus is how many times the needed room on allowed workers a gang looks
+	// for, so that it finds workers that come free soon.
+	gangSurplus = 3.0
+	// gangAsked is the least number of workers that a gang asks about first: the time
+	// of a call is mostly that of its decision.
+	gangAsked = 24
+)
+
+// chooseForGang returns the workers to ask about for a gang, whatever room they have now:
+// first those of which nothing is known, until enough are allowed; then, when the gang is
+// about to fit, those with room whose tickets have expired.
+func (c *Controller) chooseForGang(s *step, pool []*worker, need int, now time.Time) []*worker {
+	share := c.share(s.job().class.Name).value()
+	want := gangSurplus * float64(need)
+	allowed := 0.0
+	var unknown []*worker
+	for _, w := range pool {
+		most := times(w.info.Capacity, s.size)
+		if most == 0 || !s.suits(w) {
+			continue
+		}
+		v, known := s.verdict(w)
+		switch {
+		case !known:
+			unknown = append(unknown, w)
+		case v.good:
+			allowed += float64(most)
+		}
+	}
+	if allowed < want && len(unknown) > 0 {
+		slices.SortStableFunc(unknown, func(a, b *worker) int {
+			return cmp.Compare(leftShare(b, structs.Resources{}), leftShare(a, structs.Resources{}))
+		})
+		return firstWorth(s, unknown, (want-allowed)/share)
+	}
+	return c.renewTickets(s, pool, now)
+}
+
+// firstWorth returns the first workers that hold so many tasks of a step when empty, but
+// no few.
+func firstWorth(s *step, workers []*worker, tasks float64) []*worker {
+	for i, w := range workers {
+		tasks -= float64(times(w.info.Capacity, s.size))
+		if tasks <= 0 && i+1 >= gangAsked || i+1 == maxAsked {
+			return workers[:i+1]
+		}
+	}
+	return workers
+}
+
+// ticketLead is how long before a gang fits its tickets are asked for, beyond the time of
+// the call.
+const ticketLead = 150 * time.Millisecond
+
+// renewTickets returns the workers on which a gang is about to fit and whose tickets have
+// expired.
+func (c *Controller) renewTickets(s *step, pool []*worker, now time.Time) []*worker {
+	if s.startAt.IsZero() {
+		return nil
+	}
+	var out []*worker
+	fits := 0
+	for _, w := range pool {
+		if !s.suits(w) || !s.mayUse(w) {
+			continue
+		}
+		room := times(c.roomFor(s, w, now), s.size)
+		if h := c.held[w]; room == 0 && (h == nil || h.step != s) {
+			continue
+		}
+		if _, ok := s.ticket(w, now); ok {
+			fits += room
+			continue
+		}
+		out = append(out, w)
+	}
+	lead := s.job().class.Advice.CallTime(len(out)) + ticketLead
+	if fits >= len(s.tasks) || s.startAt.Sub(now) > lead {
 		return nil
 	}
-	return c.chooseAsked(s, pool, need, now)
+	return out[:min(len(out), maxAsked)]
 }
 
 func (c *Controller) chooseAsked(s *step, pool []*worker, need int, now time.Time) []*worker {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,7 +95,9 @@
 	shares map[string]*goodShare
 	speeds speedBook
 	health *healthBook
-	held   map[*worker]*step
+	// held and schedules belong to one pass of placement.
+	held      map[*worker]*hold
+	schedules map[*worker][]release
 
 	stats Stats
 }
@@ -126,7 +128,9 @@
 		shares:   map[string]*goodShare{},
 		speeds:   newSpeedBook(),
 		health:   newHealthBook(),
-		held:     map[*worker]*step{},
+		held:     map[*worker]*hold{},
+
+		schedules: map[*worker][]release{},
 	}
 }
 
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -27,6 +27,7 @@
 	runs     map[workload.TaskID]*fakeRun
 	highest  map[workload.TaskID]int64 // of runs stopped or ended
 	ends     []workload.EndedTask
+	void     map[int64]bool // ends after which the lease lapsed before they were noted
 	seq      int64
 	waiting  func() // answers a look that waits for an end
 }
@@ -64,6 +65,7 @@
 	f.runs = map[workload.TaskID]*fakeRun{}
 	f.highest = map[workload.TaskID]int64{}
 	f.ends = nil
+	f.void = map[int64]bool{}
 	f.seq = 0
 	f.waiting = nil
 }
@@ -96,6 +98,9 @@
 	boot := f.boot
 	f.w.at(at, func() {
 		if f.boot == boot && f.up && !f.w.now.Before(f.deadline) {
+			for _, e := range f.ends {
+				f.void[e.Seq] = true
+			}
 			for _, id := range f.runIDs() {
 				f.end(id, workload.EndLapsed)
 			}
@@ -228,11 +233,15 @@
 	}, func(a Answer) { ctl.LookFailed(l.Worker, a, w.now) })
 }
 
-// forget drops the ends that were taken note of.
+// forget drops the ends that were taken note of. One after which the lease lapsed does
+// not count: its task may have been started elsewhere.
 func (f *fakeWorker) forget(seen int64) {
 	for len(f.ends) > 0 && f.ends[0].Seq <= seen {
 		e := f.ends[0]
 		f.ends = f.ends[1:]
+		if f.void[e.Seq] {
+			continue
+		}
 		switch e.How {
 		case workload.EndDone:
 			f.w.doneRuns[e.Run.Task] = true
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -70,6 +70,14 @@
 	gang      *gang
 	advice    *advice
 	notBefore time.Time
+	// latest and late are worked out by each pass of placement: when the step has to
+	// start to be in time, and whether that has passed.
+	latest time.Time
+	late   bool
+	// startAt is when a gang is expected to fit, zero if that is not known.
+	startAt time.Time
+	// preempted is when runs were last stopped to make room for the step.
+	preempted time.Time
 }
 
 // gang is the state of a step whose tasks run together.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -18,8 +18,9 @@
 		return
 	}
 	clear(c.held)
+	clear(c.schedules)
 	pool := c.pool(now)
-	for _, s := range c.readySteps() {
+	for _, s := range c.readySteps(now) {
 		switch {
 		case now.Before(s.notBefore):
 		case s.gang != nil:
@@ -43,11 +44,13 @@
 	return out
 }
 
-// readySteps returns the steps with tasks to start: by priority, then the least slack
-// first.
-func (c *Controller) readySteps() []*step {
+// readySteps returns the steps with tasks to start: by priority, those first that can
+// still be in time, then the least slack first.
+func (c *Controller) readySteps(now time.Time) []*step {
 	out := make([]*step, 0, len(c.ready))
 	for s := range c.ready {
+		s.latest = s.latestStart()
+		s.late = s.latest.Before(now)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, compareSteps)
@@ -58,13 +61,22 @@
 	ja, jb := a.job(), b.job()
 	return cmp.Or(
 		cmp.Compare(ja.class.Priority, jb.class.Priority),
-		a.latestStart().Compare(b.latestStart()),
+		cmp.Compare(lateRank(a), lateRank(b)),
+		a.latest.Compare(b.latest),
 		cmp.Compare(ja.spec.ID, jb.spec.ID),
 		cmp.Compare(a.occ.k, b.occ.k),
 		cmp.Compare(a.index, b.index),
 	)
 }
 
+// lateRank orders steps that can't be in time any more after the others.
+func lateRank(s *step) int {
+	if s.late {
+		return 1
+	}
+	return 0
+}
+
 // suits reports whether a worker may run tasks of a step at all.
 func (s *step) suits(w *worker) bool {
 	if w.info.Service != s.job().class.Service {
@@ -73,12 +85,10 @@
 	return s.def.Label == "" || w.info.HasLabel(s.def.Label)
 }
 
-// fit returns how many more tasks of a step a worker can take now.
-func (c *Controller) fit(s *step, w *worker) int {
-	if holder := c.held[w]; holder != nil && holder != s {
-		return 0
-	}
-	n := times(w.free(), s.size)
+// fit returns how many more tasks of a step a worker can take now, besides what is held
+// there for others.
+func (c *Controller) fit(s *step, w *worker, now time.Time) int {
+	n := times(c.roomFor(s, w, now), s.size)
 	if s.perWorker != nil {
 		n = min(n, s.def.MaxPerWorker-s.perWorker[w])
 	}
@@ -122,7 +132,7 @@
 		if !s.suits(w) || c.health.bad(w, now) {
 			continue
 		}
-		n := c.fit(s, w)
+		n := c.fit(s, w, now)
 		if n == 0 {
 			continue
 		}
@@ -141,6 +151,8 @@
 const (
 	tightTimeWeight = 2.0
 	looseTimeWeight = 0.3
+	// heldPenalty leaves workers that are held for a gang to the last.
+	heldPenalty = 1.0
 )
 
 // score rates a worker for a step; lower is better.
@@ -154,7 +166,11 @@
 		longer *= max(c.timing.RemotePenalty, 1)
 		weight = tightTimeWeight
 	}
-	return weight*longer + leftShare(w, s.size)
+	score := weight*longer + leftShare(w, s.size)
+	if h := c.held[w]; h != nil && h.step != s {
+		score += heldPenalty
+	}
+	return score
 }
 
 // leftShare is the larger share of a worker that is left after one task.
@@ -249,7 +265,8 @@
 	}
 	found := oneRack(s, c.candidates(s, pool, true, now), len(tasks))
 	if totalFit(found) < len(tasks) {
-		c.holdFor(s, pool, now)
+		c.reserve(s, pool, now)
+		c.preempt(s, pool, now)
 		return
 	}
 	s.gang.number = s.tasks[0].nextGangNumber()
@@ -294,51 +311,3 @@
 	}
 	c.breakGang(s, now)
 }
-
-// holdFor keeps workers free of less urgent work for a gang that does not fit yet.
-func (c *Controller) holdFor(s *step, pool []*worker, now time.Time) {
-	need := len(s.tasks)
-	type option struct {
-		w    *worker
-		most int
-		free float64
-	}
-	var options []option
-	for _, w := range pool {
-		if c.held[w] != nil || !s.suits(w) || !s.mayUse(w) {
-			continue
-		}
-		most := times(w.info.Capacity, s.size)
-		if s.perWorker != nil {
-			most = min(most, s.def.MaxPerWorker)
-		}
-		if most > 0 {
-			options = append(options, option{w: w, most: most, free: leftShare(w, structs.Resources{})})
-		}
-	}
-	total := 0
-	for _, o := range options {
-		total += o.most
-	}
-	if total < need {
-		// It would not fit if all else had ended: nothing is kept from others for it.
-		return
-	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
-	for _, o := range options {
-		if need <= 0 {
-			return
-		}
-		c.held[o.w] = s
-		need -= o.most
-	}
-}
-
-// release ends the holding of workers for a step.
-func (c *Controller) release(s *step) {
-	for w, holder := range c.held {
-		if holder == s {
-			delete(c.held, w)
-		}
-	}
-}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -54,7 +54,6 @@
 		return
 	}
 	delete(c.ready, s)
-	c.release(s)
 }
 
 // lose ends a run that has certainly ended without a listed end.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -39,6 +39,7 @@
 	wakeAt     time.Time            // when the controller's next turn is scheduled
 	adviseFrom map[string]time.Time // when a lane's advisor call ends
 	goodShare  float64
+	share      func(workload.StepID) float64 // overrides goodShare
 	jobs       map[string]*workload.Job
 	cancelled  map[string]time.Time // when the cancel was acknowledged
 	accepted   map[string]bool
@@ -82,14 +83,16 @@
 		rng: rand.New(rand.NewPCG(seed, 1)),
 		now: epochStart,
 		timing: Timing{
-			MaxLease:        6 * time.Second,
-			Lease:           5 * time.Second,
-			Authority:       20 * time.Second,
-			GangTimeout:     3 * time.Second,
-			LookWait:        time.Second,
-			LookGap:         15 * time.Millisecond,
-			RemotePenalty:   2,
-			StatusRetention: 120 * time.Second,
+			MaxLease:           6 * time.Second,
+			Lease:              5 * time.Second,
+			Authority:          20 * time.Second,
+			GangTimeout:        3 * time.Second,
+			LookWait:           time.Second,
+			LookGap:            15 * time.Millisecond,
+			RemotePenalty:      2,
+			RestoreTime:        600 * time.Millisecond,
+			CheckpointInterval: time.Second,
+			StatusRetention:    120 * time.Second,
 		},
 		config: &workload.Config{Version: 1, Classes: map[string]*workload.Class{
 			"batch": {Name: "batch", Service: "svc", MaxAttempts: 3, Stretch: 2, Target: 3 * time.Second, Priority: 1},
@@ -329,7 +332,11 @@
 // allows is the advisor's policy, which does not change.
 func (w *world) allows(step workload.StepID, worker string) bool {
 	h := fnv(step.String() + "/" + worker)
-	return float64(h%1000) < w.goodShare*1000
+	share := w.goodShare
+	if w.share != nil {
+		share = w.share(step)
+	}
+	return float64(h%1000) < share*1000
 }
 
 func fnv(s string) uint32 {
