Runs that stand still, and runs on slow workers, move to others; speeds are learnt from progress

Change: a run without progress for 0.9 s (12% of its estimate) is copied where copies are allowed, else stopped and started elsewhere; two such runs put the worker aside; runs on workers under 0.55 of the mean speed move if a new run would end far earlier.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// TestRunsThatStandStillMove has a worker on which nothing goes on: its tasks are started
+// elsewhere, with copies where these are allowed, and it gets no more of them.
+func TestRunsThatStandStillMove(t *testing.T) {
+	for _, duplicates := range []bool{false, true} {
+		w := newWorld(t, 1)
+		w.addWorkers(3, 4000)
+		w.lead(true)
+		w.play(100 * time.Millisecond)
+		w.submit(simpleJob("j1", "batch", 9, 1000, func(s *workload.Step) { s.Duplicates = duplicates }))
+		w.play(300 * time.Millisecond)
+		stuck := w.workers["i-aa"]
+		if len(stuck.runs) == 0 {
+			t.Fatal("nothing runs on the worker that is stuck")
+		}
+		stuck.standStill(30 * time.Second)
+		w.play(5 * time.Second)
+		if got := w.state("j1"); got != workload.JobCompleted {
+			t.Errorf("copies %v: state %q after 5 s, want completed", duplicates, got)
+		}
+	}
+}
+
 // TestRandomTroubles plays seeded mixes of all faults that workers, store and controllers
 // have, and checks every start. In the end all jobs must be complete.
 func TestRandomTroubles(t *testing.T) {
@@ -185,7 +207,11 @@
 	ids := w.workerIDs()
 	f := w.workers[ids[rng.IntN(len(ids))]]
 	long := time.Duration(500+rng.IntN(9000)) * time.Millisecond
-	switch rng.IntN(8) {
+	switch rng.IntN(9) {
+	case 8:
+		if !f.stands {
+			f.standStill(long)
+		}
 	case 0:
 		if f.up {
 			f.crash()
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -19,6 +19,8 @@
 	draining bool
 	up       bool // runs and answers
 	cut      bool // runs, but nobody reaches it
+	stands   bool // what runs there stands still
+	stoodAt  time.Time
 	boot     int64
 	bornAt   time.Time
 
@@ -33,12 +35,12 @@
 }
 
 type fakeRun struct {
-	id      workload.Run
-	step    *workload.Step
-	started time.Time
-	waits   bool // for the other members of its gang
-	doneAt  time.Time
-	how     workload.End
+	id     workload.Run
+	step   *workload.Step
+	waits  bool // for the other members of its gang
+	began  time.Time
+	doneAt time.Time
+	how    workload.End
 }
 
 func (w *world) addWorkers(n int, cpu int64) {
@@ -255,7 +257,7 @@
 	obs := &workload.Observation{BootMs: f.boot, ClockMs: f.clock(), Ended: append([]workload.EndedTask(nil), f.ends...)}
 	for _, id := range f.runIDs() {
 		r := f.runs[id]
-		obs.Running = append(obs.Running, workload.RunningTask{Run: r.id, Percent: 50})
+		obs.Running = append(obs.Running, workload.RunningTask{Run: r.id, Percent: f.percent(r)})
 	}
 	return obs
 }
@@ -289,7 +291,7 @@
 	job := w.jobs[s.Run.Task.Job]
 	step := &job.Steps[s.Run.Task.Step]
 	took, how := w.run(s.Run.Task, f)
-	r := &fakeRun{id: s.Run, step: step, started: w.now, how: how, doneAt: w.now.Add(took), waits: step.Gang}
+	r := &fakeRun{id: s.Run, step: step, began: w.now, how: how, doneAt: w.now.Add(took), waits: step.Gang}
 	f.runs[s.Run.Task] = r
 	f.hold(s.DeadlineMs)
 	if step.Gang {
@@ -306,12 +308,46 @@
 	}
 	boot := f.boot
 	f.w.at(r.doneAt, func() {
-		if f.up && f.boot == boot && f.runs[r.id.Task] == r {
-			f.end(r.id.Task, r.how)
+		if !f.up || f.boot != boot || f.runs[r.id.Task] != r {
+			return
+		}
+		if f.w.now.Before(r.doneAt) || f.stands {
+			if !f.stands {
+				f.finishLater(r)
+			}
+			return
+		}
+		f.end(r.id.Task, r.how)
+	})
+}
+
+// standStill keeps all that runs there from going on for a time.
+func (f *fakeWorker) standStill(d time.Duration) {
+	f.stands = true
+	f.stoodAt = f.w.now
+	f.w.after(d, func() {
+		f.stands = false
+		for _, id := range f.runIDs() {
+			r := f.runs[id]
+			r.began = r.began.Add(d)
+			r.doneAt = r.doneAt.Add(d)
+			f.finishLater(r)
 		}
 	})
 }
 
+// percent is the progress of a run.
+func (f *fakeWorker) percent(r *fakeRun) int {
+	now := f.w.now
+	if f.stands {
+		now = f.stoodAt
+	}
+	if r.waits || !now.After(r.began) {
+		return 0
+	}
+	return min(int(100*now.Sub(r.began)/r.doneAt.Sub(r.began)), 99)
+}
+
 func (w *world) stop(ctl *Controller, s Stop) {
 	sent := w.now
 	w.reach(ctl, s.Worker, func(f *fakeWorker) func() {
@@ -348,6 +384,7 @@
 	if len(members) == r.step.Count {
 		for _, m := range members {
 			m.run.waits = false
+			m.run.began = w.now
 			m.run.doneAt = w.now.Add(took)
 			m.on.finishLater(m.run)
 		}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -63,8 +63,10 @@
 	tasks []*task
 	done  int
 	waits int // steps before that are not done
-	// pending counts tasks that are to be started.
+	// pending counts tasks that are to be started, copies those that are to be started
+	// once more beside a slow run.
 	pending int
+	copies  int
 	// perWorker counts the runs by worker, where the step has a limit.
 	perWorker map[*worker]int
 	gang      *gang
@@ -106,8 +108,13 @@
 	// uncertain tasks may run on a worker that is not accounted for.
 	uncertain bool
 	// aliens counts runs that are being stopped and not counted in runs.
-	aliens    int
-	notBefore time.Time
+	aliens int
+	// moves is how often the task was moved off a worker, avoid the last such worker.
+	moves int
+	avoid *worker
+	// copyWanted says that another run is to be started beside the present one.
+	copyWanted bool
+	notBefore  time.Time
 }
 
 func (j *job) setClass(class *workload.Class) {
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// stuckFor is how long a worker on which runs stand still is avoided after the last sight
+// of that.
+const stuckFor = 1500 * time.Millisecond
+
+// stuck notes that runs stand still on a worker.
+func (h *healthBook) stuck(w *worker, now time.Time) {
+	r := h.record(w)
+	if to := now.Add(stuckFor); to.After(r.avoidTo) {
+		r.avoidTo = to
+	}
+}
+
 // learn takes what the end of a run tells about its worker.
 func (c *Controller) learn(t *task, r *run, e *workload.EndedTask, now time.Time) {
 	if r == nil {
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -80,6 +80,7 @@
 		c.takeEnd(w, &obs.Ended[i], now)
 	}
 	c.dropAbsent(w, obs, sent, now)
+	c.findStragglers(w, now)
 	c.needPlan(now)
 }
 
@@ -174,9 +175,13 @@
 	if r.confirmed.IsZero() {
 		r.confirmed = now
 	}
+	c.progressed(r, row.Percent, now)
 	if row.Percent > r.percent || r.movedAt.IsZero() {
 		r.movedAt = now
 	}
+	if g := r.task.step.gang; g != nil && row.Percent > 0 {
+		g.whole = true
+	}
 	r.percent = row.Percent
 	r.percentAt = now
 	if row.Checkpoint != "" {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -193,7 +193,7 @@
 func (s *step) startable(now time.Time) []*task {
 	var out []*task
 	for _, t := range s.tasks {
-		if !t.done && len(t.runs) == 0 && t.aliens == 0 && !t.uncertain && !now.Before(t.notBefore) {
+		if !t.done && (len(t.runs) == 0 || t.copyWanted) && t.aliens == 0 && !t.uncertain && !now.Before(t.notBefore) {
 			out = append(out, t)
 		}
 	}
@@ -210,17 +210,28 @@
 	found = oneRack(s, found, len(tasks))
 	for i := range found {
 		cand := &found[i]
-		for cand.fit > 0 && len(tasks) > 0 {
-			c.start(tasks[0], cand.w, cand.ticket, tasks[0].last+1, now)
-			tasks = tasks[1:]
-			cand.fit--
-		}
+		tasks = c.fill(tasks, cand, now)
 		if len(tasks) == 0 {
 			return
 		}
 	}
 }
 
+// fill starts tasks on a candidate as far as it has room, but for those that were moved
+// off it, and returns the others.
+func (c *Controller) fill(tasks []*task, cand *candidate, now time.Time) []*task {
+	var left []*task
+	for _, t := range tasks {
+		if cand.fit == 0 || t.avoid == cand.w {
+			left = append(left, t)
+			continue
+		}
+		c.start(t, cand.w, cand.ticket, t.last+1, now)
+		cand.fit--
+	}
+	return left
+}
+
 // oneRack keeps the candidates of the rack with the most room for a step whose tasks
 // should stand together, if that rack holds them all.
 func oneRack(s *step, found []candidate, want int) []candidate {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -15,6 +15,9 @@
 	if len(t.runs) == 0 {
 		s.pending--
 	}
+	if t.copyWanted {
+		t.endCopy()
+	}
 	t.runs = append(t.runs, r)
 	t.last = max(t.last, r.num)
 	t.uncertain = false
@@ -38,6 +41,7 @@
 		s.perWorker[r.w]--
 	}
 	if len(t.runs) == 0 && !t.done {
+		t.endCopy()
 		s.pending++
 	}
 	s.job().runs--
@@ -49,7 +53,7 @@
 
 // sortStep keeps the set of steps that have tasks to start.
 func (c *Controller) sortStep(s *step) {
-	if s.open() && s.pending > 0 {
+	if s.open() && s.pending+s.copies > 0 {
 		c.ready[s] = struct{}{}
 		return
 	}
@@ -119,10 +123,19 @@
 	return len(t.runs) > 0 && !t.step.def.Duplicates
 }
 
+// endCopy ends the wish for another run of a task.
+func (t *task) endCopy() {
+	if t.copyWanted {
+		t.copyWanted = false
+		t.step.copies--
+	}
+}
+
 func (c *Controller) markDone(t *task) {
 	if t.done {
 		return
 	}
+	t.endCopy()
 	t.done = true
 	t.step.done++
 	if len(t.runs) == 0 {
