Several gangs hold room on one worker, their tickets come in one call, and batch makes way after a second; jobs wait until a worker has begun them

Ruled out: preemption's cost limit (nothing fitted at any cost: the workers were held). Change: holds add up on a worker; a gang that is about to fit asks about all its workers at once; after a second of waiting it preempts what loses little and has time left.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -11,7 +11,7 @@
 const (
 	// commitGap is the least time between two appends: records that come meanwhile go
 	// into one.
-	commitGap = 12 * time.Millisecond
+	commitGap = 25 * time.Millisecond
 	// commitPause is the pause after an append that failed.
 	commitPause = 60 * time.Millisecond
 	// storeFailing is how long an append may be under way before submissions are
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -9,7 +9,7 @@
 
 // configWait is how long a read of the configuration waits for a change: short enough
 // that a silent connection is noticed within the bound on new versions.
-const configWait = 1000 * time.Millisecond
+const configWait = 1500 * time.Millisecond
 
 // followConfig keeps the newest configuration in force.
 func (n *Node) followConfig() {
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -336,8 +336,13 @@
 	}
 }
 
-// workersWait is how long a read of the list of workers waits for a change.
-const workersWait = 2 * time.Second
+const (
+	// workersWait is how long a read of the list of workers waits for a change,
+	// workersGap the pause between reads: every worker writes its record anew with each
+	// of its heartbeats.
+	workersWait = 2 * time.Second
+	workersGap  = 250 * time.Millisecond
+)
 
 // followWorkers keeps up with the platform's list of workers.
 func (l *lead) followWorkers() {
@@ -346,6 +351,7 @@
 		Reader: l.n.log,
 		Topic:  l.n.opts.Catalog.WorkerTopic,
 		Wait:   workersWait,
+		Gap:    workersGap,
 		Failed: func(error) {},
 		Reset: func(records []stream.Record, _ time.Time) {
 			gone := listed
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -252,12 +252,13 @@
 	return workers
 }
 
-// ticketLead is how long before a gang fits its tickets are asked for, beyond the time of
-// the call.
-const ticketLead = 150 * time.Millisecond
+// ticketLead is how long before a gang is expected to fit its tickets are asked for, beyond
+// the time of the call: the expectation is rough.
+const ticketLead = 700 * time.Millisecond
 
-// renewTickets returns the workers on which a gang is about to fit and whose tickets have
-// expired.
+// renewTickets returns the workers that a gang may use if it is about to fit and those with
+// room for it lack tickets. All are asked about in one call, for room comes free on others
+// meanwhile.
 func (c *Controller) renewTickets(s *step, pool []*worker, now time.Time) []*worker {
 	if s.startAt.IsZero() {
 		return nil
@@ -265,18 +266,13 @@
 	var out []*worker
 	fits := 0
 	for _, w := range pool {
-		if !s.suits(w) || !s.mayUse(w) {
-			continue
-		}
-		room := times(c.roomFor(s, w, now), s.size)
-		if h := c.held[w]; room == 0 && (h == nil || h.step != s) {
-			continue
-		}
-		if _, ok := s.ticket(w, now); ok {
-			fits += room
+		if !s.suits(w) || !s.mayUse(w) || times(w.info.Capacity, s.size) == 0 {
 			continue
 		}
 		out = append(out, w)
+		if v, _ := s.verdict(w); v.expires.After(s.startAt.Add(ticketMargin)) {
+			fits += max(times(c.roomFor(s, w, now), s.size), times(c.heldFor(s, w), s.size))
+		}
 	}
 	lead := s.job().class.Advice.CallTime(len(out)) + ticketLead
 	if fits >= len(s.tasks) || s.startAt.Sub(now) > lead {
@@ -285,6 +281,7 @@
 	return out[:min(len(out), maxAsked)]
 }
 
+// chooseAsked returns the workers with room to ask about for tasks that run each by itself.
 func (c *Controller) chooseAsked(s *step, pool []*worker, need int, now time.Time) []*worker {
 	share := c.share(s.job().class.Name).value()
 	expected := 0.0
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,7 +96,7 @@
 	speeds speedBook
 	health *healthBook
 	// held and schedules belong to one pass of placement.
-	held      map[*worker]*hold
+	held      map[*worker][]*hold
 	schedules map[*worker][]release
 
 	stats Stats
@@ -128,7 +128,7 @@
 		shares:   map[string]*goodShare{},
 		speeds:   newSpeedBook(),
 		health:   newHealthBook(),
-		held:     map[*worker]*hold{},
+		held:     map[*worker][]*hold{},
 
 		schedules: map[*worker][]release{},
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// TestJobWaitsUntilAWorkerHasBegunIt sends starts to workers that do not answer: nothing
+// has begun, so the job waits (fresh-9313: MIXED).
+func TestJobWaitsUntilAWorkerHasBegunIt(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(1, 4000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	w.workers["i-aa"].cut = true
+	w.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	w.play(300 * time.Millisecond)
+	if w.ctl.stats.Starts != 1 {
+		t.Fatalf("%d starts were sent, want 1", w.ctl.stats.Starts)
+	}
+	if got := w.ctl.Waiting("batch"); got != 1 {
+		t.Errorf("%d jobs wait, want 1", got)
+	}
+	if got := w.state("j1"); got != workload.JobQueued {
+		t.Errorf("state %q, want queued", got)
+	}
+	w.workers["i-aa"].cut = false
+	w.play(3 * time.Second)
+	if got := w.ctl.Waiting("batch"); got != 0 {
+		t.Errorf("%d jobs wait in the end, want 0", got)
+	}
+}
+
 // TestRandomTroubles plays seeded mixes of all faults that workers, store and controllers
 // have, and checks every start. In the end all jobs must be complete.
 func TestRandomTroubles(t *testing.T) {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -78,6 +78,11 @@
 	late   bool
 	// startAt is when a gang is expected to fit, zero if that is not known.
 	startAt time.Time
+	// waitsSince is when a gang that does not fit yet first found enough workers that
+	// may hold it.
+	waitsSince time.Time
+	// waitTold is when a line last told why the step waits.
+	waitTold time.Time
 	// preempted is when runs were last stopped to make room for the step.
 	preempted time.Time
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -156,9 +156,6 @@
 	return out
 }
 
-// noteBegun marks that some task of a job has been started.
-func (c *Controller) noteBegun(j *job) { j.begun = true }
-
 // endedQueue holds ended jobs in the order of their end.
 type endedQueue []*job
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -167,7 +167,7 @@
 		weight = tightTimeWeight
 	}
 	score := weight*longer + leftShare(w, s.size)
-	if h := c.held[w]; h != nil && h.step != s {
+	if len(c.held[w]) > 0 {
 		score += heldPenalty
 	}
 	return score
@@ -258,7 +258,6 @@
 func (c *Controller) start(t *task, w *worker, ticket string, number int64, now time.Time) {
 	r := &run{task: t, num: number, w: w, boot: w.boot, size: t.step.size, state: runStarting, movedAt: now}
 	c.attach(r)
-	c.noteBegun(t.step.job())
 	c.stats.Starts++
 	c.sendStart(r, ticket, now)
 	c.recordRun(event.TaskPlaced, r, "")
@@ -282,6 +281,7 @@
 	}
 	s.gang.number = s.tasks[0].nextGangNumber()
 	s.gang.since = now
+	s.waitsSince = time.Time{}
 	for i := range found {
 		cand := &found[i]
 		for cand.fit > 0 && len(tasks) > 0 {
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -16,6 +16,16 @@
 	// freshRun is how long a run without checkpoints may have run to be stopped for
 	// others.
 	freshRun = 400 * time.Millisecond
+	// preemptWait is how long a gang waits for room that comes free by itself, once the
+	// workers that may hold it are known. When it will is only an estimate.
+	preemptWait = time.Second
+	// costShare is the most work that may be lost for a gang, as a share of its own;
+	// lateCostShare the same for a gang that can't be in time any more.
+	costShare     = 0.3
+	lateCostShare = 0.1
+	// victimMargin is what a victim must have left, beyond its run time, to be in time
+	// all the same.
+	victimMargin = 2 * time.Second
 )
 
 // victim is a run that may be stopped to make room, with the work that is lost by that in
@@ -35,10 +45,14 @@
 	most    int
 }
 
-// preempt stops less urgent work that loses little, where that lets a gang start that would
-// be late otherwise.
+// preempt stops less urgent work that loses little and has time left, where that lets a
+// gang start that would have to wait or be late otherwise.
 func (c *Controller) preempt(s *step, pool []*worker, now time.Time) {
-	if s.late || now.Sub(s.preempted) < preemptPause || !s.startAt.After(s.latest) {
+	if s.startAt.IsZero() || now.Sub(s.preempted) < preemptPause {
+		return
+	}
+	waited := now.Sub(s.waitsSince)
+	if waited < preemptWait && (s.late || !s.startAt.After(s.latest)) {
 		return
 	}
 	var options []*freeable
@@ -47,16 +61,18 @@
 			options = append(options, f)
 		}
 	}
-	if !chooseVictims(options, s.size, len(s.tasks)) {
+	cost, ok := chooseVictims(options, s.size, len(s.tasks))
+	if !ok || cost > s.costLimit() {
 		return
 	}
 	s.preempted = now
 	s.startAt = now.Add(stopTakes)
+	c.unhold(s)
 	for _, f := range options {
 		if f.taken == 0 {
 			continue
 		}
-		c.held[f.w] = &hold{step: s, size: s.size.Times(int64(f.taken)), at: s.startAt}
+		c.hold(s, f.w, s.size.Times(int64(f.taken)), s.startAt)
 		for _, v := range f.victims[:f.stopped] {
 			c.stats.Preempted++
 			c.recordRun(event.TaskEvicted, v.run, "for "+s.id().String())
@@ -65,15 +81,33 @@
 	}
 }
 
+// unhold gives up the room that is held for a step.
+func (c *Controller) unhold(s *step) {
+	for w, holds := range c.held {
+		c.held[w] = slices.DeleteFunc(holds, func(h *hold) bool { return h.step == s })
+	}
+}
+
+// costLimit is the most work that may be lost for a gang, in core-seconds.
+func (s *step) costLimit() float64 {
+	share := costShare
+	if s.late {
+		share = lateCostShare
+	}
+	return share * float64(len(s.tasks)) * s.def.Estimate().Seconds() * float64(s.size.CPUMilli) / 1000
+}
+
 // freeable returns what a worker has to offer for a gang, nil if nothing.
 func (c *Controller) freeable(s *step, w *worker, now time.Time) *freeable {
 	if !s.suits(w) || !s.mayUse(w) || c.health.bad(w, now) {
 		return nil
 	}
-	if h := c.held[w]; h != nil && h.step != s {
-		return nil
-	}
 	f := &freeable{w: w, free: w.free(), most: times(w.info.Capacity, s.size)}
+	for _, h := range c.held[w] {
+		if h.step != s {
+			f.free = f.free.Sub(h.size)
+		}
+	}
 	if s.perWorker != nil {
 		f.most = min(f.most, s.def.MaxPerWorker)
 	}
@@ -98,6 +132,9 @@
 	if r.stopping || r.state != runRunning || r.confirmed.IsZero() {
 		return 0, false
 	}
+	if other.latestStart().Sub(now) < victimMargin {
+		return 0, false
+	}
 	elapsed := now.Sub(r.confirmed)
 	lost := elapsed
 	switch {
@@ -110,8 +147,9 @@
 }
 
 // chooseVictims counts victims until so many tasks of a size fit, always those next that
-// make room for one more at the least cost. It returns false if they can't fit.
-func chooseVictims(options []*freeable, size structs.Resources, need int) bool {
+// make room for one more at the least cost. It returns their cost, and false if the tasks
+// can't fit.
+func chooseVictims(options []*freeable, size structs.Resources, need int) (total float64, ok bool) {
 	for need > 0 {
 		var best *freeable
 		bestStops, bestCost := 0, 0.0
@@ -122,12 +160,13 @@
 			}
 		}
 		if best == nil {
-			return false
+			return 0, false
 		}
 		best.take(size, bestStops)
+		total += bestCost
 		need--
 	}
-	return true
+	return total, true
 }
 
 // next returns how many more victims make room for one more task, and their cost.
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -27,18 +27,43 @@
 	at time.Time
 }
 
-// roomFor returns the room of a worker for tasks of a step. Room that is held for a gang is
-// lent to tasks that end before it is needed, and to classes that come before it.
+// roomFor returns the room of a worker for tasks of a step. Room that is held for gangs is
+// lent to tasks that end before it is needed, and to classes that come before them.
 func (c *Controller) roomFor(s *step, w *worker, now time.Time) structs.Resources {
 	free := w.free()
-	h := c.held[w]
-	if h == nil || h.step == s || s.job().class.Priority < h.step.job().class.Priority {
+	holds := c.held[w]
+	if len(holds) == 0 {
 		return free
 	}
-	if !now.Add(c.expected(s, w)).After(h.at) {
-		return free
+	end := now.Add(c.expected(s, w))
+	for _, h := range holds {
+		if h.step == s || s.job().class.Priority < h.step.job().class.Priority || !end.After(h.at) {
+			continue
+		}
+		free = free.Sub(h.size)
+	}
+	return free.Positive()
+}
+
+// heldFor returns the room of a worker that is held for a step.
+func (c *Controller) heldFor(s *step, w *worker) structs.Resources {
+	for _, h := range c.held[w] {
+		if h.step == s {
+			return h.size
+		}
+	}
+	return structs.Resources{}
+}
+
+// hold keeps room on a worker for a step.
+func (c *Controller) hold(s *step, w *worker, size structs.Resources, at time.Time) {
+	for _, h := range c.held[w] {
+		if h.step == s {
+			h.size = h.size.Add(size)
+			return
+		}
 	}
-	return free.Sub(h.size).Positive()
+	c.held[w] = append(c.held[w], &hold{step: s, size: size, at: at})
 }
 
 // expected returns how long a task of a step is expected to run on a worker.
@@ -54,20 +79,18 @@
 	need := len(s.tasks)
 	if len(slots) < need {
 		// It would not fit if all else had ended: nothing is kept from others for it.
+		c.recordWait(s, len(slots), now)
 		return
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
 	slots = slots[:need]
 	s.startAt = slots[need-1].at
+	if s.waitsSince.IsZero() {
+		s.waitsSince = now
+	}
+	c.recordWait(s, len(slots), now)
 	for _, sl := range slots {
-		h := c.held[sl.w]
-		if h == nil {
-			h = &hold{step: s, at: s.startAt}
-			c.held[sl.w] = h
-		}
-		if h.step == s {
-			h.size = h.size.Add(s.size)
-		}
+		c.hold(s, sl.w, s.size, s.startAt)
 	}
 }
 
@@ -88,25 +111,27 @@
 	return out
 }
 
-// workerSlots adds the slots of one worker. On a worker that is held for another gang only
-// what is free besides counts.
+// workerSlots adds the slots of one worker, besides what is held there for others.
 func (c *Controller) workerSlots(out []slot, s *step, w *worker, most int, now time.Time) []slot {
-	free := c.roomFor(s, w, now)
-	count := min(times(free, s.size), most)
-	for range count {
-		out = append(out, slot{w: w, at: now})
+	free := w.free()
+	for _, h := range c.held[w] {
+		if h.step != s {
+			free = free.Sub(h.size)
+		}
 	}
-	if c.held[w] != nil {
-		return out
+	count := 0
+	add := func(at time.Time) {
+		for fits := min(times(free, s.size), most); count < fits; count++ {
+			out = append(out, slot{w: w, at: at})
+		}
 	}
+	add(now)
 	for _, r := range c.schedule(w, now) {
 		if count >= most {
 			return out
 		}
 		free = free.Add(r.size)
-		for fits := min(times(free, s.size), most); count < fits; count++ {
-			out = append(out, slot{w: w, at: r.at})
-		}
+		add(r.at)
 	}
 	return out
 }
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -295,6 +295,7 @@
 	}
 	switch answer {
 	case Obeyed:
+		r.task.step.job().begun = true
 		r.confirmed = now
 		if r.state != runRunning {
 			r.state = runRunning
--- a/internal/event/sink.go
+++ b/internal/event/sink.go
@@ -11,9 +11,12 @@
 // Bounds of a sink: lines that wait, and lines a second over a longer time.
 const (
 	sinkLines     = 4096
-	sinkPerSecond = 600
+	sinkPerSecond = 1000
 	sinkBurst     = 3000
 	sinkFlush     = 100 * time.Millisecond
+	// sinkWrite is the size from which lines are written at once, so that a write is
+	// taken whole by a pipe.
+	sinkWrite = 3 << 10
 )
 
 // Sink writes lines without ever making its caller wait: what the reader does not take,
@@ -88,10 +91,10 @@
 	}
 }
 
-// gather adds the lines that come within the flush time.
+// gather adds the lines that come within the flush time, up to the size of a write.
 func (s *Sink) gather(buf []byte) []byte {
 	flush := time.After(sinkFlush)
-	for {
+	for len(buf) < sinkWrite {
 		select {
 		case line, open := <-s.lines:
 			if !open {
@@ -102,6 +105,7 @@
 			return buf
 		}
 	}
+	return buf
 }
 
 // closeWithin bounds the wait for a reader that does not take the last lines.
--- /dev/null
+++ b/internal/event/sink_test.go
@@ -0,0 +1,75 @@
+package event
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// lockedBuffer is a buffer for two goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// TestBlockedOutputNeverBlocksALine has nobody read the output: lines are dropped and
+// counted.
+func TestBlockedOutputNeverBlocksALine(t *testing.T) {
+	r, w := io.Pipe()
+	s := NewSink(w)
+	began := time.Now()
+	for range 3 * sinkLines {
+		if _, err := s.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("%d lines took %v", 3*sinkLines, took)
+	}
+	if s.Dropped() == 0 {
+		t.Error("nothing was dropped")
+	}
+	s.Close()
+	_ = r.Close()
+}
+
+// TestLinesAreBounded writes more than the bound allows for ten seconds: what is written
+// keeps to it, and the rest is told.
+func TestLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &lockedBuffer{}
+		s := NewSink(out)
+		const seconds = 10
+		for range seconds * 100 {
+			for range sinkPerSecond / 50 {
+				_, _ = s.Write([]byte("line\n"))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		s.Close()
+		written := strings.Count(out.String(), "line\n")
+		if most := sinkBurst + seconds*sinkPerSecond + sinkPerSecond; written > most || written < seconds*sinkPerSecond/2 {
+			t.Errorf("%d lines were written, at most %d are allowed", written, most)
+		}
+		if !strings.Contains(out.String(), `"lines_dropped"`) {
+			t.Error("the dropped lines are not told")
+		}
+	})
+}
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -41,8 +41,10 @@
 type Follower struct {
 	Reader Reader
 	Topic  string
-	// Wait is how long a read waits for a record.
+	// Wait is how long a read waits for a record, Gap the pause after one that found
+	// some, so that records come together.
 	Wait time.Duration
+	Gap  time.Duration
 	// Reset is called with all keys when the topic was read as a whole.
 	Reset func(records []Record, sent time.Time)
 	// Apply is called with the records of a read, none if it found nothing.
@@ -62,18 +64,15 @@
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := followPauseLeast
+	wait := followPauseLeast
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.Failed(err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
-			pause = min(2*pause, followPauseMost)
+			pause(ctx, wait)
+			wait = min(2*wait, followPauseMost)
 			continue
 		}
-		pause = followPauseLeast
+		wait = followPauseLeast
 	}
 }
 
@@ -101,5 +100,18 @@
 	}
 	f.From = batch.Next
 	f.Apply(batch.Records, sent)
+	if len(batch.Records) > 0 && f.Gap > 0 {
+		pause(ctx, f.Gap)
+	}
 	return nil
 }
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
