Controller: timetables open with their advice at hand, once, and a bounded number at a time

Ruled out: the occurrences' progress (its size stayed small). Found beside it by the new tests: an occurrence that was done before an earlier one was forgotten by the next controller and ran again; a timetable that began long ago opened all its occurrences at once; advice was asked for only when the time had come.

Change: one wake-up a job; done occurrences are stored by number; at most 64 open; opened one advice call before the time. The tests TimedJobs, TimedJobsOverALostController, WaitingForATimeCostsNothing and ManyOccurrencesDueAtOnce failed before.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -139,7 +139,7 @@
 			return
 		}
 		class := s.job().class
-		if class.Advice == nil || now.Before(s.notBefore) {
+		if class.Advice == nil {
 			continue
 		}
 		if class.Advice.Decision >= longCall && len(idle) <= c.keptLanes() {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -336,3 +336,90 @@
 		t.Error("not settled after the longest lease")
 	}
 }
+
+// TestTimedJobs plays timetables whose occurrences overlap: each starts at its time, with
+// its advice at hand.
+func TestTimedJobs(t *testing.T) {
+	w := newWorld(t, 1)
+	playTimetables(w, func() {})
+	if most := 20 * time.Millisecond; w.latestBegin > most {
+		t.Errorf("an occurrence started %v after its time, want at most %v", w.latestBegin, most)
+	}
+}
+
+// TestTimedJobsOverALostController loses the controller while a later occurrence is done
+// and an earlier one goes on: every occurrence runs once.
+func TestTimedJobsOverALostController(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed)
+		playTimetables(w, func() { w.loseController(w.rng, time.Second) })
+	}
+}
+
+func playTimetables(w *world, trouble func()) {
+	w.t.Helper()
+	w.goodShare = 1
+	w.addWorkers(4, 8000)
+	w.run = func(id workload.TaskID, _ *fakeWorker) (time.Duration, workload.End) {
+		if id.Occurrence == 0 {
+			return 4 * time.Second, workload.EndDone
+		}
+		return 300 * time.Millisecond, workload.EndDone
+	}
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	for i, class := range []string{"batch", "gang"} {
+		job := simpleJob(fmt.Sprintf("j%d", i), class, 2, 500, func(s *workload.Step) { s.Gang = class == "gang" })
+		job.Repeat = workload.Repeat{Count: 6, StartMs: w.now.UnixMilli() + 800, IntervalMs: 500}
+		w.submit(job)
+	}
+	w.play(3 * time.Second)
+	trouble()
+	w.play(9 * time.Second)
+	for _, id := range []string{"j0", "j1"} {
+		if got := w.state(id); got != workload.JobCompleted {
+			w.t.Errorf("job %s is %q, want completed", id, got)
+		}
+	}
+}
+
+// TestWaitingForATimeCostsNothing has jobs that are due much later (a variation of
+// raqm-hitch with timed jobs: memory over the limit).
+func TestWaitingForATimeCostsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(1, 8000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	const jobs = 50
+	for i := range jobs {
+		job := simpleJob(fmt.Sprintf("j%d", i), "batch", 1, 500, nil)
+		job.Repeat = workload.Repeat{Count: 3, StartMs: w.now.UnixMilli() + 60_000, IntervalMs: 1000}
+		w.submit(job)
+	}
+	w.play(10 * time.Second)
+	if n := len(w.ctl.wakes.times); n > 4*jobs {
+		t.Errorf("%d wake-ups are kept for %d jobs", n, jobs)
+	}
+}
+
+// TestManyOccurrencesDueAtOnce hands in a timetable that began long ago: only so many
+// occurrences are open at a time, and all of them run.
+func TestManyOccurrencesDueAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(4, 8000)
+	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) {
+		return 20 * time.Millisecond, workload.EndDone
+	}
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	job := simpleJob("j1", "batch", 1, 500, nil)
+	job.Repeat = workload.Repeat{Count: 300, StartMs: 1, IntervalMs: 1}
+	w.submit(job)
+	if n := len(w.ctl.jobs["j1"].open); n > maxOpenOccurrences {
+		t.Errorf("%d occurrences are open, want at most %d", n, maxOpenOccurrences)
+	}
+	w.play(30 * time.Second)
+	if got := w.state("j1"); got != workload.JobCompleted {
+		t.Errorf("state %q, want completed", got)
+	}
+}
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -459,6 +459,13 @@
 	if at, ok := w.cancelled[id.Job]; ok && w.now.Sub(at) > 3*time.Second {
 		w.broken("%s starts after its cancel", s.Run)
 	}
+	if job.Timed() {
+		late := w.now.Sub(time.UnixMilli(job.DueMs(id.Occurrence)))
+		if late < 0 {
+			w.broken("%s starts %v before its time", s.Run, -late)
+		}
+		w.latestBegin = max(w.latestBegin, late)
+	}
 	if s.Payload != job.Payload {
 		w.broken("%s has another payload", s.Run)
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -27,7 +27,9 @@
 	open      []*occurrence
 	next      int // the next occurrence to open
 	doneBelow int
-	runs      int // runs that may be present somewhere
+	closed    map[int]bool // occurrences from doneBelow on that are done
+	opensAt   time.Time    // for which a call to open the next occurrence was asked
+	runs      int          // runs that may be present somewhere
 
 	acceptedAt time.Time
 	due        time.Time // when the job has to be complete to be on time
@@ -71,6 +73,7 @@
 	perWorker map[*worker]int
 	gang      *gang
 	advice    *advice
+	// notBefore is when the step's occurrence is due.
 	notBefore time.Time
 	// latest and late are worked out by each pass of placement: when the step has to
 	// start to be in time, and whether that has passed.
@@ -177,6 +180,19 @@
 	return s
 }
 
+// close counts an occurrence as done. Occurrences may overlap, and a later one may be
+// done first.
+func (j *job) close(k int) {
+	if j.closed == nil {
+		j.closed = map[int]bool{}
+	}
+	j.closed[k] = true
+	for j.closed[j.doneBelow] {
+		delete(j.closed, j.doneBelow)
+		j.doneBelow++
+	}
+}
+
 func (s *step) job() *job { return s.occ.job }
 
 // id names the step.
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -43,29 +43,61 @@
 	return SubmitPending, nil
 }
 
+// maxOpenOccurrences bounds the occurrences of one job that are open at a time, so that a
+// timetable that began long ago does not fill the memory.
+const maxOpenOccurrences = 64
+
 // openOccurrences opens the occurrences whose time is near.
 func (c *Controller) openOccurrences(j *job, now time.Time) {
-	for j.next < j.spec.Occurrences() && !j.over() {
+	for j.next < j.spec.Occurrences() && !j.over() && len(j.open) < maxOpenOccurrences {
 		dueAt := j.acceptedAt
 		if j.spec.Timed() {
 			dueAt = now.Add(time.Duration(j.spec.DueMs(j.next)-now.UnixMilli()) * time.Millisecond)
-			if dueAt.After(now) {
-				c.wakes.add(dueAt)
+			if opens := dueAt.Add(-j.openLead()); opens.After(now) {
+				c.wakeToOpen(j, opens, now)
 				return
 			}
 		}
-		c.openOccurrence(j, j.next, dueAt)
+		if !j.closed[j.next] {
+			c.openOccurrence(j, j.next, dueAt, now)
+		}
 		j.next++
 	}
 }
 
-func (c *Controller) openOccurrence(j *job, k int, dueAt time.Time) *occurrence {
+// wakeToOpen asks for a call when the next occurrence of a job has to be opened, unless one
+// is on its way.
+func (c *Controller) wakeToOpen(j *job, at, now time.Time) {
+	if j.opensAt.After(now) && !at.Before(j.opensAt) {
+		return
+	}
+	j.opensAt = at
+	c.wakes.add(at)
+}
+
+// openMargin is how long before its time an occurrence has its tickets: it covers the way
+// to the advisor and back.
+const openMargin = 150 * time.Millisecond
+
+// openLead is how long before its time an occurrence is opened, so that the advisor has
+// answered by then.
+func (j *job) openLead() time.Duration {
+	if j.class.Advice == nil {
+		return 0
+	}
+	return j.class.Advice.CallTime(chainAdviceWorkers) + openMargin
+}
+
+func (c *Controller) openOccurrence(j *job, k int, dueAt, now time.Time) {
 	occ := j.newOccurrence(k, dueAt)
 	j.open = append(j.open, occ)
 	for _, s := range occ.steps {
+		s.notBefore = dueAt
 		c.sortStep(s)
 	}
-	return occ
+	if dueAt.After(now) {
+		c.wakes.add(dueAt)
+	}
 }
 
 // Cancel ends a job at a caller's wish. It returns false for a job that is not known.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -168,9 +168,9 @@
 func (c *Controller) occurrenceDone(occ *occurrence, now time.Time) {
 	j := occ.job
 	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool { return o == occ })
-	j.doneBelow = j.next
-	for _, o := range j.open {
-		j.doneBelow = min(j.doneBelow, o.k)
+	if j.spec.Timed() {
+		j.close(occ.k)
+		c.openOccurrences(j, now)
 	}
 	if len(j.open) == 0 && j.next >= j.spec.Occurrences() {
 		c.endJob(j, workload.JobCompleted, "", now)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -245,6 +247,7 @@
 		p.EndedMs = j.endedAt.UnixMilli()
 		return p
 	}
+	p.Closed = slices.Sorted(maps.Keys(j.closed))
 	for _, occ := range j.open {
 		for _, s := range occ.steps {
 			if sp, any := s.progress(); any {
@@ -378,6 +381,9 @@
 	}
 	j.doneBelow = p.DoneBelow
 	j.next = p.DoneBelow
+	for _, k := range p.Closed {
+		j.close(k)
+	}
 	c.openOccurrences(j, now)
 	byStep := map[[2]int]*workload.StepProgress{}
 	for i := range p.Steps {
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -9,9 +9,9 @@
 // tick does what time brings about.
 func (c *Controller) tick(now time.Time) {
 	if c.wakes.drop(now) {
+		c.openDue(now)
 		c.needPlan(now)
 	}
-	c.openDue(now)
 	c.forgetEnded(now)
 	c.noteFormers(now)
 	c.lapse(now)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -43,10 +43,12 @@
 	jobs       map[string]*workload.Job
 	cancelled  map[string]time.Time // when the cancel was acknowledged
 	accepted   map[string]bool
-	doneRuns   map[workload.TaskID]bool // noted as done
-	failures   map[workload.TaskID]int  // noted as failed
-	run        func(workload.TaskID, *fakeWorker) (time.Duration, workload.End)
-	record     func(event.Event)
+	// latestBegin is how long after its time an occurrence of a timed job started at most.
+	latestBegin time.Duration
+	doneRuns    map[workload.TaskID]bool // noted as done
+	failures    map[workload.TaskID]int  // noted as failed
+	run         func(workload.TaskID, *fakeWorker) (time.Duration, workload.End)
+	record      func(event.Event)
 }
 
 // epochStart is when the virtual time begins.
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -8,6 +8,8 @@
 	EndedMs int64 `json:"ended_ms,omitempty"`
 	// DoneBelow says that all occurrences below it are done.
 	DoneBelow int `json:"done_below,omitempty"`
+	// Closed are the occurrences from DoneBelow on that are done, in rising order.
+	Closed []int `json:"closed,omitempty"`
 	// Steps are those of open occurrences on which something has ended.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
