--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -84,6 +84,7 @@
 		c.t.Fatal(err)
 	}
 	n := &testNode{done: make(chan struct{})}
+	clock := &event.Clock{}
 	n.Node = New(Options{
 		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d"},
 		Listener: &darkListener{Listener: listener, dark: &n.dark},
@@ -108,7 +109,8 @@
 			StatusRetention: time.Minute,
 		},
 		Election: election.Timing{Silence: time.Second, Alone: 4 * time.Second},
-		Events:   event.NewRecorder(name, &event.Clock{}, nil),
+		Events:   event.NewRecorder(name, clock, nil),
+		Clock:    clock,
 	})
 	n.opts.Events.OnEvent(func(e event.Event) {
 		if testing.Verbose() {
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -33,13 +33,11 @@
 }
 
 // Submit hands a job in and returns once it is stored.
-func (n *Node) Submit(ctx context.Context, job *workload.Job) (err error) {
+func (n *Node) Submit(ctx context.Context, job *workload.Job) error {
 	raw, err := json.Marshal(job)
 	if err != nil {
 		return structs.NewError(structs.CodeInvalid, "job: %v", err)
 	}
-	began := time.Now()
-	defer func() { n.recordSubmitted(job, began, err) }()
 	_, err = forward(ctx, n, call[struct{}]{
 		local: func(ctx context.Context, l *lead) (struct{}, error) {
 			own := *job
@@ -57,24 +55,27 @@
 	return err
 }
 
-// recordSubmitted tells why a submission through this member was not accepted.
-func (n *Node) recordSubmitted(job *workload.Job, began time.Time, err error) {
-	if err == nil {
-		return
-	}
+// Refused records that a caller's request was answered with an error, with what this member
+// knew then: the controller, how long ago it was heard, the configuration.
+func (n *Node) Refused(request, class, method string, held time.Duration, err error) {
 	claim, _, _ := n.view.leader()
 	since, _ := n.view.sinceHeard(time.Now())
-	n.record(event.Event{
-		Type:    event.SubmitFailed,
-		Request: job.ID,
-		Class:   job.Class,
+	e := event.Event{
+		Type:    event.RequestRefused,
+		Request: request,
+		Class:   class,
 		Code:    structs.CodeOf(err),
 		Member:  claim.Node,
 		Epoch:   claim.Epoch,
 		AgeMs:   since.Milliseconds(),
-		Count:   int(time.Since(began).Milliseconds()),
-		Detail:  structs.AsError(err).Message,
-	})
+		Count:   int(held.Milliseconds()),
+		Detail:  method + ": " + structs.AsError(err).Message,
+	}
+	if cfg := n.Config(); cfg != nil {
+		e.Version = cfg.Version
+	}
+	n.stats.refused(e.Code)
+	n.record(e)
 }
 
 // Cancel ends a job and returns once that is stored.
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -68,7 +68,7 @@
 	l := &lead{
 		n:        n,
 		epoch:    claim.Epoch,
-		ctl:      controller.New(claim.Epoch, n.opts.Timing, n.record),
+		ctl:      controller.New(claim.Epoch, n.opts.Timing, n.recordDecision),
 		store:    jobstore.New(n.log, claim.Epoch),
 		inbox:    make(chan func(time.Time), inboxSize),
 		kick:     make(chan struct{}, 1),
@@ -269,14 +269,43 @@
 
 // publish lets other goroutines read what callers ask of each queue.
 func (l *lead) publish() {
-	counts := l.ctl.WaitingByClass()
+	counts, changed := l.ctl.WaitingByClass()
+	if !changed {
+		return
+	}
 	out := make(map[string]int32, len(counts))
 	for class, n := range counts {
 		out[class] = int32(n)
+		l.n.stats.gauge(`hitch_cell_jobs_waiting{class="`+class+`"}`, func() float64 { return l.n.waitingHere(class) })
 	}
 	l.waiting.Store(&out)
 }
 
+// waitingHere is the number of jobs of a class of which nothing has started, zero at
+// members that are not the controller.
+func (n *Node) waitingHere(class string) float64 {
+	l := n.lead.Load()
+	if l == nil {
+		return 0
+	}
+	counts := l.waiting.Load()
+	if counts == nil {
+		return 0
+	}
+	return float64((*counts)[class])
+}
+
+// authorityLeft is how long this member may still order without another proof, zero at
+// members that are not the controller.
+func (n *Node) authorityLeft() float64 {
+	l := n.lead.Load()
+	if l == nil {
+		return 0
+	}
+	left := n.opts.Timing.Authority - time.Since(time.Unix(0, l.proven.Load()))
+	return max(left.Seconds(), 0)
+}
+
 // prove notes that a call begun at sent showed the term to be current.
 func (l *lead) prove(sent time.Time) {
 	if at := sent.UnixNano(); at > l.proven.Load() {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -42,9 +42,9 @@
 	Catalog  Catalog
 	Timing   controller.Timing
 	Election election.Timing
-	// Seeds are addresses of peers that may be stale.
-	Seeds   []string
-	Events  *event.Recorder
+	Events   *event.Recorder
+	// Clock orders the events of all members; it travels on the calls between them.
+	Clock   *event.Clock
 	Metrics *metrics.Set
 }
 
@@ -82,11 +82,12 @@
 	n := &Node{
 		opts:    opts,
 		self:    opts.Self,
-		peers:   newPeerPool(),
+		peers:   newPeerPool(opts.Clock),
 		stats:   newNodeStats(opts.Metrics),
 		leaving: make(chan struct{}),
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.stats.gauge("hitch_cell_authority_left_seconds", n.authorityLeft)
 	n.view.init(time.Now())
 	n.log = newRelayLog(opts.Log, n)
 	return n
@@ -140,6 +141,12 @@
 
 func (n *Node) record(e event.Event) { n.opts.Events.Record(e) }
 
+// recordDecision records what the controller decided and counts it.
+func (n *Node) recordDecision(e event.Event) {
+	n.stats.decision(&e)
+	n.record(e)
+}
+
 // sleep waits, and reports whether the node goes on.
 func (n *Node) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -10,12 +10,14 @@
 
 	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/cell/cellv1/cellv1connect"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/peer"
 	"dotterelhitch/internal/structs"
 )
 
 // peerPool holds a client for each peer address.
 type peerPool struct {
+	clock   *event.Clock
 	mu      sync.Mutex
 	clients map[string]*peerClient
 }
@@ -25,7 +27,9 @@
 	transport *http.Transport
 }
 
-func newPeerPool() *peerPool { return &peerPool{clients: map[string]*peerClient{}} }
+func newPeerPool(clock *event.Clock) *peerPool {
+	return &peerPool{clock: clock, clients: map[string]*peerClient{}}
+}
 
 // client returns the client of an address.
 func (p *peerPool) client(addr string) *peerClient {
@@ -37,7 +41,7 @@
 	transport := peer.NewTransport(nil)
 	c := &peerClient{
 		CellServiceClient: cellv1connect.NewCellServiceClient(
-			&http.Client{Transport: transport},
+			&http.Client{Transport: p.clock.Transport(transport)},
 			"http://"+addr,
 			connect.WithReadMaxBytes(peer.MaxMessageBytes),
 		),
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -68,7 +68,6 @@
 		ch <- nil
 		return
 	}
-	l.n.record(event.Event{Type: event.JobAccepted, Job: job.ID, Class: job.Class, Count: len(job.Steps), Epoch: l.epoch})
 	l.accepts[job.ID] = append(l.accepts[job.ID], ch)
 }
 
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 )
 
@@ -37,6 +38,35 @@
 	return string(structs.CodeOf(err))
 }
 
+// decision counts what the controller decided, and how long its jobs waited.
+func (s *nodeStats) decision(e *event.Event) {
+	s.set.GetOrCreateCounter(`hitch_cell_decisions{type="` + string(e.Type) + `"}`).Inc()
+	seconds := float64(e.AgeMs) / 1000
+	switch e.Type {
+	case event.JobAccepted:
+		s.byClass("hitch_cell_accept_seconds", e.Class).Update(seconds)
+	case event.JobBegun:
+		s.byClass("hitch_cell_first_start_seconds", e.Class).Update(seconds)
+	case event.JobEnded:
+		s.byClass("hitch_cell_"+e.State+"_seconds", e.Class).Update(seconds)
+	}
+}
+
+// byClass returns the histogram of a class.
+func (s *nodeStats) byClass(name, class string) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(name + `{class="` + class + `"}`)
+}
+
+// refused counts a request that was answered with an error.
+func (s *nodeStats) refused(code structs.Code) {
+	s.set.GetOrCreateCounter(`hitch_cell_refused{code="` + string(code) + `"}`).Inc()
+}
+
+// gauge shows a value that is read when the metrics are.
+func (s *nodeStats) gauge(name string, read func() float64) {
+	s.set.GetOrCreateGauge(name, read)
+}
+
 func (s *nodeStats) append(took time.Duration, err error) {
 	s.appends.Update(took.Seconds())
 	s.set.GetOrCreateCounter(`hitch_cell_appends{outcome="` + outcomeOf(err) + `"}`).Inc()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,9 +60,11 @@
 	// registry names the workers that are stored as possibly running something.
 	registry map[string]*registered
 
-	// active are the jobs that go on; classCount counts those without a start.
+	// active are the jobs that go on.
 	active map[string]*job
 	ended  endedQueue
+	// waiting counts the jobs of which nothing has started.
+	waiting waitCounts
 
 	// proven is the start of the last call that proved the epoch current.
 	proven time.Time
@@ -121,6 +123,7 @@
 		workers:  map[string]*worker{},
 		registry: map[string]*registered{},
 		active:   map[string]*job{},
+		waiting:  waitCounts{byClass: map[string]int{}, changed: true},
 		dirty:    newDirtySet(),
 		retries:  map[*run]struct{}{},
 		ready:    map[*step]struct{}{},
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -21,8 +21,10 @@
 	// and new ones are numbered above base.
 	inherited bool
 	base      int64
-	// begun says that some task has been started.
-	begun bool
+	// begun says that some task has been started, counted that the job is counted as
+	// waiting.
+	begun   bool
+	counted bool
 
 	open      []*occurrence
 	next      int // the next occurrence to open
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -120,13 +120,14 @@
 	j.state = state
 	j.endedAt = now
 	delete(c.active, j.spec.ID)
+	c.waiting.count(j)
 	for _, occ := range j.open {
 		for _, s := range occ.steps {
 			c.sortStep(s)
 		}
 	}
 	c.change(j)
-	c.recordJob(event.JobEnded, j, why)
+	c.recordJob(event.JobEnded, j, why, now)
 	if state != workload.JobCancelled {
 		c.stopRuns(j, now)
 	}
@@ -166,26 +167,36 @@
 	}
 }
 
-// Waiting returns the number of accepted jobs of a class of which nothing has started.
-func (c *Controller) Waiting(class string) int {
-	n := 0
-	for _, j := range c.active {
-		if j.spec.Class == class && j.stored && !j.begun {
-			n++
-		}
-	}
-	return n
+// waitCounts counts the accepted jobs of each class of which nothing has started.
+type waitCounts struct {
+	byClass map[string]int
+	changed bool
 }
 
-// WaitingByClass returns Waiting for every class with waiting jobs.
-func (c *Controller) WaitingByClass() map[string]int {
-	out := map[string]int{}
-	for _, j := range c.active {
-		if j.stored && !j.begun {
-			out[j.spec.Class]++
-		}
+// count keeps the count of a job's class up to date.
+func (w *waitCounts) count(j *job) {
+	waits := j.stored && !j.begun && !j.over()
+	if waits == j.counted {
+		return
 	}
-	return out
+	j.counted = waits
+	w.changed = true
+	if waits {
+		w.byClass[j.spec.Class]++
+	} else {
+		w.byClass[j.spec.Class]--
+	}
+}
+
+// Waiting returns the number of accepted jobs of a class of which nothing has started.
+func (c *Controller) Waiting(class string) int { return c.waiting.byClass[class] }
+
+// WaitingByClass returns Waiting for every class that has had waiting jobs, and whether it
+// has changed since the last call. The map is the controller's own.
+func (c *Controller) WaitingByClass() (counts map[string]int, changed bool) {
+	changed = c.waiting.changed
+	c.waiting.changed = false
+	return c.waiting.byClass, changed
 }
 
 // endedQueue holds ended jobs in the order of their end.
--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -41,8 +41,31 @@
 	c.record(ev)
 }
 
-func (c *Controller) recordJob(typ event.Type, j *job, detail string) {
+// begin notes that a worker has begun some task of a job.
+func (c *Controller) begin(j *job, now time.Time) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	c.waiting.count(j)
+	c.recordJob(event.JobBegun, j, "", now)
+}
+
+// recordAccepted tells that a job is stored.
+func (c *Controller) recordAccepted(j *job, now time.Time) {
+	c.record(event.Event{
+		Type:  event.JobAccepted,
+		Job:   j.spec.ID,
+		Class: j.spec.Class,
+		Epoch: c.epoch,
+		Count: len(j.spec.Steps),
+		AgeMs: now.Sub(j.acceptedAt).Milliseconds(),
+	})
+}
+
+func (c *Controller) recordJob(typ event.Type, j *job, detail string, now time.Time) {
 	c.record(event.Event{
+		AgeMs:  now.Sub(j.acceptedAt).Milliseconds(),
 		Type:   typ,
 		Job:    j.spec.ID,
 		Class:  j.spec.Class,
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -169,7 +169,7 @@
 // showRun takes what a worker shows of a run.
 func (c *Controller) showRun(r *run, row *workload.RunningTask, now time.Time) {
 	r.shown = true
-	r.task.step.job().begun = true
+	c.begin(r.task.step.job(), now)
 	if r.state == runStarting || r.state == runDoubt {
 		r.state = runRunning
 	}
@@ -231,7 +231,7 @@
 		confirmed: now,
 	}
 	c.attach(r)
-	t.step.job().begun = true
+	c.begin(t.step.job(), now)
 	if t.step.gang != nil {
 		t.step.gang.number = max(t.step.gang.number, r.num)
 		if t.step.gang.since.IsZero() {
@@ -332,7 +332,7 @@
 	stored := true
 	if j != nil && t != nil && !j.over() {
 		c.stats.Ends++
-		j.begun = true
+		c.begin(j, now)
 		stored = !c.endTask(t, r, e, now)
 	}
 	n := note{w: w, boot: w.boot, seq: e.Seq}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -296,7 +296,7 @@
 	}
 	switch answer {
 	case Obeyed:
-		r.task.step.job().begun = true
+		c.begin(r.task.step.job(), now)
 		r.confirmed = now
 		if r.state != runRunning {
 			r.state = runRunning
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -220,6 +220,8 @@
 		return
 	}
 	j.stored = true
+	c.waiting.count(j)
+	c.recordAccepted(j, now)
 	for _, occ := range j.open {
 		for _, s := range occ.steps {
 			c.sortStep(s)
@@ -371,6 +373,7 @@
 	}
 	j.setClass(class)
 	c.loadProgress(j, p, now)
+	c.waiting.count(j)
 }
 
 // loadProgress opens the occurrences of a job as they were stored. What is not done may
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,8 +37,9 @@
 	RequestOut      Type = "request_out"      // an entry answered: Request, Outcome, Code, Worker
 	RequestAttempt  Type = "request_attempt"  // an entry dispatched to a worker: Request, Worker, Attempt
 	LateAnswer      Type = "late_answer"      // an answer to an ended request was dropped
-	JobAccepted     Type = "job_accepted"     // an entry read its own record back: Job, Class, Count
-	JobEnded        Type = "job_ended"        // the owner recorded the end: Job, State
+	JobAccepted     Type = "job_accepted"     // the job is in the store: Job, Class, Count (steps), AgeMs (since it came)
+	JobBegun        Type = "job_begun"        // a worker has begun a first task: Job, Class, AgeMs (since the job came)
+	JobEnded        Type = "job_ended"        // the owner recorded the end: Job, State, AgeMs (since the job came), Detail (why)
 	TaskPlaced      Type = "task_placed"      // a worker's owner chose: Task, Attempt, Worker
 	TaskEvicted     Type = "task_evicted"     // a worker's owner stops it to make room: Task, Attempt, Worker, Job (that needs the room)
 	TaskThrottled   Type = "task_throttled"   // a worker's owner bounds its processor share: Task, Attempt, Worker, Count (percent of its grant; none if lifted)
@@ -78,7 +79,7 @@
 	LeaderFound     Type = "leader_found"     // Member, Epoch
 	SettingsTaken   Type = "settings_taken"   // the settings were read again
 	SettingsRefused Type = "settings_refused" // Detail: what is wrong with them
-	SubmitFailed    Type = "submit_failed"    // an entry answered a submission with an error: Request, Code, Member (controller), AgeMs (since it was heard), Count (ms held)
+	RequestRefused  Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since it was heard), Version (configuration), Count (ms held), Detail
 	TaskNoted       Type = "task_noted"       // the controller saw a run's end: Task, Attempt, Worker, State
 	Fault           Type = "fault"            // a test injected a fault: Detail
 	Alarm           Type = "alarm"            // Code, Detail
--- a/internal/timeline/filter.go
+++ b/internal/timeline/filter.go
@@ -10,7 +10,7 @@
 
 // Filter selects events. An empty member matches everything.
 type Filter struct {
-	// Request is a request's ID, the caller's own or the system's.
+	// Request is a request's ID, the caller's own or the system's, or a job's.
 	Request string
 	Key     string
 	Task    string
@@ -43,12 +43,18 @@
 // matchRequest also matches what a caller got, which names the system's ID in
 // its detail.
 func (f Filter) matchRequest(e event.Event) bool {
-	return f.Request == "" || f.Request == e.Request ||
+	return f.Request == "" || f.Request == e.Request || ofJob(e, f.Request) ||
 		(e.Type == event.RequestGot && f.Request == e.Detail)
 }
 
 func (f Filter) matchJob(e event.Event) bool {
-	return f.Job == "" || f.Job == e.Job || strings.HasPrefix(string(e.Task), f.Job+"#")
+	return f.Job == "" || ofJob(e, f.Job)
+}
+
+// ofJob reports whether an event is one of a job or of its steps and tasks.
+func ofJob(e event.Event, job string) bool {
+	rest, ok := strings.CutPrefix(string(e.Task), job)
+	return job == e.Job || ok && (strings.HasPrefix(rest, "#") || strings.HasPrefix(rest, "."))
 }
 
 func (f Filter) matchTime(e event.Event) bool {
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -85,18 +85,21 @@
 		event  event.Event
 		want   bool
 	}{
-		"empty":           {Filter{}, e, true},
-		"task":            {Filter{Task: "g:j#1", Worker: "w-1"}, e, true},
-		"other worker":    {Filter{Task: "g:j#1", Worker: "w-2"}, e, false},
-		"job of a task":   {Filter{Job: "g:j"}, e, true},
-		"prefix of a job": {Filter{Job: "g"}, e, false},
-		"type":            {Filter{Types: []event.Type{event.TaskEnd, event.TaskRun}}, e, true},
-		"other type":      {Filter{Types: []event.Type{event.TaskEnd}}, e, false},
-		"from":            {Filter{From: time.Unix(1, 0)}, e, true},
-		"to is excluded":  {Filter{To: time.Unix(1, 0)}, e, false},
-		"caller's ID":     {Filter{Request: "mine"}, got, true},
-		"system's ID":     {Filter{Request: "theirs"}, got, true},
-		"other ID":        {Filter{Request: "other"}, got, false},
+		"empty":            {Filter{}, e, true},
+		"task":             {Filter{Task: "g:j#1", Worker: "w-1"}, e, true},
+		"other worker":     {Filter{Task: "g:j#1", Worker: "w-2"}, e, false},
+		"job of a task":    {Filter{Job: "g:j"}, e, true},
+		"request of a job": {Filter{Request: "g:j"}, e, true},
+		"task of a step":   {Filter{Request: "0a1b"}, event.Event{Task: "0a1b.0.1.17"}, true},
+		"other job's task": {Filter{Request: "0a1b"}, event.Event{Task: "0a1bc.0.1.17"}, false},
+		"prefix of a job":  {Filter{Job: "g"}, e, false},
+		"type":             {Filter{Types: []event.Type{event.TaskEnd, event.TaskRun}}, e, true},
+		"other type":       {Filter{Types: []event.Type{event.TaskEnd}}, e, false},
+		"from":             {Filter{From: time.Unix(1, 0)}, e, true},
+		"to is excluded":   {Filter{To: time.Unix(1, 0)}, e, false},
+		"caller's ID":      {Filter{Request: "mine"}, got, true},
+		"system's ID":      {Filter{Request: "theirs"}, got, true},
+		"other ID":         {Filter{Request: "other"}, got, false},
 	} {
 		if c.filter.Match(c.event) != c.want {
 			t.Errorf("%s: want match %v", name, c.want)
