A controller that leaves serves until another has claimed; jobs are read in parallel ranges

The controller stopped serving at once, stored what was left (0.7 s), appended its resignation, the others asked each other before they claimed, the next one read five pages one after the other and then the list of workers: four seconds without service, twice. A member that was told to end while its claim was on its way took the office and kept it. Ruled out: refusals by load; the workers.

Change: answers to heartbeats say that the controller leaves; others claim without asking, while it serves; it resigns only if none has claimed in 1.5 s. Five ranges of the jobs' keys, and the list of workers, are read at the same time; a failed range alone is read again. A claim may take 1 s. A lead that begins in a leaving process hands over.

Tests that failed before: NoSubmissionIsRefusedWhileTheControllerLeaves (store at 300 ms), LoadTakesFewRoundTrips, LoadReadsOnlyWhatIsMissing, two cases of Decide.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -321,6 +321,39 @@
 	c.completes(next, "j2")
 }
 
+// TestNoSubmissionIsRefusedWhileTheControllerLeaves rolls the controller while the store is
+// slow: the next one takes over while the former serves (raqm-hitch, inc-f6b8: submissions
+// were refused for two seconds).
+func TestNoSubmissionIsRefusedWhileTheControllerLeaves(t *testing.T) {
+	c := newTestCell(t, 3)
+	l := c.leader(5 * time.Second)
+	o := c.other(l)
+	c.submit(o, "j0")
+	c.log.latency.Store(int64(300 * time.Millisecond))
+	var group sync.WaitGroup
+	submit := func(i int) {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := o.Submit(ctx, testJob(fmt.Sprintf("j%d", i))); err != nil {
+			t.Errorf("job %d: %v", i, err)
+		}
+	}
+	for i := range 30 {
+		if i == 5 {
+			go l.Leave()
+		}
+		group.Go(func() { submit(i + 1) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	next := c.leader(time.Second)
+	if next == l {
+		t.Error("the controller that left still holds the office")
+	}
+	c.log.latency.Store(0)
+	c.completes(next, "j30")
+}
+
 // awaitReach waits until a node knows of just so many others that reach the store.
 func (c *testCell) awaitReach(n *testNode, want int) {
 	c.t.Helper()
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelhitch/internal/stream"
@@ -15,6 +16,8 @@
 	mu     sync.Mutex
 	topics map[string]*fakeTopic
 	grown  chan struct{}
+	// latency is how long each call takes besides.
+	latency atomic.Int64
 }
 
 type fakeTopic struct {
@@ -52,6 +55,7 @@
 const silence = 900 * time.Millisecond
 
 func (v *logView) gone() error {
+	time.Sleep(time.Duration(v.log.latency.Load()))
 	if !v.cut() {
 		return nil
 	}
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -36,6 +36,7 @@
 
 	ready   atomic.Bool
 	ended   atomic.Bool
+	leaving atomic.Bool
 	proven  atomic.Int64 // Unix nanoseconds
 	kick    chan struct{}
 	waiting atomic.Pointer[map[string]int32]
@@ -82,6 +83,10 @@
 	n.record(event.Event{Type: event.AuthorityOn, Member: n.self.Boot, Epoch: l.epoch, Detail: n.self.Node})
 	n.lead.Store(l)
 	n.spawn(func() { l.run(v, sent) })
+	if n.isLeaving() {
+		// The claim was on its way when the process was told to end.
+		n.spawn(l.handOver)
+	}
 }
 
 // stop ends the term.
@@ -95,6 +100,21 @@
 	})
 }
 
+// handOverWithin is how long a controller that leaves waits for another to claim the
+// office.
+const handOverWithin = 1500 * time.Millisecond
+
+// handOver serves on until another member has claimed the office, which the answers to
+// heartbeats ask for, and resigns if none does.
+func (l *lead) handOver() {
+	l.leaving.Store(true)
+	select {
+	case <-l.ctx.Done():
+	case <-time.After(handOverWithin):
+		l.resign()
+	}
+}
+
 // resignWithin bounds the time for storing what is left before resigning.
 const resignWithin = 700 * time.Millisecond
 
@@ -106,6 +126,9 @@
 	for time.Now().Before(deadline) && l.ctx.Err() == nil && l.unstored() {
 		time.Sleep(commitGap)
 	}
+	if l.ended.Load() {
+		return
+	}
 	l.stop()
 	claim := election.Claim{Node: l.n.self.Node, Boot: l.n.self.Boot, Addr: l.n.self.Addr, Resigned: true, Former: l.epoch}
 	record, err := claim.Record()
@@ -136,15 +159,15 @@
 
 // run takes over and serves until the term ends.
 func (l *lead) run(v election.View, sent time.Time) {
+	defer l.group.Wait()
 	defer l.stop()
+	// The list of workers is read while the jobs are; it waits in the inbox.
+	l.group.Go(l.followWorkers)
 	if !l.takeOver(v, sent) {
 		return
 	}
 	l.group.Go(l.commit)
-	l.group.Go(l.followWorkers)
 	l.control()
-	l.abort()
-	l.group.Wait()
 }
 
 // takeOver fences the store and reads it.
@@ -341,6 +364,7 @@
 	resp.Epoch = l.epoch
 	resp.Leads = !l.ended.Load()
 	resp.Ready = l.serving()
+	resp.Leaving = l.leaving.Load()
 	if counts := l.waiting.Load(); counts != nil {
 		resp.Waiting = *counts
 	}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -96,14 +96,14 @@
 // Self returns this member.
 func (n *Node) Self() Member { return n.self }
 
-// Leave gives up the office in order, if this member holds it. The node goes on carrying
-// callers' calls until Run's context ends, but claims no more.
+// Leave hands over the office, if this member holds it. The node goes on carrying callers'
+// calls until Run's context ends, but claims no more.
 func (n *Node) Leave() {
 	n.leaveOnce.Do(func() {
 		close(n.leaving)
 		n.record(event.Event{Type: event.EntryDrain, Member: n.self.Boot, Detail: n.self.Node})
 		if l := n.lead.Load(); l != nil {
-			l.resign()
+			l.handOver()
 		}
 	})
 }
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -26,6 +26,8 @@
 	heartbeatPeriod  = 120 * time.Millisecond
 	heartbeatTimeout = 400 * time.Millisecond
 	smallCell        = 10
+	// claimTimeout bounds the append of a claim: a slow store takes half a second.
+	claimTimeout = time.Second
 	// probeTimeout bounds the question whether another member hears the controller.
 	probeTimeout = 250 * time.Millisecond
 	// electPeriod is how often a member considers a claim.
@@ -161,6 +163,9 @@
 	}
 	n.view.replaceMembers(members, n.self.Node)
 	n.view.leaderHeard(claim.Epoch, resp.Ready, resp.Waiting, now)
+	if resp.Leaving {
+		n.view.leaderLeaves(claim.Epoch, now)
+	}
 	return true
 }
 
@@ -183,7 +188,7 @@
 		v, end := n.view.election(n.self, time.Now())
 		timing := n.electionTiming()
 		decision, at := election.Decide(v, timing)
-		if decision == election.MakeClaim && v.Others > 0 && !v.LeaderGone && v.Newest.Node != n.self.Node {
+		if decision == election.MakeClaim && v.Others > 0 && !v.Vacant() && v.Newest.Node != n.self.Node {
 			v.Reached, v.OthersHear = n.askOthers(v.Newest)
 			v.Now = time.Now()
 			decision, at = election.Decide(v, timing)
@@ -287,7 +292,7 @@
 		n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, heartbeatTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, claimTimeout)
 	defer cancel()
 	sent := time.Now()
 	got, err := n.log.Append(ctx, stream.Append{Topic: election.Topic, Records: []stream.Record{record}, AsOf: &end})
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -15,12 +15,15 @@
 	end    int64
 	loaded bool
 	// heard is when the newest claim's controller last answered, ready whether it
-	// said that it serves, watched since when it has been listened for.
+	// said that it serves, watched since when it has been listened for, or the office
+	// has been vacant.
 	heard   time.Time
 	ready   bool
 	watched time.Time
+	// gone says that the controller's machine runs another process, leaving that the
+	// controller waits for another member to claim the office.
 	gone    bool
-	goneAt  time.Time
+	leaving bool
 	refused int
 	waiting map[string]int32
 	members map[string]Member // by node, without this one
@@ -64,6 +67,7 @@
 	v.ready = false
 	v.watched = now
 	v.gone = false
+	v.leaving = false
 	v.refused = 0
 	v.notify()
 	return true
@@ -117,7 +121,18 @@
 	defer v.mu.Unlock()
 	if epoch == v.newest.Epoch && !v.gone {
 		v.gone = true
-		v.goneAt = now
+		v.watched = now
+		v.notify()
+	}
+}
+
+// leaderLeaves notes that the controller of an epoch wants to be replaced.
+func (v *view) leaderLeaves(epoch int64, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if epoch == v.newest.Epoch && !v.leaving {
+		v.leaving = true
+		v.watched = now
 		v.notify()
 	}
 }
@@ -201,6 +216,7 @@
 		LeaderHeard:   v.heard,
 		Watched:       v.watched,
 		LeaderGone:    v.gone,
+		LeaderLeaving: v.leaving,
 		LeaderRefused: v.refused >= refusalsToSuspect,
 		Others:        len(v.members),
 		// Until they are asked, the others count as reached.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -59,12 +59,15 @@
 	// Self is this member's machine and Boot its process.
 	Node, Boot string
 	// LeaderHeard is when the newest claim's controller was last heard, zero if never;
-	// Watched is since when it was listened for.
+	// Watched is since when it was listened for, or the office has been vacant.
 	LeaderHeard time.Time
 	Watched     time.Time
 	// LeaderGone says that the controller's process has certainly ended: its machine
 	// runs another.
 	LeaderGone bool
+	// LeaderLeaving says that the controller serves only until another claims the
+	// office.
+	LeaderLeaving bool
 	// LeaderRefused says that its machine refused or reset the last connections.
 	LeaderRefused bool
 	// Others says how many other members are known, Reached how many of them answer,
@@ -84,6 +87,11 @@
 	Handicap time.Duration
 }
 
+// Vacant reports whether the office is to be taken, whoever hears the last controller.
+func (v *View) Vacant() bool {
+	return v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderGone || v.LeaderLeaving
+}
+
 // Decision is what to do about the controller.
 type Decision uint8
 
@@ -110,14 +118,13 @@
 
 // Decide says what a member does and when to look again.
 func Decide(v View, t Timing) (Decision, time.Time) {
-	vacant := v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderGone
 	if v.Newest.Node == v.Node && v.Newest.Boot != v.Boot && !v.Newest.Resigned {
 		// An earlier process of this machine held the office: nobody knows better that
 		// it has ended.
 		return MakeClaim, v.Now
 	}
 	since := v.Watched
-	if vacant {
+	if v.Vacant() {
 		return after(v.Now, since.Add(t.Handicap))
 	}
 	if v.LeaderHeard.After(since) {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -25,6 +25,8 @@
 		"silent, no other known":            {View{Now: at(2 * time.Second), Watched: start, Newest: held}, MakeClaim},
 		"refuses connections":               {View{Now: at(500 * time.Millisecond), Watched: start, Newest: held, LeaderRefused: true, Others: 1, Reached: 1}, MakeClaim},
 		"its machine runs another process":  {View{Now: at(100 * time.Millisecond), Watched: start, Newest: held, LeaderHeard: start, LeaderGone: true}, MakeClaim},
+		"leaving, before the handicap":      {View{Now: start, Watched: start, Newest: held, LeaderHeard: start, LeaderLeaving: true, Others: 2, OthersHear: true}, Wait},
+		"leaving":                           {View{Now: at(100 * time.Millisecond), Watched: start, Newest: held, LeaderHeard: at(90 * time.Millisecond), LeaderLeaving: true, Others: 2, OthersHear: true}, MakeClaim},
 		"resigned":                          {View{Now: at(100 * time.Millisecond), Watched: start, Newest: Claim{Node: "a", Boot: "a1", Resigned: true, Epoch: 4}}, MakeClaim},
 		"own machine, an earlier process":   {View{Now: start, Watched: start, Newest: held, Node: "a", Boot: "a2"}, MakeClaim},
 	} {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/stream"
@@ -27,10 +28,14 @@
 	log      Log
 	epoch    int64
 	sequence int64
+	// loaded are the ranges that Load has read, nil where it has not.
+	loaded [][]stream.Record
 }
 
 // New returns a store for an epoch.
-func New(log Log, epoch int64) *Store { return &Store{log: log, epoch: epoch} }
+func New(log Log, epoch int64) *Store {
+	return &Store{log: log, epoch: epoch, loaded: make([][]stream.Record, len(cuts)+1)}
+}
 
 // Fence sets the epoch: from then on no earlier controller can append.
 func (s *Store) Fence(ctx context.Context) error {
@@ -41,19 +46,53 @@
 	return err
 }
 
+// cuts divide the keys into ranges that are read at the same time: a page follows from the
+// one before, so that one range after the other would take as many round trips. Jobs' IDs
+// are hexadecimal; most keys are those of ended jobs' progress.
+var cuts = []string{"p/", "p/4", "p/8", "p/c"}
+
 // Load returns all records. It is called after Fence, so that nothing changes meanwhile.
+// After a failure the next call reads only what is missing.
 func (s *Store) Load(ctx context.Context) ([]controller.Record, error) {
-	newest, _, err := stream.ReadNewest(ctx, s.log, Topic)
-	if err != nil {
-		return nil, err
+	errs := make([]error, len(s.loaded))
+	var group sync.WaitGroup
+	for i := range s.loaded {
+		group.Go(func() { errs[i] = s.loadRange(ctx, i) })
 	}
-	out := make([]controller.Record, 0, len(newest))
-	for _, r := range newest {
-		out = append(out, controller.Record{Key: r.Key, Value: r.Value})
+	group.Wait()
+	var out []controller.Record
+	for i, records := range s.loaded {
+		if errs[i] != nil {
+			return nil, errs[i]
+		}
+		for _, r := range records {
+			out = append(out, controller.Record{Key: r.Key, Value: r.Value})
+		}
 	}
+	s.loaded = nil
 	return out, nil
 }
 
+// loadRange reads range i unless it has been read.
+func (s *Store) loadRange(ctx context.Context, i int) error {
+	if s.loaded[i] != nil {
+		return nil
+	}
+	after, before := "", ""
+	if i > 0 {
+		after = cuts[i-1]
+	}
+	if i < len(cuts) {
+		before = cuts[i]
+	}
+	records, err := stream.ReadRange(ctx, s.log, Topic, after, before)
+	if err != nil {
+		return err
+	}
+	s.loaded[i] = append([]stream.Record{}, records...)
+	return nil
+}
+
 // Append appends a batch. After a failure the same batch is appended again: the sequence
 // number goes on only when it was stored.
 func (s *Store) Append(ctx context.Context, records []controller.Record) error {
--- /dev/null
+++ b/internal/jobstore/jobstore_test.go
@@ -0,0 +1,110 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/stream"
+)
+
+// slowLog is a keyed topic whose pages hold few records and whose answers take a time.
+type slowLog struct {
+	keys    []string // sorted
+	page    int
+	latency time.Duration
+	calls   atomic.Int64
+	// fails is the number of the call that fails, zero if none does.
+	fails int64
+}
+
+func (l *slowLog) Append(context.Context, stream.Append) (stream.Appended, error) {
+	return stream.Appended{}, nil
+}
+
+func (l *slowLog) Read(context.Context, string, int64, time.Duration) (stream.Batch, error) {
+	return stream.Batch{}, errors.New("not used")
+}
+
+func (l *slowLog) Newest(_ context.Context, _, after string) (stream.Page, error) {
+	call := l.calls.Add(1)
+	time.Sleep(l.latency)
+	if call == l.fails {
+		return stream.Page{}, errors.New("no answer")
+	}
+	from, found := slices.BinarySearch(l.keys, after)
+	if found {
+		from++
+	}
+	to := min(from+l.page, len(l.keys))
+	page := stream.Page{More: to < len(l.keys)}
+	for _, key := range l.keys[from:to] {
+		page.Records = append(page.Records, stream.Record{Key: key, Value: []byte("{}")})
+	}
+	return page, nil
+}
+
+// newSlowLog returns a log with the keys of so many jobs that go on and that have ended.
+func newSlowLog(active, ended int) *slowLog {
+	l := &slowLog{page: 500, keys: []string{"m/ended"}}
+	id := func(i int) string { return fmt.Sprintf("%016x", uint64(i)*0x9E3779B97F4A7C15) }
+	for i := range active + ended {
+		l.keys = append(l.keys, "p/"+id(i))
+		if i < active {
+			l.keys = append(l.keys, "j/"+id(i))
+		}
+	}
+	for i := range 48 {
+		l.keys = append(l.keys, fmt.Sprintf("w/i-%d", i))
+	}
+	slices.Sort(l.keys)
+	return l
+}
+
+func loadedKeys(t *testing.T, s *Store) []string {
+	t.Helper()
+	records, err := s.Load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := make([]string, len(records))
+	for i := range records {
+		keys[i] = records[i].Key
+	}
+	return keys
+}
+
+// TestLoadTakesFewRoundTrips reads two thousand jobs from a store that answers slowly, as
+// in the loss of a controller while the store is slow (raqm-hitch, inc-f6b8).
+func TestLoadTakesFewRoundTrips(t *testing.T) {
+	l := newSlowLog(200, 1700)
+	l.latency = 100 * time.Millisecond
+	began := time.Now()
+	if got := loadedKeys(t, New(l, 1)); !slices.Equal(got, l.keys) {
+		t.Errorf("%d keys, want the %d of the topic in order", len(got), len(l.keys))
+	}
+	if took, most := time.Since(began), 3*l.latency; took > most {
+		t.Errorf("took %v, want at most %v", took, most)
+	}
+}
+
+// TestLoadReadsOnlyWhatIsMissing loses one answer: the other ranges are not read again.
+func TestLoadReadsOnlyWhatIsMissing(t *testing.T) {
+	l := newSlowLog(10, 100)
+	l.fails = 2
+	s := New(l, 1)
+	if _, err := s.Load(context.Background()); err == nil {
+		t.Fatal("no failure")
+	}
+	before := l.calls.Load()
+	if got := loadedKeys(t, s); !slices.Equal(got, l.keys) {
+		t.Errorf("%d keys, want %d", len(got), len(l.keys))
+	}
+	if again := l.calls.Load() - before; again != 1 {
+		t.Errorf("%d calls after the failure, want 1", again)
+	}
+}
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// ReadRange returns the newest records of the keys above after and below before; an empty
+// before is no bound.
+func ReadRange(ctx context.Context, r Reader, topic, after, before string) ([]Record, error) {
+	var all []Record
+	for {
+		page, err := r.Newest(ctx, topic, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range page.Records {
+			if before != "" && record.Key >= before {
+				return all, nil
+			}
+			all = append(all, record)
+		}
+		if !page.More || len(page.Records) == 0 {
+			return all, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
+
 // Follower keeps up with a keyed topic. Its callbacks run on the caller's goroutine.
 type Follower struct {
 	Reader Reader
