Submissions are refused while the store refuses appends; a newer claim is read at once

Change: while no try of a batch was left without an answer, submissions are taken out of it after 0.7 s and refused, with when to come back; what is left goes on. The relay's failures now say whether one of several tries may have been done: the last error alone hid an earlier silence. Change: it reads the newest claim when others know of one, or when its own claim is refused.

Tests that failed before: SubmissionsAreRefusedWhileTheStoreRefuses, NewControllerIsFoundThoughReadsHang; TriesLeaveTheOutcomeOpen is new.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -24,11 +24,14 @@
 	log     *fakeLog
 	workers *stubWorkers
 	nodes   []*testNode
+	// handicap puts off the claims of the nodes that are added next.
+	handicap time.Duration
 }
 
 type testNode struct {
 	*Node
 	cut  atomic.Bool // from the log
+	hang atomic.Bool // its waiting reads of the log
 	dark atomic.Bool // from its peers
 	stop context.CancelFunc
 	done chan struct{}
@@ -88,7 +91,7 @@
 	n.Node = New(Options{
 		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d"},
 		Listener: &darkListener{Listener: listener, dark: &n.dark},
-		Log:      c.log.view(n.cut.Load),
+		Log:      c.log.view(n.cut.Load, n.hang.Load),
 		Workers:  c.workers,
 		Catalog: Catalog{
 			ConfigTopic:  "keyed.op",
@@ -108,7 +111,7 @@
 			GangTimeout: 3 * time.Second, LookWait: time.Second, LookGap: 10 * time.Millisecond,
 			StatusRetention: time.Minute,
 		},
-		Election: election.Timing{Silence: time.Second, Alone: 4 * time.Second},
+		Election: election.Timing{Silence: time.Second, Alone: 4 * time.Second, Handicap: c.handicap},
 		Events:   event.NewRecorder(name, clock, nil),
 		Clock:    clock,
 	})
@@ -354,6 +357,72 @@
 	c.completes(next, "j30")
 }
 
+// TestSubmissionsAreRefusedWhileTheStoreRefuses hands jobs in while the store refuses
+// appends: all are refused soon, also those in the batch that was under way, and none of
+// them exists when the store is back (raqm-hitch trouble-3: held for 3 s).
+func TestSubmissionsAreRefusedWhileTheStoreRefuses(t *testing.T) {
+	c := newTestCell(t, 2)
+	l := c.leader(5 * time.Second)
+	o := c.other(l)
+	c.submit(o, "j0")
+	c.log.busy.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for i := range 5 {
+		group.Go(func() {
+			began := time.Now()
+			err := o.Submit(ctx, testJob(fmt.Sprintf("held%d", i)))
+			if code := structs.CodeOf(err); code != structs.CodeUnavailable {
+				t.Errorf("job %d: %v, want it refused", i, err)
+			}
+			if took := time.Since(began); took > 1500*time.Millisecond {
+				t.Errorf("job %d: refused after %v", i, took)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	c.log.busy.Store(false)
+	c.submit(o, "j1")
+	c.completes(o, "j1")
+	c.completes(o, "j0")
+	for i := range 5 {
+		if _, err := o.State(context.Background(), fmt.Sprintf("held%d", i)); structs.CodeOf(err) != structs.CodeNotFound {
+			t.Errorf("job %d: %v, want that it does not exist", i, err)
+		}
+	}
+}
+
+// TestNewControllerIsFoundThoughReadsHang has a member whose read of the claims gets no
+// answer while the controller changes: it learns of the next one from the others
+// (raqm-hitch trouble-3: 1.4 s later than they).
+func TestNewControllerIsFoundThoughReadsHang(t *testing.T) {
+	c := newTestCell(t, 2)
+	l := c.leader(5 * time.Second)
+	c.handicap = time.Second
+	last := c.addNode("last")
+	c.submit(last, "j1")
+	c.awaitReach(c.nodes[0], 2)
+	c.awaitReach(c.nodes[1], 2)
+	last.hang.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	l.kill()
+	next := c.leader(5 * time.Second)
+	if next == last {
+		t.Fatal("the member with a handicap took the office")
+	}
+	// It asks the others once the controller has been silent and its handicap is over.
+	bound := last.opts.Election.Silence + c.handicap + 500*time.Millisecond
+	for claim, _, _ := last.view.leader(); claim.Boot != next.self.Boot; claim, _, _ = last.view.leader() {
+		if time.Since(began) > bound {
+			t.Fatalf("the next controller is not known after %v", bound)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // awaitReach waits until a node knows of just so many others that reach the store.
 func (c *testCell) awaitReach(n *testNode, want int) {
 	c.t.Helper()
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -60,13 +60,21 @@
 	}
 }
 
-// appendBatch appends a batch until it is stored. It returns false if the term ends.
+// appendBatch appends a batch until it is stored. It returns false if the term ends. While
+// the store refuses, submissions in the batch are taken out and refused too: they have
+// certainly not been stored, unless a try before was left without an answer.
 func (l *lead) appendBatch(b *controller.Batch) bool {
+	began := time.Now()
+	open := false
 	for l.ctx.Err() == nil {
 		sent := time.Now()
 		err := l.store.Append(l.ctx, b.Records)
 		now := time.Now()
 		l.n.stats.append(now.Sub(sent), err)
+		open = open || err != nil && !certain(err)
+		if err != nil && !open && now.Sub(began) >= storeFailing {
+			l.withdraw(b)
+		}
 		switch structs.CodeOf(err) {
 		case "":
 			l.prove(sent)
@@ -85,6 +93,29 @@
 	return false
 }
 
+// withdraw takes the submissions out of a batch that was certainly not stored.
+func (l *lead) withdraw(b *controller.Batch) {
+	if len(b.Accepted) == 0 {
+		return
+	}
+	_, err := callOn(l.ctx, l, func(now time.Time) struct{} {
+		l.refuseAll(l.ctl.Withdraw(b), l.storeAway(now))
+		return struct{}{}
+	})
+	if err != nil {
+		// The term has ended, and the callers are told so.
+		l.n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Epoch: l.epoch, Detail: "submissions left in a batch: " + structs.AsError(err).Message})
+	}
+}
+
+// refuseAll refuses submissions that are not stored.
+func (l *lead) refuseAll(ids []string, away time.Duration) {
+	for _, id := range ids {
+		answerAll(l.accepts, id, errStoreAway(away))
+		answerAll(l.endWaits, id, structs.NewError(structs.CodeNotFound, "no job %s", id))
+	}
+}
+
 // stored tells those who wait that a batch is stored.
 func (l *lead) stored(b *controller.Batch, now time.Time) {
 	l.appending = time.Time{}
@@ -112,9 +143,7 @@
 	if away == 0 || len(l.accepts) == 0 {
 		return
 	}
-	for _, id := range l.ctl.DropUnsent() {
-		answerAll(l.accepts, id, errStoreAway(away))
-	}
+	l.refuseAll(l.ctl.DropUnsent(), away)
 }
 
 // answerAll answers all who wait for a job.
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -16,6 +16,8 @@
 	mu     sync.Mutex
 	topics map[string]*fakeTopic
 	grown  chan struct{}
+	// busy says that appends are refused.
+	busy atomic.Bool
 	// latency is how long each call takes besides.
 	latency atomic.Int64
 }
@@ -44,11 +46,13 @@
 }
 
 // view returns the log as a machine sees it whose path is cut while cut returns true.
-func (f *fakeLog) view(cut func() bool) Log { return &logView{log: f, cut: cut} }
+// Its waiting reads get no answer while hang returns true.
+func (f *fakeLog) view(cut, hang func() bool) Log { return &logView{log: f, cut: cut, hang: hang} }
 
 type logView struct {
-	log *fakeLog
-	cut func() bool
+	log  *fakeLog
+	cut  func() bool
+	hang func() bool
 }
 
 // silence is how long a call takes to be given up on a path that is cut.
@@ -64,6 +68,9 @@
 }
 
 func (v *logView) Append(_ context.Context, a stream.Append) (stream.Appended, error) {
+	if v.log.busy.Load() {
+		return stream.Appended{}, structs.NewError(structs.CodeUnavailable, "busy")
+	}
 	if err := v.gone(); err != nil {
 		return stream.Appended{}, err
 	}
@@ -75,6 +82,10 @@
 		return stream.Batch{}, err
 	}
 	batch, err := v.log.read(ctx, topic, from, wait)
+	if v.hang() && wait > 0 {
+		<-ctx.Done()
+		return stream.Batch{}, structs.NewError(structs.CodeUnknown, "no answer")
+	}
 	if cut := v.gone(); cut != nil {
 		return stream.Batch{}, cut
 	}
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -189,7 +189,12 @@
 		timing := n.electionTiming()
 		decision, at := election.Decide(v, timing)
 		if decision == election.MakeClaim && v.Others > 0 && !v.Vacant() && v.Newest.Node != n.self.Node {
-			v.Reached, v.OthersHear = n.askOthers(v.Newest)
+			var newer bool
+			v.Reached, v.OthersHear, newer = n.askOthers(v.Newest)
+			if newer {
+				n.refreshClaims()
+				continue
+			}
 			v.Now = time.Now()
 			decision, at = election.Decide(v, timing)
 			n.recordSuspicion(v, decision)
@@ -259,8 +264,25 @@
 	}
 }
 
-// askOthers asks the other members whether they hear the controller.
-func (n *Node) askOthers(claim election.Claim) (reached int, hear bool) {
+// refreshTimeout bounds one reading of the newest claim.
+const refreshTimeout = time.Second
+
+// refreshClaims reads the newest claim at once: others know of one that the follower of the
+// claims has not seen. Its read may wait for an answer that was lost.
+func (n *Node) refreshClaims() {
+	ctx, cancel := context.WithTimeout(n.ctx, refreshTimeout)
+	defer cancel()
+	records, _, err := stream.ReadNewest(ctx, n.log, election.Topic)
+	if err != nil {
+		n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Detail: "reading the newest claim: " + structs.AsError(err).Message})
+		return
+	}
+	n.takeClaims(records)
+}
+
+// askOthers asks the other members whether they hear the controller, and whether one of
+// them knows of a newer claim.
+func (n *Node) askOthers(claim election.Claim) (reached int, hear, newer bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range n.view.others(time.Time{}) {
@@ -276,11 +298,12 @@
 			defer mu.Unlock()
 			reached++
 			fresh := resp.LeaderHeardMs >= 0 && resp.LeaderHeardMs < n.opts.Election.Silence.Milliseconds()
-			hear = hear || resp.Epoch == claim.Epoch && fresh || resp.Epoch > claim.Epoch
+			hear = hear || resp.Epoch == claim.Epoch && fresh
+			newer = newer || resp.Epoch > claim.Epoch
 		})
 	}
 	wg.Wait()
-	return reached, hear
+	return reached, hear, newer
 }
 
 // claim appends a claim, on the condition that the claims end where v was taken, and takes
@@ -297,8 +320,9 @@
 	sent := time.Now()
 	got, err := n.log.Append(ctx, stream.Append{Topic: election.Topic, Records: []stream.Record{record}, AsOf: &end})
 	if err != nil {
-		// After a lost answer the follower of the claims reads whether it was done.
 		n.record(event.Event{Type: event.ClaimRefused, Code: structs.CodeOf(err), Detail: structs.AsError(err).Message})
+		// Another member claimed before, or the answer was lost and it was done.
+		n.refreshClaims()
 		n.adoptLostClaim(v, sent)
 		return
 	}
@@ -310,7 +334,6 @@
 
 // adoptLostClaim takes the office if a claim without an answer was done all the same.
 func (n *Node) adoptLostClaim(v election.View, sent time.Time) {
-	n.sleep(electPeriod)
 	newest, _, _ := n.view.leader()
 	if newest.Boot == n.self.Boot && newest.Epoch > v.Newest.Epoch && !newest.Resigned && n.lead.Load() == nil {
 		startLead(n, newest, v, sent)
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -118,10 +118,13 @@
 	direct func() (T, error),
 	relayed func(Member) (T, error),
 ) (T, error) {
+	var before error
 	if r.bad() {
-		if out, err := throughOthers(r, repeatable, relayed); !pathFailed(err) || !mayRelay(err, repeatable) {
+		out, err := throughOthers(r, repeatable, relayed)
+		if !pathFailed(err) || !mayRelay(err, repeatable) {
 			return out, err
 		}
+		before = err
 	}
 	first := make(chan result[T], 1)
 	go func() {
@@ -136,12 +139,31 @@
 		}
 		return throughOthers(r, repeatable, relayed)
 	}
-	return hedge(r, first, wait+hedgeAfter, relayed)
+	out, err := hedge(r, first, wait+hedgeAfter, relayed)
+	return out, openOf(err, before)
+}
+
+// openOf joins the failures of two tries of one call: if one of them leaves open whether
+// the call was done, so does the whole. A try that was answered ends the question.
+func openOf(err, other error) error {
+	if pathFailed(err) && other != nil && !certain(other) {
+		return other
+	}
+	return err
+}
+
+// certain reports whether a failure says that a call of the store was not done.
+func certain(err error) bool {
+	switch structs.CodeOf(err) {
+	case structs.CodeUnavailable, structs.CodeOverload:
+		return true
+	}
+	return false
 }
 
 // hedge waits for a direct call and makes it through others too if that fails or takes
 // longer than patience. The first answer counts.
-func hedge[T any](r *relayLog, first <-chan result[T], patience time.Duration, relayed func(Member) (T, error)) (T, error) {
+func hedge[T any](r *relayLog, first chan result[T], patience time.Duration, relayed func(Member) (T, error)) (T, error) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -149,7 +171,8 @@
 		if !pathFailed(got.err) {
 			return got.out, got.err
 		}
-		return throughOthers(r, true, relayed)
+		out, err := throughOthers(r, true, relayed)
+		return out, openOf(err, got.err)
 	case <-timer.C:
 	}
 	second := make(chan result[T], 1)
@@ -157,20 +180,18 @@
 		out, err := throughOthers(r, true, relayed)
 		second <- result[T]{out, err}
 	}()
+	var got result[T]
+	other := second
 	select {
-	case got := <-first:
-		if !pathFailed(got.err) {
-			return got.out, got.err
-		}
-		got = <-second
-		return got.out, got.err
-	case got := <-second:
-		if !pathFailed(got.err) {
-			return got.out, got.err
-		}
-		got = <-first
+	case got = <-first:
+	case got = <-second:
+		other = first
+	}
+	if !pathFailed(got.err) {
 		return got.out, got.err
 	}
+	last := <-other
+	return last.out, openOf(last.err, got.err)
 }
 
 // throughOthers makes a call through other members: one after the other, or through all of
@@ -188,6 +209,7 @@
 		}
 		return out, err
 	}
+	var before error
 	answers := make(chan result[T], len(relays))
 	for _, m := range relays {
 		go func() {
@@ -200,7 +222,8 @@
 		if !pathFailed(got.err) {
 			return got.out, got.err
 		}
-		out, err = got.out, got.err
+		before = openOf(got.err, before)
+		out, err = got.out, before
 	}
 	return out, err
 }
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -115,15 +115,49 @@
 	var ids []string
 	for j := range c.dirty.accepted {
 		ids = append(ids, j.spec.ID)
-		delete(c.jobs, j.spec.ID)
-		delete(c.active, j.spec.ID)
-		delete(c.dirty.changed, j)
-		delete(c.dirty.retired, j)
+		c.dropUnstored(j)
+	}
+	return ids
+}
+
+// Withdraw takes the submissions out of a batch of which nothing is stored, so that they
+// certainly never run, and returns their IDs.
+func (c *Controller) Withdraw(b *Batch) []string {
+	ids := b.Accepted
+	gone := map[string]bool{}
+	for _, id := range ids {
+		gone[id] = true
+		c.dropUnstored(c.jobs[id])
+	}
+	b.Accepted = nil
+	b.Ended = slices.DeleteFunc(b.Ended, func(id string) bool { return gone[id] })
+	b.Records = slices.DeleteFunc(b.Records, func(r Record) bool {
+		id, isJob := strings.CutPrefix(r.Key, jobPrefix)
+		if !isJob {
+			id, _ = strings.CutPrefix(r.Key, progressPrefix)
+		}
+		return gone[id]
+	})
+	jobs, changes := b.jobs, b.changes
+	b.jobs, b.changes = nil, nil
+	for i, j := range jobs {
+		if !gone[j.spec.ID] {
+			b.jobs = append(b.jobs, j)
+			b.changes = append(b.changes, changes[i])
+		}
 	}
-	clear(c.dirty.accepted)
 	return ids
 }
 
+// dropUnstored forgets a job that is not in the store.
+func (c *Controller) dropUnstored(j *job) {
+	delete(c.jobs, j.spec.ID)
+	delete(c.active, j.spec.ID)
+	delete(c.dirty.accepted, j)
+	delete(c.dirty.changed, j)
+	delete(c.dirty.retired, j)
+}
+
 // TakeBatch returns what has to be stored, nil if nothing has. What does not fit is
 // left for the next batch.
 func (c *Controller) TakeBatch() *Batch {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -94,8 +94,11 @@
 }
 
 // Append appends a batch. After a failure the same batch is appended again: the sequence
-// number goes on only when it was stored.
+// number goes on only when it was stored. Without records it only proves the epoch.
 func (s *Store) Append(ctx context.Context, records []controller.Record) error {
+	if len(records) == 0 {
+		return s.Fence(ctx)
+	}
 	out := make([]stream.Record, 0, len(records))
 	for _, r := range records {
 		out = append(out, stream.Record{Key: r.Key, Value: r.Value})
