Failed and moved tasks keep off that worker for a while only; pauses are told as such

Change: failed and moved tasks are kept off the worker for 1.5 s; the reason of a pause; hitch-timeline prints the choices weighed and the age of the inputs.

Tests that failed before: MovedTaskReturnsToItsOnlyWorker, FailedTaskTriesAnotherWorker; PauseAfterAFailureIsTold and TextShowsWhatDecided are new.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -447,3 +447,46 @@
 		t.Errorf("state %q, want running", got)
 	}
 }
+
+// TestMovedTaskReturnsToItsOnlyWorker moves a task off the only worker that there is: it
+// starts there again.
+func TestMovedTaskReturnsToItsOnlyWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(1, 4000)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	w.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	w.play(300 * time.Millisecond)
+	w.workers["i-aa"].standStill(4 * time.Second)
+	w.play(12 * time.Second)
+	if got := w.state("j1"); got != workload.JobCompleted {
+		t.Errorf("state %q, want completed", got)
+	}
+}
+
+// TestFailedTaskTriesAnotherWorker has a worker on which everything fails: the few attempts
+// of a task are not all made there (raqm-hitch trouble-3).
+func TestFailedTaskTriesAnotherWorker(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(3, 8000)
+	w.config.Classes["batch"].MaxAttempts = 2
+	bad := "i-aa"
+	w.run = func(_ workload.TaskID, f *fakeWorker) (time.Duration, workload.End) {
+		if f.id == bad {
+			return 200 * time.Millisecond, workload.EndFailed
+		}
+		return 200 * time.Millisecond, workload.EndDone
+	}
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	for i := range 6 {
+		w.submit(simpleJob(fmt.Sprintf("j%d", i), "batch", 1, 1000, nil))
+		w.play(50 * time.Millisecond)
+	}
+	w.play(5 * time.Second)
+	for i := range 6 {
+		if got := w.state(fmt.Sprintf("j%d", i)); got != workload.JobCompleted {
+			t.Errorf("job %d is %q, want completed", i, got)
+		}
+	}
+}
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -21,6 +21,8 @@
 	WaitTooLarge
 	// WaitDoubt: a former controller may have started it on a worker that is silent.
 	WaitDoubt
+	// WaitPause: its tasks failed a moment ago.
+	WaitPause
 	// WaitAdvice: the advisor has not said yet which workers may run it.
 	WaitAdvice
 	// WaitForbidden: the advisor has ruled out every worker that would hold a task.
@@ -36,6 +38,7 @@
 	WaitNoLabel:   "no listed worker bears the label",
 	WaitTooLarge:  "a task is larger than any worker",
 	WaitDoubt:     "a former controller may have started it on a worker that is silent",
+	WaitPause:     "it failed and is tried again after a pause",
 	WaitAdvice:    "the advisor has not said which workers may run it",
 	WaitForbidden: "the advisor allows none of the workers",
 	WaitGang:      "the workers that are known to be allowed do not hold the gang",
@@ -54,7 +57,7 @@
 // whyWaiting returns why tasks of a step are not started.
 func (c *Controller) whyWaiting(s *step, now time.Time) wait {
 	if len(s.startable(now)) == 0 {
-		return wait{reason: WaitDoubt}
+		return wait{reason: s.whyNotStartable(now)}
 	}
 	var ofService, suited, large, known, allowed, slots int
 	for _, w := range c.workers {
@@ -97,6 +100,16 @@
 	}
 }
 
+// whyNotStartable returns why none of the tasks that wait may be started now.
+func (s *step) whyNotStartable(now time.Time) WaitReason {
+	for _, t := range s.tasks {
+		if !t.done && now.Before(t.notBefore) {
+			return WaitPause
+		}
+	}
+	return WaitDoubt
+}
+
 // asked reports whether the advisor's word on a worker is known, or not needed.
 func (s *step) asked(w *worker) bool {
 	if s.job().class.Advice == nil {
--- a/internal/controller/explain_test.go
+++ b/internal/controller/explain_test.go
@@ -7,6 +7,23 @@
 	"dotterelhitch/internal/workload"
 )
 
+// TestPauseAfterAFailureIsTold has a long-running task that fails for ever.
+func TestPauseAfterAFailureIsTold(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(2, 4000)
+	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) {
+		return 10 * time.Millisecond, workload.EndFailed
+	}
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	w.submit(simpleJob("j1", "batch", 1, 1000, func(s *workload.Step) { s.LongRunning = true }))
+	w.play(10500 * time.Millisecond)
+	s := w.ctl.step(workload.StepID{Job: "j1"})
+	if got := w.ctl.whyWaiting(s, w.now); got.reason != WaitPause {
+		t.Errorf("it waits because %q, want %q", got.reason, WaitPause)
+	}
+}
+
 // TestWhyStepsWait asks why steps wait that can't start, each for another reason.
 func TestWhyStepsWait(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -119,9 +119,11 @@
 	uncertain bool
 	// aliens counts runs that are being stopped and not counted in runs.
 	aliens int
-	// moves is how often the task was moved off a worker, avoid the last such worker.
-	moves int
-	avoid *worker
+	// moves is how often the task was moved off a worker. avoid is the worker that it
+	// was moved off or failed on last, which it is kept off until avoidTo.
+	moves   int
+	avoid   *worker
+	avoidTo time.Time
 	// copyWanted says that another run is to be started beside the present one.
 	copyWanted bool
 	notBefore  time.Time
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -225,7 +225,7 @@
 func (c *Controller) fill(tasks []*task, cand *candidate, now time.Time) []*task {
 	var left []*task
 	for _, t := range tasks {
-		if cand.fit == 0 || t.avoid == cand.w {
+		if cand.fit == 0 || t.avoid == cand.w && now.Before(t.avoidTo) {
 			left = append(left, t)
 			continue
 		}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -21,6 +21,7 @@
 	t.runs = append(t.runs, r)
 	t.last = max(t.last, r.num)
 	t.uncertain = false
+	s.waitTold = time.Time{}
 	r.w.runs[r.id()] = r
 	r.w.used = r.w.used.Add(r.size)
 	if s.perWorker != nil {
@@ -86,7 +87,7 @@
 	case e.How == workload.EndDone && !t.step.def.LongRunning:
 		return c.taskDone(t, r, now)
 	case e.How == workload.EndFailed:
-		return c.taskFailed(t, e, now)
+		return c.taskFailed(t, r, e, now)
 	default:
 		c.taskBack(t, e, now)
 		return e.Checkpoint != ""
@@ -178,7 +179,7 @@
 }
 
 // taskFailed counts a failed attempt and fails the job with the last one allowed.
-func (c *Controller) taskFailed(t *task, e *workload.EndedTask, now time.Time) bool {
+func (c *Controller) taskFailed(t *task, r *run, e *workload.EndedTask, now time.Time) bool {
 	failed := &t.failed
 	if g := t.step.gang; g != nil {
 		failed = &g.failed
@@ -195,6 +196,9 @@
 		c.endJob(j, workload.JobFailed, "a task has failed as often as is allowed", now)
 		return true
 	}
+	if r != nil {
+		c.keepOff(t, r.w, now)
+	}
 	t.notBefore = now.Add(failBackoff(len(*failed), lasting))
 	c.wakes.add(t.notBefore)
 	c.taskBack(t, e, now)
--- a/internal/controller/straggle.go
+++ b/internal/controller/straggle.go
@@ -107,11 +107,22 @@
 	return left > time.Duration(straggleFactor*float64(again))+placeTakes+straggleSlack
 }
 
+// keptOff is how long a task is kept off the worker that it was moved off or failed on:
+// others may be full for longer, or not be allowed.
+const keptOff = 1500 * time.Millisecond
+
+// keepOff keeps a task off a worker for a while.
+func (c *Controller) keepOff(t *task, w *worker, now time.Time) {
+	t.avoid = w
+	t.avoidTo = now.Add(keptOff)
+	c.wakes.add(t.avoidTo)
+}
+
 // move starts a copy of a run, or stops it so that its task starts elsewhere.
 func (c *Controller) move(r *run, now time.Time) {
 	t := r.task
 	t.moves++
-	t.avoid = r.w
+	c.keepOff(t, r.w, now)
 	c.recordRun(event.TaskMoved, r, "")
 	if t.step.def.Duplicates {
 		t.copyWanted = true
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// TestTextShowsWhatDecided renders a decision with the choices weighed and the age of its
+// inputs.
+func TestTextShowsWhatDecided(t *testing.T) {
+	e := event.Event{Type: event.AdviceGot, Task: "0a1b.0.0", Count: 6, Candidates: 16, AgeMs: 118}
+	if text := Text(e); !strings.HasSuffix(text, "advice_got task=0a1b.0.0 count=6 candidates=16 age_ms=118") {
+		t.Errorf("%q", text)
+	}
+}
+
 func TestFilter(t *testing.T) {
 	e := event.Event{
 		Time: event.Time{Micros: 1_000_000}, Proc: "p", Type: event.TaskRun,
--- a/internal/timeline/write.go
+++ b/internal/timeline/write.go
@@ -68,6 +68,8 @@
 	add("digest", e.Digest)
 	add("expect", e.Expect)
 	add("bytes", number(int64(e.Bytes)))
+	add("candidates", number(int64(e.Candidates)))
+	add("age_ms", number(e.AgeMs))
 	add("detail", e.Detail)
 	return b.String()
 }
