--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -81,6 +81,7 @@
 	SettingsRefused Type = "settings_refused" // Detail: what is wrong with them
 	RequestRefused  Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since it was heard), Version (configuration), Count (ms held), Detail
 	TaskNoted       Type = "task_noted"       // the controller saw a run's end: Task, Attempt, Worker, State
+	LinesDropped    Type = "lines_dropped"    // the output did not take so many lines, or they were too many: Count
 	Fault           Type = "fault"            // a test injected a fault: Detail
 	Alarm           Type = "alarm"            // Code, Detail
 )
--- a/internal/event/sink.go
+++ b/internal/event/sink.go
@@ -1,7 +1,7 @@
 package event
 
 import (
-	"fmt"
+	"encoding/json"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -22,6 +22,8 @@
 // Sink writes lines without ever making its caller wait: what the reader does not take,
 // or what is more than the bound on lines a second, is dropped and counted.
 type Sink struct {
+	proc    string
+	clock   *Clock
 	out     io.Writer
 	lines   chan []byte
 	done    chan struct{}
@@ -33,9 +35,12 @@
 	at     time.Time
 }
 
-// NewSink returns a sink that writes to out.
-func NewSink(out io.Writer) *Sink {
+// NewSink returns a sink that writes to out. The lines that tell of dropped ones bear the
+// process's name and its clock's time.
+func NewSink(out io.Writer, proc string, clock *Clock) *Sink {
 	s := &Sink{
+		proc:   proc,
+		clock:  clock,
 		out:    out,
 		lines:  make(chan []byte, sinkLines),
 		done:   make(chan struct{}),
@@ -84,13 +89,25 @@
 		buf = append(buf[:0], line...)
 		buf = s.gather(buf)
 		if n := s.dropped.Swap(0); n > 0 {
-			buf = fmt.Appendf(buf, `{"type":"lines_dropped","count":%d}`+"\n", n)
+			buf = append(buf, s.tellDropped(n)...)
 		}
 		// An output that is gone can't be told of; the lines are lost.
 		_, _ = s.out.Write(buf)
 	}
 }
 
+// tellDropped returns the line that tells of dropped ones. It stands outside the sequence
+// of the recorder's lines.
+func (s *Sink) tellDropped(n int64) []byte {
+	line, err := json.Marshal(Event{Time: s.clock.Now(), Proc: s.proc, Type: LinesDropped, Count: int(n)})
+	if err != nil {
+		// They are told of with the next ones.
+		s.dropped.Add(n)
+		return nil
+	}
+	return append(line, '\n')
+}
+
 // gather adds the lines that come within the flush time, up to the size of a write.
 func (s *Sink) gather(buf []byte) []byte {
 	flush := time.After(sinkFlush)
--- a/internal/event/sink_test.go
+++ b/internal/event/sink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"strings"
 	"sync"
@@ -32,7 +33,7 @@
 // counted.
 func TestBlockedOutputNeverBlocksALine(t *testing.T) {
 	r, w := io.Pipe()
-	s := NewSink(w)
+	s := NewSink(w, "p-1", &Clock{})
 	began := time.Now()
 	for range 3 * sinkLines {
 		if _, err := s.Write([]byte("line\n")); err != nil {
@@ -54,7 +55,7 @@
 func TestLinesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &lockedBuffer{}
-		s := NewSink(out)
+		s := NewSink(out, "p-1", &Clock{})
 		const seconds = 10
 		for range seconds * 100 {
 			for range sinkPerSecond / 50 {
@@ -68,8 +69,21 @@
 		if most := sinkBurst + seconds*sinkPerSecond + sinkPerSecond; written > most || written < seconds*sinkPerSecond/2 {
 			t.Errorf("%d lines were written, at most %d are allowed", written, most)
 		}
-		if !strings.Contains(out.String(), `"lines_dropped"`) {
-			t.Error("the dropped lines are not told")
+		told := droppedLine(t, out.String())
+		if told.Type != LinesDropped || told.Proc != "p-1" || told.Time.Micros == 0 || told.Count == 0 {
+			t.Errorf("the dropped lines are told by %+v", told)
 		}
 	})
 }
+
+// droppedLine returns the first line of JSON.
+func droppedLine(t *testing.T, out string) Event {
+	t.Helper()
+	var e Event
+	_, rest, _ := strings.Cut(out, "{")
+	line, _, _ := strings.Cut(rest, "\n")
+	if err := json.Unmarshal([]byte("{"+line), &e); err != nil {
+		t.Fatalf("%v: %q", err, line)
+	}
+	return e
+}
