Passes over all workers at most each 5 ms, of placement by their number

Cause: on the grown sites (350 workers) the controller was short of processor time: each answer of a worker led to a pass over all of them for lapsed leases and due looks, and every 8 ms to a pass of placement. Ruled out: memory (peak 111 to 120 MB of 184 and more), exits.

Change: the pass over all workers runs at most every 5 ms; placement's gap grows with the number of workers beyond 100; timed jobs are kept apart.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,6 +62,7 @@
 
 	// active are the jobs that go on.
 	active map[string]*job
+	timed  map[*job]struct{} // those of active that run by a timetable
 	ended  endedQueue
 	// waiting counts the jobs of which nothing has started.
 	waiting waitCounts
@@ -89,6 +90,9 @@
 	// retries are the runs of which an order got no answer.
 	retries map[*run]struct{}
 
+	// surveyAt is when all workers are looked over next.
+	surveyAt time.Time
+
 	ready    map[*step]struct{}
 	planAt   time.Time
 	planNeed bool
@@ -123,6 +127,7 @@
 		workers:  map[string]*worker{},
 		registry: map[string]*registered{},
 		active:   map[string]*job{},
+		timed:    map[*job]struct{}{},
 		waiting:  waitCounts{byClass: map[string]int{}, changed: true},
 		dirty:    newDirtySet(),
 		retries:  map[*run]struct{}{},
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -36,13 +36,27 @@
 	j := &job{spec: spec, acceptedAt: now}
 	j.setClass(class)
 	c.jobs[spec.ID] = j
-	c.active[spec.ID] = j
+	c.activate(j)
 	c.dirty.accept(j)
 	c.openOccurrences(j, now)
 	c.needPlan(now)
 	return SubmitPending, nil
 }
 
+// activate counts a job as one that goes on.
+func (c *Controller) activate(j *job) {
+	c.active[j.spec.ID] = j
+	if j.spec.Timed() {
+		c.timed[j] = struct{}{}
+	}
+}
+
+// deactivate ends that.
+func (c *Controller) deactivate(j *job) {
+	delete(c.active, j.spec.ID)
+	delete(c.timed, j)
+}
+
 // maxOpenOccurrences bounds the occurrences of one job that are open at a time, so that a
 // timetable that began long ago does not fill the memory.
 const maxOpenOccurrences = 64
@@ -119,7 +133,7 @@
 	}
 	j.state = state
 	j.endedAt = now
-	delete(c.active, j.spec.ID)
+	c.deactivate(j)
 	c.waiting.count(j)
 	for _, occ := range j.open {
 		for _, s := range occ.steps {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -123,14 +123,19 @@
 	if at, ok := c.wakes.next(); ok && at.Before(next) {
 		next = at
 	}
+	if now.Before(c.surveyAt) && c.surveyAt.Before(next) {
+		next = c.surveyAt
+	}
 	return next
 }
 
 const (
 	// idleWake is the longest time between two calls of Take.
 	idleWake = 100 * time.Millisecond
-	// planGap is the least time between two passes of placement.
-	planGap = 8 * time.Millisecond
+	// planGap is the least time between two passes of placement in a cell of up to
+	// smallPool workers; it grows with their number, as the work of a pass does.
+	planGap   = 8 * time.Millisecond
+	smallPool = 100
 )
 
 // needPlan asks for a pass of placement.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -13,7 +13,7 @@
 // first.
 func (c *Controller) plan(now time.Time) {
 	c.planNeed = false
-	c.planAt = now.Add(planGap)
+	c.planAt = now.Add(planGap * time.Duration(max(len(c.workers), smallPool)) / smallPool)
 	if !c.Authorized(now) {
 		return
 	}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -152,7 +152,7 @@
 // dropUnstored forgets a job that is not in the store.
 func (c *Controller) dropUnstored(j *job) {
 	delete(c.jobs, j.spec.ID)
-	delete(c.active, j.spec.ID)
+	c.deactivate(j)
 	delete(c.dirty.accepted, j)
 	delete(c.dirty.changed, j)
 	delete(c.dirty.retired, j)
@@ -400,7 +400,7 @@
 		c.unretired = append(c.unretired, j)
 		return
 	}
-	c.active[spec.ID] = j
+	c.activate(j)
 	class := c.config.Classes[spec.Class]
 	if class == nil {
 		class = &spec.Terms
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -12,16 +12,25 @@
 		c.openDue(now)
 		c.needPlan(now)
 	}
-	c.forgetEnded(now)
 	c.noteFormers(now)
-	c.lapse(now)
-	if !c.Authorized(now) {
+	if c.Authorized(now) {
+		c.sendRetries(now)
+	}
+	if now.Before(c.surveyAt) {
 		return
 	}
-	c.look(now)
-	c.sendRetries(now)
+	c.surveyAt = now.Add(surveyGap)
+	c.forgetEnded(now)
+	c.lapse(now)
+	if c.Authorized(now) {
+		c.look(now)
+	}
 }
 
+// surveyGap is the least time between two passes over all workers. Answers of busy workers
+// come far more often.
+const surveyGap = 5 * time.Millisecond
+
 // noteFormers has it stored that no former controller orders any more.
 func (c *Controller) noteFormers(now time.Time) {
 	if c.formersNoted || c.formerEnd.IsZero() || now.Before(c.formerEnd) {
@@ -33,10 +42,8 @@
 
 // openDue opens the occurrences of timed jobs that have come due.
 func (c *Controller) openDue(now time.Time) {
-	for _, j := range c.active {
-		if j.spec.Timed() {
-			c.openOccurrences(j, now)
-		}
+	for j := range c.timed {
+		c.openOccurrences(j, now)
 	}
 }
 
