--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -26,6 +26,8 @@
 	nodes   []*testNode
 	// handicap puts off the claims of the nodes that are added next.
 	handicap time.Duration
+	// cores is the processor time of the nodes that are added next.
+	cores float64
 }
 
 type testNode struct {
@@ -89,7 +91,7 @@
 	n := &testNode{done: make(chan struct{})}
 	clock := &event.Clock{}
 	n.Node = New(Options{
-		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d"},
+		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d", Cores: c.cores},
 		Listener: &darkListener{Listener: listener, dark: &n.dark},
 		Log:      c.log.view(n.cut.Load, n.hang.Load),
 		Workers:  c.workers,
@@ -423,6 +425,30 @@
 	}
 }
 
+// TestStrongMachineTakesTheOffice adds a machine with far more processor time to a cell: the
+// controller hands the office to it, and it keeps it (the grown tairi-bale: the controller
+// ran on a fifth of a core).
+func TestStrongMachineTakesTheOffice(t *testing.T) {
+	c := newTestCell(t, 0)
+	c.cores = 0.2
+	c.addNode("weak-0")
+	c.addNode("weak-1")
+	weak := c.leader(5 * time.Second)
+	c.submit(weak, "j1")
+	c.cores = 0.8
+	strong := c.addNode("strong")
+	for end := time.Now().Add(handOverPause + 3*time.Second); c.leader(time.Second) != strong; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the strong machine does not lead")
+		}
+	}
+	c.completes(strong, "j1")
+	time.Sleep(handOverPause + time.Second)
+	if c.leader(time.Second) != strong {
+		t.Error("the strong machine has lost the office")
+	}
+}
+
 // awaitReach waits until a node knows of just so many others that reach the store.
 func (c *testCell) awaitReach(n *testNode, want int) {
 	c.t.Helper()
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -25,6 +25,9 @@
 	// Addr is where peers reach the process.
 	Addr   string `json:"addr"`
 	Domain string `json:"domain"`
+	// Cores is the processor time that the machine gives the process, in cores; zero if
+	// it is not known.
+	Cores float64 `json:"cores,omitempty"`
 	// ReachesStore says that the member has a path of its own to the store.
 	ReachesStore bool `json:"-"`
 }
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -221,6 +221,9 @@
 	silentBeats = 4
 	// slowHandicap puts off the claim of a machine that runs slow.
 	slowHandicap = 800 * time.Millisecond
+	// weakHandicap puts off the claim of a machine with little processor time, by the
+	// share that it lacks of what the strongest one has: the controller needs most.
+	weakHandicap = time.Second
 )
 
 // electionTiming is the election's timing with this member's handicap.
@@ -235,9 +238,23 @@
 	if n.pace.slow() {
 		t.Handicap += slowHandicap
 	}
+	t.Handicap += time.Duration(n.lacks(time.Time{}) * float64(weakHandicap))
 	return t
 }
 
+// lacks returns the share of the strongest member's processor time that this member lacks,
+// among those met since a time.
+func (n *Node) lacks(since time.Time) float64 {
+	strongest := n.self.Cores
+	for _, m := range n.view.others(since) {
+		strongest = max(strongest, m.Cores)
+	}
+	if n.self.Cores <= 0 {
+		return 0
+	}
+	return 1 - n.self.Cores/strongest
+}
+
 // recordSuspicion tells what speaks for and against replacing a silent controller.
 func (n *Node) recordSuspicion(v election.View, d election.Decision) {
 	since := v.LeaderHeard
--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -29,8 +29,12 @@
 	// slowBy is how many times as long the work must take for the machine to count as
 	// slow.
 	slowBy = 3
-	// resignPause is the least time between two resignations for running slow.
-	resignPause = 10 * time.Second
+	// handOverPause is the least time between two hand-overs to a fitter member, and
+	// between the begin of a term and the first.
+	handOverPause = 3 * time.Second
+	// muchLess is the share of the strongest member's processor time that a controller
+	// may lack.
+	muchLess = 0.4
 )
 
 // measure takes one reading.
@@ -67,26 +71,36 @@
 	return float64(fastest) > slowBy*float64(p.best)
 }
 
-// keepPace measures, and hands the office on when this machine runs slow and another
-// member does not.
+// keepPace measures, and hands the office on when another member is fitter for it.
 func (n *Node) keepPace() {
-	var resigned time.Time
+	var handed time.Time
 	for n.sleep(pacePeriod) {
 		n.pace.measure()
 		l := n.lead.Load()
-		if l == nil || !l.ready.Load() || !n.pace.slow() {
+		if l == nil || !l.ready.Load() {
+			handed = time.Now()
 			continue
 		}
 		now := time.Now()
-		if now.Sub(resigned) > resignPause && n.view.fastOthers(now.Add(-membersFresh)) > 0 {
-			resigned = now
-			n.recordSlow(l)
-			l.resign()
+		why := n.whyUnfit(now)
+		if why == "" || now.Sub(handed) < handOverPause {
+			continue
 		}
+		handed = now
+		n.record(event.Event{Type: event.HandsOver, Member: n.self.Boot, Epoch: l.epoch, Detail: why})
+		l.handOver()
 	}
 }
 
-// recordSlow tells that the office is handed on.
-func (n *Node) recordSlow(l *lead) {
-	n.record(event.Event{Type: event.AuthorityOff, Member: n.self.Boot, Epoch: l.epoch, Detail: "this machine runs slow"})
+// whyUnfit returns why another member is fitter as controller, empty if none is.
+func (n *Node) whyUnfit(now time.Time) string {
+	fresh := now.Add(-membersFresh)
+	switch {
+	case n.pace.slow() && n.view.fastOthers(fresh) > 0:
+		return "this machine runs slow"
+	case n.lacks(fresh) > muchLess:
+		return "another machine has far more processor time"
+	default:
+		return ""
+	}
 }
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -86,7 +86,14 @@
 }
 
 func toMember(m Member) *cellv1.Member {
-	return &cellv1.Member{Node: m.Node, Boot: m.Boot, Addr: m.Addr, Domain: m.Domain, ReachesStore: m.ReachesStore}
+	return &cellv1.Member{
+		Node:         m.Node,
+		Boot:         m.Boot,
+		Addr:         m.Addr,
+		Domain:       m.Domain,
+		ReachesStore: m.ReachesStore,
+		Cores:        m.Cores,
+	}
 }
 
 func fromMember(m *cellv1.Member) Member {
@@ -96,6 +103,7 @@
 		Addr:         m.GetAddr(),
 		Domain:       m.GetDomain(),
 		ReachesStore: m.GetReachesStore(),
+		Cores:        m.GetCores(),
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,6 +76,7 @@
 	StoreRegained   Type = "store_regained"   // AgeMs (how long it was away)
 	LeaderLost      Type = "leader_lost"      // Member (the controller), Epoch, AgeMs, Detail
 	ClaimRefused    Type = "claim_refused"    // an append of a claim failed: Code, Detail
+	HandsOver       Type = "hands_over"       // the controller asks for another one: Member, Epoch, Detail (why)
 	LeaderFound     Type = "leader_found"     // Member, Epoch
 	SettingsTaken   Type = "settings_taken"   // the settings were read again
 	SettingsRefused Type = "settings_refused" // Detail: what is wrong with them
