Gangs look further while the workers that they may use are full

Ruled out: doubt about former runs (cell settled), silent workers.

Change: the room that a gang looks for grows while it waits, by the whole of it each 1.5 s. Test that failed before: GangLooksFurtherWhileItsWorkersAreFull.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -231,6 +231,10 @@
 			allowed += float64(most)
 		}
 	}
+	if allowed >= want && s.knowsSince.IsZero() {
+		s.knowsSince = now
+	}
+	want *= s.impatience(now)
 	if allowed < want && len(unknown) > 0 {
 		slices.SortStableFunc(unknown, func(a, b *worker) int {
 			return cmp.Compare(leftShare(b, structs.Resources{}), leftShare(a, structs.Resources{}))
@@ -240,6 +244,19 @@
 	return c.renewTickets(s, pool, now)
 }
 
+// surplusWait is how long a gang waits for room on the workers that it may use until it
+// looks for as much room again: others may be empty.
+const surplusWait = 1500 * time.Millisecond
+
+// impatience is 1 for a gang that has just found enough workers that may hold it, and grows
+// while it waits for room on them.
+func (s *step) impatience(now time.Time) float64 {
+	if s.knowsSince.IsZero() {
+		return 1
+	}
+	return 1 + float64(now.Sub(s.knowsSince))/float64(surplusWait)
+}
+
 // firstWorth returns the first workers that hold so many tasks of a step when empty, but
 // no few.
 func firstWorth(s *step, workers []*worker, tasks float64) []*worker {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -490,3 +490,33 @@
 		}
 	}
 }
+
+// TestGangLooksFurtherWhileItsWorkersAreFull fills the workers that a gang asks about first
+// with work that lasts, while others come free: it asks about those too (the grown
+// raqm-hitch trouble-1: LOST).
+func TestGangLooksFurtherWhileItsWorkersAreFull(t *testing.T) {
+	w := newWorld(t, 1)
+	w.goodShare = 1
+	w.addWorkers(80, 8000)
+	w.run = func(id workload.TaskID, _ *fakeWorker) (time.Duration, workload.End) {
+		switch id.Job {
+		case "long":
+			return time.Hour, workload.EndDone
+		case "short":
+			return 4 * time.Second, workload.EndDone
+		}
+		return time.Second, workload.EndDone
+	}
+	w.lead(true)
+	w.play(100 * time.Millisecond)
+	gang := func(s *workload.Step) { s.Gang = true }
+	// The gang asks while nothing is free, about the first workers; the last ones come free.
+	w.submit(simpleJob("long", "batch", 60, 7000, func(s *workload.Step) { s.LongRunning = true }))
+	w.submit(simpleJob("short", "batch", 20, 7000, nil))
+	w.play(time.Second)
+	w.submit(simpleJob("gang", "gang", 6, 7000, gang))
+	w.play(20 * time.Second)
+	if got := w.state("gang"); got != workload.JobCompleted {
+		t.Errorf("state %q, want completed", got)
+	}
+}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -86,6 +86,8 @@
 	// waitsSince is when a gang that does not fit yet first found enough workers that
 	// may hold it.
 	waitsSince time.Time
+	// knowsSince is when a gang first knew enough workers that may hold it when empty.
+	knowsSince time.Time
 	// waitTold is when a line last told why the step waits.
 	waitTold time.Time
 	// preempted is when runs were last stopped to make room for the step.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -285,6 +285,7 @@
 	s.gang.number = s.tasks[0].nextGangNumber()
 	s.gang.since = now
 	s.waitsSince = time.Time{}
+	s.knowsSince = time.Time{}
 	for i := range found {
 		cand := &found[i]
 		for cand.fit > 0 && len(tasks) > 0 {
