Controller: an idle one sleeps between passes

Cause, found in reading the diff: the limit of one pass over all workers each 5 ms woke the controller each 5 ms, whether a pass was due or not. Change: only a pass that was put off asks for a call. Test that failed before: IdleControllerSleeps (200 turns a second).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -90,8 +90,10 @@
 	// retries are the runs of which an order got no answer.
 	retries map[*run]struct{}
 
-	// surveyAt is when all workers are looked over next.
-	surveyAt time.Time
+	// surveyAt is when all workers may be looked over next, surveyDue that they have not
+	// been since the last event.
+	surveyAt  time.Time
+	surveyDue bool
 
 	ready    map[*step]struct{}
 	planAt   time.Time
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -520,3 +520,19 @@
 		t.Errorf("state %q, want completed", got)
 	}
 }
+
+// TestIdleControllerSleeps counts the turns of a controller that has nothing to do.
+func TestIdleControllerSleeps(t *testing.T) {
+	w := newWorld(t, 1)
+	w.addWorkers(1, 8000)
+	w.lead(true)
+	w.play(2 * time.Second)
+	turns := 0
+	for end := w.now.Add(time.Second); w.now.Before(end); turns++ {
+		w.ctl.Take(w.now)
+		w.now = w.ctl.NextWake(w.now)
+	}
+	if most := 40; turns > most {
+		t.Errorf("%d turns in a second, want at most %d", turns, most)
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -123,7 +123,7 @@
 	if at, ok := c.wakes.next(); ok && at.Before(next) {
 		next = at
 	}
-	if now.Before(c.surveyAt) && c.surveyAt.Before(next) {
+	if c.surveyDue && c.surveyAt.Before(next) {
 		next = c.surveyAt
 	}
 	return next
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -16,7 +16,8 @@
 	if c.Authorized(now) {
 		c.sendRetries(now)
 	}
-	if now.Before(c.surveyAt) {
+	c.surveyDue = now.Before(c.surveyAt)
+	if c.surveyDue {
 		return
 	}
 	c.surveyAt = now.Add(surveyGap)
