--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -44,20 +44,18 @@
 
 // takeBatch asks the control goroutine for what has to be stored.
 func (l *lead) takeBatch() *controller.Batch {
-	taken := make(chan *controller.Batch, 1)
-	l.post(func(now time.Time) {
+	b, err := callOn(l.ctx, l, func(now time.Time) *controller.Batch {
 		b := l.ctl.TakeBatch()
 		if b != nil {
 			l.appending = now
 		}
-		taken <- b
-	})
-	select {
-	case b := <-taken:
 		return b
-	case <-l.ctx.Done():
+	})
+	if err != nil {
+		// The term has ended.
 		return nil
 	}
+	return b
 }
 
 // appendBatch appends a batch until it is stored. It returns false if the term ends. While
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -45,16 +45,20 @@
 		},
 		remote: func(ctx context.Context, addr string) (struct{}, error) {
 			req := &cellv1.SubmitRequest{Job: raw, DeadlineMs: leftMs(ctx)}
-			resp, err := callPeer(ctx, n.peers, addr, forwardTimeout, (*peerClient).Submit, req)
-			if err != nil {
-				return struct{}{}, err
-			}
-			return struct{}{}, fromError(resp.Error)
+			return struct{}{}, done(callPeer(ctx, n.peers, addr, forwardTimeout, (*peerClient).Submit, req))
 		},
 	})
 	return err
 }
 
+// done is the outcome of a call whose answer tells no more than its failure.
+func done[R interface{ GetError() *cellv1.Error }](resp R, err error) error {
+	if err != nil {
+		return err
+	}
+	return fromError(resp.GetError())
+}
+
 // Refused records that a caller's request was answered with an error, with what this member
 // knew then: the controller, how long ago it was heard, the configuration.
 func (n *Node) Refused(request, class, method string, held time.Duration, err error) {
@@ -84,11 +88,7 @@
 		local: func(ctx context.Context, l *lead) (struct{}, error) { return struct{}{}, l.cancel(ctx, id) },
 		remote: func(ctx context.Context, addr string) (struct{}, error) {
 			req := &cellv1.CancelRequest{Id: id, DeadlineMs: leftMs(ctx)}
-			resp, err := callPeer(ctx, n.peers, addr, forwardTimeout, (*peerClient).Cancel, req)
-			if err != nil {
-				return struct{}{}, err
-			}
-			return struct{}{}, fromError(resp.Error)
+			return struct{}{}, done(callPeer(ctx, n.peers, addr, forwardTimeout, (*peerClient).Cancel, req))
 		},
 	})
 	return err
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -296,10 +296,16 @@
 	if !changed {
 		return
 	}
+	var shown map[string]int32
+	if before := l.waiting.Load(); before != nil {
+		shown = *before
+	}
 	out := make(map[string]int32, len(counts))
 	for class, n := range counts {
 		out[class] = int32(n)
-		l.n.stats.gauge(`hitch_cell_jobs_waiting{class="`+class+`"}`, func() float64 { return l.n.waitingHere(class) })
+		if _, known := shown[class]; !known {
+			l.n.stats.gauge(`hitch_cell_jobs_waiting{class="`+class+`"}`, func() float64 { return l.n.waitingHere(class) })
+		}
 	}
 	l.waiting.Store(&out)
 }
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -92,10 +92,10 @@
 // that it refused the call.
 func pathFailed(err error) bool {
 	switch structs.CodeOf(err) {
-	case structs.CodeUnavailable, structs.CodeUnknown, structs.CodeOverload, structs.CodeDeadline:
+	case structs.CodeUnknown, structs.CodeDeadline:
 		return true
 	}
-	return false
+	return certain(err)
 }
 
 // hedgeAfter is how long a call of the store that may be repeated goes without an answer
@@ -121,7 +121,7 @@
 	var before error
 	if r.bad() {
 		out, err := throughOthers(r, repeatable, relayed)
-		if !pathFailed(err) || !mayRelay(err, repeatable) {
+		if final(err, repeatable) {
 			return out, err
 		}
 		before = err
@@ -134,7 +134,7 @@
 	}()
 	if !repeatable {
 		got := <-first
-		if !pathFailed(got.err) || !mayRelay(got.err, repeatable) {
+		if final(got.err, repeatable) {
 			return got.out, got.err
 		}
 		return throughOthers(r, repeatable, relayed)
@@ -203,7 +203,7 @@
 	if !repeatable {
 		for _, m := range relays {
 			out, err = relayed(m)
-			if !pathFailed(err) || !mayRelay(err, repeatable) {
+			if final(err, repeatable) {
 				return out, err
 			}
 		}
@@ -228,9 +228,10 @@
 	return out, err
 }
 
-// mayRelay reports whether a call that failed may be made again another way.
-func mayRelay(err error, repeatable bool) bool {
-	return repeatable || structs.CodeOf(err) != structs.CodeUnknown && structs.CodeOf(err) != structs.CodeDeadline
+// final reports whether the result of a try is that of the whole call: the store answered,
+// or the call may have been done and may not be repeated.
+func final(err error, repeatable bool) bool {
+	return !pathFailed(err) || !repeatable && !certain(err)
 }
 
 // relays returns the members through which the store may be reached, those first that
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -119,19 +119,20 @@
 func (v *view) leaderGone(epoch int64, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if epoch == v.newest.Epoch && !v.gone {
-		v.gone = true
-		v.watched = now
-		v.notify()
-	}
+	v.vacate(&v.gone, epoch, now)
 }
 
 // leaderLeaves notes that the controller of an epoch wants to be replaced.
 func (v *view) leaderLeaves(epoch int64, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if epoch == v.newest.Epoch && !v.leaving {
-		v.leaving = true
+	v.vacate(&v.leaving, epoch, now)
+}
+
+// vacate sets a reason for which the office of an epoch is to be taken.
+func (v *view) vacate(reason *bool, epoch int64, now time.Time) {
+	if epoch == v.newest.Epoch && !*reason {
+		*reason = true
 		v.watched = now
 		v.notify()
 	}
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -131,13 +131,17 @@
 // are kept for short ones.
 const longCall = 100 * time.Millisecond
 
-// askAdvice asks about the steps that wait for tickets, the most urgent first.
-func (c *Controller) askAdvice(pool []*worker, now time.Time) {
+// askAdvice asks about those of the steps of a pass that still have tasks to start, the
+// most urgent first.
+func (c *Controller) askAdvice(steps []*step, pool []*worker, now time.Time) {
 	idle := c.idleLanes(now)
-	for _, s := range c.readySteps(now) {
+	for _, s := range steps {
 		if len(idle) == 0 {
 			return
 		}
+		if _, ready := c.ready[s]; !ready {
+			continue
+		}
 		class := s.job().class
 		if class.Advice == nil {
 			continue
@@ -343,7 +347,6 @@
 	l.at = now
 	l.ask = &ask
 	s.advice.asking++
-	c.stats.Asked++
 	c.orders.Asks = append(c.orders.Asks, ask)
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,8 +57,6 @@
 	config  *workload.Config
 	jobs    map[string]*job
 	workers map[string]*worker
-	// registry names the workers that are stored as possibly running something.
-	registry map[string]*registered
 
 	// active are the jobs that go on.
 	active map[string]*job
@@ -106,13 +104,6 @@
 	// held and schedules belong to one pass of placement.
 	held      map[*worker][]*hold
 	schedules map[*worker][]release
-
-	stats Stats
-}
-
-// Stats are counters of what the controller has done.
-type Stats struct {
-	Starts, Ends, Done, Failed, Lost, Preempted, Asked int64
 }
 
 // New returns a controller of an epoch that knows nothing yet. The recorder may be nil.
@@ -121,24 +112,23 @@
 		record = func(event.Event) {}
 	}
 	return &Controller{
-		epoch:    epoch,
-		timing:   timing,
-		record:   record,
-		config:   &workload.Config{},
-		jobs:     map[string]*job{},
-		workers:  map[string]*worker{},
-		registry: map[string]*registered{},
-		active:   map[string]*job{},
-		timed:    map[*job]struct{}{},
-		waiting:  waitCounts{byClass: map[string]int{}, changed: true},
-		dirty:    newDirtySet(),
-		retries:  map[*run]struct{}{},
-		ready:    map[*step]struct{}{},
-		lanes:    map[string]*lane{},
-		shares:   map[string]*goodShare{},
-		speeds:   newSpeedBook(),
-		health:   newHealthBook(),
-		held:     map[*worker][]*hold{},
+		epoch:   epoch,
+		timing:  timing,
+		record:  record,
+		config:  &workload.Config{},
+		jobs:    map[string]*job{},
+		workers: map[string]*worker{},
+		active:  map[string]*job{},
+		timed:   map[*job]struct{}{},
+		waiting: waitCounts{byClass: map[string]int{}, changed: true},
+		dirty:   newDirtySet(),
+		retries: map[*run]struct{}{},
+		ready:   map[*step]struct{}{},
+		lanes:   map[string]*lane{},
+		shares:  map[string]*goodShare{},
+		speeds:  newSpeedBook(),
+		health:  newHealthBook(),
+		held:    map[*worker][]*hold{},
 
 		schedules: map[*worker][]release{},
 	}
@@ -147,9 +137,6 @@
 // Epoch returns the epoch of the controller, which is its fencing token.
 func (c *Controller) Epoch() int64 { return c.epoch }
 
-// Stats returns the counters.
-func (c *Controller) Stats() Stats { return c.stats }
-
 // Fenced reports whether a worker or the store has refused the epoch: another
 // controller has taken over.
 func (c *Controller) Fenced() bool { return c.fenced }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,10 +13,7 @@
 // TestJobOfTwoStepsCompletes plays the whole way of a job: stored, started, ended,
 // stored again, shown.
 func TestJobOfTwoStepsCompletes(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(3, 4000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 3, 4000)
 	job := simpleJob("j1", "batch", 5, 1000, nil)
 	job.Steps = append(job.Steps, job.Steps[0])
 	job.Steps[1].After = []int{0}
@@ -35,10 +32,7 @@
 // and its storing: what the former one had started of the next step is neither stopped
 // nor started twice (trouble-1, seed 361955916996: TWICE).
 func TestDependentsRunOnOverALostController(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(3, 4000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 3, 4000)
 	job := simpleJob("j1", "batch", 3, 1000, nil)
 	job.Steps = append(job.Steps, job.Steps[0])
 	job.Steps[1].After = []int{0}
@@ -54,8 +48,8 @@
 	if got := w.state("j1"); got != workload.JobCompleted {
 		t.Fatalf("state %q, want completed", got)
 	}
-	if w.ctl.stats.Starts != 0 {
-		t.Errorf("%d starts by the second controller, want none", w.ctl.stats.Starts)
+	if w.placed != 0 {
+		t.Errorf("%d starts by the second controller, want none", w.placed)
 	}
 }
 
@@ -93,10 +87,7 @@
 // elsewhere, with copies where these are allowed, and it gets no more of them.
 func TestRunsThatStandStillMove(t *testing.T) {
 	for _, duplicates := range []bool{false, true} {
-		w := newWorld(t, 1)
-		w.addWorkers(3, 4000)
-		w.lead(true)
-		w.play(100 * time.Millisecond)
+		w := newLedWorld(t, 3, 4000)
 		w.submit(simpleJob("j1", "batch", 9, 1000, func(s *workload.Step) { s.Duplicates = duplicates }))
 		w.play(300 * time.Millisecond)
 		stuck := w.workers["i-aa"]
@@ -114,15 +105,12 @@
 // TestJobWaitsUntilAWorkerHasBegunIt sends starts to workers that do not answer: nothing
 // has begun, so the job waits (fresh-9313: MIXED).
 func TestJobWaitsUntilAWorkerHasBegunIt(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(1, 4000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 1, 4000)
 	w.workers["i-aa"].cut = true
 	w.submit(simpleJob("j1", "batch", 1, 1000, nil))
 	w.play(300 * time.Millisecond)
-	if w.ctl.stats.Starts != 1 {
-		t.Fatalf("%d starts were sent, want 1", w.ctl.stats.Starts)
+	if w.placed != 1 {
+		t.Fatalf("%d starts were sent, want 1", w.placed)
 	}
 	if got := w.ctl.Waiting("batch"); got != 1 {
 		t.Errorf("%d jobs wait, want 1", got)
@@ -317,10 +305,7 @@
 // knows that the first ended before it: only the longest lease has to pass
 // (hunt-f677-35: LOST).
 func TestChainOfControllersSettles(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(3, 4000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 3, 4000)
 	w.submit(simpleJob("j1", "batch", 9, 1000, func(s *workload.Step) { s.LongRunning = true }))
 	w.play(time.Second)
 	w.workers["i-aa"].crash()
@@ -386,10 +371,7 @@
 // TestWaitingForATimeCostsNothing has jobs that are due much later (a variation of
 // raqm-hitch with timed jobs: memory over the limit).
 func TestWaitingForATimeCostsNothing(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(1, 8000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 1, 8000)
 	const jobs = 50
 	for i := range jobs {
 		job := simpleJob(fmt.Sprintf("j%d", i), "batch", 1, 500, nil)
@@ -451,10 +433,7 @@
 // TestMovedTaskReturnsToItsOnlyWorker moves a task off the only worker that there is: it
 // starts there again.
 func TestMovedTaskReturnsToItsOnlyWorker(t *testing.T) {
-	w := newWorld(t, 1)
-	w.addWorkers(1, 4000)
-	w.lead(true)
-	w.play(100 * time.Millisecond)
+	w := newLedWorld(t, 1, 4000)
 	w.submit(simpleJob("j1", "batch", 1, 1000, nil))
 	w.play(300 * time.Millisecond)
 	w.workers["i-aa"].standStill(4 * time.Second)
--- a/internal/controller/debug_test.go
+++ b/internal/controller/debug_test.go
@@ -14,7 +14,7 @@
 func traced(t testing.TB, w *world) func(event.Event) {
 	want := os.Getenv("TRACE")
 	if want == "" {
-		return nil
+		return func(event.Event) {}
 	}
 	return func(e event.Event) {
 		line := fmt.Sprintf("%v %s job=%s task=%s/%d worker=%s epoch=%d state=%s count=%d %s",
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -17,10 +17,9 @@
 	// stored says that the job itself is in the store, shown that its final state is.
 	stored bool
 	shown  bool
-	// inherited jobs were accepted under an earlier epoch: their runs may be unknown
-	// and new ones are numbered above base.
-	inherited bool
-	base      int64
+	// base is the number above which runs are numbered: those of a job that was accepted
+	// under an earlier epoch may be unknown.
+	base int64
 	// begun says that some task has been started, counted that the job is counted as
 	// waiting.
 	begun   bool
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -63,7 +63,7 @@
 
 // loadEnded takes a job of which only the final state is kept.
 func (c *Controller) loadEnded(id string, p *workload.Progress, now time.Time) {
-	j := &job{spec: &workload.Job{ID: id}, state: p.State, stored: true, shown: true, inherited: true}
+	j := &job{spec: &workload.Job{ID: id}, state: p.State, stored: true, shown: true}
 	if !j.over() {
 		// A record of progress without its job says nothing.
 		c.dirty.drop(id)
@@ -80,7 +80,7 @@
 
 // loadJob takes over a job.
 func (c *Controller) loadJob(spec *workload.Job, p *workload.Progress, now time.Time) {
-	j := &job{spec: spec, stored: true, inherited: true, base: c.epoch << runNumberBits}
+	j := &job{spec: spec, stored: true, base: c.epoch << runNumberBits}
 	j.acceptedAt = now.Add(time.Duration(spec.AcceptedMs-now.UnixMilli()) * time.Millisecond)
 	c.jobs[spec.ID] = j
 	if p != nil && p.State != "" {
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -120,7 +120,6 @@
 	}
 	if clockMs > w.clockMs || w.clockAt.IsZero() {
 		w.clockMs = clockMs
-		w.clockSent = sent
 		w.clockAt = now
 	}
 }
@@ -148,7 +147,6 @@
 			c.lose(r, now)
 			continue
 		}
-		r.boot = boot
 	}
 }
 
@@ -186,7 +184,6 @@
 	r.percent = row.Percent
 	r.percentAt = now
 	if row.Checkpoint != "" {
-		r.checkpoint = row.Checkpoint
 		r.task.save(r.num, row.Checkpoint)
 	}
 }
@@ -224,7 +221,6 @@
 		task:      t,
 		num:       row.Run.Number,
 		w:         w,
-		boot:      w.boot,
 		size:      t.step.size,
 		state:     runRunning,
 		sent:      now,
@@ -331,7 +327,6 @@
 	}
 	stored := true
 	if j != nil && t != nil && !j.over() {
-		c.stats.Ends++
 		c.begin(j, now)
 		stored = !c.endTask(t, r, e, now)
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -15,11 +15,6 @@
 	Asks   []Ask
 }
 
-// Empty reports whether there is nothing to do.
-func (o *Orders) Empty() bool {
-	return len(o.Looks)+len(o.Starts)+len(o.Stops)+len(o.Asks) == 0
-}
-
 // Look reads what a worker runs and renews its lease.
 type Look struct {
 	Worker string
@@ -36,7 +31,6 @@
 type Start struct {
 	Worker     string
 	Addr       string
-	BootMs     int64
 	Run        workload.Run
 	Payload    string
 	DeadlineMs int64
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -30,7 +30,7 @@
 			c.placeTasks(s, pool, now)
 		}
 	}
-	c.askAdvice(pool, now)
+	c.askAdvice(steps, pool, now)
 	c.recordWaits(steps, now)
 }
 
@@ -103,20 +103,10 @@
 
 // times returns how often a size fits into free room.
 func times(free, size structs.Resources) int {
-	n := int64(unboundedFit)
-	if size.CPUMilli > 0 {
-		n = min(n, free.CPUMilli/size.CPUMilli)
-	}
-	if size.MemoryMiB > 0 {
-		n = min(n, free.MemoryMiB/size.MemoryMiB)
-	}
-	if size.Accelerators > 0 {
-		n = min(n, free.Accelerators/size.Accelerators)
-	}
 	if free.Negative() {
 		return 0
 	}
-	return int(n)
+	return int(size.CountIn(free, unboundedFit))
 }
 
 // candidate is a worker that can take tasks of a step.
@@ -161,7 +151,7 @@
 // score rates a worker for a step; lower is better.
 func (c *Controller) score(s *step, w *worker, now time.Time) float64 {
 	weight := looseTimeWeight
-	if s.latestStart().Sub(now) < s.def.Estimate() {
+	if s.latest.Sub(now) < s.def.Estimate() {
 		weight = tightTimeWeight
 	}
 	longer := 1 / c.speeds.of(w)
@@ -259,9 +249,8 @@
 
 // start starts a run of a task on a worker.
 func (c *Controller) start(t *task, w *worker, ticket string, number int64, now time.Time) {
-	r := &run{task: t, num: number, w: w, boot: w.boot, size: t.step.size, state: runStarting, movedAt: now}
+	r := &run{task: t, num: number, w: w, size: t.step.size, state: runStarting, movedAt: now}
 	c.attach(r)
-	c.stats.Starts++
 	c.sendStart(r, ticket, now)
 	c.recordRun(event.TaskPlaced, r, "")
 }
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -74,7 +74,6 @@
 		}
 		c.hold(s, f.w, s.size.Times(int64(f.taken)), s.startAt)
 		for _, v := range f.victims[:f.stopped] {
-			c.stats.Preempted++
 			c.recordRun(event.TaskEvicted, v.run, "for "+s.id().String())
 			c.stop(v.run, now)
 		}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -66,7 +66,6 @@
 	t := r.task
 	c.recordRun(event.TaskLost, r, "")
 	c.detach(r)
-	c.stats.Lost++
 	if t.done || t.step.job().over() {
 		return
 	}
@@ -99,7 +98,6 @@
 	if r == nil && c.superseded(t) {
 		return false
 	}
-	c.stats.Done++
 	s := t.step
 	if s.gang != nil {
 		for _, member := range s.tasks {
@@ -189,7 +187,6 @@
 		return false
 	}
 	*failed = append(*failed, e.Run.Number)
-	c.stats.Failed++
 	j := t.step.job()
 	lasting := t.step.def.LongRunning
 	if !lasting && len(*failed) >= j.class.Attempts() {
@@ -274,15 +271,22 @@
 	c.orders.Stops = append(c.orders.Stops, Stop{Worker: r.w.info.ID, Addr: r.w.info.Addr, Run: r.id()})
 }
 
+// answered returns the worker that an order went to, nil if it is not known any more, and
+// takes the reading of its clock that the answer bears.
+func (c *Controller) answered(id string, answer Answer, clockMs int64, sent, now time.Time) *worker {
+	w := c.workers[id]
+	if w != nil && answer.Answered() && clockMs > 0 && answer != RefusedBoot {
+		c.heard(w, clockMs, sent, now)
+	}
+	return w
+}
+
 // StartDone takes the answer to a start.
 func (c *Controller) StartDone(id string, run workload.Run, answer Answer, clockMs int64, sent, now time.Time) {
-	w := c.workers[id]
+	w := c.answered(id, answer, clockMs, sent, now)
 	if w == nil {
 		return
 	}
-	if answer.Answered() && clockMs > 0 && answer != RefusedBoot {
-		c.heard(w, clockMs, sent, now)
-	}
 	r := w.runs[run]
 	if r == nil {
 		return
@@ -354,21 +358,15 @@
 
 // StopDone takes the answer to a stop.
 func (c *Controller) StopDone(id string, run workload.Run, answer Answer, clockMs int64, sent, now time.Time) {
-	w := c.workers[id]
+	w := c.answered(id, answer, clockMs, sent, now)
 	if w == nil {
 		return
 	}
-	if answer.Answered() && clockMs > 0 && answer != RefusedBoot {
-		c.heard(w, clockMs, sent, now)
-	}
 	if answer == RefusedFence {
 		c.fence(w)
 	}
-	if a := w.alien[run]; a != nil {
-		a.stopped = answer.Answered()
-		if a.stopped {
-			a.sent = now
-		}
+	if a := w.alien[run]; a != nil && answer.Answered() {
+		a.sent = now
 	}
 	r := w.runs[run]
 	if r == nil {
@@ -446,7 +444,6 @@
 	c.orders.Starts = append(c.orders.Starts, Start{
 		Worker:     r.w.info.ID,
 		Addr:       r.w.info.Addr,
-		BootMs:     r.boot,
 		Run:        r.id(),
 		Payload:    t.step.job().spec.Payload,
 		DeadlineMs: deadline,
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -35,12 +35,18 @@
 	Accepted []string
 	Ended    []string
 
-	jobs    []*job
-	changes []int // of jobs, the changes that the batch holds
+	jobs    []batchJob
 	notes   []note
 	workers []*worker
 }
 
+// batchJob is a job of which a batch holds something, with the number of its changes that
+// the batch holds.
+type batchJob struct {
+	job     *job
+	changes int
+}
+
 // Bounds on a batch.
 const (
 	maxBatchBytes   = 1 << 20
@@ -137,14 +143,7 @@
 		}
 		return gone[id]
 	})
-	jobs, changes := b.jobs, b.changes
-	b.jobs, b.changes = nil, nil
-	for i, j := range jobs {
-		if !gone[j.spec.ID] {
-			b.jobs = append(b.jobs, j)
-			b.changes = append(b.changes, changes[i])
-		}
-	}
+	b.jobs = slices.DeleteFunc(b.jobs, func(bj batchJob) bool { return gone[bj.job.spec.ID] })
 	return ids
 }
 
@@ -190,8 +189,7 @@
 		delete(c.dirty.accepted, j)
 		add(jobPrefix+j.spec.ID, mustJSON(j.spec))
 		b.Accepted = append(b.Accepted, j.spec.ID)
-		b.jobs = append(b.jobs, j)
-		b.changes = append(b.changes, 0)
+		b.jobs = append(b.jobs, batchJob{job: j})
 	}
 	for j := range c.dirty.changed {
 		if _, waits := c.dirty.accepted[j]; waits || full() {
@@ -204,8 +202,7 @@
 		if j.over() && !j.shown {
 			b.Ended = append(b.Ended, j.spec.ID)
 		}
-		b.jobs = append(b.jobs, j)
-		b.changes = append(b.changes, j.changes)
+		b.jobs = append(b.jobs, batchJob{job: j, changes: j.changes})
 	}
 	for j := range c.dirty.retired {
 		if _, waits := c.dirty.changed[j]; waits || !j.shown || full() {
@@ -229,9 +226,9 @@
 
 // Stored notes that a batch is in the store.
 func (c *Controller) Stored(b *Batch, now time.Time) {
-	for i, j := range b.jobs {
-		j.storedChanges = max(j.storedChanges, b.changes[i])
-		c.jobStored(j, now)
+	for _, bj := range b.jobs {
+		bj.job.storedChanges = max(bj.job.storedChanges, bj.changes)
+		c.jobStored(bj.job, now)
 	}
 	for _, id := range b.Ended {
 		if j := c.jobs[id]; j != nil {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -21,11 +21,9 @@
 	// accounted says that nothing of a former controller can run there unseen.
 	accounted bool
 
-	// clockMs is the worker's clock in its last answer, which was asked for at
-	// clockSent and arrived at clockAt.
-	clockMs   int64
-	clockSent time.Time
-	clockAt   time.Time
+	// clockMs is the worker's clock in its last answer, which arrived at clockAt.
+	clockMs int64
+	clockAt time.Time
 	// granted is the highest deadline given, by the worker's clock.
 	granted int64
 
@@ -55,12 +53,11 @@
 
 // alien is a run on a worker that belongs to no task as the controller knows it.
 type alien struct {
-	run     workload.Run
-	task    *task // nil if the task is not known
-	size    structs.Resources
-	known   bool // whether size is
-	stopped bool
-	sent    time.Time
+	run   workload.Run
+	task  *task // nil if the task is not known
+	size  structs.Resources
+	known bool // whether size is
+	sent  time.Time
 }
 
 // runState is what is known of a run.
@@ -78,7 +75,6 @@
 	task  *task
 	num   int64
 	w     *worker
-	boot  int64
 	size  structs.Resources
 	state runState
 
@@ -91,11 +87,10 @@
 	inFlight  bool
 	shown     bool // by a look at the boot
 
-	percent    int
-	percentAt  time.Time
-	movedAt    time.Time // when percent last rose
-	checkpoint string
-	resumed    bool
+	percent   int
+	percentAt time.Time
+	movedAt   time.Time // when percent last rose
+	resumed   bool
 }
 
 func (r *run) id() workload.Run { return workload.Run{Task: r.task.id(), Number: r.num} }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -43,6 +43,8 @@
 	jobs       map[string]*workload.Job
 	cancelled  map[string]time.Time // when the cancel was acknowledged
 	accepted   map[string]bool
+	// placed counts the starts by the present controller.
+	placed int
 	// latestBegin is how long after its time an occurrence of a timed job started at most.
 	latestBegin time.Duration
 	doneRuns    map[workload.TaskID]bool // noted as done
@@ -118,7 +120,22 @@
 	w.run = func(workload.TaskID, *fakeWorker) (time.Duration, workload.End) {
 		return time.Second, workload.EndDone
 	}
-	w.record = traced(t, w)
+	trace := traced(t, w)
+	w.record = func(e event.Event) {
+		if e.Type == event.TaskPlaced {
+			w.placed++
+		}
+		trace(e)
+	}
+	return w
+}
+
+// newLedWorld returns a world with workers and a controller that has seen them.
+func newLedWorld(t testing.TB, workers int, cpu int64) *world {
+	w := newWorld(t, 1)
+	w.addWorkers(workers, cpu)
+	w.lead(true)
+	w.play(100 * time.Millisecond)
 	return w
 }
 
@@ -197,6 +214,7 @@
 // lead starts a controller of a new epoch; the former one is dead if it ended.
 func (w *world) lead(formerDead bool) {
 	w.fence++
+	w.placed = 0
 	ctl := New(w.fence, w.timing, w.record)
 	var records []Record
 	for key, value := range w.store {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -34,7 +34,7 @@
 
 // New returns a store for an epoch.
 func New(log Log, epoch int64) *Store {
-	return &Store{log: log, epoch: epoch, loaded: make([][]stream.Record, len(cuts)+1)}
+	return &Store{log: log, epoch: epoch, loaded: noRanges()}
 }
 
 // Fence sets the epoch: from then on no earlier controller can append.
@@ -69,10 +69,13 @@
 			out = append(out, controller.Record{Key: r.Key, Value: r.Value})
 		}
 	}
-	s.loaded = nil
+	s.loaded = noRanges()
 	return out, nil
 }
 
+// noRanges has room for every range and none of them read.
+func noRanges() [][]stream.Record { return make([][]stream.Record, len(cuts)+1) }
+
 // loadRange reads range i unless it has been read.
 func (s *Store) loadRange(ctx context.Context, i int) error {
 	if s.loaded[i] != nil {
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -108,3 +108,13 @@
 		t.Errorf("%d calls after the failure, want 1", again)
 	}
 }
+
+// TestEachLoadReadsTheWhole loads twice: the second answer is no empty one.
+func TestEachLoadReadsTheWhole(t *testing.T) {
+	l := newSlowLog(10, 100)
+	s := New(l, 1)
+	loadedKeys(t, s)
+	if got := loadedKeys(t, s); !slices.Equal(got, l.keys) {
+		t.Errorf("%d keys at the second load, want %d", len(got), len(l.keys))
+	}
+}
--- a/internal/orchestrator/quota.go
+++ b/internal/orchestrator/quota.go
@@ -83,15 +83,5 @@
 
 // fitting returns how many tasks of a size fit into an amount.
 func fitting(left, size structs.Resources) int {
-	n := int64(structs.MaxTasksPerJob)
-	for _, c := range [...][2]int64{
-		{left.CPUMilli, size.CPUMilli},
-		{left.MemoryMiB, size.MemoryMiB},
-		{left.Accelerators, size.Accelerators},
-	} {
-		if c[1] > 0 {
-			n = min(n, max(c[0], 0)/c[1])
-		}
-	}
-	return int(n)
+	return int(size.CountIn(left.Positive(), structs.MaxTasksPerJob))
 }
--- a/internal/scheduler/gang/gang.go
+++ b/internal/scheduler/gang/gang.go
@@ -115,15 +115,5 @@
 
 // capacity returns how many tasks of a size fit into free.
 func capacity(free, size structs.Resources) int64 {
-	n := int64(structs.MaxTasksPerJob)
-	if size.CPUMilli > 0 {
-		n = min(n, free.CPUMilli/size.CPUMilli)
-	}
-	if size.MemoryMiB > 0 {
-		n = min(n, free.MemoryMiB/size.MemoryMiB)
-	}
-	if size.Accelerators > 0 {
-		n = min(n, free.Accelerators/size.Accelerators)
-	}
-	return max(n, 0)
+	return max(size.CountIn(free, structs.MaxTasksPerJob), 0)
 }
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -126,15 +126,5 @@
 
 // capacity returns how many tasks of a size fit into free.
 func capacity(free, size structs.Resources) int {
-	n := int64(structs.MaxTasksPerJob)
-	if size.CPUMilli > 0 {
-		n = min(n, free.CPUMilli/size.CPUMilli)
-	}
-	if size.MemoryMiB > 0 {
-		n = min(n, free.MemoryMiB/size.MemoryMiB)
-	}
-	if size.Accelerators > 0 {
-		n = min(n, free.Accelerators/size.Accelerators)
-	}
-	return int(n)
+	return int(size.CountIn(free, structs.MaxTasksPerJob))
 }
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -18,42 +18,34 @@
 // ReadNewest returns the newest record of every key and the end from which to read on.
 // Pages are no snapshot: the end is that of the first page, so that nothing is missed.
 func ReadNewest(ctx context.Context, r Reader, topic string) ([]Record, int64, error) {
-	var all []Record
-	end := int64(-1)
-	after := ""
-	for {
-		page, err := r.Newest(ctx, topic, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if end < 0 {
-			end = page.End
-		}
-		all = append(all, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			return all, end, nil
-		}
-		after = page.Records[len(page.Records)-1].Key
-	}
+	return readPages(ctx, r, topic, "", "")
 }
 
 // ReadRange returns the newest records of the keys above after and below before; an empty
 // before is no bound.
 func ReadRange(ctx context.Context, r Reader, topic, after, before string) ([]Record, error) {
-	var all []Record
-	for {
+	records, _, err := readPages(ctx, r, topic, after, before)
+	return records, err
+}
+
+// readPages reads the pages of a range of keys, and the end as the first page tells it.
+func readPages(ctx context.Context, r Reader, topic, after, before string) (all []Record, end int64, err error) {
+	for first := true; ; first = false {
 		page, err := r.Newest(ctx, topic, after)
 		if err != nil {
-			return nil, err
+			return nil, 0, err
+		}
+		if first {
+			end = page.End
 		}
 		for _, record := range page.Records {
 			if before != "" && record.Key >= before {
-				return all, nil
+				return all, end, nil
 			}
 			all = append(all, record)
 		}
 		if !page.More || len(page.Records) == 0 {
-			return all, nil
+			return all, end, nil
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
--- a/internal/structs/resources.go
+++ b/internal/structs/resources.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// CountIn returns how many times r fits into free, at most so often; negative where free
+// is. A component that r does not need does not count.
+func (r Resources) CountIn(free Resources, most int64) int64 {
+	n := most
+	if r.CPUMilli > 0 {
+		n = min(n, free.CPUMilli/r.CPUMilli)
+	}
+	if r.MemoryMiB > 0 {
+		n = min(n, free.MemoryMiB/r.MemoryMiB)
+	}
+	if r.Accelerators > 0 {
+		n = min(n, free.Accelerators/r.Accelerators)
+	}
+	return n
+}
+
 // Fits reports whether r is at most free in every component.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPUMilli <= free.CPUMilli &&
--- a/internal/structs/structs_test.go
+++ b/internal/structs/structs_test.go
@@ -46,3 +46,21 @@
 		t.Error("an untyped error must be internal, nil must have no code")
 	}
 }
+
+func TestCountIn(t *testing.T) {
+	const most = 64
+	for name, c := range map[string]struct {
+		size, free Resources
+		want       int64
+	}{
+		"processor binds": {Resources{CPUMilli: 300, MemoryMiB: 1}, Resources{CPUMilli: 1000, MemoryMiB: 100}, 3},
+		"memory binds":    {Resources{CPUMilli: 1, MemoryMiB: 60}, Resources{CPUMilli: 1000, MemoryMiB: 100}, 1},
+		"none is left":    {Resources{Accelerators: 1}, Resources{CPUMilli: 1000}, 0},
+		"takes nothing":   {Resources{}, Resources{}, most},
+		"overfull":        {Resources{CPUMilli: 100}, Resources{CPUMilli: -250}, -2},
+	} {
+		if got := c.size.CountIn(c.free, most); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
