--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -13,7 +13,9 @@
 // advice is what the placement advisor has said about a step. Which workers may run a
 // step does not change; tickets expire.
 type advice struct {
-	known   map[*worker]verdict
+	known map[*worker]verdict
+	// until is when the last ticket got expires.
+	until   time.Time
 	asking  int // calls under way
 	retryAt time.Time
 }
@@ -43,6 +45,14 @@
 	return v.ticket, true
 }
 
+// hasTickets reports whether some ticket of a step may still be used, or none is needed.
+func (s *step) hasTickets(now time.Time) bool {
+	if s.job().class.Advice == nil {
+		return true
+	}
+	return s.advice != nil && now.Before(s.advice.until.Add(-ticketMargin))
+}
+
 func (s *step) verdict(w *worker) (verdict, bool) {
 	if s.advice == nil {
 		return verdict{}, false
@@ -390,6 +400,9 @@
 	// The ticket is valid from the advisor's answer on, which left at the latest now
 	// and at the earliest after the decision; half of the way back is not known.
 	expires := now.Add(validity)
+	if len(good) > 0 {
+		s.advice.until = expires
+	}
 	fresh := 0
 	freshGood := 0
 	for _, id := range ask.Workers {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -100,7 +100,7 @@
 	lanes  map[string]*lane
 	shares map[string]*goodShare
 	speeds speedBook
-	health *healthBook
+	health healthBook
 	// held and schedules belong to one pass of placement.
 	held      map[*worker][]*hold
 	schedules map[*worker][]release
@@ -126,8 +126,6 @@
 		ready:   map[*step]struct{}{},
 		lanes:   map[string]*lane{},
 		shares:  map[string]*goodShare{},
-		speeds:  newSpeedBook(),
-		health:  newHealthBook(),
 		held:    map[*worker][]*hold{},
 
 		schedules: map[*worker][]release{},
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -89,8 +89,10 @@
 	knowsSince time.Time
 	// waitTold is when a line last told why the step waits.
 	waitTold time.Time
-	// preempted is when runs were last stopped to make room for the step.
+	// preempted is when runs were last stopped to make room for the step, searched when
+	// runs to stop were last looked for.
 	preempted time.Time
+	searched  time.Time
 }
 
 // gang is the state of a step whose tasks run together.
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -9,12 +9,14 @@
 // second beside wide gangs (the grown tairi-bale).
 func largeMix(t testing.TB) *mix {
 	m := newMix(t, 1, 350, 1)
-	m.classes[0].perS = 4.32
-	m.classes[0].width = 16
-	m.classes[1].perS = 7.17
-	m.classes[1].width = 25
-	m.classes[2].perS = 125
-	m.classes[2].width = 3
+	gangs, batch, tight := &m.classes[0], &m.classes[1], &m.classes[2]
+	gangs.perS, gangs.width, gangs.widest = 4.32, 16, 80
+	batch.perS, batch.width, batch.widest = 7.17, 25, 150
+	batch.cpu, batch.cpuMost, batch.mem, batch.memMost = 3500, 10000, 10000, 30000
+	batch.work = 3400 * time.Millisecond
+	tight.perS, tight.width, tight.widest = 125, 3.2, 19
+	tight.cpu, tight.cpuMost, tight.mem, tight.memMost = 5000, 15000, 10000, 30000
+	tight.work = 640 * time.Millisecond
 	m.lanes = nil
 	for i := range 32 {
 		m.lanes = append(m.lanes, string(rune('a'+i/26))+string(rune('a'+i%26)))
@@ -31,3 +33,18 @@
 		m.arrivals(time.Second)
 	}
 }
+
+// BenchmarkLargeCellBehind is the same after a burst that left work of the lower classes
+// waiting.
+func BenchmarkLargeCellBehind(b *testing.B) {
+	m := largeMix(b)
+	m.classes[0].perS *= 2
+	m.classes[1].perS *= 3
+	m.arrivals(12 * time.Second)
+	m.classes[0].perS /= 2
+	m.classes[1].perS /= 3
+	b.ReportMetric(float64(len(m.ctl.ready)), "steps")
+	for b.Loop() {
+		m.arrivals(time.Second)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -43,7 +43,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	c.health.limit(out, now)
+	c.health.sort(out, now)
 	return out
 }
 
@@ -120,19 +120,22 @@
 // candidates returns the workers that can take tasks of a step now, the best first.
 // With ticketed only those count that the advisor's ticket allows.
 func (c *Controller) candidates(s *step, pool []*worker, ticketed bool, now time.Time) []candidate {
+	if ticketed && !s.hasTickets(now) {
+		return nil
+	}
 	var out []candidate
 	for _, w := range pool {
-		if !s.suits(w) || c.health.bad(w, now) {
-			continue
-		}
-		n := c.fit(s, w, now)
-		if n == 0 {
+		if w.avoided || !s.suits(w) || !s.size.Fits(w.free()) {
 			continue
 		}
 		ticket, ok := s.ticket(w, now)
 		if ticketed && !ok {
 			continue
 		}
+		n := c.fit(s, w, now)
+		if n == 0 {
+			continue
+		}
 		out = append(out, candidate{w: w, fit: n, score: c.score(s, w, now), ticket: ticket})
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -13,6 +13,9 @@
 	// preemptPause is the least time between two preemptions for one step: stops and
 	// fresh tickets take that long to show.
 	preemptPause = 1500 * time.Millisecond
+	// searchPause is the least time between two searches for work to stop for one step:
+	// little changes meanwhile, and a search goes over all that runs.
+	searchPause = 100 * time.Millisecond
 	// freshRun is how long a run without checkpoints may have run to be stopped for
 	// others.
 	freshRun = 400 * time.Millisecond
@@ -55,6 +58,10 @@
 	if waited < preemptWait && (s.late || !s.startAt.After(s.latest)) {
 		return
 	}
+	if now.Sub(s.searched) < searchPause {
+		return
+	}
+	s.searched = now
 	var options []*freeable
 	for _, w := range pool {
 		if f := c.freeable(s, w, now); f != nil {
@@ -98,7 +105,7 @@
 
 // freeable returns what a worker has to offer for a gang, nil if nothing.
 func (c *Controller) freeable(s *step, w *worker, now time.Time) *freeable {
-	if !s.suits(w) || !s.mayUse(w) || c.health.bad(w, now) {
+	if w.avoided || !s.suits(w) || !s.mayUse(w) {
 		return nil
 	}
 	f := &freeable{w: w, free: w.free(), most: times(w.info.Capacity, s.size)}
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -97,7 +97,7 @@
 func (c *Controller) futureSlots(s *step, pool []*worker, now time.Time) []slot {
 	var out []slot
 	for _, w := range pool {
-		if !s.suits(w) || !s.mayUse(w) || c.health.bad(w, now) {
+		if w.avoided || !s.suits(w) || !s.mayUse(w) {
 			continue
 		}
 		most := times(w.info.Capacity, s.size)
--- a/internal/controller/straggle.go
+++ b/internal/controller/straggle.go
@@ -41,7 +41,7 @@
 		return
 	}
 	done := time.Duration(percent-r.percent) * r.task.step.def.Estimate() / 100
-	c.speeds.add(r.w.info.ID, done, since)
+	c.speeds.add(r.w, done, since)
 }
 
 // still reports whether a run has stood still for longer than its kind does.
@@ -69,7 +69,7 @@
 		}
 	}
 	if stuck >= stuckRuns {
-		c.health.stuck(w, now)
+		w.stuck(now)
 	}
 	slices.SortFunc(slow, func(a, b *run) int { return a.sent.Compare(b.sent) })
 	for _, r := range slow {
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -137,7 +137,6 @@
 	if w.registered {
 		c.dirty.unregister(id)
 	}
-	c.speeds.forget(id)
 }
 
 // settle frees the tasks that no worker showed: every worker that a former controller
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -35,6 +35,11 @@
 	lapsed    bool
 	penaltyTo time.Time
 
+	speed  speed
+	health healthRecord
+	// avoided says that the present pass of placement gives the worker nothing.
+	avoided bool
+
 	used  structs.Resources
 	runs  map[workload.Run]*run
 	alien map[workload.Run]*alien
