Appends overlap while the store is slow

Cause: the controller made one append at a time, so a submission waited for the append under way and then for its own, and the end of its last task the same once more. Ruled out: batches that are too large (they are far below their bound). Change: up to three appends are under way, spread over the time that one takes; the store keeps them in order by their sequence numbers, so a later one that is stored tells that those before it are. The first under an epoch goes alone, and none is added while the oldest takes three times as long as the last one: submissions in an append without an answer can be neither accepted nor refused. A batch that was emptied uses up its number with a record that says nothing. An append before its turn counts as open, since another try of it may be on its way. Resigning waits for what is under way as well. Tests: TestAppendsOverlapWhileTheStoreIsSlow (failed before: one at a time), TestLostAnswersLoseAndDoubleNothing, TestPipelineKeepsOrder, TestPipelineWaitsForAStuckAppend; the fake log now refuses what is out of sequence. The platform's case 'out of sequence' in TestAppendOutcomes is replaced by two stricter ones (before its turn: behind; passed over: internal).

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"time"
 
 	"dotterelhitch/internal/controller"
@@ -19,7 +20,7 @@
 	storeFailing = 700 * time.Millisecond
 )
 
-// commit stores batches one after the other.
+// commit takes batches and has them appended, some of them at the same time.
 func (l *lead) commit() {
 	for {
 		select {
@@ -27,29 +28,45 @@
 			return
 		case <-l.kick:
 		}
+		if !l.awaitTurn() {
+			return
+		}
 		b := l.takeBatch()
 		if b == nil {
 			continue
 		}
-		if !l.appendBatch(b) {
+		l.group.Go(func() { l.appendBatch(b) })
+		select {
+		case <-l.ctx.Done():
 			return
+		case <-time.After(l.flight.gap()):
 		}
+	}
+}
+
+// awaitTurn waits until another batch may be appended. It returns false if the term ends.
+func (l *lead) awaitTurn() bool {
+	for !l.flight.mayAdd(time.Now()) {
 		select {
 		case <-l.ctx.Done():
-			return
-		case <-time.After(commitGap):
+			return false
+		case <-l.flight.changed:
 		}
 	}
+	return true
 }
 
 // takeBatch asks the control goroutine for what has to be stored.
-func (l *lead) takeBatch() *controller.Batch {
-	b, err := callOn(l.ctx, l, func(now time.Time) *controller.Batch {
+func (l *lead) takeBatch() *pendingBatch {
+	b, err := callOn(l.ctx, l, func(now time.Time) *pendingBatch {
 		b := l.ctl.TakeBatch()
-		if b != nil {
-			l.appending = now
+		if b == nil {
+			return nil
 		}
-		return b
+		p := &pendingBatch{batch: b, sequence: l.store.Reserve(), at: now}
+		p.ctx, p.cancel = context.WithCancel(l.ctx)
+		l.flight.add(p)
+		return p
 	})
 	if err != nil {
 		// The term has ended.
@@ -58,37 +75,49 @@
 	return b
 }
 
-// appendBatch appends a batch until it is stored. It returns false if the term ends. While
-// the store refuses, submissions in the batch are taken out and refused too: they have
-// certainly not been stored, unless a try before was left without an answer.
-func (l *lead) appendBatch(b *controller.Batch) bool {
-	began := time.Now()
+// appendBatch appends a batch until it is stored or the term ends. While the store refuses,
+// submissions in the batch are taken out and refused too: they have certainly not been
+// stored, unless a try before was left without an answer.
+func (l *lead) appendBatch(p *pendingBatch) {
+	defer p.cancel()
 	open := false
-	for l.ctx.Err() == nil {
+	for p.ctx.Err() == nil {
 		sent := time.Now()
-		err := l.store.Append(l.ctx, b.Records)
+		err := l.store.Append(p.ctx, p.sequence, p.batch.Records)
 		now := time.Now()
-		l.n.stats.append(now.Sub(sent), err)
-		open = open || err != nil && !certain(err)
-		if err != nil && !open && now.Sub(began) >= storeFailing {
-			l.withdraw(b)
+		if p.ctx.Err() != nil {
+			// A later batch is stored, so this one is, or the term has ended.
+			return
 		}
+		l.n.stats.append(now.Sub(sent), err)
 		switch structs.CodeOf(err) {
 		case "":
 			l.prove(sent)
-			l.post(func(now time.Time) { l.stored(b, now) })
-			return true
+			l.post(func(now time.Time) { l.storedUpTo(p.sequence, now.Sub(sent), now) })
+			return
 		case structs.CodeStaleEpoch, structs.CodeInternal, structs.CodeInvalid:
 			l.n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Epoch: l.epoch, Detail: structs.AsError(err).Message})
 			l.stop()
-			return false
+			return
+		}
+		// One that came before its turn (CodeBehind) is open too: another try of it may
+		// be on its way.
+		open = open || !certain(err)
+		if !open && now.Sub(p.at) >= storeFailing {
+			l.withdraw(p.batch)
 		}
 		select {
-		case <-l.ctx.Done():
+		case <-p.ctx.Done():
 		case <-time.After(commitPause):
 		}
 	}
-	return false
+}
+
+// storedUpTo tells those who wait that a batch is stored, and with it those before it.
+func (l *lead) storedUpTo(sequence int64, took time.Duration, now time.Time) {
+	for _, p := range l.flight.stored(sequence, took) {
+		l.stored(p.batch, now)
+	}
 }
 
 // withdraw takes the submissions out of a batch that was certainly not stored.
@@ -116,7 +145,6 @@
 
 // stored tells those who wait that a batch is stored.
 func (l *lead) stored(b *controller.Batch, now time.Time) {
-	l.appending = time.Time{}
 	l.ctl.Stored(b, now)
 	for _, id := range b.Accepted {
 		answerAll(l.accepts, id, nil)
@@ -128,10 +156,11 @@
 
 // storeAway returns how long the store has not answered, zero while it does.
 func (l *lead) storeAway(now time.Time) time.Duration {
-	if l.appending.IsZero() || now.Sub(l.appending) < storeFailing {
+	since := l.flight.since()
+	if since.IsZero() || now.Sub(since) < storeFailing {
 		return 0
 	}
-	return now.Sub(l.appending)
+	return now.Sub(since)
 }
 
 // refuseUnsent refuses what no batch holds while the store is away: it has certainly not
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -20,6 +20,11 @@
 	busy atomic.Bool
 	// latency is how long each call takes besides.
 	latency atomic.Int64
+	// lose has each nth append of a producer done without an answer, none if it is zero.
+	lose atomic.Int64
+	// appending counts the appends of producers under way, most is its highest value and
+	// appends their number.
+	appending, most, appends atomic.Int64
 }
 
 type fakeTopic struct {
@@ -29,9 +34,13 @@
 
 type fakeProducer struct {
 	epoch, next int64
-	last        stream.Appended
+	// last are the answers to the last appends, the newest last.
+	last []stream.Appended
 }
 
+// fakeRepeats is the number of appends of which a repeat gets the first answer.
+const fakeRepeats = 5
+
 func newFakeLog() *fakeLog {
 	return &fakeLog{topics: map[string]*fakeTopic{}, grown: make(chan struct{})}
 }
@@ -71,12 +80,31 @@
 	if v.log.busy.Load() {
 		return stream.Appended{}, structs.NewError(structs.CodeUnavailable, "busy")
 	}
+	if a.Producer != nil && len(a.Records) > 0 {
+		return v.appendOf(a)
+	}
 	if err := v.gone(); err != nil {
 		return stream.Appended{}, err
 	}
 	return v.log.append(a)
 }
 
+// appendOf makes an append of a producer, which is counted and may lose its answer.
+func (v *logView) appendOf(a stream.Append) (stream.Appended, error) {
+	under := v.log.appending.Add(1)
+	defer v.log.appending.Add(-1)
+	for most := v.log.most.Load(); under > most && !v.log.most.CompareAndSwap(most, under); most = v.log.most.Load() {
+	}
+	if err := v.gone(); err != nil {
+		return stream.Appended{}, err
+	}
+	out, err := v.log.append(a)
+	if n := v.log.lose.Load(); n > 0 && v.log.appends.Add(1)%n == 0 {
+		return stream.Appended{}, structs.NewError(structs.CodeUnknown, "no answer")
+	}
+	return out, err
+}
+
 func (v *logView) Read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
 	if err := v.gone(); err != nil {
 		return stream.Batch{}, err
@@ -122,11 +150,18 @@
 		if len(a.Records) == 0 {
 			return stream.Appended{Offset: end, End: end}, nil
 		}
-		if a.Producer.Sequence == p.next-1 {
-			return p.last, nil
+		if back := p.next - a.Producer.Sequence; back > 0 && back <= int64(len(p.last)) {
+			return p.last[len(p.last)-int(back)], nil
+		}
+		if p.next < a.Producer.Sequence {
+			return stream.Appended{}, structs.NewError(structs.CodeBehind, "expected %d", p.next)
+		}
+		if p.next > a.Producer.Sequence {
+			return stream.Appended{}, structs.NewError(structs.CodeInternal, "expected %d", p.next)
 		}
-		p.next = a.Producer.Sequence + 1
-		defer func() { p.last = stream.Appended{Offset: end, End: int64(len(t.records))} }()
+		p.next++
+		p.last = append(p.last, stream.Appended{Offset: end, End: end + int64(len(a.Records))})
+		p.last = p.last[max(0, len(p.last)-fakeRepeats):]
 	}
 	for i, r := range a.Records {
 		r.Offset = end + int64(i)
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -27,7 +27,9 @@
 	epoch int64
 	ctl   *controller.Controller
 	store *jobstore.Store
-	inbox chan func(now time.Time)
+	// flight holds what is being appended to the store.
+	flight *pipeline
+	inbox  chan func(now time.Time)
 
 	ctx   context.Context
 	abort context.CancelFunc
@@ -42,12 +44,11 @@
 	waiting atomic.Pointer[map[string]int32]
 
 	// The control goroutine's own.
-	accepts   map[string][]chan error // by job, callers that wait for its acceptance
-	endWaits  map[string][]chan error // by job, callers that wait for its stored end
-	appending time.Time               // since when an append is under way, zero if none is
-	members   map[string]time.Time
-	lanes     []string
-	former    former
+	accepts  map[string][]chan error // by job, callers that wait for its acceptance
+	endWaits map[string][]chan error // by job, callers that wait for its stored end
+	members  map[string]time.Time
+	lanes    []string
+	former   former
 }
 
 // former is the controller before this one, until its authority has certainly ended.
@@ -71,6 +72,7 @@
 		epoch:    claim.Epoch,
 		ctl:      controller.New(claim.Epoch, n.opts.Timing, n.recordDecision),
 		store:    jobstore.New(n.log, claim.Epoch),
+		flight:   newPipeline(),
 		inbox:    make(chan func(time.Time), inboxSize),
 		kick:     make(chan struct{}, 1),
 		accepts:  map[string][]chan error{},
@@ -148,7 +150,7 @@
 func (l *lead) unstored() bool {
 	ctx, cancel := context.WithTimeout(l.ctx, resignWithin)
 	defer cancel()
-	waits, err := callOn(ctx, l, func(time.Time) bool { return l.ctl.Unstored() })
+	waits, err := callOn(ctx, l, func(time.Time) bool { return l.ctl.Unstored() || !l.flight.since().IsZero() })
 	return err == nil && waits
 }
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -23,7 +23,8 @@
 	Append(ctx context.Context, a stream.Append) (stream.Appended, error)
 }
 
-// Store appends under one epoch. One goroutine uses it.
+// Store appends under one epoch. One goroutine fences, loads and reserves numbers; appends
+// may be made by several.
 type Store struct {
 	log      Log
 	epoch    int64
@@ -96,23 +97,32 @@
 	return nil
 }
 
-// Append appends a batch. After a failure the same batch is appended again: the sequence
-// number goes on only when it was stored. Without records it only proves the epoch.
-func (s *Store) Append(ctx context.Context, records []controller.Record) error {
-	if len(records) == 0 {
-		return s.Fence(ctx)
-	}
-	out := make([]stream.Record, 0, len(records))
+// voidKey is dropped by an append that has nothing to store.
+const voidKey = "m/void"
+
+// Reserve returns the sequence number of the next append.
+func (s *Store) Reserve() int64 {
+	n := s.sequence
+	s.sequence++
+	return n
+}
+
+// Append appends a batch under a number from Reserve; several may be under way. The store
+// takes them in the order of their numbers: one that comes before its turn is refused as
+// CodeBehind. After a failure the same batch is appended again; a repeat does nothing. A
+// batch without records uses up its number all the same.
+func (s *Store) Append(ctx context.Context, sequence int64, records []controller.Record) error {
+	out := make([]stream.Record, 0, max(len(records), 1))
 	for _, r := range records {
 		out = append(out, stream.Record{Key: r.Key, Value: r.Value})
 	}
+	if len(out) == 0 {
+		out = append(out, stream.Record{Key: voidKey})
+	}
 	_, err := s.log.Append(ctx, stream.Append{
 		Topic:    Topic,
 		Records:  out,
-		Producer: &stream.Producer{Name: producer, Epoch: s.epoch, Sequence: s.sequence},
+		Producer: &stream.Producer{Name: producer, Epoch: s.epoch, Sequence: sequence},
 	})
-	if err == nil {
-		s.sequence++
-	}
 	return err
 }
