The advisor is asked while a job is being stored

Nothing binds the two: asking starts nothing, and a ticket is valid for seconds. Change: steps of a job that is about to be stored are asked about with the others, in the same order; one that is taken back is forgotten.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -141,17 +141,13 @@
 // are kept for short ones.
 const longCall = 100 * time.Millisecond
 
-// askAdvice asks about those of the steps of a pass that still have tasks to start, the
-// most urgent first.
+// askAdvice asks about steps that wait for tickets, the most urgent first.
 func (c *Controller) askAdvice(steps []*step, pool []*worker, now time.Time) {
 	idle := c.idleLanes(now)
 	for _, s := range steps {
 		if len(idle) == 0 {
 			return
 		}
-		if _, ready := c.ready[s]; !ready {
-			continue
-		}
 		class := s.job().class
 		if class.Advice == nil {
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -93,7 +93,10 @@
 	surveyAt  time.Time
 	surveyDue bool
 
+	// ready are the steps with tasks to start, coming those that will have some once their
+	// job is stored.
 	ready    map[*step]struct{}
+	coming   map[*step]struct{}
 	planAt   time.Time
 	planNeed bool
 
@@ -124,6 +127,7 @@
 		dirty:   newDirtySet(),
 		retries: map[*run]struct{}{},
 		ready:   map[*step]struct{}{},
+		coming:  map[*step]struct{}{},
 		lanes:   map[string]*lane{},
 		shares:  map[string]*goodShare{},
 		held:    map[*worker][]*hold{},
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -214,10 +214,9 @@
 // complete reports whether all tasks are done.
 func (s *step) complete() bool { return s.done == len(s.tasks) }
 
-// open reports whether tasks of the step may be started as far as the job is
-// concerned.
+// open reports whether tasks of the step may be started once the job is stored.
 func (s *step) open() bool {
-	return s.waits == 0 && !s.complete() && !s.job().over() && s.job().stored
+	return s.waits == 0 && !s.complete() && !s.job().over()
 }
 
 // dueAt is when the step's tasks have to be started at the latest to finish the
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -20,7 +20,7 @@
 	clear(c.held)
 	clear(c.schedules)
 	pool := c.pool(now)
-	steps := c.readySteps(now)
+	steps := sortedSteps(c.ready, now)
 	for _, s := range steps {
 		switch {
 		case now.Before(s.notBefore):
@@ -30,8 +30,8 @@
 			c.placeTasks(s, pool, now)
 		}
 	}
-	c.askAdvice(steps, pool, now)
 	c.recordWaits(steps, now)
+	c.askAdvice(c.stepsToAsk(steps, now), pool, now)
 }
 
 // pool returns the workers that may get work, in the order of their IDs.
@@ -47,11 +47,26 @@
 	return out
 }
 
-// readySteps returns the steps with tasks to start: by priority, those first that can
-// still be in time, then the least slack first.
-func (c *Controller) readySteps(now time.Time) []*step {
-	out := make([]*step, 0, len(c.ready))
-	for s := range c.ready {
+// stepsToAsk returns the steps of a pass that still have tasks to start and those whose job
+// is about to be stored, so that the advisor answers meanwhile, the most urgent first.
+func (c *Controller) stepsToAsk(steps []*step, now time.Time) []*step {
+	out := slices.DeleteFunc(steps, func(s *step) bool {
+		_, ready := c.ready[s]
+		return !ready
+	})
+	if len(c.coming) == 0 {
+		return out
+	}
+	out = append(out, sortedSteps(c.coming, now)...)
+	slices.SortFunc(out, compareSteps)
+	return out
+}
+
+// sortedSteps returns steps by priority, those first that can still be in time, then the
+// least slack first.
+func sortedSteps(set map[*step]struct{}, now time.Time) []*step {
+	out := make([]*step, 0, len(set))
+	for s := range set {
 		s.latest = s.latestStart()
 		s.late = s.latest.Before(now)
 		out = append(out, s)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -52,13 +52,17 @@
 	}
 }
 
-// sortStep keeps the set of steps that have tasks to start.
+// sortStep keeps the sets of steps that have tasks to start.
 func (c *Controller) sortStep(s *step) {
-	if s.open() && s.pending+s.copies > 0 {
+	delete(c.ready, s)
+	delete(c.coming, s)
+	switch {
+	case !s.open() || s.pending+s.copies == 0:
+	case s.job().stored:
 		c.ready[s] = struct{}{}
-		return
+	case s.job().class.Advice != nil:
+		c.coming[s] = struct{}{}
 	}
-	delete(c.ready, s)
 }
 
 // lose ends a run that has certainly ended without a listed end.
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -154,6 +154,11 @@
 	delete(c.dirty.accepted, j)
 	delete(c.dirty.changed, j)
 	delete(c.dirty.retired, j)
+	for _, occ := range j.open {
+		for _, s := range occ.steps {
+			delete(c.coming, s)
+		}
+	}
 }
 
 // TakeBatch returns what has to be stored, nil if nothing has. What does not fit is
