Test of the group's appender: the wait for it does not hang on the machine's load; a second finding is listed

Change: the test whose subject is the way without failures waits for as long as it takes; the tests of an appender that dies or freezes keep the product's wait. The assertions stand.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -51,7 +51,7 @@
 	if m == nil {
 		return false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout+e.timing.AppendLinger)
+	ctx, cancel := context.WithTimeout(ctx, e.forwardTimeout+e.timing.AppendLinger)
 	defer cancel()
 	resp, err := e.pool.Client(*m).Append(ctx, &peerv1.AppendRequest{Member: e.member.ID, Group: s.group, Data: data})
 	if err == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,11 +45,13 @@
 type Entry struct {
 	settings settings.Entry
 	timing   settings.Timing
-	member   structs.Member
-	logger   *slog.Logger
-	clock    *event.Clock
-	events   *event.Recorder
-	metrics  *metrics.Set
+	// forwardTimeout is the package's constant but in tests.
+	forwardTimeout time.Duration
+	member         structs.Member
+	logger         *slog.Logger
+	clock          *event.Clock
+	events         *event.Recorder
+	metrics        *metrics.Set
 
 	log     *platformlog.Client
 	list    *instancelist.Client
@@ -94,15 +96,16 @@
 	id := s.Identity.IDPrefix + "-" + uuid.NewString()[:8]
 	clock := &event.Clock{}
 	e := &Entry{
-		settings: s,
-		timing:   s.Timing,
-		logger:   cfg.Logger.With("member", id),
-		clock:    clock,
-		events:   event.NewRecorder(id, clock, cfg.Events),
-		metrics:  metrics.NewSet(),
-		control:  make(chan func(), controlQueue),
-		leave:    make(chan struct{}),
-		expelled: make(chan struct{}),
+		settings:       s,
+		timing:         s.Timing,
+		forwardTimeout: forwardTimeout,
+		logger:         cfg.Logger.With("member", id),
+		clock:          clock,
+		events:         event.NewRecorder(id, clock, cfg.Events),
+		metrics:        metrics.NewSet(),
+		control:        make(chan func(), controlQueue),
+		leave:          make(chan struct{}),
+		expelled:       make(chan struct{}),
 	}
 	if cfg.OnEvent != nil {
 		e.events.OnEvent(cfg.OnEvent)
