Reading of the change: avoided workers need no state of their own, a lost path is noted in one place

healthBook held one flag that only the function that set it read: markAvoided does without both. The two places that note the store's direct way as lost share one function, and a continue at the end of a loop goes. Behaviour and tests are as before.

--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -83,6 +83,11 @@
 		}
 		return
 	}
+	r.lost(err, now)
+}
+
+// lost notes that the direct way fails.
+func (r *relayLog) lost(err error, now time.Time) {
 	if r.badSince.CompareAndSwap(0, now.UnixNano()) {
 		r.n.record(event.Event{Type: event.StoreLost, Code: structs.CodeOf(err), Detail: structs.AsError(err).Message})
 	}
@@ -91,9 +96,7 @@
 // overtaken notes that a call through another member was answered while the same call made
 // directly before it was not: the next calls need not wait for the direct way's timeout.
 func (r *relayLog) overtaken() {
-	if r.badSince.CompareAndSwap(0, time.Now().UnixNano()) {
-		r.n.record(event.Event{Type: event.StoreLost, Code: structs.CodeDeadline, Detail: "no answer, while another member got one"})
-	}
+	r.lost(structs.NewError(structs.CodeDeadline, "no answer, while another member got one"), time.Now())
 }
 
 // pathFailed reports whether an error says that the store can't be reached, rather than
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -103,7 +103,6 @@
 	lanes  map[string]*lane
 	shares map[string]*goodShare
 	speeds speedBook
-	health healthBook
 	// held and schedules belong to one pass of placement.
 	held      map[*worker][]*hold
 	schedules map[*worker][]release
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -45,13 +45,6 @@
 	return min(max(w.speed.ratio/b.all.ratio, 0.1), 3)
 }
 
-// healthBook tells workers that fail what succeeds elsewhere.
-type healthBook struct {
-	// many says that so many workers seem bad that the fault lies elsewhere: none is
-	// avoided then.
-	many bool
-}
-
 // healthRecord is how one boot of a worker has done lately.
 type healthRecord struct {
 	boot    int64
@@ -71,8 +64,9 @@
 // something that all workers share, are more likely at fault.
 const mostAvoided = 0.34
 
-// sort marks those of the usable workers that are avoided in a pass of placement.
-func (h *healthBook) sort(pool []*worker, now time.Time) {
+// markAvoided marks those of the usable workers that are avoided in a pass of placement.
+// Where too many seem bad none is.
+func markAvoided(pool []*worker, now time.Time) {
 	bad := 0
 	for _, w := range pool {
 		w.avoided = w.suspect(now)
@@ -80,8 +74,7 @@
 			bad++
 		}
 	}
-	h.many = float64(bad) > mostAvoided*float64(len(pool))
-	if !h.many {
+	if float64(bad) <= mostAvoided*float64(len(pool)) {
 		return
 	}
 	for _, w := range pool {
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -145,7 +145,6 @@
 	for _, r := range w.runs {
 		if r.shown {
 			c.lose(r, now)
-			continue
 		}
 	}
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -43,7 +43,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	c.health.sort(out, now)
+	markAvoided(out, now)
 	return out
 }
 
