Wide gangs get their tickets where there is room, by calls at the same time

Cause: a gang that waited on a full cell renewed its tickets by one call a second that named the first hundred allowed workers by ID, wherever they had room. Its first search for allowed workers also took several calls of a second each, one after the other.

Change: renewal asks about the workers with the most room for the gang first, and what a step asks is split into calls through several entries at the same time, one for each eight entries of the cell; small cells go on with one call.

Tests: TestWideGangGetsTicketsWhereRoomBecomesFree and TestWideGangAsksInParallel failed before. TestMixNearCapacity on 48 workers is unchanged to the last job.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -159,14 +159,39 @@
 			continue
 		}
 		workers := c.workersToAskAbout(s, pool, now)
-		if len(workers) == 0 {
-			continue
+		for _, asked := range splitCall(workers, c.parallelCalls(len(idleEntries))) {
+			c.sendAdvisorCall(idleEntries[0], s, asked, now)
+			idleEntries = idleEntries[1:]
 		}
-		c.sendAdvisorCall(idleEntries[0], s, workers, now)
-		idleEntries = idleEntries[1:]
 	}
 }
 
+const (
+	// entriesPerParallelCall is the number of entries of the cell for each call that one step
+	// may have in flight at the same time.
+	entriesPerParallelCall = 8
+	// workersPerParallelCall is the number of workers up to which a call is not split.
+	workersPerParallelCall = 40
+)
+
+// parallelCalls returns the number of calls that one step may make at the same time while some
+// entries are idle.
+func (c *Controller) parallelCalls(idle int) int {
+	return max(1, min(idle, len(c.advisorEntries)/entriesPerParallelCall))
+}
+
+// splitCall splits the workers to ask about into at most maxCalls calls of similar size. Workers
+// beyond the largest size of these calls are left out.
+func splitCall(workers []*worker, maxCalls int) [][]*worker {
+	if len(workers) == 0 {
+		return nil
+	}
+	calls := min((len(workers)+workersPerParallelCall-1)/workersPerParallelCall, maxCalls)
+	size := min((len(workers)+calls-1)/calls, maxWorkersPerCall)
+	workers = workers[:min(len(workers), calls*size)]
+	return slices.Collect(slices.Chunk(workers, size))
+}
+
 // entriesKeptForShortCalls returns the number of idle entries that long calls must leave.
 func (c *Controller) entriesKeptForShortCalls() int {
 	if len(c.advisorEntries) <= 1 {
@@ -188,8 +213,10 @@
 }
 
 const (
-	// maxWorkersPerCall is the largest number of workers in one call.
+	// maxWorkersPerCall is the largest number of workers in one call, maxWorkersAsked in the
+	// calls that are made at the same time for one step.
 	maxWorkersPerCall = 100
+	maxWorkersAsked   = 400
 	// taskCapacitySurplus is the expected allowed capacity that a call asks for, as a
 	// multiple of the capacity needed.
 	taskCapacitySurplus = 2.0
@@ -278,7 +305,7 @@
 func firstWithCapacity(s *step, workers []*worker, tasks float64) []*worker {
 	for i, w := range workers {
 		tasks -= float64(countFits(w.info.Capacity, s.size))
-		if tasks <= 0 && i+1 >= minGangWorkersAsked || i+1 == maxWorkersPerCall {
+		if tasks <= 0 && i+1 >= minGangWorkersAsked || i+1 == maxWorkersAsked {
 			return workers[:i+1]
 		}
 	}
@@ -289,29 +316,50 @@
 // tickets are renewed. It is long because the expected start is only a rough estimate.
 const ticketLead = 700 * time.Millisecond
 
+// renewalSurplus is the capacity for which a gang renews tickets as a multiple of the capacity
+// needed, since some of it is gone when the tickets arrive.
+const renewalSurplus = 1.5
+
 // workersForTicketRenewal returns the workers that are allowed for a gang if the gang is
-// about to fit and too many of them lack valid tickets. All of them are asked about in one
-// call, since others may become free meanwhile.
+// about to fit and too many of them lack valid tickets. Those with the most room for the gang
+// come first; without room for it, workers are asked about only beyond these.
 func (c *Controller) workersForTicketRenewal(s *step, pool []*worker, now time.Time) []*worker {
 	if s.startAt.IsZero() {
 		return nil
 	}
-	var out []*worker
-	fits := 0
+	var found []candidate
+	ticketed := 0
 	for _, w := range pool {
 		if !s.matchesWorker(w) || !s.mayUse(w) || countFits(w.info.Capacity, s.size) == 0 {
 			continue
 		}
-		out = append(out, w)
+		fit := max(countFits(c.availableFor(s, w, now), s.size), countFits(c.reservedFor(s, w), s.size))
+		found = append(found, candidate{w: w, fit: fit})
 		if v, _ := s.verdict(w); v.expiresAt.After(s.startAt.Add(ticketMargin)) {
-			fits += max(countFits(c.availableFor(s, w, now), s.size), countFits(c.reservedFor(s, w), s.size))
+			ticketed += fit
 		}
 	}
-	lead := s.job().class.Advisor.CallTime(len(out)) + ticketLead
-	if fits >= len(s.tasks) || s.startAt.Sub(now) > lead {
+	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(b.fit, a.fit) })
+	out := firstWithRoom(found, renewalSurplus*float64(len(s.tasks)))
+	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + ticketLead
+	if ticketed >= len(s.tasks) || s.startAt.Sub(now) > lead {
 		return nil
 	}
-	return out[:min(len(out), maxWorkersPerCall)]
+	return out
+}
+
+// firstWithRoom returns the workers of the first candidates that have room for a number of tasks
+// now, but at least maxWorkersPerCall if there are as many, and at most maxWorkersAsked.
+func firstWithRoom(found []candidate, tasks float64) []*worker {
+	var out []*worker
+	for i := range found {
+		if len(out) == maxWorkersAsked || tasks <= 0 && len(out) >= maxWorkersPerCall {
+			break
+		}
+		tasks -= float64(found[i].fit)
+		out = append(out, found[i].w)
+	}
+	return out
 }
 
 // workersForTasks returns the workers with free capacity to ask about for a step that is not
@@ -330,7 +378,7 @@
 			expected += float64(cand.fit)
 			continue
 		}
-		if expected >= want || len(out) >= maxWorkersPerCall {
+		if expected >= want || len(out) >= maxWorkersAsked {
 			break
 		}
 		if known {
--- a/internal/controller/advice_test.go
+++ b/internal/controller/advice_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,55 @@
 		t.Errorf("%d tasks of a dropped job were started", sim.startsSent)
 	}
 }
+
+// TestWideGangGetsTicketsWhereRoomBecomesFree has a gang wait on a full cell until a third of the
+// workers become free. Its tickets have to be renewed for these workers: a call used to name the
+// first hundred allowed workers by ID, wherever there was room, so that the gang never started.
+func TestWideGangGetsTicketsWhereRoomBecomesFree(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.addWorkers(300, 4000)
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	freed := map[string]bool{}
+	for _, id := range sim.workerIDs()[200:] {
+		freed[id] = true
+	}
+	sim.drawResult = func(id workload.TaskID, f *fakeWorker) (time.Duration, workload.EndReason) {
+		if id.Job == "filler" && !freed[f.id] {
+			return time.Minute, workload.EndDone
+		}
+		return 8 * time.Second, workload.EndDone
+	}
+	sim.submit(simpleJob("filler", "batch", 300, 4000, func(s *workload.Step) { s.EstimateMs = time.Minute.Milliseconds() }))
+	sim.advance(time.Second)
+	sim.submit(simpleJob("wide", "gang", 90, 4000, func(s *workload.Step) { s.Gang = true }))
+	sim.advance(7 * time.Second)
+	if started := sim.startsSent - 300; started != 0 {
+		t.Fatalf("%d tasks of the gang were started on a full cell", started)
+	}
+	sim.advance(4 * time.Second)
+	if started := sim.startsSent - 300; started != 90 {
+		t.Errorf("%d tasks of the gang were started within 3 s after enough workers became free, want 90", started)
+	}
+}
+
+// TestWideGangAsksInParallel submits a gang whose tasks need more workers than one call of the
+// advisor may name. With many entries the calls are made at the same time.
+func TestWideGangAsksInParallel(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 0.35
+	sim.advisorEntries = nil
+	for i := range 40 {
+		sim.advisorEntries = append(sim.advisorEntries, fmt.Sprintf("entry-%02d", i))
+	}
+	sim.addWorkers(800, 4000)
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(simpleJob("wide", "gang", 90, 4000, func(s *workload.Step) { s.Gang = true }))
+	call := sim.config.Classes["gang"].Advisor.CallTime(maxWorkersPerCall)
+	sim.advance(call + 500*time.Millisecond)
+	if sim.startsSent != 90 {
+		t.Errorf("%d tasks were started after little more than one call of the advisor, want 90", sim.startsSent)
+	}
+}
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -48,3 +49,41 @@
 		m.playArrivals(time.Second)
 	}
 }
+
+// newWideMix returns the load of a cell with over a thousand workers, four fifths of whose
+// processor time is in use: wide gangs, wide batch jobs and over a hundred short jobs per second.
+func newWideMix(t testing.TB, seed uint64) *mix {
+	m := newMixOf(t, seed, 1100, 16000, wideMixClasses())
+	m.speeds = []float64{1}
+	m.advisorEntries = nil
+	for i := range 147 {
+		m.advisorEntries = append(m.advisorEntries, fmt.Sprintf("entry-%03d", i))
+	}
+	m.ctl.SetAdvisorEntries(m.advisorEntries)
+	return m
+}
+
+// wideMixClasses are the classes of newWideMix.
+func wideMixClasses() []mixClass {
+	classes := mixClasses()
+	gangs, batch, tight := &classes[0], &classes[1], &classes[2]
+	gangs.jobsPerSecond, gangs.meanTasks, gangs.maxTasks = 8.3, 32, 160
+	gangs.meanCPU, gangs.maxCPU, gangs.meanMemory, gangs.maxMemory = 4500, 13500, 4000, 12000
+	gangs.meanRunTime = 5 * time.Second
+	batch.jobsPerSecond, batch.meanTasks, batch.maxTasks = 11.2, 32, 160
+	batch.meanCPU, batch.maxCPU, batch.meanMemory, batch.maxMemory = 2700, 8100, 3000, 9000
+	batch.meanRunTime = 3400 * time.Millisecond
+	tight.jobsPerSecond, tight.meanTasks, tight.maxTasks = 114, 4, 24
+	tight.meanCPU, tight.maxCPU, tight.meanMemory, tight.maxMemory = 3900, 11700, 4000, 12000
+	tight.meanRunTime = time.Second
+	return classes
+}
+
+// BenchmarkWideCell simulates one second of the load of newWideMix.
+func BenchmarkWideCell(b *testing.B) {
+	m := newWideMix(b, 1)
+	m.playArrivals(6 * time.Second)
+	for b.Loop() {
+		m.playArrivals(time.Second)
+	}
+}
--- a/internal/controller/mix_test.go
+++ b/internal/controller/mix_test.go
@@ -87,10 +87,18 @@
 }
 
 func newMix(t testing.TB, seed uint64, workers int, load float64) *mix {
+	m := newMixOf(t, seed, workers, 32000, mixClasses())
+	m.loadFactor = load
+	return m
+}
+
+// newMixOf returns a mix of some classes on workers with an amount of processor time each, in
+// thousandths of a core.
+func newMixOf(t testing.TB, seed uint64, workers int, cpuMilli int64, classes []mixClass) *mix {
 	m := &mix{
 		simulation: newSimulation(t, seed),
-		classes:    mixClasses(),
-		loadFactor: load,
+		classes:    classes,
+		loadFactor: 1,
 		speeds:     []float64{1, 1, 1.3},
 		mixJobs:    map[string]*mixJob{},
 		rng:        rand.New(rand.NewPCG(seed, 7)),
@@ -102,7 +110,7 @@
 		m.config.Classes[c.name] = &c.class
 	}
 	m.advisorEntries = []string{"l1", "l2", "l3", "l4", "l5", "l6", "l7", "l8", "l9"}
-	m.addWorkers(workers, 32000)
+	m.addWorkers(workers, cpuMilli)
 	m.drawResult = m.drawTaskResult
 	m.allowedShareOf = func(step workload.StepID) float64 { return m.classes[m.mixJobs[step.Job].class].allowedShare }
 	m.startController(true)
