--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,430 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/workload"
+)
+
+// pipe is a stream between a link and an executor whose two directions can be held.
+type pipe struct {
+	ctx       context.Context
+	requests  chan *cellv1.ExecuteRequest
+	responses chan *cellv1.ExecuteResponse
+	// requestsHeld keeps requests from the executor while it is held, like a paused process.
+	requestsHeld  gate
+	responsesHeld gate
+}
+
+// gate holds up whoever passes it while it is held. A mutex would keep the time of a synctest
+// bubble from advancing.
+type gate struct{ held chan struct{} }
+
+func newGate() gate { return gate{held: make(chan struct{}, 1)} }
+
+func (g gate) hold()    { g.held <- struct{}{} }
+func (g gate) release() { <-g.held }
+
+func (g gate) pass(ctx context.Context) {
+	select {
+	case g.held <- struct{}{}:
+		<-g.held
+	case <-ctx.Done():
+	}
+}
+
+func newPipe(ctx context.Context) *pipe {
+	return &pipe{
+		ctx:           ctx,
+		requests:      make(chan *cellv1.ExecuteRequest, 100),
+		responses:     make(chan *cellv1.ExecuteResponse, 100),
+		requestsHeld:  newGate(),
+		responsesHeld: newGate(),
+	}
+}
+
+var errStreamEnded = errors.New("stream ended")
+
+func send[T any](ctx context.Context, ch chan T, msg T) error {
+	select {
+	case ch <- msg:
+		return nil
+	case <-ctx.Done():
+		return errStreamEnded
+	}
+}
+
+func receive[T any](ctx context.Context, ch chan T, held gate) (T, error) {
+	var zero T
+	select {
+	case msg := <-ch:
+		held.pass(ctx)
+		if ctx.Err() != nil {
+			return zero, errStreamEnded
+		}
+		return msg, nil
+	case <-ctx.Done():
+		return zero, errStreamEnded
+	}
+}
+
+// linkEnd and executorEnd are the two ends of a pipe.
+type (
+	linkEnd     struct{ *pipe }
+	executorEnd struct{ *pipe }
+)
+
+func (e linkEnd) Send(m *cellv1.ExecuteRequest) error { return send(e.ctx, e.requests, m) }
+
+func (e linkEnd) Receive() (*cellv1.ExecuteResponse, error) {
+	return receive(e.ctx, e.responses, e.responsesHeld)
+}
+
+func (e executorEnd) Send(m *cellv1.ExecuteResponse) error { return send(e.ctx, e.responses, m) }
+
+func (e executorEnd) Receive() (*cellv1.ExecuteRequest, error) {
+	return receive(e.ctx, e.requests, e.requestsHeld)
+}
+
+// recordingWorkers records the orders that reach workers and answers after a delay.
+type recordingWorkers struct {
+	mu     sync.Mutex
+	orders []string
+	tokens []int64
+	delay  time.Duration
+}
+
+func (w *recordingWorkers) carryOut(ctx context.Context, token int64, order string) controller.OrderResult {
+	w.mu.Lock()
+	w.orders = append(w.orders, order)
+	w.tokens = append(w.tokens, token)
+	w.mu.Unlock()
+	select {
+	case <-time.After(w.delay):
+		return controller.CarriedOut
+	case <-ctx.Done():
+		return controller.NoResponse
+	}
+}
+
+func (w *recordingWorkers) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.orders)
+}
+
+func (w *recordingWorkers) Poll(ctx context.Context, token int64, p *controller.Poll) (*workload.PollResult, controller.OrderResult) {
+	result := w.carryOut(ctx, token, "poll "+p.Worker)
+	if result != controller.CarriedOut {
+		return nil, result
+	}
+	return &workload.PollResult{
+		BootMs: 3, ClockMs: 7,
+		Running: []workload.RunningTask{{Run: testRun(1), Checkpoint: "c", Percent: 40, Usage: 9}},
+		Ended:   []workload.EndedTask{{Seq: 5, Run: testRun(2), Reason: workload.EndFailed, Checkpoint: "d"}},
+	}, result
+}
+
+func (w *recordingWorkers) Start(ctx context.Context, token int64, s *controller.Start) (controller.OrderResult, int64) {
+	return w.carryOut(ctx, token, "start "+s.Run.String()+" "+s.Payload), 11
+}
+
+func (w *recordingWorkers) Stop(ctx context.Context, token int64, s *controller.Stop) (controller.OrderResult, int64) {
+	return w.carryOut(ctx, token, "stop "+s.Run.String()), 12
+}
+
+func testRun(number int64) workload.Run {
+	step := workload.StepID{Job: "00112233445566aa", Occurrence: 1, Step: 2}
+	return workload.Run{Task: workload.TaskID{StepID: step, Index: 3}, Number: number}
+}
+
+// testLink is a link to an executor.
+type testLink struct {
+	*Link
+	pipe    *pipe
+	workers *recordingWorkers
+	newest  atomic.Int64
+	stale   atomic.Int64
+	cancel  context.CancelFunc
+	runDone chan error
+}
+
+const testEpoch = 4
+
+// newTestLink connects a link and an executor. It is called in a synctest bubble.
+func newTestLink(t *testing.T) *testLink {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &testLink{
+		Link:    NewLink(testEpoch, func() bool { return true }, time.Now),
+		pipe:    newPipe(ctx),
+		workers: &recordingWorkers{delay: 20 * time.Millisecond},
+		cancel:  cancel,
+		runDone: make(chan error, 1),
+	}
+	l.newest.Store(testEpoch)
+	executor := &Executor{
+		Workers:     l.workers,
+		Now:         time.Now,
+		NewestEpoch: l.newest.Load,
+		OnBatch:     func(int64, bool) {},
+		OnStale:     func(n int, _ time.Duration) { l.stale.Add(int64(n)) },
+	}
+	executorDone := make(chan struct{})
+	go func() {
+		_ = executor.Serve(ctx, executorEnd{l.pipe})
+		close(executorDone)
+	}()
+	go func() { l.runDone <- l.Run(ctx, linkEnd{l.pipe}, cancel) }()
+	t.Cleanup(func() {
+		cancel()
+		<-executorDone
+	})
+	synctest.Wait()
+	return l
+}
+
+// start queues a start and returns the channel of its result.
+func (l *testLink) start(number int64) chan Result {
+	out := make(chan Result, 1)
+	l.Start(&controller.Start{Worker: "i-1", Addr: "a:1", Run: testRun(number), Payload: "p", LeaseDeadlineMs: 9}, func(r Result) { out <- r })
+	return out
+}
+
+// result returns the result that has arrived, and fails the test if there is none.
+func result(t *testing.T, ch chan Result) Result {
+	t.Helper()
+	select {
+	case r := <-ch:
+		return r
+	default:
+		t.Fatal("no result")
+		return Result{}
+	}
+}
+
+// TestOrdersAndResults sends one order of each kind and compares what arrives.
+func TestOrdersAndResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		polled := make(chan Result, 1)
+		l.Poll(&controller.Poll{Worker: "i-1", Addr: "a:1", Wait: time.Second}, func(r Result) { polled <- r })
+		started := l.start(8)
+		time.Sleep(200 * time.Millisecond)
+		poll := result(t, polled)
+		want := workload.RunningTask{Run: testRun(1), Checkpoint: "c", Percent: 40, Usage: 9}
+		if poll.Code != controller.CarriedOut || poll.Poll == nil || poll.Poll.BootMs != 3 || poll.Poll.ClockMs != 7 || poll.Poll.Running[0] != want {
+			t.Errorf("poll: %+v", poll)
+		}
+		if end := poll.Poll.Ended[0]; end.Seq != 5 || end.Run != testRun(2) || end.Reason != workload.EndFailed {
+			t.Errorf("end: %+v", end)
+		}
+		if r := result(t, started); r.Code != controller.CarriedOut || r.ClockMs != 11 {
+			t.Errorf("start: %+v", r)
+		}
+		for _, token := range l.workers.tokens {
+			if token != testEpoch {
+				t.Errorf("an order was sent under token %d, want the controller's epoch", token)
+			}
+		}
+	})
+}
+
+// TestPausedAgentSendsNoOldOrders pauses an agent while orders are on their way. When it wakes up,
+// the controller may have given their tasks to other workers: the orders must not be sent, and
+// their result must say so only if it is true.
+func TestPausedAgentSendsNoOldOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.pipe.requestsHeld.hold()
+		started := l.start(8)
+		time.Sleep(maxOrderAge + 100*time.Millisecond)
+		l.pipe.requestsHeld.release()
+		time.Sleep(50 * time.Millisecond)
+		if n := l.workers.count(); n != 0 {
+			t.Errorf("the agent sent %d orders after a pause", n)
+		}
+		if n := l.stale.Load(); n != 1 {
+			t.Errorf("%d stale orders were reported, want 1", n)
+		}
+		if r := result(t, started); r.Code != controller.NotDelivered {
+			t.Errorf("result %v, want that the order was not sent", r.Code)
+		}
+	})
+}
+
+// TestDelayedReportsDoNotRejuvenateOrders delays what the agent says, so that the controller knows
+// only an old reading of its clock. An order must count as older then, never as younger.
+func TestDelayedReportsDoNotRejuvenateOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.pipe.responsesHeld.hold()
+		time.Sleep(900 * time.Millisecond)
+		l.pipe.responsesHeld.release()
+		l.pipe.requestsHeld.hold()
+		l.start(8)
+		time.Sleep(maxOrderAge + 50*time.Millisecond)
+		l.pipe.requestsHeld.release()
+		time.Sleep(50 * time.Millisecond)
+		if n := l.workers.count(); n != 0 {
+			t.Errorf("%d orders older than the limit were sent", n)
+		}
+	})
+}
+
+// TestFormerControllerIsRefused sends an order of an epoch older than the newest that the agent
+// knows.
+func TestFormerControllerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.newest.Store(testEpoch + 1)
+		started := l.start(8)
+		time.Sleep(200 * time.Millisecond)
+		if r := result(t, started); r.Code != controller.RefusedStaleToken {
+			t.Errorf("result %v, want a refusal of the stale epoch", r.Code)
+		}
+		if n := l.workers.count(); n != 0 {
+			t.Errorf("%d orders of a former controller were sent", n)
+		}
+	})
+}
+
+// TestLostAgentLeavesOrdersInDoubt ends the stream while orders are under way: those that were sent
+// may have been carried out.
+func TestLostAgentLeavesOrdersInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.workers.delay = 300 * time.Millisecond
+		sent := l.start(8)
+		time.Sleep(100 * time.Millisecond)
+		if l.workers.count() != 1 {
+			t.Fatal("the order did not reach the worker")
+		}
+		l.cancel()
+		<-l.runDone
+		if r := result(t, sent); r.Code != controller.NoResponse {
+			t.Errorf("result %v of an order that was carried out, want no response", r.Code)
+		}
+		refused := l.start(9)
+		synctest.Wait()
+		if r := result(t, refused); r.Code != controller.NotDelivered {
+			t.Errorf("result %v on a closed link, want not delivered", r.Code)
+		}
+		if l.Health(time.Now()) != Closed {
+			t.Error("the link is still open")
+		}
+	})
+}
+
+// TestSilentAgent holds all that the agent says. Its orders time out, the link counts as silent and
+// is then given up.
+func TestSilentAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.pipe.responsesHeld.hold()
+		defer l.pipe.responsesHeld.release()
+		started := l.start(8)
+		time.Sleep(linkSilence + 100*time.Millisecond)
+		if l.Health(time.Now()) != Silent {
+			t.Error("the link does not count as silent")
+		}
+		time.Sleep(orderTimeout - linkSilence)
+		if l.Expire(time.Now()) {
+			t.Error("the stream is given up too early")
+		}
+		if r := result(t, started); r.Code != controller.NoResponse {
+			t.Errorf("result %v of an order without an answer, want no response", r.Code)
+		}
+		time.Sleep(linkTimeout)
+		if !l.Expire(time.Now()) {
+			t.Error("the stream of a silent agent is not given up")
+		}
+	})
+}
+
+// TestFullLinkKeepsOrdersUnsent blocks the way to the agent. Orders that time out before they were
+// sent certainly had no effect, and are not sent later.
+func TestFullLinkKeepsOrdersUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.pipe.requestsHeld.hold()
+		for len(l.pipe.requests) < cap(l.pipe.requests) {
+			l.pipe.requests <- &cellv1.ExecuteRequest{Epoch: testEpoch}
+			synctest.Wait()
+		}
+		l.start(7) // in the message whose sending blocks
+		time.Sleep(sendInterval * 2)
+		unsent := l.start(8)
+		time.Sleep(orderTimeout + 10*time.Millisecond)
+		l.Expire(time.Now())
+		if r := result(t, unsent); r.Code != controller.NotDelivered {
+			t.Errorf("result %v of an order that was not sent, want not delivered", r.Code)
+		}
+		l.pipe.requestsHeld.release()
+		time.Sleep(time.Second)
+		if n := l.workers.count(); n != 0 {
+			t.Errorf("%d expired orders were sent", n)
+		}
+	})
+}
+
+// TestMalformedOrders has the executor receive messages that no controller sends. Each order gets
+// a result and the others are carried out.
+func TestMalformedOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &recordingWorkers{}
+		executor := &Executor{Workers: workers, Now: time.Now, NewestEpoch: func() int64 { return 0 }, OnBatch: func(int64, bool) {}, OnStale: func(int, time.Duration) {}}
+		q := newResultQueue()
+		executor.execute(t.Context(), &cellv1.ExecuteRequest{
+			Epoch:    testEpoch,
+			ClockMs:  time.Now().UnixMilli(),
+			Payloads: []string{"p"},
+			Orders: []*cellv1.Order{
+				nil,
+				{Id: 1},
+				{Id: 2, Start: &cellv1.StartOrder{Payload: 5}},
+				{Id: 3, Start: &cellv1.StartOrder{Payload: -1}},
+				{Id: 4, Stop: &cellv1.StopOrder{}},
+				{Id: 5, Poll: &cellv1.PollOrder{}},
+			},
+		}, q)
+		synctest.Wait()
+		codes := map[uint64]controller.OrderResult{}
+		for _, r := range q.take() {
+			codes[r.GetId()] = controller.OrderResult(r.GetCode())
+		}
+		for id, want := range map[uint64]controller.OrderResult{
+			0: controller.RefusedMalformed, 1: controller.RefusedMalformed, 2: controller.RefusedMalformed,
+			3: controller.RefusedMalformed, 4: controller.CarriedOut, 5: controller.CarriedOut,
+		} {
+			if got, ok := codes[id]; !ok || got != want {
+				t.Errorf("order %d: %v, want %v", id, got, want)
+			}
+		}
+	})
+}
+
+// TestMalformedResults has the controller receive results that no agent sends.
+func TestMalformedResults(t *testing.T) {
+	l := NewLink(testEpoch, func() bool { return true }, time.Now)
+	l.takeResults(&cellv1.ExecuteResponse{})
+	got := make(chan Result, 1)
+	l.Stop(&controller.Stop{Run: testRun(1)}, func(r Result) { got <- r })
+	l.takeResults(&cellv1.ExecuteResponse{Results: []*cellv1.OrderResult{
+		nil,
+		{Id: 77},
+		{Id: 1, Code: 200},
+		{Id: 1, Poll: &cellv1.PollResult{Running: []*cellv1.RunningTask{nil}, Ended: []*cellv1.EndedTask{nil}}},
+	}})
+	if r := result(t, got); r.Code != controller.NoResponse {
+		t.Errorf("an unknown result was taken as %v, want no response", r.Code)
+	}
+	resultFromProto(&cellv1.OrderResult{Poll: &cellv1.PollResult{Running: []*cellv1.RunningTask{nil}, Ended: []*cellv1.EndedTask{nil}}})
+}
--- /dev/null
+++ b/internal/agent/assign_test.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// members returns candidates, some of them strong.
+func members(strong, weak int) []Candidate {
+	var out []Candidate
+	for i := range strong {
+		out = append(out, Candidate{Node: fmt.Sprintf("strong-%02d", i), Cores: 0.8})
+	}
+	for i := range weak {
+		out = append(out, Candidate{Node: fmt.Sprintf("weak-%03d", i), Cores: 0.2})
+	}
+	return out
+}
+
+func TestSelect(t *testing.T) {
+	for name, c := range map[string]struct {
+		candidates []Candidate
+		workers    int
+		want       int
+	}{
+		"few workers need no agents":               {members(5, 0), 100, 0},
+		"no other members":                         {nil, 1000, 0},
+		"one for every 32 workers":                 {members(20, 0), 320, 10},
+		"strong ones carry more rather than weak":  {members(17, 129), 1100, 17},
+		"weak ones help where strong ones are few": {members(2, 129), 1100, 12},
+		"all members if they are few":              {members(3, 1), 1100, 4},
+		"strength unknown":                         {[]Candidate{{Node: "a"}, {Node: "b"}}, 200, 2},
+	} {
+		got := Select(c.candidates, c.workers)
+		if len(got) != c.want {
+			t.Errorf("%s: %d agents, want %d: %v", name, len(got), c.want, got)
+		}
+	}
+	for _, node := range Select(members(17, 129), 1100) {
+		if node[:4] == "weak" {
+			t.Errorf("%s was selected although the strong members suffice", node)
+		}
+	}
+}
+
+// TestSelectIsStable checks that the order of the candidates does not matter, and that the loss of
+// an agent replaces only that one.
+func TestSelectIsStable(t *testing.T) {
+	all := members(30, 0)
+	before := Select(all, 320)
+	slices.Reverse(all)
+	if after := Select(all, 320); !slices.Equal(before, after) {
+		t.Errorf("the order of the candidates changes the agents: %v, %v", before, after)
+	}
+	rest := slices.DeleteFunc(all, func(c Candidate) bool { return c.Node == before[0] })
+	kept := 0
+	for _, node := range Select(rest, 320) {
+		if slices.Contains(before, node) {
+			kept++
+		}
+	}
+	if kept != len(before)-1 {
+		t.Errorf("%d of %d agents were kept after the loss of one", kept, len(before))
+	}
+}
+
+// TestRankMovesOnlyTheWorkersOfALostNode checks that a worker keeps its agent unless that is lost,
+// and that the workers are spread evenly.
+func TestRankMovesOnlyTheWorkersOfALostNode(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d"}
+	load := map[string]int{}
+	for i := range 1000 {
+		worker := fmt.Sprintf("i-%d", i)
+		first := Rank(worker, nodes)[0]
+		load[first]++
+		if without := Rank(worker, []string{"a", "b", "c"})[0]; first != "d" && without != first {
+			t.Fatalf("%s moved from %s to %s when d was lost", worker, first, without)
+		}
+	}
+	for node, n := range load {
+		if n < 200 || n > 300 {
+			t.Errorf("%s has %d of 1000 workers", node, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/doc.go
@@ -0,0 +1,32 @@
+// Package agent spreads the controller's calls to workers over other members of the cell. An
+// agent is a member that sends the orders of the controller to a share of the workers and
+// returns the results. It decides nothing: the orders bear the controller's epoch as their
+// fencing token, and an order that was delayed on its way to the agent is not sent.
+package agent
+
+import (
+	"context"
+
+	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/workload"
+)
+
+// Workers sends orders to workers under a fencing token.
+type Workers interface {
+	// Poll reads the state of a worker's runs and renews its lease. The poll result is nil
+	// unless the order was carried out.
+	Poll(ctx context.Context, token int64, p *controller.Poll) (*workload.PollResult, controller.OrderResult)
+	// Start and Stop return the result of the order and the worker's clock in milliseconds,
+	// zero if unknown.
+	Start(ctx context.Context, token int64, s *controller.Start) (controller.OrderResult, int64)
+	Stop(ctx context.Context, token int64, s *controller.Stop) (controller.OrderResult, int64)
+}
+
+// Result is the result of one order.
+type Result struct {
+	Code controller.OrderResult
+	// ClockMs is the worker's clock in milliseconds, zero if unknown. Poll is set if a poll
+	// was carried out.
+	ClockMs int64
+	Poll    *workload.PollResult
+}
--- /dev/null
+++ b/internal/cell/agents_test.go
@@ -0,0 +1,100 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/workload"
+)
+
+// awaitAgents waits until the controller has a number of agents.
+func (c *loadedCell) awaitAgents(n int) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if c.leader.term.Load().agents.agentCount() == n {
+			return
+		}
+	}
+	c.t.Fatalf("the controller has %d agents, want %d", c.leader.term.Load().agents.agentCount(), n)
+}
+
+// submitJobs submits jobs through other nodes than the controller and returns their IDs.
+func (c *loadedCell) submitJobs(n, width int) []string {
+	c.t.Helper()
+	var ids []string
+	for range n {
+		c.nextJob++
+		job := testJob(fmt.Sprintf("%016x", c.nextJob))
+		job.Steps = []workload.Step{{Count: width, Size: structs.Resources{CPUMilli: 1000, MemoryMiB: 100}, EstimateMs: 1000}}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		if err := c.otherThan(c.leader).Submit(ctx, job); err != nil {
+			c.t.Fatalf("submit %s: %v", job.ID, err)
+		}
+		cancel()
+		ids = append(ids, job.ID)
+	}
+	return ids
+}
+
+// TestAgentsCarryOrders runs jobs on a cell with more workers than the controller calls itself. The
+// agents send the orders, and the loss of one of them neither loses nor doubles a task.
+func TestAgentsCarryOrders(t *testing.T) {
+	c := newLoadedCell(t, 6, 160)
+	c.awaitAgents(5)
+	ids := c.submitJobs(20, 10)
+	if sent := c.ordersSentBy(c.leader); sent["start"] != 0 {
+		t.Errorf("the controller sent %d starts itself", sent["start"])
+	}
+	lost := c.otherThan(c.leader)
+	if sent := c.ordersSentBy(lost); sent["look"]+sent["start"] == 0 {
+		t.Error("the agent that is going to be lost sent no orders")
+	}
+	lost.kill()
+	ids = append(ids, c.submitJobs(20, 10)...)
+	for _, id := range ids {
+		c.awaitCompleted(c.otherThan(c.leader), id)
+	}
+	if n := c.busy.startedTwice(); n != 0 {
+		t.Errorf("%d tasks were started again", n)
+	}
+}
+
+// TestTakeoverWithAgents kills the controller while its agents have work. The next one uses the
+// others as its agents and goes on with what runs.
+func TestTakeoverWithAgents(t *testing.T) {
+	c := newLoadedCell(t, 5, 160)
+	c.awaitAgents(4)
+	ids := c.submitJobs(20, 10)
+	c.leader.kill()
+	killed := time.Now()
+	c.leader = c.awaitLeader(5 * time.Second)
+	t.Logf("the next controller serves after %v", time.Since(killed))
+	c.awaitAgents(3)
+	for _, id := range ids {
+		c.awaitCompleted(c.otherThan(c.leader), id)
+	}
+	if n := c.busy.startedTwice(); n != 0 {
+		t.Errorf("%d tasks were started again after the change of the controller", n)
+	}
+}
+
+// TestLoadedControllerKeepsLeadership fills the controller's link: its answers take longer and longer,
+// up to several times the time after which a silent controller is replaced. It answers late, but it
+// answers: the others must not replace it, since each change would add to the load.
+func TestLoadedControllerKeepsLeadership(t *testing.T) {
+	c := newTestCell(t, 4)
+	leader := c.awaitLeader(5 * time.Second)
+	epoch := leader.term.Load().epoch
+	const longestDelay = 2 * time.Second
+	for delay := time.Duration(0); delay < longestDelay; delay += 50 * time.Millisecond {
+		leader.delayAnswers.Store(int64(delay))
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second)
+	if l := leader.term.Load(); l == nil || l.epoch != epoch {
+		t.Error("a controller whose answers were late was replaced")
+	}
+}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -23,7 +23,9 @@
 	t       *testing.T
 	log     *fakeLog
 	workers *stubWorkers
-	nodes   []*testNode
+	// orderTarget replaces workers if it is set.
+	orderTarget Workers
+	nodes       []*testNode
 	// claimDelay delays the claims of the nodes that are added next.
 	claimDelay time.Duration
 	// cores is the processor time, in cores, of the nodes that are added next.
@@ -35,8 +37,10 @@
 	cutFromLog atomic.Bool // its calls to the log get no answer
 	readsHang  atomic.Bool // its waiting reads of the log get no answer
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
-	stop       context.CancelFunc
-	done       chan struct{}
+	// delayAnswers is how long what it sends to peers is delayed, in nanoseconds.
+	delayAnswers atomic.Int64
+	stop         context.CancelFunc
+	done         chan struct{}
 }
 
 func newTestCell(t *testing.T, nodes int) *testCell {
@@ -90,11 +94,15 @@
 	}
 	n := &testNode{done: make(chan struct{})}
 	clock := &event.Clock{}
+	var workers Workers = c.workers
+	if c.orderTarget != nil {
+		workers = c.orderTarget
+	}
 	n.Node = New(Options{
 		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d", Cores: c.cores},
-		Listener: &powerCutListener{Listener: listener, poweredOff: &n.poweredOff},
+		Listener: &powerCutListener{Listener: listener, poweredOff: &n.poweredOff, delay: &n.delayAnswers},
 		Log:      c.log.view(n.cutFromLog.Load, n.readsHang.Load),
-		Workers:  c.workers,
+		Workers:  workers,
 		Topics: PlatformTopics{
 			ConfigTopic:  "keyed.op",
 			ConfigKey:    "config",
--- a/internal/cell/cellv1/cellv1connect/cell.connect.go
+++ b/internal/cell/cellv1/cellv1connect/cell.connect.go
@@ -51,6 +51,8 @@
 	CellServiceReadProcedure = "/dotterelhitch.cell.v1.CellService/Read"
 	// CellServiceNewestProcedure is the fully-qualified name of the CellService's Newest RPC.
 	CellServiceNewestProcedure = "/dotterelhitch.cell.v1.CellService/Newest"
+	// CellServiceExecuteProcedure is the fully-qualified name of the CellService's Execute RPC.
+	CellServiceExecuteProcedure = "/dotterelhitch.cell.v1.CellService/Execute"
 )
 
 // CellServiceClient is a client for the dotterelhitch.cell.v1.CellService service.
@@ -69,6 +71,9 @@
 	Append(context.Context, *cellv1.AppendRequest) (*cellv1.AppendResponse, error)
 	Read(context.Context, *cellv1.ReadRequest) (*cellv1.ReadResponse, error)
 	Newest(context.Context, *cellv1.NewestRequest) (*cellv1.NewestResponse, error)
+	// Execute has the callee send the controller's orders to workers. The results come back in
+	// any order. The callee sends an empty batch of results first.
+	Execute(context.Context) (*connect.BidiStreamForClientSimple[cellv1.ExecuteRequest, cellv1.ExecuteResponse], error)
 }
 
 // NewCellServiceClient constructs a client for the dotterelhitch.cell.v1.CellService service. By
@@ -130,6 +135,12 @@
 			connect.WithSchema(cellServiceMethods.ByName("Newest")),
 			connect.WithClientOptions(opts...),
 		),
+		execute: connect.NewClient[cellv1.ExecuteRequest, cellv1.ExecuteResponse](
+			httpClient,
+			baseURL+CellServiceExecuteProcedure,
+			connect.WithSchema(cellServiceMethods.ByName("Execute")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -143,6 +154,7 @@
 	append   *connect.Client[cellv1.AppendRequest, cellv1.AppendResponse]
 	read     *connect.Client[cellv1.ReadRequest, cellv1.ReadResponse]
 	newest   *connect.Client[cellv1.NewestRequest, cellv1.NewestResponse]
+	execute  *connect.Client[cellv1.ExecuteRequest, cellv1.ExecuteResponse]
 }
 
 // Hello calls dotterelhitch.cell.v1.CellService.Hello.
@@ -217,6 +229,11 @@
 	return nil, err
 }
 
+// Execute calls dotterelhitch.cell.v1.CellService.Execute.
+func (c *cellServiceClient) Execute(ctx context.Context) (*connect.BidiStreamForClientSimple[cellv1.ExecuteRequest, cellv1.ExecuteResponse], error) {
+	return c.execute.CallBidiStreamSimple(ctx)
+}
+
 // CellServiceHandler is an implementation of the dotterelhitch.cell.v1.CellService service.
 type CellServiceHandler interface {
 	// Hello is the heartbeat: who is there, which epoch, what the controller knows.
@@ -233,6 +250,9 @@
 	Append(context.Context, *cellv1.AppendRequest) (*cellv1.AppendResponse, error)
 	Read(context.Context, *cellv1.ReadRequest) (*cellv1.ReadResponse, error)
 	Newest(context.Context, *cellv1.NewestRequest) (*cellv1.NewestResponse, error)
+	// Execute has the callee send the controller's orders to workers. The results come back in
+	// any order. The callee sends an empty batch of results first.
+	Execute(context.Context, *connect.BidiStream[cellv1.ExecuteRequest, cellv1.ExecuteResponse]) error
 }
 
 // NewCellServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -290,6 +310,12 @@
 		connect.WithSchema(cellServiceMethods.ByName("Newest")),
 		connect.WithHandlerOptions(opts...),
 	)
+	cellServiceExecuteHandler := connect.NewBidiStreamHandler(
+		CellServiceExecuteProcedure,
+		svc.Execute,
+		connect.WithSchema(cellServiceMethods.ByName("Execute")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dotterelhitch.cell.v1.CellService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CellServiceHelloProcedure:
@@ -308,6 +334,8 @@
 			cellServiceReadHandler.ServeHTTP(w, r)
 		case CellServiceNewestProcedure:
 			cellServiceNewestHandler.ServeHTTP(w, r)
+		case CellServiceExecuteProcedure:
+			cellServiceExecuteHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -348,3 +376,7 @@
 func (UnimplementedCellServiceHandler) Newest(context.Context, *cellv1.NewestRequest) (*cellv1.NewestResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.cell.v1.CellService.Newest is not implemented"))
 }
+
+func (UnimplementedCellServiceHandler) Execute(context.Context, *connect.BidiStream[cellv1.ExecuteRequest, cellv1.ExecuteResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("dotterelhitch.cell.v1.CellService.Execute is not implemented"))
+}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
@@ -48,7 +49,7 @@
 // awaitPipelineSlot waits until another batch may be appended. It returns false if the term
 // ends first.
 func (l *leaderTerm) awaitPipelineSlot() bool {
-	for !l.appends.canAdd(time.Now()) {
+	for !l.appends.canAdd(clock.Now()) {
 		select {
 		case <-l.ctx.Done():
 			return false
@@ -86,9 +87,9 @@
 	defer p.cancel()
 	outcomeUnknown := false
 	for p.ctx.Err() == nil {
-		sent := time.Now()
+		sent := clock.Now()
 		err := l.store.Append(p.ctx, p.sequence, p.batch.Records)
-		now := time.Now()
+		now := clock.Now()
 		if p.ctx.Err() != nil {
 			// Either a later batch is stored, and therefore this one too, or the term has
 			// ended.
--- a/internal/cell/dark_test.go
+++ b/internal/cell/dark_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 type powerCutListener struct {
 	net.Listener
 	poweredOff *atomic.Bool
+	delay      *atomic.Int64 // of what is written, in nanoseconds
 }
 
 func (l *powerCutListener) Accept() (net.Conn, error) {
@@ -19,12 +21,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &powerCutConn{Conn: c, poweredOff: l.poweredOff}, nil
+	conn := &powerCutConn{Conn: c, poweredOff: l.poweredOff, delay: l.delay, writes: make(chan delayedWrite, 1<<12)}
+	go conn.writeDelayed()
+	return conn, nil
 }
 
 type powerCutConn struct {
 	net.Conn
 	poweredOff *atomic.Bool
+	delay      *atomic.Int64
+	writes     chan delayedWrite
+}
+
+// delayedWrite is what a connection sends at a time.
+type delayedWrite struct {
+	at time.Time
+	b  []byte
+}
+
+// writeDelayed sends what was written in its order, each part when it is due.
+func (c *powerCutConn) writeDelayed() {
+	for w := range c.writes {
+		time.Sleep(time.Until(w.at))
+		if _, err := c.Conn.Write(w.b); err != nil {
+			return
+		}
+	}
 }
 
 func (c *powerCutConn) Read(b []byte) (int, error) {
@@ -37,7 +59,12 @@
 	if c.poweredOff.Load() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	select {
+	case c.writes <- delayedWrite{at: time.Now().Add(time.Duration(c.delay.Load())), b: bytes.Clone(b)}:
+		return len(b), nil
+	default:
+		return 0, net.ErrClosed
+	}
 }
 
 // waitWhileOff waits while poweredOff is set.
--- a/internal/cell/execute.go
+++ b/internal/cell/execute.go
@@ -4,23 +4,25 @@
 	"context"
 	"time"
 
+	"dotterelhitch/internal/agent"
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
-// executeOrders makes the calls for the orders, each on its own goroutine. Results are posted
-// to the control goroutine.
+// executeOrders has the orders carried out: those to workers by the agents, or from this machine
+// on a goroutine each if the worker has no agent. Results are posted to the control goroutine.
 func (l *leaderTerm) executeOrders(o *controller.Orders) {
 	for i := range o.Polls {
-		go l.poll(&o.Polls[i])
+		l.poll(&o.Polls[i])
 	}
 	for i := range o.Starts {
-		go l.start(&o.Starts[i])
+		l.start(&o.Starts[i])
 	}
 	for i := range o.Stops {
-		go l.stopRun(&o.Stops[i])
+		l.stopRun(&o.Stops[i])
 	}
 	for i := range o.AdvisorCalls {
 		go l.callAdvisor(&o.AdvisorCalls[i])
@@ -28,30 +30,54 @@
 }
 
 func (l *leaderTerm) poll(order *controller.Poll) {
-	sent := time.Now()
-	pollResult, result := l.node.opts.Workers.Poll(l.ctx, l.epoch, order)
-	l.node.stats.countOrder("look", result)
-	l.post(func(now time.Time) {
-		if result == controller.CarriedOut {
-			l.ctl.PollDone(order.Worker, pollResult, sent, now)
-			return
-		}
-		l.ctl.PollFailed(order.Worker, result, now)
-	})
+	sent := clock.Now()
+	done := func(r agent.Result) {
+		l.post(func(now time.Time) {
+			if r.Poll != nil {
+				l.ctl.PollDone(order.Worker, r.Poll, sent, now)
+				return
+			}
+			l.ctl.PollFailed(order.Worker, r.Code, now)
+		})
+	}
+	if link := l.agents.linkFor(order.Worker, order.Failures); link != nil {
+		link.Poll(order, done)
+		return
+	}
+	go func() {
+		poll, code := l.node.workers.Poll(l.ctx, l.epoch, order)
+		done(agent.Result{Code: code, Poll: poll})
+	}()
 }
 
 func (l *leaderTerm) start(order *controller.Start) {
-	sent := time.Now()
-	result, clock := l.node.opts.Workers.Start(l.ctx, l.epoch, order)
-	l.node.stats.countOrder("start", result)
-	l.post(func(now time.Time) { l.ctl.StartDone(order.Worker, order.Run, result, clock, sent, now) })
+	sent := clock.Now()
+	done := func(r agent.Result) {
+		l.post(func(now time.Time) { l.ctl.StartDone(order.Worker, order.Run, r.Code, r.ClockMs, sent, now) })
+	}
+	if link := l.agents.linkFor(order.Worker, 0); link != nil {
+		link.Start(order, done)
+		return
+	}
+	go func() {
+		code, clockMs := l.node.workers.Start(l.ctx, l.epoch, order)
+		done(agent.Result{Code: code, ClockMs: clockMs})
+	}()
 }
 
 func (l *leaderTerm) stopRun(order *controller.Stop) {
-	sent := time.Now()
-	result, clock := l.node.opts.Workers.Stop(l.ctx, l.epoch, order)
-	l.node.stats.countOrder("stop", result)
-	l.post(func(now time.Time) { l.ctl.StopDone(order.Worker, order.Run, result, clock, sent, now) })
+	sent := clock.Now()
+	done := func(r agent.Result) {
+		l.post(func(now time.Time) { l.ctl.StopDone(order.Worker, order.Run, r.Code, r.ClockMs, sent, now) })
+	}
+	if link := l.agents.linkFor(order.Worker, 0); link != nil {
+		link.Stop(order, done)
+		return
+	}
+	go func() {
+		code, clockMs := l.node.workers.Stop(l.ctx, l.epoch, order)
+		done(agent.Result{Code: code, ClockMs: clockMs})
+	}()
 }
 
 // advisorCallSlack is the time that a call to the advisor may take beyond its expected
@@ -72,7 +98,7 @@
 	} else {
 		tickets, validity, err = l.callAdvisorThrough(ctx, order, timeout)
 	}
-	l.node.stats.observeAdvisorCall(time.Since(order.Sent), err)
+	l.node.stats.observeAdvisorCall(clock.Since(order.Sent), err)
 	l.post(func(now time.Time) { l.ctl.AdvisorCallDone(order, tickets, validity, err, now) })
 }
 
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -66,7 +67,7 @@
 // the configuration.
 func (n *Node) RecordRefusal(jobID, class, method string, elapsed time.Duration, err error) {
 	claim, _, _ := n.view.latestClaim()
-	since, _ := n.view.sinceLeaderHeard(time.Now())
+	since, _ := n.view.sinceLeaderHeard(clock.Now())
 	e := event.Event{
 		Type:    event.RequestRefused,
 		Request: jobID,
@@ -120,7 +121,7 @@
 			return int((*counts)[class]), nil
 		}
 	}
-	if !n.view.leaderServing(time.Now()) {
+	if !n.leaderServing() {
 		return 0, structs.NewRetryAfterError(structs.CodeUnavailable, noLeaderRetryAfter, "no controller at present")
 	}
 	return n.view.waitingJobsOf(class), nil
@@ -143,7 +144,7 @@
 // retried, also with the next controller. Once an answer has been lost, the outcome is unknown
 // until a controller answers.
 func forward[T any](ctx context.Context, n *Node, c leaderCall[T]) (T, error) {
-	began := time.Now()
+	began := clock.Now()
 	outcomeUnknown := false
 	for {
 		changed := n.view.nextChange()
@@ -159,7 +160,7 @@
 		default:
 			return out, err
 		}
-		if ctx.Err() != nil || !outcomeUnknown && time.Since(began) > leaderWait {
+		if ctx.Err() != nil || !outcomeUnknown && clock.Since(began) > leaderWait {
 			return out, noAnswerError(outcomeUnknown)
 		}
 		select {
@@ -185,16 +186,18 @@
 		return c.local(ctx, l)
 	}
 	claim, _, _ := n.view.latestClaim()
-	if claim.Boot == n.self.Boot || !n.view.leaderServing(time.Now()) {
+	if claim.Boot == n.self.Boot || !n.leaderServing() {
 		var zero T
 		return zero, errNotController()
 	}
 	out, err := c.remote(ctx, claim.Addr)
 	switch structs.CodeOf(err) {
+	case "":
+		n.view.recordLeaderAnswer(claim.Epoch, true, nil, clock.Now())
 	case structs.CodeNotOwner:
-		n.view.recordLeaderAnswer(claim.Epoch, false, nil, time.Now())
+		n.view.recordLeaderAnswer(claim.Epoch, false, nil, clock.Now())
 	case structs.CodeUnavailable:
-		if !n.view.leaderServing(time.Now()) {
+		if !n.leaderServing() {
 			return out, errNotController()
 		}
 	}
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
@@ -30,6 +31,7 @@
 	store *jobstore.Store
 	// appends are the batches whose appends to the store are in flight.
 	appends *appendPipeline
+	agents  *agentPool
 	inbox   chan func(now time.Time)
 
 	ctx       context.Context
@@ -87,6 +89,7 @@
 		lastHeartbeats: map[string]time.Time{},
 		predecessor:    predecessorOf(v.Newest),
 	}
+	l.agents = newAgentPool(l)
 	l.ctx, l.cancelCtx = context.WithCancel(n.ctx)
 	l.confirmedAt.Store(sent.UnixNano())
 	n.record(event.Event{Type: event.AuthorityGained, Member: n.self.Boot, Epoch: l.epoch, Detail: n.self.Node})
@@ -134,8 +137,8 @@
 // orders.
 func (l *leaderTerm) resign() {
 	l.ready.Store(false)
-	deadline := time.Now().Add(resignTimeout)
-	for time.Now().Before(deadline) && l.ctx.Err() == nil && l.hasUnstored() {
+	deadline := clock.Now().Add(resignTimeout)
+	for clock.Now().Before(deadline) && l.ctx.Err() == nil && l.hasUnstored() {
 		time.Sleep(commitInterval)
 	}
 	if l.ended.Load() {
@@ -167,7 +170,7 @@
 // serving reports whether the term has loaded the stored jobs and its leader lease has not
 // expired.
 func (l *leaderTerm) serving() bool {
-	return l.ready.Load() && time.Since(time.Unix(0, l.confirmedAt.Load())) < l.node.opts.Timing.LeaderLease
+	return l.ready.Load() && clock.Since(time.Unix(0, l.confirmedAt.Load())) < l.node.opts.Timing.LeaderLease
 }
 
 // run takes over from the predecessor and serves until the term ends.
@@ -181,6 +184,9 @@
 		return
 	}
 	l.wg.Go(l.commitLoop)
+	l.agents.setWorkers(l.ctl.WorkerCount())
+	l.wg.Go(l.agents.run)
+	l.agents.awaitFirst()
 	l.controlLoop()
 }
 
@@ -192,7 +198,7 @@
 			return false
 		}
 	}
-	fencedAt := time.Now()
+	fencedAt := clock.Now()
 	var records []controller.Record
 	for !l.takeOverCall(func(ctx context.Context) (err error) {
 		records, err = l.store.Load(ctx)
@@ -202,7 +208,7 @@
 			return false
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	l.ctl.ConfirmEpoch(sent)
 	if cfg := l.node.config.Load(); cfg != nil {
 		l.ctl.SetConfig(cfg.Config, now)
@@ -266,13 +272,13 @@
 		case <-l.ctx.Done():
 			return
 		case f := <-l.inbox:
-			f(time.Now())
+			f(clock.Now())
 			l.runQueued()
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := clock.Now()
 		l.tick(now)
-		timer.Reset(time.Until(l.ctl.NextWake(now)))
+		timer.Reset(clock.Until(l.ctl.NextWake(now)))
 	}
 }
 
@@ -281,7 +287,7 @@
 	for range inboxSize {
 		select {
 		case f := <-l.inbox:
-			f(time.Now())
+			f(clock.Now())
 		default:
 			return
 		}
@@ -295,6 +301,7 @@
 		return
 	}
 	l.updateAdvisorEntries(now)
+	l.agents.setWorkers(l.ctl.WorkerCount())
 	l.refuseUnbatched(now)
 	orders := l.ctl.NextOrders(now)
 	l.executeOrders(&orders)
@@ -349,7 +356,7 @@
 	if l == nil {
 		return 0
 	}
-	left := n.opts.Timing.LeaderLease - time.Since(time.Unix(0, l.confirmedAt.Load()))
+	left := n.opts.Timing.LeaderLease - clock.Since(time.Unix(0, l.confirmedAt.Load()))
 	return max(left.Seconds(), 0)
 }
 
@@ -373,7 +380,7 @@
 	}
 	entries := []string{l.node.self.Node}
 	for node, seen := range l.lastHeartbeats {
-		if now.Sub(seen) < memberFreshness {
+		if now.Sub(seen) < l.node.memberFreshness() {
 			entries = append(entries, node)
 		}
 	}
@@ -386,7 +393,7 @@
 
 // fillHelloResponse adds the controller's fields to the response to a heartbeat, and records
 // the heartbeat.
-func (l *leaderTerm) fillHelloResponse(resp *cellv1.HelloResponse, from Member, epoch int64, now time.Time) {
+func (l *leaderTerm) fillHelloResponse(resp *cellv1.HelloResponse, req *cellv1.HelloRequest, from Member, now time.Time) {
 	resp.Epoch = l.epoch
 	resp.Leads = !l.ended.Load()
 	resp.Ready = l.serving()
@@ -394,11 +401,14 @@
 	if counts := l.waitingJobs.Load(); counts != nil {
 		resp.Waiting = *counts
 	}
-	for _, m := range l.node.view.otherMembers(now.Add(-memberFreshness)) {
-		resp.Members = append(resp.Members, memberToProto(m))
+	members := append(l.node.view.otherMembers(now.Add(-l.node.memberFreshness())), l.node.describeSelf())
+	resp.MembersVersion = membersVersion(members)
+	if resp.MembersVersion != req.MembersVersion {
+		for _, m := range members {
+			resp.Members = append(resp.Members, memberToProto(m))
+		}
 	}
-	resp.Members = append(resp.Members, memberToProto(l.node.describeSelf()))
-	l.post(func(now time.Time) { l.recordHeartbeat(from, epoch, now) })
+	l.post(func(now time.Time) { l.recordHeartbeat(from, req.Epoch, now) })
 }
 
 // recordHeartbeat records a member's heartbeat. If it comes from the predecessor's machine and
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
@@ -59,6 +60,8 @@
 	log   *relayLog
 	peers *peerPool
 	stats *nodeStats
+	// workers is opts.Workers with counters.
+	workers Workers
 
 	config atomic.Pointer[configVersion]
 	// term is this member's term as the controller, nil while it is not the controller.
@@ -90,9 +93,12 @@
 		stats:        newNodeStats(opts.Metrics),
 		steppingDown: make(chan struct{}),
 	}
+	n.workers = countingWorkers{opts.Workers, n.stats}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.stats.registerGauge("hitch_cell_authority_left_seconds", n.leaderLeaseLeft)
-	n.view.init(time.Now())
+	n.stats.registerGauge("hitch_cell_agents", n.agentMetric((*agentPool).agentCount))
+	n.stats.registerGauge("hitch_cell_agent_orders_pending", n.agentMetric((*agentPool).pendingOrders))
+	n.view.init(clock.Now())
 	n.log = newRelayLog(opts.Log, n)
 	return n
 }
@@ -173,5 +179,5 @@
 	if l := n.term.Load(); l != nil {
 		return l.serving()
 	}
-	return n.view.leaderServing(time.Now())
+	return n.leaderServing()
 }
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"dotterelhitch/internal/agent"
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/stream"
@@ -22,10 +26,14 @@
 	claimReadWait = 2 * time.Second
 	// heartbeatPeriod is the period of a member's heartbeats to the controller in a cell of
 	// up to heartbeatBaseMembers members; in a larger cell the period grows in proportion to
-	// the number of members. heartbeatTimeout bounds one heartbeat.
-	heartbeatPeriod      = 120 * time.Millisecond
-	heartbeatTimeout     = 400 * time.Millisecond
-	heartbeatBaseMembers = 10
+	// the number of members, up to maxHeartbeatPeriod. heartbeatTimeout bounds one heartbeat; after heartbeatOverdue its
+	// connection may be dead.
+	heartbeatPeriod       = 120 * time.Millisecond
+	heartbeatOverdue      = 400 * time.Millisecond
+	heartbeatTimeout      = 2500 * time.Millisecond
+	maxHeartbeatPeriod    = 1500 * time.Millisecond
+	heartbeatBaseMembers  = 5
+	maxHeartbeatsInFlight = 8
 	// claimTimeout bounds the append of a claim. A slow store takes half a second for an
 	// append.
 	claimTimeout = time.Second
@@ -34,9 +42,16 @@
 	leaderProbeTimeout = 250 * time.Millisecond
 	// electionPeriod is the period at which a member decides whether to claim leadership.
 	electionPeriod = 50 * time.Millisecond
-	// memberFreshness is how recent a member's last heartbeat must be for the controller to
-	// list the member in its responses.
-	memberFreshness = 2 * time.Second
+	// A member counts as running for minMemberFreshness or freshHeartbeats periods, whichever is
+	// longer, after its last heartbeat.
+	minMemberFreshness = 2 * time.Second
+	freshHeartbeats    = 3
+	// The controller counts as serving for minServingTimeout or servingHeartbeats periods,
+	// whichever is longer, after its last answer.
+	minServingTimeout = 1500 * time.Millisecond
+	servingHeartbeats = 3
+	// maxProbes is the maximum number of other members that are asked about the controller.
+	maxProbes = 12
 )
 
 // followClaims reads the claims topic until the node stops. Each read that returns no newer
@@ -72,7 +87,7 @@
 			n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
 			continue
 		}
-		if !n.view.applyClaim(c, time.Now()) {
+		if !n.view.applyClaim(c, clock.Now()) {
 			continue
 		}
 		n.record(event.Event{Type: event.LeaderFound, Member: c.Node, Epoch: c.Epoch, Detail: c.Boot})
@@ -123,54 +138,87 @@
 	}
 }
 
-// sendHeartbeats sends heartbeats to the controller until the node stops. After a failure the
-// next heartbeat is sent after half the period.
+// sendHeartbeats sends heartbeats to the controller until the node stops. A heartbeat does not
+// wait for the answer to the one before: while the controller's link is full its answers come
+// late, but they come. After a refused connection the next heartbeat follows sooner.
 func (n *Node) sendHeartbeats() {
+	inFlight := make(chan struct{}, maxHeartbeatsInFlight)
+	refused := make(chan struct{}, 1)
 	for n.ctx.Err() == nil {
 		claim, _, _ := n.view.latestClaim()
-		period := n.heartbeatPeriod()
 		if claim.Epoch != 0 && !claim.Resigned && n.term.Load() == nil && claim.Boot != n.self.Boot {
-			if !n.heartbeatLeader(claim) {
-				period /= 2
-			}
+			n.startHeartbeat(claim, inFlight, refused)
 		}
 		select {
 		case <-n.ctx.Done():
-		case <-time.After(period):
+		case <-time.After(n.heartbeatPeriod()):
+		case <-refused:
+			n.sleep(heartbeatPeriod / 2)
 		case <-n.view.nextChange():
 		}
 	}
 }
 
+// startHeartbeat sends one heartbeat on its own goroutine unless too many are in flight.
+func (n *Node) startHeartbeat(claim election.Claim, inFlight, refused chan struct{}) {
+	select {
+	case inFlight <- struct{}{}:
+	default:
+		return
+	}
+	n.spawn(func() {
+		defer func() { <-inFlight }()
+		if n.heartbeatLeader(claim) {
+			return
+		}
+		select {
+		case refused <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // heartbeatPeriod returns the period of heartbeats for the present number of members. It grows
 // with that number to bound the rate of heartbeats at the controller.
 func (n *Node) heartbeatPeriod() time.Duration {
-	members := len(n.view.otherMembers(time.Time{})) + 1
-	return heartbeatPeriod * time.Duration(max(members, heartbeatBaseMembers)) / heartbeatBaseMembers
+	members := n.view.otherMemberCount() + 1
+	period := heartbeatPeriod * time.Duration(max(members, heartbeatBaseMembers)) / heartbeatBaseMembers
+	return min(period, maxHeartbeatPeriod)
+}
+
+// memberFreshness is how recent a member's last heartbeat must be for the controller to count the
+// member as running.
+func (n *Node) memberFreshness() time.Duration {
+	return max(minMemberFreshness, freshHeartbeats*n.heartbeatPeriod())
+}
+
+// leaderServing reports whether the controller serves as far as this member knows.
+func (n *Node) leaderServing() bool {
+	within := max(minServingTimeout, servingHeartbeats*n.heartbeatPeriod())
+	return n.view.leaderServing(clock.Now(), within)
 }
 
 // heartbeatLeader sends one heartbeat to the controller of a claim and applies the response to
-// the view. It reports whether that controller answered and still leads under the claim's epoch.
+// the view. It returns false if the connection was refused.
 func (n *Node) heartbeatLeader(claim election.Claim) bool {
+	overdue := time.AfterFunc(heartbeatOverdue, func() { n.peers.resetIfSilent(claim.Addr, n.peers.client(claim.Addr)) })
+	defer overdue.Stop()
 	resp, err := n.callHello(claim.Addr, heartbeatTimeout)
 	if err != nil {
-		n.view.recordLeaderFailure(claim.Epoch, structs.CodeOf(err) == structs.CodeUnavailable)
-		return false
+		refused := structs.CodeOf(err) == structs.CodeUnavailable
+		n.view.recordLeaderFailure(claim.Epoch, refused)
+		return !refused
 	}
-	now := time.Now()
+	now := clock.Now()
 	if resp.From.GetNode() == claim.Node && resp.From.GetBoot() != claim.Boot {
 		n.view.markLeaderEnded(claim.Epoch, now)
-		return false
+		return true
 	}
 	n.applyConfig(resp.Config)
 	if !resp.Leads || resp.Epoch != claim.Epoch {
-		return false
-	}
-	members := make([]Member, 0, len(resp.Members))
-	for _, m := range resp.Members {
-		members = append(members, memberFromProto(m))
+		return true
 	}
-	n.view.replaceMembers(members, n.self.Node)
+	n.applyMembers(resp)
 	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, resp.Waiting, now)
 	if resp.Leaving {
 		n.view.markLeaderHandsOver(claim.Epoch, now)
@@ -178,9 +226,26 @@
 	return true
 }
 
+// applyMembers replaces the known members by the controller's list if the response has one.
+func (n *Node) applyMembers(resp *cellv1.HelloResponse) {
+	if len(resp.Members) == 0 {
+		return
+	}
+	members := make([]Member, 0, len(resp.Members))
+	for _, m := range resp.Members {
+		members = append(members, memberFromProto(m))
+	}
+	n.view.replaceMembers(members, resp.MembersVersion, n.self.Node)
+}
+
 func (n *Node) callHello(addr string, timeout time.Duration) (*cellv1.HelloResponse, error) {
 	claim, _, _ := n.view.latestClaim()
-	req := &cellv1.HelloRequest{From: memberToProto(n.describeSelf()), Epoch: claim.Epoch, Slow: n.speed.isSlow()}
+	req := &cellv1.HelloRequest{
+		From:           memberToProto(n.describeSelf()),
+		Epoch:          claim.Epoch,
+		Slow:           n.speed.isSlow(),
+		MembersVersion: n.view.knownMembersVersion(),
+	}
 	if cfg := n.config.Load(); cfg != nil {
 		req.ConfigVersion = cfg.Version
 	}
@@ -196,7 +261,7 @@
 		if !claimsLoaded || n.term.Load() != nil || n.isSteppingDown() || n.config.Load() == nil {
 			continue
 		}
-		v, end := n.view.electionView(n.self, time.Now())
+		v, end := n.view.electionView(n.self, clock.Now())
 		timing := n.electionTiming()
 		decision, at := election.Decide(v, timing)
 		if decision == election.MakeClaim && v.OtherMembers > 0 && !v.LeadershipVacant() && v.Newest.Node != n.self.Node {
@@ -206,7 +271,7 @@
 				n.refreshClaims()
 				continue
 			}
-			v.Now = time.Now()
+			v.Now = clock.Now()
 			decision, at = election.Decide(v, timing)
 			n.recordLeaderLost(v, decision)
 		}
@@ -214,7 +279,7 @@
 			n.claimLeadership(v, end)
 			continue
 		}
-		if wait := time.Until(at); decision == election.Follow && wait > electionPeriod {
+		if wait := clock.Until(at); decision == election.Follow && wait > electionPeriod {
 			n.sleep(min(wait, heartbeatPeriod))
 		}
 	}
@@ -241,7 +306,8 @@
 // is less suited to be the controller claims later.
 func (n *Node) electionTiming() election.Timing {
 	t := n.opts.Election
-	t.LeaderTimeout = max(t.LeaderTimeout, minMissedHeartbeats*n.heartbeatPeriod())
+	t.RefusedTimeout = t.LeaderTimeout / 3
+	t.LeaderTimeout = max(t.LeaderTimeout, minMissedHeartbeats*n.leaderMessagePeriod())
 	latency, direct := n.log.storeLatency()
 	t.ClaimDelay += storeLatencyWeight * latency
 	if !direct {
@@ -254,6 +320,14 @@
 	return t
 }
 
+// leaderMessagePeriod returns the period at which this member hears from the controller at least.
+func (n *Node) leaderMessagePeriod() time.Duration {
+	if n.view.isAgent() {
+		return min(agent.KeepaliveInterval, n.heartbeatPeriod())
+	}
+	return n.heartbeatPeriod()
+}
+
 // coresDeficit returns by how much this member's processor time falls short of that of the
 // strongest member heard from since a time, as a fraction of the latter.
 func (n *Node) coresDeficit(since time.Time) float64 {
@@ -311,16 +385,18 @@
 	n.applyClaims(records)
 }
 
-// probeMembers asks all other members at once about the controller of a claim. It returns the
-// number of members that answered, whether the controller answers one of them, and whether one
+// probeMembers asks other members at once about the controller of a claim, maxProbes of them at
+// random if there are more. It returns the number of members that answered, whether the controller answers one of them, and whether one
 // of them knows a newer claim.
 func (n *Node) probeMembers(claim election.Claim) (reached int, leaderHeard, newerClaim bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, m := range n.view.otherMembers(time.Time{}) {
-		if m.Node == claim.Node {
-			continue
-		}
+	// In a large cell a member may not have heard from a running controller for longer than
+	// the shortest timeout.
+	recent := max(n.opts.Election.LeaderTimeout, n.electionTiming().LeaderTimeout/2)
+	others := slices.DeleteFunc(n.view.otherMembers(time.Time{}), func(m Member) bool { return m.Node == claim.Node })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others[:min(len(others), maxProbes)] {
 		wg.Go(func() {
 			resp, err := n.callHello(m.Addr, leaderProbeTimeout)
 			if err != nil {
@@ -329,7 +405,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			reached++
-			fresh := resp.LeaderHeardMs >= 0 && resp.LeaderHeardMs < n.opts.Election.LeaderTimeout.Milliseconds()
+			fresh := resp.LeaderHeardMs >= 0 && resp.LeaderHeardMs < recent.Milliseconds()
 			leaderHeard = leaderHeard || resp.Epoch == claim.Epoch && fresh
 			newerClaim = newerClaim || resp.Epoch > claim.Epoch
 		})
@@ -349,7 +425,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, claimTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	got, err := n.log.Append(ctx, stream.Append{Topic: election.Topic, Records: []stream.Record{record}, ExpectedEnd: &end})
 	if err != nil {
 		n.record(event.Event{Type: event.ClaimRefused, Code: structs.CodeOf(err), Detail: structs.AsError(err).Message})
--- a/internal/cell/pace.go
+++ b/internal/cell/pace.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/event"
 )
 
@@ -78,10 +79,10 @@
 		n.speed.measure()
 		l := n.term.Load()
 		if l == nil || !l.ready.Load() {
-			lastHandOver = time.Now()
+			lastHandOver = clock.Now()
 			continue
 		}
-		now := time.Now()
+		now := clock.Now()
 		reason := n.handOverReason(now)
 		if reason == "" || now.Sub(lastHandOver) < minHandOverInterval {
 			continue
@@ -95,7 +96,7 @@
 // handOverReason returns why another member is better suited to be the controller, empty if
 // none is.
 func (n *Node) handOverReason(now time.Time) string {
-	since := now.Add(-memberFreshness)
+	since := now.Add(-n.memberFreshness())
 	switch {
 	case n.speed.isSlow() && n.view.fastMemberCount(since) > 0:
 		return "this machine runs below its usual speed"
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 
 	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/cell/cellv1/cellv1connect"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/peer"
 	"dotterelhitch/internal/structs"
@@ -25,6 +29,8 @@
 type peerClient struct {
 	cellv1connect.CellServiceClient
 	transport *http.Transport
+	// lastAnswer is when a call was last answered, in Unix nanoseconds.
+	lastAnswer atomic.Int64
 }
 
 func newPeerPool(clock *event.Clock) *peerPool {
@@ -51,8 +57,21 @@
 	return c
 }
 
-// reset discards the client of an address after a call without an answer, because its
-// connection may be dead. The next call opens a new connection.
+// deadConnectionTimeout is the time without an answer after which a connection with an overdue
+// call is considered dead. While other calls are answered, the peer is only slow, and another
+// connection would add to its load.
+const deadConnectionTimeout = 600 * time.Millisecond
+
+// resetIfSilent discards the client of an address, one of whose calls is overdue, if its
+// connection may be dead. The next call opens a new connection; calls in flight go on.
+func (p *peerPool) resetIfSilent(addr string, c *peerClient) {
+	if clock.Since(time.Unix(0, c.lastAnswer.Load())) < deadConnectionTimeout {
+		return
+	}
+	p.reset(addr, c)
+}
+
+// reset discards the client of an address.
 func (p *peerPool) reset(addr string, c *peerClient) {
 	p.mu.Lock()
 	if p.clients[addr] == c {
@@ -62,8 +81,7 @@
 	c.transport.CloseIdleConnections()
 }
 
-// callPeer calls a method of the peer at addr and waits for the response up to timeout. After a
-// timeout the connection is discarded.
+// callPeer calls a method of the peer at addr and waits for the response up to timeout.
 func callPeer[Req, Resp any](
 	ctx context.Context,
 	p *peerPool,
@@ -77,14 +95,25 @@
 	c := p.client(addr)
 	resp, err := call(c, ctx, req)
 	if err == nil {
+		c.lastAnswer.Store(clock.Now().UnixNano())
 		return resp, nil
 	}
 	if ctx.Err() == context.DeadlineExceeded {
-		p.reset(addr, c)
+		p.resetIfSilent(addr, c)
 	}
 	return nil, peer.ClassifyCallError(err)
 }
 
+// membersVersion returns a hash of a list of members, in any order. It is never zero.
+func membersVersion(members []Member) uint64 {
+	version := uint64(1)
+	for _, m := range members {
+		text := m.Node + "\x00" + m.Boot + "\x00" + m.Addr + "\x00" + strconv.FormatBool(m.ReachesStore)
+		version += xxhash.Sum64String(text)
+	}
+	return max(version, 1)
+}
+
 func memberToProto(m Member) *cellv1.Member {
 	return &cellv1.Member{
 		Node:         m.Node,
--- a/internal/cell/ports.go
+++ b/internal/cell/ports.go
@@ -9,7 +9,7 @@
 	"context"
 	"time"
 
-	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/agent"
 	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/workload"
 )
@@ -21,15 +21,7 @@
 }
 
 // Workers sends orders to workers under a fencing token.
-type Workers interface {
-	// Poll reads the state of a worker's runs and renews its lease. The poll result is nil
-	// unless the order was carried out.
-	Poll(ctx context.Context, token int64, p *controller.Poll) (*workload.PollResult, controller.OrderResult)
-	// Start and Stop return the result of the order and the worker's clock in milliseconds,
-	// zero if unknown.
-	Start(ctx context.Context, token int64, s *controller.Start) (controller.OrderResult, int64)
-	Stop(ctx context.Context, token int64, s *controller.Stop) (controller.OrderResult, int64)
-}
+type Workers = agent.Workers
 
 // Advisor is the external placement advisor.
 type Advisor interface {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelhitch/internal/cell/cellv1"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/stream"
@@ -60,7 +61,7 @@
 	if err != nil {
 		return
 	}
-	took := int64(time.Since(began))
+	took := int64(clock.Since(began))
 	for {
 		old := r.fastestCall.Load()
 		if old != 0 && old <= took || r.fastestCall.CompareAndSwap(old, took) {
@@ -81,7 +82,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if !isPathFailure(err) {
 		if since := r.directFailingSince.Swap(0); since != 0 {
 			r.node.record(event.Event{Type: event.StoreRecovered, AgeMs: (now.UnixNano() - since) / 1e6})
@@ -102,7 +103,7 @@
 // answered although the same direct call, sent earlier, was not. The next calls then need not wait
 // for the timeout of a direct call.
 func (r *relayLog) markDirectUnresponsive() {
-	r.markDirectFailing(structs.NewError(structs.CodeDeadline, "no answer, but a call through another member got one"), time.Now())
+	r.markDirectFailing(structs.NewError(structs.CodeDeadline, "no answer, but a call through another member got one"), clock.Now())
 }
 
 // isPathFailure reports whether a call to the store got no answer or certainly had no effect, so
@@ -302,7 +303,7 @@
 func (r *relayLog) Newest(ctx context.Context, topic, after string) (stream.Page, error) {
 	return callStore(ctx, r, true, 0,
 		func() (stream.Page, error) {
-			began := time.Now()
+			began := clock.Now()
 			page, err := r.direct.Newest(ctx, topic, after)
 			r.recordLatency(began, err)
 			return page, err
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -10,6 +10,7 @@
 
 	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/cell/cellv1/cellv1connect"
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/peer"
 	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/structs"
@@ -24,6 +25,7 @@
 	mux.Handle(cellv1connect.NewCellServiceHandler(
 		&peerServer{node: n},
 		connect.WithReadMaxBytes(peer.MaxMessageBytes),
+		connect.WithCompressMinBytes(peer.CompressMinBytes),
 	))
 	return peer.NewHTTP2Server(n.opts.Clock.Middleware(mux))
 }
@@ -31,7 +33,7 @@
 // Hello answers a heartbeat or a probe of another member.
 func (s *peerServer) Hello(_ context.Context, req *cellv1.HelloRequest) (*cellv1.HelloResponse, error) {
 	n := s.node
-	now := time.Now()
+	now := clock.Now()
 	from := memberFromProto(req.From)
 	if from.Node != "" && from.Node != n.self.Node {
 		n.view.recordMember(from, req.Slow, now)
@@ -45,7 +47,7 @@
 		resp.Config = cfg.record
 	}
 	if l := n.term.Load(); l != nil {
-		l.fillHelloResponse(resp, from, req.Epoch, now)
+		l.fillHelloResponse(resp, req, from, now)
 	}
 	return resp, nil
 }
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -8,6 +9,7 @@
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/workload"
 )
 
 // nodeStats are the metrics of a node.
@@ -81,3 +83,30 @@
 func (s *nodeStats) countOrder(kind string, result controller.OrderResult) {
 	s.set.GetOrCreateCounter(`hitch_cell_orders{kind="` + kind + `",answer="` + result.String() + `"}`).Inc()
 }
+
+// countingWorkers counts the orders that this member sends to workers.
+type countingWorkers struct {
+	Workers
+	stats *nodeStats
+}
+
+// Poll implements Workers.
+func (w countingWorkers) Poll(ctx context.Context, token int64, p *controller.Poll) (*workload.PollResult, controller.OrderResult) {
+	poll, result := w.Workers.Poll(ctx, token, p)
+	w.stats.countOrder("look", result)
+	return poll, result
+}
+
+// Start implements Workers.
+func (w countingWorkers) Start(ctx context.Context, token int64, s *controller.Start) (controller.OrderResult, int64) {
+	result, clockMs := w.Workers.Start(ctx, token, s)
+	w.stats.countOrder("start", result)
+	return result, clockMs
+}
+
+// Stop implements Workers.
+func (w countingWorkers) Stop(ctx context.Context, token int64, s *controller.Stop) (controller.OrderResult, int64) {
+	result, clockMs := w.Workers.Stop(ctx, token, s)
+	w.stats.countOrder("stop", result)
+	return result, clockMs
+}
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -26,11 +26,15 @@
 	leaderProcessEnded bool
 	leaderHandsOver    bool
 	refusedConnections int
-	waitingJobs        map[string]int32
-	members            map[string]Member // by Member.Node, without this member
-	lastSeen           map[string]time.Time
-	slowMembers        map[string]bool // members that report a slow machine
-	changed            chan struct{}
+	// leaderStream is true while the controller sends orders to this member as its agent.
+	leaderStream bool
+	waitingJobs  map[string]int32
+	members      map[string]Member // by Member.Node, without this member
+	// membersVersion is that of the controller's list from which members was last replaced.
+	membersVersion uint64
+	lastSeen       map[string]time.Time
+	slowMembers    map[string]bool // members that report a slow machine
+	changed        chan struct{}
 }
 
 func (v *cellView) init(now time.Time) {
@@ -72,6 +76,7 @@
 	v.leaderProcessEnded = false
 	v.leaderHandsOver = false
 	v.refusedConnections = 0
+	v.leaderStream = false
 	v.notify()
 	return true
 }
@@ -110,6 +115,22 @@
 	}
 }
 
+// recordLeaderMessage records a message of the controller of an epoch to this member as its agent.
+func (v *cellView) recordLeaderMessage(epoch int64, ready bool, now time.Time) {
+	v.recordLeaderAnswer(epoch, ready, nil, now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaderStream = epoch == v.newestClaim.Epoch
+}
+
+// leaderStreamEnded records that the controller's stream to this member as its agent has ended.
+func (v *cellView) leaderStreamEnded() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaderStream = false
+	v.notify()
+}
+
 // recordLeaderFailure records a failed heartbeat to the controller of an epoch; refused is true
 // if its machine refused the connection.
 func (v *cellView) recordLeaderFailure(epoch int64, refused bool) {
@@ -144,14 +165,19 @@
 	}
 }
 
-// leaderServingTimeout is the time since its last answer after which the controller is no longer
-// considered to be serving.
-const leaderServingTimeout = 1500 * time.Millisecond
+// leaderServing reports whether the controller has said, within a time before now, that it
+// serves.
+func (v *cellView) leaderServing(now time.Time, within time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leaderReady && now.Sub(v.leaderLastHeard) < within
+}
 
-func (v *cellView) leaderServing(now time.Time) bool {
+// isAgent reports whether the controller sends orders to this member as its agent.
+func (v *cellView) isAgent() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.leaderReady && now.Sub(v.leaderLastHeard) < leaderServingTimeout
+	return v.leaderStream
 }
 
 // sinceLeaderHeard returns the time since the controller's last answer, and whether it has
@@ -189,10 +215,19 @@
 	return n
 }
 
-// replaceMembers replaces the known members by the controller's list.
-func (v *cellView) replaceMembers(list []Member, self string) {
+// knownMembersVersion returns the version of the controller's list from which the known members
+// were last replaced, zero if they never were.
+func (v *cellView) knownMembersVersion() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.membersVersion
+}
+
+// replaceMembers replaces the known members by a version of the controller's list.
+func (v *cellView) replaceMembers(list []Member, version uint64, self string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.membersVersion = version
 	clear(v.members)
 	for _, m := range list {
 		if m.Node != self {
@@ -215,6 +250,13 @@
 	return out
 }
 
+// otherMemberCount returns the number of known members other than this one.
+func (v *cellView) otherMemberCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.members)
+}
+
 // electionView returns what this member knows as the input of an election, and the end offset of
 // the claims topic to which that knowledge belongs.
 func (v *cellView) electionView(self Member, now time.Time) (election.View, int64) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -141,6 +141,9 @@
 // Epoch returns the epoch of the controller, which is also its fencing token.
 func (c *Controller) Epoch() int64 { return c.epoch }
 
+// WorkerCount returns the number of workers that are listed or may have runs.
+func (c *Controller) WorkerCount() int { return len(c.workers) }
+
 // Fenced reports whether a worker has refused the epoch as stale, so that another controller
 // has taken over.
 func (c *Controller) Fenced() bool { return c.fenced }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -26,6 +26,8 @@
 	AckedSeq int64
 	// Wait is how long the worker may delay its response while no run ends.
 	Wait time.Duration
+	// Failures is the number of polls of the worker that failed since the last response.
+	Failures int
 }
 
 // Start starts a run on a worker.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -85,6 +85,8 @@
 type Timing struct {
 	// LeaderTimeout is how long a controller may be silent before it is replaced.
 	LeaderTimeout time.Duration
+	// RefusedTimeout replaces LeaderTimeout if the controller's instance refuses connections.
+	RefusedTimeout time.Duration
 	// IsolatedTimeout replaces LeaderTimeout for a member that reaches no other member, since
 	// the fault may be its own.
 	IsolatedTimeout time.Duration
@@ -138,7 +140,7 @@
 	}
 	timeout := t.LeaderTimeout
 	if v.LeaderRefusesConnections {
-		timeout = t.LeaderTimeout / 3
+		timeout = t.RefusedTimeout
 	}
 	if v.OtherMembers > 0 && v.ReachedMembers == 0 {
 		timeout = t.IsolatedTimeout
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-var testTiming = Timing{LeaderTimeout: time.Second, IsolatedTimeout: 4 * time.Second, ClaimDelay: 100 * time.Millisecond}
+var testTiming = Timing{LeaderTimeout: time.Second, RefusedTimeout: time.Second / 3, IsolatedTimeout: 4 * time.Second, ClaimDelay: 100 * time.Millisecond}
 
 func TestDecide(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,9 +20,9 @@
 // maxStreams limits the concurrent calls on one peer connection.
 const maxStreams = 2048
 
-// compressMinBytes is the size from which a message is compressed. Heartbeats are
+// CompressMinBytes is the size from which a message is compressed. Heartbeats are
 // far smaller; compressing them costs more than it saves.
-const compressMinBytes = 4 << 10
+const CompressMinBytes = 4 << 10
 
 // readHeaderTimeout limits how long a peer may take to send a request's header.
 const readHeaderTimeout = 5 * time.Second
@@ -34,7 +34,7 @@
 		svc,
 		connect.WithReadMaxBytes(MaxMessageBytes),
 		connect.WithSendMaxBytes(MaxMessageBytes),
-		connect.WithCompressMinBytes(compressMinBytes),
+		connect.WithCompressMinBytes(CompressMinBytes),
 	)
 	mux := http.NewServeMux()
 	mux.Handle(path, keys.Require(countCalls(handler, set)))
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/structs"
 )
 
@@ -99,7 +100,7 @@
 
 // readOnce makes one read.
 func (f *Follower) readOnce(ctx context.Context) error {
-	sent := time.Now()
+	sent := clock.Now()
 	if !f.OffsetKnown {
 		records, end, err := ReadNewest(ctx, f.Reader, f.Topic)
 		if err != nil {
