Cells of up to ten members keep their heartbeats; agents' patience grows with the cell

Cause: the slower heartbeats of large cells also slowed those of six to ten members, and the 2 s of an agent fit a cell of 147 members, not one of 32, where a dead controller was given up after 1.5 s.

Change: the period grows from the eleventh member on; an agent waits 1 s and 7 ms for each member.

Tests: TestSmallCellKeepsItsTimeouts.

--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -39,8 +39,8 @@
 	other := n.electionTiming().LeaderTimeout
 	n.view.recordLeaderMessage(1<<40, true, clock.Now())
 	agent := n.electionTiming().LeaderTimeout
-	if agent >= other || agent < agentLeaderTimeout {
-		t.Errorf("an agent waits %v, another member %v; the least time for an agent is %v", agent, other, agentLeaderTimeout)
+	if agent >= other || agent < n.agentLeaderTimeout() {
+		t.Errorf("an agent waits %v, another member %v; the least time for an agent is %v", agent, other, n.agentLeaderTimeout())
 	}
 	n.view.leaderStreamEnded()
 	if after := n.electionTiming().LeaderTimeout; after != other {
@@ -66,3 +66,15 @@
 		}
 	}
 }
+
+// TestSmallCellKeepsItsTimeouts checks that a cell of up to ten members replaces a silent controller as
+// soon as the configured timeout allows.
+func TestSmallCellKeepsItsTimeouts(t *testing.T) {
+	n := newLargeCellNode(t, 9)
+	if got := n.heartbeatPeriod(); got != heartbeatPeriod {
+		t.Errorf("heartbeats each %v, want %v", got, heartbeatPeriod)
+	}
+	if got := n.electionTiming().LeaderTimeout; got != n.opts.Election.LeaderTimeout {
+		t.Errorf("the controller is given up after %v, want %v", got, n.opts.Election.LeaderTimeout)
+	}
+}
--- a/internal/cell/office.go
+++ b/internal/cell/office.go
@@ -24,15 +24,17 @@
 	// claimReadWait is how long a read of the claims topic waits for a new claim.
 	claimReadWait = 2 * time.Second
 	// heartbeatPeriod is the period of a member's heartbeats to the controller in a cell of
-	// up to heartbeatBaseMembers members; in a larger cell the period grows in proportion to
-	// the number of members, up to maxHeartbeatPeriod. heartbeatTimeout bounds one heartbeat; after heartbeatOverdue its
+	// up to heartbeatBaseMembers members. In a larger cell it grows by heartbeatPeriod for each
+	// membersPerHeartbeatPeriod further members, up to maxHeartbeatPeriod. heartbeatTimeout bounds one heartbeat; after heartbeatOverdue its
 	// connection may be dead.
 	heartbeatPeriod       = 120 * time.Millisecond
 	heartbeatOverdue      = 400 * time.Millisecond
 	heartbeatTimeout      = 2500 * time.Millisecond
 	maxHeartbeatPeriod    = 1500 * time.Millisecond
-	heartbeatBaseMembers  = 5
+	heartbeatBaseMembers  = 10
 	maxHeartbeatsInFlight = 8
+
+	membersPerHeartbeatPeriod = 5
 	// claimTimeout bounds the append of a claim. A slow store takes half a second for an
 	// append.
 	claimTimeout = time.Second
@@ -180,8 +182,8 @@
 // heartbeatPeriod returns the period of heartbeats for the number of members known. It grows
 // with that number to bound the rate of heartbeats at the controller.
 func (n *Node) heartbeatPeriod() time.Duration {
-	members := n.view.knownNodeCount() + 1
-	period := heartbeatPeriod * time.Duration(max(members, heartbeatBaseMembers)) / heartbeatBaseMembers
+	further := max(n.view.knownNodeCount()+1-heartbeatBaseMembers, 0)
+	period := heartbeatPeriod + heartbeatPeriod*time.Duration(further)/membersPerHeartbeatPeriod
 	return min(period, maxHeartbeatPeriod)
 }
 
@@ -294,10 +296,11 @@
 	// minMissedHeartbeats is the least number of heartbeat periods without an answer after
 	// which the controller is considered failed.
 	minMissedHeartbeats = 4
-	// agentLeaderTimeout is the least time without a message to an agent after which the
-	// controller is considered failed. A new controller is busy for that long with the state of
-	// a large cell.
-	agentLeaderTimeout = 2 * time.Second
+	// An agent considers the controller failed after minAgentLeaderTimeout and
+	// agentTimeoutPerMember for each member without a message. A new controller is busy with the
+	// state of the cell for a time that grows with the size of the cell.
+	minAgentLeaderTimeout = time.Second
+	agentTimeoutPerMember = 7 * time.Millisecond
 	// slowMachineDelay delays the claim of a member whose machine currently runs slow.
 	slowMachineDelay = 800 * time.Millisecond
 	// weakMachineDelay delays the claim of a member with little processor time, in proportion
@@ -311,7 +314,7 @@
 	t := n.opts.Election
 	t.RefusedTimeout = t.LeaderTimeout / 3
 	if missed := minMissedHeartbeats * n.heartbeatPeriod(); n.view.isAgent() {
-		t.LeaderTimeout = max(t.LeaderTimeout, min(agentLeaderTimeout, missed))
+		t.LeaderTimeout = max(t.LeaderTimeout, min(n.agentLeaderTimeout(), missed))
 	} else {
 		t.LeaderTimeout = max(t.LeaderTimeout, missed)
 	}
@@ -327,6 +330,12 @@
 	return t
 }
 
+// agentLeaderTimeout returns the time without a message from the controller after which an agent
+// considers it failed.
+func (n *Node) agentLeaderTimeout() time.Duration {
+	return minAgentLeaderTimeout + agentTimeoutPerMember*time.Duration(n.view.knownNodeCount()+1)
+}
+
 // coresDeficit returns by how much this member's processor time falls short of that of the
 // strongest member heard from since a time, as a fraction of the latter.
 func (n *Node) coresDeficit(since time.Time) float64 {
