A controller that was suspended sends no orders from before

Cause: an order that waited for its message when the controller's machine was suspended was sent after it, in a message whose age counts from its sending: the agent could not tell that it was old.

Change: orders that have waited for more than a second are not sent, and reported as not delivered. A link that ends because its member is no agent any more is not recorded as lost.

Tests: TestSuspendedControllerSendsNoOldOrders failed before (the order was carried out).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,6 +153,8 @@
 	pipe    *pipe
 	workers *recordingWorkers
 	newest  atomic.Int64
+	// suspended is the time for which the controller's machine was suspended, in nanoseconds.
+	suspended atomic.Int64
 	stale   atomic.Int64
 	cancel  context.CancelFunc
 	runDone chan error
@@ -163,12 +166,13 @@
 func newTestLink(t *testing.T) *testLink {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &testLink{
-		Link:    NewLink(testEpoch, func() bool { return true }, time.Now),
 		pipe:    newPipe(ctx),
 		workers: &recordingWorkers{delay: 20 * time.Millisecond},
 		cancel:  cancel,
 		runDone: make(chan error, 1),
 	}
+	now := func() time.Time { return time.Now().Add(time.Duration(l.suspended.Load())) }
+	l.Link = NewLink(testEpoch, func() bool { return true }, now)
 	l.newest.Store(testEpoch)
 	executor := &Executor{
 		Workers:     l.workers,
@@ -260,6 +264,27 @@
 	})
 }
 
+// TestSuspendedControllerSendsNoOldOrders suspends the controller's machine while an order waits to be
+// sent. It must not be sent afterwards: another controller may have taken over.
+func TestSuspendedControllerSendsNoOldOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLink(t)
+		l.start(7) // sent at once; the next one waits for sendInterval
+		synctest.Wait()
+		waiting := l.start(8)
+		l.suspended.Store(int64(5 * time.Second))
+		time.Sleep(100 * time.Millisecond)
+		if r := result(t, waiting); r.Code != controller.NotDelivered {
+			t.Errorf("result %v, want that the order was not sent", r.Code)
+		}
+		for _, order := range l.workers.orders {
+			if strings.Contains(order, testRun(8).String()) {
+				t.Error("an order from before the suspension was sent")
+			}
+		}
+	})
+}
+
 // TestDelayedReportsDoNotRejuvenateOrders delays what the agent says, so that the controller knows
 // only an old reading of its clock. An order must count as older then, never as younger.
 func TestDelayedReportsDoNotRejuvenateOrders(t *testing.T) {
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -19,6 +19,9 @@
 	linkSilence = 700 * time.Millisecond
 	// linkTimeout is the time without a message after which a stream is given up.
 	linkTimeout = 2500 * time.Millisecond
+	// maxQueueTime is how long an order may wait to be sent. After a pause of this process the
+	// controller may no longer want it, or may have lost its leadership.
+	maxQueueTime = time.Second
 	// maxBatchOrders is the maximum number of orders in a message, which bounds its size.
 	maxBatchOrders = 200
 )
@@ -52,6 +55,7 @@
 type pendingOrder struct {
 	order    *cellv1.Order
 	payload  string
+	queuedAt time.Time
 	deadline time.Time
 	sent     bool
 	done     func(Result)
@@ -104,6 +108,7 @@
 	}
 	l.lastID++
 	p.order.Id = l.lastID
+	p.queuedAt = l.now()
 	l.pending[p.order.Id] = p
 	l.unsent = append(l.unsent, p)
 	l.mu.Unlock()
@@ -167,10 +172,12 @@
 	}
 }
 
-// nextBatch returns a message with the unsent orders, at most maxBatchOrders.
+// nextBatch returns a message with the unsent orders, at most maxBatchOrders. Orders that have
+// waited for longer than maxQueueTime are not sent.
 func (l *Link) nextBatch() *cellv1.ExecuteRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dropOutdated()
 	batch := &cellv1.ExecuteRequest{
 		Epoch:      l.epoch,
 		Ready:      l.ready(),
@@ -199,6 +206,24 @@
 	return batch
 }
 
+// dropOutdated takes the orders that have waited for longer than maxQueueTime out of the queue. The
+// caller holds mu.
+func (l *Link) dropOutdated() {
+	limit := l.now().Add(-maxQueueTime)
+	var outdated []*pendingOrder
+	l.unsent = slices.DeleteFunc(l.unsent, func(p *pendingOrder) bool {
+		if !p.queuedAt.Before(limit) {
+			return false
+		}
+		outdated = append(outdated, p)
+		delete(l.pending, p.order.Id)
+		return true
+	})
+	if len(outdated) > 0 {
+		go failOrders(outdated)
+	}
+}
+
 // Expire gives a result to the orders whose time is over. It reports whether the agent has been
 // silent for so long that the stream has to be given up.
 func (l *Link) Expire(now time.Time) (silent bool) {
--- a/internal/cell/agents.go
+++ b/internal/cell/agents.go
@@ -44,6 +44,8 @@
 type agentLink struct {
 	*agent.Link
 	cancel context.CancelFunc
+	// deselected says that the link was ended because its node is not to be an agent any more.
+	deselected bool
 }
 
 func newAgentPool(l *leaderTerm) *agentPool {
@@ -95,6 +97,7 @@
 	selected := agent.Select(candidates, p.workers)
 	for node, link := range p.links {
 		if !slices.Contains(selected, node) {
+			link.deselected = true
 			link.cancel()
 		}
 	}
@@ -111,9 +114,10 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	link := &agentLink{Link: agent.NewLink(l.epoch, l.serving, clock.Now), cancel: cancel}
 	p.links[node] = link
+	client := l.node.peers.client(addr)
 	l.wg.Go(func() {
-		err := link.runStream(ctx, l.node.peers.client(addr))
-		l.node.peers.reset(addr, l.node.peers.client(addr))
+		err := link.runStream(ctx, client)
+		l.node.peers.resetIfSilent(addr, client)
 		p.remove(node, link, err)
 	})
 }
@@ -135,15 +139,17 @@
 	if p.links[node] == link {
 		delete(p.links, node)
 	}
-	p.retryAt[node] = clock.Now().Add(agentRetryDelay)
-	p.updateUsable(clock.Now())
-	if p.term.ctx.Err() == nil {
-		detail := node
-		if err != nil {
-			detail += ": " + err.Error()
-		}
-		p.term.node.record(event.Event{Type: event.AgentLost, Epoch: p.term.epoch, Detail: detail})
+	now := clock.Now()
+	p.updateUsable(now)
+	if link.deselected || p.term.ctx.Err() != nil {
+		return
+	}
+	p.retryAt[node] = now.Add(agentRetryDelay)
+	detail := node
+	if err != nil {
+		detail += ": " + err.Error()
 	}
+	p.term.node.record(event.Event{Type: event.AgentLost, Epoch: p.term.epoch, Detail: detail})
 }
 
 // check ends the links to silent agents and updates the set of usable links.
