cell: files named after what they hold

No change of behaviour: office.go becomes election.go, heartbeat.go and members.go, lead.go becomes term.go, takeover.go and workerlist.go, pace.go speed.go, dark_test.go power_test.go; the two orders that return a code and a clock share their conversion.

--- a/internal/cell/office.go
+++ b/internal/cell/election.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
@@ -16,43 +14,19 @@
 	"dotterelhitch/internal/structs"
 )
 
-// membersTopic has one record for each machine, from which a starting process learns the
-// addresses of the other members.
-const membersTopic = "keyed.members"
-
 const (
 	// claimReadWait is how long a read of the claims topic waits for a new claim.
 	claimReadWait = 2 * time.Second
-	// heartbeatPeriod is the period of a member's heartbeats to the controller in a cell of
-	// up to heartbeatBaseMembers members. In a larger cell it grows by heartbeatPeriod for each
-	// membersPerHeartbeatPeriod further members, up to maxHeartbeatPeriod. heartbeatTimeout bounds one heartbeat; after heartbeatOverdue its
-	// connection may be dead.
-	heartbeatPeriod       = 120 * time.Millisecond
-	heartbeatOverdue      = 400 * time.Millisecond
-	heartbeatTimeout      = 2500 * time.Millisecond
-	maxHeartbeatPeriod    = 1500 * time.Millisecond
-	heartbeatBaseMembers  = 10
-	maxHeartbeatsInFlight = 8
-
-	membersPerHeartbeatPeriod = 5
 	// claimTimeout bounds the append of a claim. A slow store takes half a second for an
 	// append.
 	claimTimeout = time.Second
 	// leaderProbeTimeout bounds the call that asks another member whether the controller
 	// still answers it.
 	leaderProbeTimeout = 250 * time.Millisecond
-	// electionPeriod is the period at which a member decides whether to claim leadership.
-	electionPeriod = 50 * time.Millisecond
-	// A member counts as running for minMemberFreshness or freshHeartbeats periods, whichever is
-	// longer, after its last heartbeat.
-	minMemberFreshness = 2 * time.Second
-	freshHeartbeats    = 3
-	// The controller counts as serving for minServingTimeout or servingHeartbeats periods,
-	// whichever is longer, after its last answer.
-	minServingTimeout = 1500 * time.Millisecond
-	servingHeartbeats = 3
 	// maxProbes is the maximum number of other members that are asked about the controller.
 	maxProbes = 12
+	// electionPeriod is the period at which a member decides whether to claim leadership.
+	electionPeriod = 50 * time.Millisecond
 )
 
 // followClaims reads the claims topic until the node stops. Each read that returns no newer
@@ -98,161 +72,6 @@
 	}
 }
 
-// register appends this member's record to membersTopic, then reads the records of the other
-// members. Both are retried until they succeed or the node stops.
-func (n *Node) register() {
-	value, err := json.Marshal(n.self)
-	if err != nil {
-		n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
-		return
-	}
-	for n.ctx.Err() == nil {
-		_, err = n.log.Append(n.ctx, stream.Append{
-			Topic:   membersTopic,
-			Records: []stream.Record{{Key: n.self.Node, Value: value}},
-		})
-		if err == nil {
-			break
-		}
-		n.sleep(heartbeatPeriod)
-	}
-	for n.ctx.Err() == nil {
-		records, _, err := stream.ReadNewest(n.ctx, n.log, membersTopic)
-		if err == nil {
-			n.applyMemberRecords(records)
-			return
-		}
-		n.sleep(heartbeatPeriod)
-	}
-}
-
-func (n *Node) applyMemberRecords(records []stream.Record) {
-	for i := range records {
-		var m Member
-		if err := json.Unmarshal(records[i].Value, &m); err != nil {
-			n.record(event.Event{Type: event.Alarm, Detail: "member record: " + err.Error()})
-			continue
-		}
-		if m.Node != n.self.Node {
-			n.view.recordMember(m, false, time.Time{})
-		}
-	}
-}
-
-// sendHeartbeats sends heartbeats to the controller until the node stops. A heartbeat does not
-// wait for the answer to the one before: while the controller's link is full its answers come
-// late, but they come. After a refused connection the next heartbeat follows sooner.
-func (n *Node) sendHeartbeats() {
-	inFlight := make(chan struct{}, maxHeartbeatsInFlight)
-	refused := make(chan struct{}, 1)
-	for n.ctx.Err() == nil {
-		claim, _, _ := n.view.latestClaim()
-		if claim.Epoch != 0 && !claim.Resigned && n.term.Load() == nil && claim.Boot != n.self.Boot {
-			n.startHeartbeat(claim, inFlight, refused)
-		}
-		select {
-		case <-n.ctx.Done():
-		case <-time.After(n.heartbeatPeriod()):
-		case <-refused:
-			n.sleep(heartbeatPeriod / 2)
-		case <-n.view.nextChange():
-		}
-	}
-}
-
-// startHeartbeat sends one heartbeat on its own goroutine unless too many are in flight.
-func (n *Node) startHeartbeat(claim election.Claim, inFlight, refused chan struct{}) {
-	select {
-	case inFlight <- struct{}{}:
-	default:
-		return
-	}
-	n.spawn(func() {
-		defer func() { <-inFlight }()
-		if n.heartbeatLeader(claim) {
-			return
-		}
-		select {
-		case refused <- struct{}{}:
-		default:
-		}
-	})
-}
-
-// heartbeatPeriod returns the period of heartbeats for the number of members known. It grows
-// with that number to bound the rate of heartbeats at the controller.
-func (n *Node) heartbeatPeriod() time.Duration {
-	further := max(n.view.knownNodeCount()+1-heartbeatBaseMembers, 0)
-	period := heartbeatPeriod + heartbeatPeriod*time.Duration(further)/membersPerHeartbeatPeriod
-	return min(period, maxHeartbeatPeriod)
-}
-
-// memberFreshness is how recent a member's last heartbeat must be for the controller to count the
-// member as running.
-func (n *Node) memberFreshness() time.Duration {
-	return max(minMemberFreshness, freshHeartbeats*n.heartbeatPeriod())
-}
-
-// leaderServing reports whether the controller serves as far as this member knows.
-func (n *Node) leaderServing() bool {
-	within := max(minServingTimeout, servingHeartbeats*n.heartbeatPeriod())
-	return n.view.leaderServing(clock.Now(), within)
-}
-
-// heartbeatLeader sends one heartbeat to the controller of a claim and applies the response to
-// the view. It returns false if the connection was refused.
-func (n *Node) heartbeatLeader(claim election.Claim) bool {
-	overdue := time.AfterFunc(heartbeatOverdue, func() { n.peers.resetIfSilent(claim.Addr, n.peers.client(claim.Addr)) })
-	defer overdue.Stop()
-	resp, err := n.callHello(claim.Addr, heartbeatTimeout)
-	if err != nil {
-		refused := structs.CodeOf(err) == structs.CodeUnavailable
-		n.view.recordLeaderFailure(claim.Epoch, refused)
-		return !refused
-	}
-	now := clock.Now()
-	if resp.From.GetNode() == claim.Node && resp.From.GetBoot() != claim.Boot {
-		n.view.markLeaderEnded(claim.Epoch, now)
-		return true
-	}
-	n.applyConfig(resp.Config)
-	if !resp.Leads || resp.Epoch != claim.Epoch {
-		return true
-	}
-	n.applyMembers(resp)
-	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, resp.Waiting, now)
-	if resp.Leaving {
-		n.view.markLeaderHandsOver(claim.Epoch, now)
-	}
-	return true
-}
-
-// applyMembers replaces the known members by the controller's list if the response has one.
-func (n *Node) applyMembers(resp *cellv1.HelloResponse) {
-	if len(resp.Members) == 0 {
-		return
-	}
-	members := make([]Member, 0, len(resp.Members))
-	for _, m := range resp.Members {
-		members = append(members, memberFromProto(m))
-	}
-	n.view.replaceMembers(members, resp.MembersVersion, n.self.Node)
-}
-
-func (n *Node) callHello(addr string, timeout time.Duration) (*cellv1.HelloResponse, error) {
-	claim, _, _ := n.view.latestClaim()
-	req := &cellv1.HelloRequest{
-		From:           memberToProto(n.describeSelf()),
-		Epoch:          claim.Epoch,
-		Slow:           n.speed.isSlow(),
-		MembersVersion: n.view.knownMembersVersion(),
-	}
-	if cfg := n.config.Load(); cfg != nil {
-		req.ConfigVersion = cfg.Version
-	}
-	return callPeer(n.ctx, n.peers, addr, timeout, (*peerClient).Hello, req)
-}
-
 // runElection claims leadership when there is no controller or the controller is considered
 // failed. Before it replaces a controller that has only stopped answering, it asks the other
 // members whether the controller still answers them.
--- a/internal/cell/execute.go
+++ b/internal/cell/execute.go
@@ -59,10 +59,7 @@
 		link.Start(order, done)
 		return
 	}
-	go func() {
-		code, clockMs := l.node.workers.Start(l.ctx, l.epoch, order)
-		done(agent.Result{Code: code, ClockMs: clockMs})
-	}()
+	go func() { done(resultOf(l.node.workers.Start(l.ctx, l.epoch, order))) }()
 }
 
 func (l *leaderTerm) stopRun(order *controller.Stop) {
@@ -74,10 +71,12 @@
 		link.Stop(order, done)
 		return
 	}
-	go func() {
-		code, clockMs := l.node.workers.Stop(l.ctx, l.epoch, order)
-		done(agent.Result{Code: code, ClockMs: clockMs})
-	}()
+	go func() { done(resultOf(l.node.workers.Stop(l.ctx, l.epoch, order))) }()
+}
+
+// resultOf returns the result of a start or stop that this member sent itself.
+func resultOf(code controller.OrderResult, clockMs int64) agent.Result {
+	return agent.Result{Code: code, ClockMs: clockMs}
 }
 
 // advisorCallSlack is the time that a call to the advisor may take beyond its expected
--- /dev/null
+++ b/internal/cell/takeover.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"dotterelhitch/internal/clock"
+	"dotterelhitch/internal/controller"
+	"dotterelhitch/internal/election"
+	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/structs"
+)
+
+// takeOver fences the store, so that no earlier controller can append, and loads the jobs from
+// it. It retries failed calls and returns false if the term ends.
+func (l *leaderTerm) takeOver(v election.View, sent time.Time) bool {
+	for !l.takeOverCall(l.store.Fence) {
+		if l.ctx.Err() != nil {
+			return false
+		}
+	}
+	fencedAt := clock.Now()
+	var records []controller.Record
+	for !l.takeOverCall(func(ctx context.Context) (err error) {
+		records, err = l.store.Load(ctx)
+		return err
+	}) {
+		if l.ctx.Err() != nil {
+			return false
+		}
+	}
+	now := clock.Now()
+	l.ctl.ConfirmEpoch(sent)
+	if cfg := l.node.config.Load(); cfg != nil {
+		l.ctl.SetConfig(cfg.Config, now)
+	}
+	if err := l.ctl.Load(records, now); err != nil {
+		l.node.record(event.Event{Type: event.Alarm, Detail: err.Error()})
+		return false
+	}
+	l.ctl.SetPredecessorsExpiry(fencedAt.Add(l.node.opts.Timing.LeaderLease))
+	if v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderProcessEnded || v.Newest.Node == l.node.self.Node {
+		l.predecessorEnded(now)
+	}
+	l.updateAdvisorEntries(now)
+	l.ready.Store(true)
+	l.node.view.recordLeaderAnswer(l.epoch, true, nil, now)
+	return true
+}
+
+// predecessorEnded tells ctl that the predecessor's process has ended or stepped down, so that
+// ctl need not wait until the predecessor's leader lease expires.
+func (l *leaderTerm) predecessorEnded(now time.Time) {
+	if l.ctl.IsOnlyPossiblePredecessor(l.predecessor.epoch) {
+		l.ctl.SetPredecessorsExpiry(now)
+	}
+}
+
+// takeOverRetryPause is the pause after a failed call during takeover.
+const takeOverRetryPause = 100 * time.Millisecond
+
+// takeOverCall makes one store call of the takeover and reports whether it succeeded. It ends
+// the term if the store has seen a newer epoch.
+func (l *leaderTerm) takeOverCall(call func(context.Context) error) bool {
+	err := call(l.ctx)
+	if err == nil {
+		return true
+	}
+	if structs.CodeOf(err) == structs.CodeStaleEpoch {
+		l.stop()
+		return false
+	}
+	l.node.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Epoch: l.epoch, Detail: "taking over: " + structs.AsError(err).Message})
+	l.node.sleep(takeOverRetryPause)
+	return false
+}
