--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -155,9 +155,9 @@
 	newest  atomic.Int64
 	// suspended is the time for which the controller's machine was suspended, in nanoseconds.
 	suspended atomic.Int64
-	stale   atomic.Int64
-	cancel  context.CancelFunc
-	runDone chan error
+	stale     atomic.Int64
+	cancel    context.CancelFunc
+	runDone   chan error
 }
 
 const testEpoch = 4
