A damaged stored record ends no term and is not written over

Cause: one record of a job, its progress or a worker that could not be decoded ended the term of every controller that read it, so that no member could serve. An index below zero in stored progress, or a forwarded job with a dependency on a step that does not exist, was a panic of the process.

Change: the other records are loaded, with an alarm for each that can't be read. A job with a damaged record or progress is kept apart: nothing is started or stored for it, a submission under its ID and a question about it get an error, not 410. A worker with a damaged record counts as in use until all leases of earlier controllers have ended. A forwarded job is validated by the controller too.

--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -116,6 +116,9 @@
 const maxConfirmationAge = 4 * time.Second
 
 func (l *leaderTerm) unknownJobError(id string, now time.Time) error {
+	if l.ctl.Unreadable(id) {
+		return structs.NewError(structs.CodeInternal, "the stored record of job %s can't be read", id)
+	}
 	if now.Sub(time.Unix(0, l.confirmedAt.Load())) > maxConfirmationAge {
 		return structs.NewError(structs.CodeUnavailable, "not certain whether job %s exists", id)
 	}
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -62,6 +62,9 @@
 	if err := json.Unmarshal(req.Job, job); err != nil {
 		return &cellv1.SubmitResponse{Error: errorToProto(structs.NewError(structs.CodeInvalid, "job: %v", err))}, nil
 	}
+	if err := job.Validate(); err != nil {
+		return &cellv1.SubmitResponse{Error: errorToProto(err)}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	return &cellv1.SubmitResponse{Error: errorToProto(l.submit(ctx, job))}, nil
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -34,10 +34,7 @@
 	if cfg := l.node.config.Load(); cfg != nil {
 		l.ctl.SetConfig(cfg.Config, now)
 	}
-	if err := l.ctl.Load(records, now); err != nil {
-		l.node.record(event.Event{Type: event.Alarm, Detail: err.Error()})
-		return false
-	}
+	l.ctl.Load(records, now)
 	l.ctl.SetPredecessorsExpiry(fencedAt.Add(l.node.opts.Timing.LeaderLease))
 	if v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderProcessEnded || v.Newest.Node == l.node.self.Node {
 		l.predecessorEnded(now)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,8 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 
+	// unreadable are the IDs of stored jobs whose records can't be read.
+	unreadable map[string]struct{}
 	// active are the jobs that have not ended.
 	active    map[string]*job
 	recurring map[*job]struct{} // those of active that are recurring
@@ -123,6 +125,7 @@
 		config:             &workload.Config{},
 		jobs:               map[string]*job{},
 		workers:            map[string]*worker{},
+		unreadable:         map[string]struct{}{},
 		active:             map[string]*job{},
 		recurring:          map[*job]struct{}{},
 		waiting:            waitCounts{byClass: map[string]int{}, changed: true},
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -28,6 +28,9 @@
 		}
 		return SubmitPending, nil
 	}
+	if c.Unreadable(spec.ID) {
+		return 0, structs.NewError(structs.CodeInternal, "the stored record of job %s can't be read", spec.ID)
+	}
 	class := c.config.Classes[spec.Class]
 	if class == nil {
 		return 0, structs.NewError(structs.CodeNotFound, "no class %q in configuration version %d", spec.Class, c.config.Version)
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
@@ -12,34 +13,42 @@
 // The functions below restore the state of the earlier controllers from the store.
 
 // Load restores the state from all records of the store. It is called once, before the first
-// order is issued.
-func (c *Controller) Load(records []Record, now time.Time) error {
+// order is issued. A record that can't be read is recorded as an alarm and left as it is; the
+// others are loaded.
+func (c *Controller) Load(records []Record, now time.Time) {
 	specs := map[string]*workload.Job{}
 	progress := map[string]*workload.Progress{}
 	for _, r := range records {
 		switch {
 		case strings.HasPrefix(r.Key, jobPrefix):
+			id := strings.TrimPrefix(r.Key, jobPrefix)
 			spec := &workload.Job{}
-			if err := json.Unmarshal(r.Value, spec); err != nil {
-				return structs.NewError(structs.CodeInternal, "decode stored job %s: %v", r.Key, err)
+			if err := decodeJob(r.Value, id, spec); err != nil {
+				c.markUnreadable(id, r.Key, err)
+				continue
 			}
-			specs[spec.ID] = spec
+			specs[id] = spec
 		case strings.HasPrefix(r.Key, progressPrefix):
+			id := strings.TrimPrefix(r.Key, progressPrefix)
 			p := &workload.Progress{}
 			if err := json.Unmarshal(r.Value, p); err != nil {
-				return structs.NewError(structs.CodeInternal, "decode stored progress %s: %v", r.Key, err)
+				c.markUnreadable(id, r.Key, err)
+				continue
 			}
-			progress[strings.TrimPrefix(r.Key, progressPrefix)] = p
+			progress[id] = p
 		case strings.HasPrefix(r.Key, workerPrefix):
-			if err := c.loadWorker(strings.TrimPrefix(r.Key, workerPrefix), r.Value, now); err != nil {
-				return err
-			}
+			c.loadWorker(strings.TrimPrefix(r.Key, workerPrefix), r.Value, now)
 		case r.Key == predecessorsEndedKey:
 			if err := json.Unmarshal(r.Value, &c.predecessorsEndedBefore); err != nil {
-				return structs.NewError(structs.CodeInternal, "decode stored %s: %v", r.Key, err)
+				c.predecessorsEndedBefore = 0
+				c.recordUnreadable(r.Key, err)
 			}
 		}
 	}
+	for id := range c.unreadable {
+		delete(specs, id)
+		delete(progress, id)
+	}
 	for id, spec := range specs {
 		c.loadJob(spec, progress[id], now)
 		delete(progress, id)
@@ -47,19 +56,48 @@
 	for id, p := range progress {
 		c.loadEnded(id, p, now)
 	}
-	return nil
 }
 
-func (c *Controller) loadWorker(id string, value []byte, now time.Time) error {
+// decodeJob decodes the stored record of a job.
+func decodeJob(value []byte, id string, spec *workload.Job) error {
+	if err := json.Unmarshal(value, spec); err != nil {
+		return err
+	}
+	if spec.ID != id {
+		return structs.NewError(structs.CodeInternal, "the record is of job %q", spec.ID)
+	}
+	return spec.Validate()
+}
+
+// markUnreadable keeps a job apart whose stored record or progress can't be read: what has run of
+// it is not known, so nothing is started or stored for it.
+func (c *Controller) markUnreadable(id, key string, err error) {
+	c.unreadable[id] = struct{}{}
+	c.recordUnreadable(key, err)
+}
+
+func (c *Controller) recordUnreadable(key string, err error) {
+	c.record(event.Event{Type: event.Alarm, Epoch: c.epoch, Detail: "stored record " + key + ": " + err.Error()})
+}
+
+// Unreadable reports whether a job is stored whose record can't be read.
+func (c *Controller) Unreadable(id string) bool {
+	_, unreadable := c.unreadable[id]
+	return unreadable
+}
+
+// loadWorker restores a worker that may be in use. One whose record can't be read has no address;
+// its runs count until every lease of an earlier controller has ended.
+func (c *Controller) loadWorker(id string, value []byte, now time.Time) {
 	var reg workerRecord
 	if err := json.Unmarshal(value, &reg); err != nil {
-		return structs.NewError(structs.CodeInternal, "decode stored worker %s: %v", id, err)
+		reg = workerRecord{}
+		c.recordUnreadable(workerPrefix+id, err)
 	}
 	w := newWorker(workload.Worker{ID: id, Addr: reg.Addr})
 	w.registered = true
 	w.nextPoll = now
 	c.workers[id] = w
-	return nil
 }
 
 // loadEnded restores a job of which only the final state is stored.
@@ -142,7 +180,7 @@
 func (c *Controller) loadTasks(s *step, p *workload.StepProgress) {
 	for i := range p.Tasks {
 		tp := &p.Tasks[i]
-		if tp.Index >= len(s.tasks) {
+		if tp.Index < 0 || tp.Index >= len(s.tasks) {
 			continue
 		}
 		s.job().started = true
