--- a/internal/agent/assign.go
+++ b/internal/agent/assign.go
@@ -22,7 +22,7 @@
 	// controller.
 	workersPerCore     = 160
 	minWorkersPerAgent = 24
-	maxWorkersPerAgent = 128
+	maxWorkersPerAgent = 64
 	// strongShare is the least processor time of a strong member as a share of that of the
 	// strongest one.
 	strongShare = 0.5
