--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -285,9 +285,9 @@
 	})
 }
 
-// TestDelayedReportsDoNotRejuvenateOrders delays what the agent says, so that the controller knows
+// TestDelayedReportsDoNotMakeOrdersYounger delays what the agent says, so that the controller knows
 // only an old reading of its clock. An order must count as older then, never as younger.
-func TestDelayedReportsDoNotRejuvenateOrders(t *testing.T) {
+func TestDelayedReportsDoNotMakeOrdersYounger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newTestLink(t)
 		l.pipe.responsesHeld.hold()
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -132,11 +132,7 @@
 func (n *Node) electionTiming() election.Timing {
 	t := n.opts.Election
 	t.RefusedTimeout = t.LeaderTimeout / 3
-	if missed := minMissedHeartbeats * n.heartbeatPeriod(); n.view.isAgent() {
-		t.LeaderTimeout = max(t.LeaderTimeout, min(n.agentLeaderTimeout(), missed))
-	} else {
-		t.LeaderTimeout = max(t.LeaderTimeout, missed)
-	}
+	t.LeaderTimeout = n.leaderTimeout()
 	latency, direct := n.log.storeLatency()
 	t.ClaimDelay += storeLatencyWeight * latency
 	if !direct {
@@ -149,6 +145,16 @@
 	return t
 }
 
+// leaderTimeout returns the time without an answer after which this member considers the controller
+// failed.
+func (n *Node) leaderTimeout() time.Duration {
+	timeout := minMissedHeartbeats * n.heartbeatPeriod()
+	if n.view.isAgent() {
+		timeout = min(timeout, n.agentLeaderTimeout())
+	}
+	return max(timeout, n.opts.Election.LeaderTimeout)
+}
+
 // agentLeaderTimeout returns the time without a message from the controller after which an agent
 // considers it failed.
 func (n *Node) agentLeaderTimeout() time.Duration {
@@ -213,14 +219,14 @@
 }
 
 // probeMembers asks other members at once about the controller of a claim, maxProbes of them at
-// random if there are more. It returns the number of members that answered, whether the controller answers one of them, and whether one
-// of them knows a newer claim.
+// random if there are more. It returns the number of members that answered, whether the
+// controller answers one of them, and whether one of them knows a newer claim.
 func (n *Node) probeMembers(claim election.Claim) (reached int, leaderHeard, newerClaim bool) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	// In a large cell a member may not have heard from a running controller for longer than
 	// the shortest timeout.
-	recent := max(n.opts.Election.LeaderTimeout, n.electionTiming().LeaderTimeout/2)
+	recent := max(n.opts.Election.LeaderTimeout, n.leaderTimeout()/2)
 	others := slices.DeleteFunc(n.view.otherMembers(time.Time{}), func(m Member) bool { return m.Node == claim.Node })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others[:min(len(others), maxProbes)] {
