One conversion of a worker's answer; renewals check first whether they are needed

A result was built from a worker's answer in the agent and again in the controller's direct path: both call SendPoll, SendStart and SendStop now. The renewal of a gang's tickets sorted and selected workers in each pass before it looked whether enough tickets are valid. Behaviour is unchanged.

--- a/internal/agent/executor.go
+++ b/internal/agent/executor.go
@@ -168,24 +168,17 @@
 	token := batch.Epoch
 	switch {
 	case o.GetPoll() != nil:
-		return func(ctx context.Context) Result {
-			poll, code := e.Workers.Poll(ctx, token, pollFromProto(o))
-			return Result{Code: code, Poll: poll}
-		}
+		return func(ctx context.Context) Result { return SendPoll(ctx, e.Workers, token, pollFromProto(o)) }
 	case o.GetStart() != nil:
 		index := int(o.Start.Payload)
 		if index < 0 || index >= len(batch.Payloads) {
 			return nil
 		}
 		return func(ctx context.Context) Result {
-			code, clockMs := e.Workers.Start(ctx, token, startFromProto(o, batch.Payloads[index]))
-			return Result{Code: code, ClockMs: clockMs}
+			return SendStart(ctx, e.Workers, token, startFromProto(o, batch.Payloads[index]))
 		}
 	case o.GetStop() != nil:
-		return func(ctx context.Context) Result {
-			code, clockMs := e.Workers.Stop(ctx, token, stopFromProto(o))
-			return Result{Code: code, ClockMs: clockMs}
-		}
+		return func(ctx context.Context) Result { return SendStop(ctx, e.Workers, token, stopFromProto(o)) }
 	default:
 		return nil
 	}
--- a/internal/agent/doc.go
+++ b/internal/agent/workers.go
@@ -30,3 +30,21 @@
 	ClockMs int64
 	Poll    *workload.PollResult
 }
+
+// SendPoll sends a poll to its worker and returns the result.
+func SendPoll(ctx context.Context, w Workers, token int64, p *controller.Poll) Result {
+	poll, code := w.Poll(ctx, token, p)
+	return Result{Code: code, Poll: poll}
+}
+
+// SendStart sends a start to its worker and returns the result.
+func SendStart(ctx context.Context, w Workers, token int64, s *controller.Start) Result {
+	code, clockMs := w.Start(ctx, token, s)
+	return Result{Code: code, ClockMs: clockMs}
+}
+
+// SendStop sends a stop to its worker and returns the result.
+func SendStop(ctx context.Context, w Workers, token int64, s *controller.Stop) Result {
+	code, clockMs := w.Stop(ctx, token, s)
+	return Result{Code: code, ClockMs: clockMs}
+}
--- a/internal/cell/execute.go
+++ b/internal/cell/execute.go
@@ -44,10 +44,7 @@
 		link.Poll(order, done)
 		return
 	}
-	go func() {
-		poll, code := l.node.workers.Poll(l.ctx, l.epoch, order)
-		done(agent.Result{Code: code, Poll: poll})
-	}()
+	go func() { done(agent.SendPoll(l.ctx, l.node.workers, l.epoch, order)) }()
 }
 
 func (l *leaderTerm) start(order *controller.Start) {
@@ -59,7 +56,7 @@
 		link.Start(order, done)
 		return
 	}
-	go func() { done(resultOf(l.node.workers.Start(l.ctx, l.epoch, order))) }()
+	go func() { done(agent.SendStart(l.ctx, l.node.workers, l.epoch, order)) }()
 }
 
 func (l *leaderTerm) stopRun(order *controller.Stop) {
@@ -71,12 +68,7 @@
 		link.Stop(order, done)
 		return
 	}
-	go func() { done(resultOf(l.node.workers.Stop(l.ctx, l.epoch, order))) }()
-}
-
-// resultOf returns the result of a start or stop that this member sent itself.
-func resultOf(code controller.OrderResult, clockMs int64) agent.Result {
-	return agent.Result{Code: code, ClockMs: clockMs}
+	go func() { done(agent.SendStop(l.ctx, l.node.workers, l.epoch, order)) }()
 }
 
 // advisorCallSlack is the time that a call to the advisor may take beyond its expected
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -322,7 +322,7 @@
 
 // workersForTicketRenewal returns the workers that are allowed for a gang if the gang is
 // about to fit and too many of them lack valid tickets. Those with the most room for the gang
-// come first; without room for it, workers are asked about only beyond these.
+// come first.
 func (c *Controller) workersForTicketRenewal(s *step, pool []*worker, now time.Time) []*worker {
 	if s.startAt.IsZero() {
 		return nil
@@ -339,10 +339,13 @@
 			ticketed += fit
 		}
 	}
+	if ticketed >= len(s.tasks) {
+		return nil
+	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(b.fit, a.fit) })
 	out := firstWithRoom(found, renewalSurplus*float64(len(s.tasks)))
 	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + ticketLead
-	if ticketed >= len(s.tasks) || s.startAt.Sub(now) > lead {
+	if s.startAt.Sub(now) > lead {
 		return nil
 	}
 	return out
