Waiting gangs neither keep the advisor nor free room from other classes; slow stores are no outage

Pattern: a cell four fifths full with wide gangs beside batch work. Cause: every waiting gang reserved room (a third to a half of the cell in a simulation of that load); late gangs renewed their tickets with most entries; and a gang asked the advisor about few workers, so that it seldom found room on them. Change: gangs reserve at most 0.03 of the capacity ahead of time, the first one always; entries are divided among the classes that ask; a gang asks about six times its room instead of three times. An append counts as an outage of the store only after twice the duration of the last one. Cells of 48 workers: TestMixNearCapacity unchanged.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -17,8 +17,11 @@
 	// commitRetryPause is the pause before a failed append is retried.
 	commitRetryPause = 60 * time.Millisecond
 	// storeOutageThreshold is how long an append may be in flight before submissions are
-	// refused. A store that is only slow answers sooner.
-	storeOutageThreshold = 700 * time.Millisecond
+	// refused. While the store is slow, it is slowStoreFactor times the duration of the last
+	// append, up to maxStoreOutageThreshold.
+	storeOutageThreshold    = 700 * time.Millisecond
+	slowStoreFactor         = 2
+	maxStoreOutageThreshold = 1500 * time.Millisecond
 )
 
 // commitLoop collects changes into batches and appends them to the store until the term ends.
@@ -165,14 +168,8 @@
 }
 
 // storeOutage returns how long the oldest append in flight has been without success, zero if
-// that is less than storeOutageThreshold.
-func (l *leaderTerm) storeOutage(now time.Time) time.Duration {
-	since := l.appends.oldestSince()
-	if since.IsZero() || now.Sub(since) < storeOutageThreshold {
-		return 0
-	}
-	return now.Sub(since)
-}
+// that is no sign of an outage.
+func (l *leaderTerm) storeOutage(now time.Time) time.Duration { return l.appends.outage(now) }
 
 // refuseUnbatched refuses, during an outage of the store, the submissions that are in no batch
 // yet: they have certainly not been stored.
--- a/internal/cell/commit_test.go
+++ b/internal/cell/commit_test.go
@@ -129,3 +129,28 @@
 		t.Error("a second append is allowed while the first is stuck")
 	}
 }
+
+// TestSlowStoreIsNoOutage has an append take little longer than the last one, and far longer.
+func TestSlowStoreIsNoOutage(t *testing.T) {
+	p := newAppendPipeline()
+	start := time.Now()
+	inFlight := func(sequence int64) { p.add(&pendingBatch{sequence: sequence, createdAt: start, cancel: func() {}}) }
+	inFlight(0)
+	if p.outage(start.Add(storeOutageThreshold)) == 0 {
+		t.Error("a store that has not answered yet counts as available")
+	}
+	const took = storeOutageThreshold - 50*time.Millisecond
+	p.confirm(0, took)
+	inFlight(1)
+	if got := p.outage(start.Add(storeOutageThreshold + 50*time.Millisecond)); got != 0 {
+		t.Errorf("an append that takes little longer than the last one counts as an outage of %v", got)
+	}
+	if p.outage(start.Add(maxStoreOutageThreshold)) == 0 {
+		t.Error("a silent store counts as slow")
+	}
+	p.confirm(1, 20*time.Millisecond)
+	inFlight(2)
+	if p.outage(start.Add(storeOutageThreshold)) == 0 {
+		t.Error("a store that was fast and is silent counts as available")
+	}
+}
--- a/internal/cell/pipeline.go
+++ b/internal/cell/pipeline.go
@@ -91,6 +91,22 @@
 	return out
 }
 
+// outage returns how long the oldest batch has been in flight, zero if an append of a store that
+// is only slow may take as long.
+func (p *appendPipeline) outage(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending) == 0 {
+		return 0
+	}
+	age := now.Sub(p.pending[0].createdAt)
+	threshold := min(max(storeOutageThreshold, slowStoreFactor*p.lastAppendTime), maxStoreOutageThreshold)
+	if age < threshold {
+		return 0
+	}
+	return age
+}
+
 // oldestSince returns when the oldest batch in flight was created, the zero time if there is
 // none.
 func (p *appendPipeline) oldestSince() time.Time {
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -84,6 +84,7 @@
 type advisorEntry struct {
 	name     string
 	busy     bool
+	class    string // of the call in flight
 	callSent time.Time
 	call     *AdvisorCall
 	// backoffUntil is the time before which the entry is not used after a failed call.
@@ -144,25 +145,59 @@
 // the last idle entries to short calls.
 const longDecisionTime = 100 * time.Millisecond
 
-// callAdvisor calls the advisor for steps that need tickets, the most urgent first.
+// callAdvisor calls the advisor for steps that need tickets, the most urgent first. Steps of classes
+// that use more than their part of the entries come after the others.
 func (c *Controller) callAdvisor(steps []*step, pool []*worker, now time.Time) {
-	idleEntries := c.idleAdvisorEntries(now)
+	pass := &advisorPass{ctl: c, pool: pool, now: now, idle: c.idleAdvisorEntries(now), shares: c.newAdvisorShares(steps)}
+	var deferred []*step
 	for _, s := range steps {
-		if len(idleEntries) == 0 {
+		if len(pass.idle) == 0 {
 			return
 		}
 		class := s.job().class
 		if class.Advisor == nil {
 			continue
 		}
-		if class.Advisor.DecisionTime >= longDecisionTime && len(idleEntries) <= c.entriesKeptForShortCalls() {
+		left := pass.shares.left(class.Name)
+		if left == 0 {
+			deferred = append(deferred, s)
 			continue
 		}
-		workers := c.workersToAskAbout(s, pool, now)
-		for _, asked := range splitCall(workers, c.parallelCalls(len(idleEntries))) {
-			c.sendAdvisorCall(idleEntries[0], s, asked, now)
-			idleEntries = idleEntries[1:]
+		pass.ask(s, left)
+	}
+	for _, s := range deferred {
+		if len(pass.idle) == 0 {
+			return
 		}
+		pass.ask(s, len(pass.idle))
+	}
+}
+
+// advisorPass is one pass of calls to the advisor.
+type advisorPass struct {
+	ctl    *Controller
+	pool   []*worker
+	now    time.Time
+	idle   []*advisorEntry
+	shares *advisorShares
+}
+
+// ask makes at most maxCalls calls for a step if it needs tickets.
+func (p *advisorPass) ask(s *step, maxCalls int) {
+	class := s.job().class
+	usable := len(p.idle)
+	if class.Advisor.DecisionTime >= longDecisionTime {
+		usable -= p.ctl.entriesKeptForShortCalls()
+	}
+	usable = min(usable, maxCalls)
+	if usable <= 0 {
+		return
+	}
+	workers := p.ctl.workersToAskAbout(s, p.pool, p.now)
+	for _, asked := range splitCall(workers, p.ctl.parallelCalls(usable)) {
+		p.ctl.sendAdvisorCall(p.idle[0], s, asked, p.now)
+		p.idle = p.idle[1:]
+		p.shares.add(class.Name)
 	}
 }
 
@@ -246,7 +281,7 @@
 const (
 	// gangCapacitySurplus is the capacity of allowed workers that a gang searches for, as a
 	// multiple of the capacity needed, so that some of these workers become free soon.
-	gangCapacitySurplus = 3.0
+	gangCapacitySurplus = 6.0
 	// minGangWorkersAsked is the least number of workers in a gang's first call, since the
 	// duration of a call depends mostly on the decision time and not on the number of
 	// workers.
@@ -408,6 +443,7 @@
 		ExpectedDuration: s.job().class.Advisor.CallTime(len(ids)),
 	}
 	entry.busy = true
+	entry.class = s.job().class.Name
 	entry.callSent = now
 	entry.call = &call
 	s.advice.callsInFlight++
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
@@ -108,7 +109,10 @@
 	advisorEntries map[string]*advisorEntry
 	allowedShares  map[string]*allowedShare
 	speeds         speedEstimator
-	// reservations and releaseSchedules are valid during one placement pass.
+	// The fields below are valid during one placement pass. reservedAhead is the capacity that
+	// gangs have reserved before it is free, poolCapacity that of all usable workers.
+	reservedAhead    structs.Resources
+	poolCapacity     structs.Resources
 	reservations     map[*worker][]*reservation
 	releaseSchedules map[*worker][]expectedRelease
 }
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"dotterelhitch/internal/workload"
 )
 
 // newLargeMix returns the load of a large cell: hundreds of workers, and over a hundred short
@@ -67,14 +69,16 @@
 func wideMixClasses() []mixClass {
 	classes := mixClasses()
 	gangs, batch, tight := &classes[0], &classes[1], &classes[2]
+	gangs.class.Advisor = &workload.AdvisorTiming{DecisionTime: 390 * time.Millisecond, TimePerWorker: 5600 * time.Microsecond, TicketValidity: 2500 * time.Millisecond}
+	batch.class.Advisor = &workload.AdvisorTiming{DecisionTime: 140 * time.Millisecond, TimePerWorker: 2 * time.Millisecond, TicketValidity: 2500 * time.Millisecond}
 	gangs.jobsPerSecond, gangs.meanTasks, gangs.maxTasks = 8.3, 32, 160
-	gangs.meanCPU, gangs.maxCPU, gangs.meanMemory, gangs.maxMemory = 4500, 13500, 4000, 12000
+	gangs.meanCPU, gangs.maxCPU, gangs.meanMemory, gangs.maxMemory = 4500, 7600, 8600, 17000
 	gangs.meanRunTime = 5 * time.Second
 	batch.jobsPerSecond, batch.meanTasks, batch.maxTasks = 11.2, 32, 160
-	batch.meanCPU, batch.maxCPU, batch.meanMemory, batch.maxMemory = 2700, 8100, 3000, 9000
+	batch.meanCPU, batch.maxCPU, batch.meanMemory, batch.maxMemory = 2700, 8200, 2800, 8400
 	batch.meanRunTime = 3400 * time.Millisecond
 	tight.jobsPerSecond, tight.meanTasks, tight.maxTasks = 114, 4, 24
-	tight.meanCPU, tight.maxCPU, tight.meanMemory, tight.maxMemory = 3900, 11700, 4000, 12000
+	tight.meanCPU, tight.maxCPU, tight.meanMemory, tight.maxMemory = 3900, 12000, 5600, 17000
 	tight.meanRunTime = time.Second
 	return classes
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -20,6 +20,7 @@
 	clear(c.reservations)
 	clear(c.releaseSchedules)
 	pool := c.usableWorkers(now)
+	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
 	steps := sortedSteps(c.readySteps, now)
 	for _, s := range steps {
 		switch {
@@ -47,6 +48,15 @@
 	return out
 }
 
+// totalCapacity returns the capacity of some workers.
+func totalCapacity(workers []*worker) structs.Resources {
+	var total structs.Resources
+	for _, w := range workers {
+		total = total.Add(w.info.Capacity)
+	}
+	return total
+}
+
 // stepsForAdvisor returns the steps to ask the advisor about, the most urgent first: those of
 // a pass that still have tasks to start, and those whose job is being stored, so that the
 // advisor's answer arrives meanwhile.
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -86,13 +86,34 @@
 	}
 	slices.SortStableFunc(slots, func(a, b futureSlot) int { return a.at.Compare(b.at) })
 	slots = slots[:need]
-	s.startAt = slots[need-1].at
+	startAt := slots[need-1].at
+	if startAt.After(now) && !c.mayReserveAhead() {
+		return
+	}
+	s.startAt = startAt
 	if s.waitingSince.IsZero() {
 		s.waitingSince = now
 	}
 	for _, slot := range slots {
 		c.addReservation(s, slot.w, s.size, s.startAt)
 	}
+	if startAt.After(now) {
+		c.reservedAhead = c.reservedAhead.Add(s.size.Times(int64(need)))
+	}
+}
+
+// maxReservedShare is the share of the workers' capacity beyond which no further gang reserves room
+// that is not free yet. What a gang has reserved is idle until the last of it is free, so with many
+// waiting gangs only the most urgent ones may reserve.
+const maxReservedShare = 0.03
+
+// mayReserveAhead reports whether one more gang may reserve room that is not free yet.
+func (c *Controller) mayReserveAhead() bool {
+	share := max(
+		fraction(c.reservedAhead.CPUMilli, c.poolCapacity.CPUMilli),
+		fraction(c.reservedAhead.MemoryMiB, c.poolCapacity.MemoryMiB),
+	)
+	return share < maxReservedShare
 }
 
 // futureSlots returns the capacity for tasks of a gang on the workers that it may use, with
