--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -64,7 +64,7 @@
 	if len(s.startableTasks(now)) == 0 {
 		return waitCause{reason: s.whyNotStartable(now)}
 	}
-	var ofService, labelled, largeEnough, withVerdict, allowed, slots int
+	var ofService, labelled, largeEnough, withRoom, withVerdict, allowed, slots int
 	for _, w := range c.workers {
 		if !w.listed || w.info.Service != s.job().class.Service {
 			continue
@@ -79,6 +79,9 @@
 			continue
 		}
 		largeEnough++
+		if c.fitCount(s, w, now) > 0 {
+			withRoom++
+		}
 		if s.verdictKnown(w) {
 			withVerdict++
 		}
@@ -94,6 +97,9 @@
 		return waitCause{reason: WaitNoLabel, workers: ofService}
 	case largeEnough == 0:
 		return waitCause{reason: WaitTooLarge, workers: labelled}
+	case s.gang == nil && allowed == 0 && withVerdict < largeEnough && withRoom == 0:
+		// The advisor is asked only about workers with room.
+		return waitCause{reason: WaitCapacity, workers: largeEnough}
 	case allowed == 0 && withVerdict < largeEnough:
 		return waitCause{reason: WaitAdvisor, workers: largeEnough - withVerdict}
 	case allowed == 0:
--- a/internal/controller/explain_test.go
+++ b/internal/controller/explain_test.go
@@ -59,3 +59,23 @@
 		})
 	}
 }
+
+// TestFullWorkersAreReportedBeforeTheAdvisor submits a job whose class needs the advisor while no
+// worker has room for it: the advisor is not asked, and the reason is the missing room.
+func TestFullWorkersAreReportedBeforeTheAdvisor(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorkers(2, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return time.Hour, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(simpleJob("fill", "batch", 2, 3500, nil))
+	sim.advance(time.Second)
+	sim.submit(simpleJob("j1", "gang", 1, 1000, nil))
+	sim.advance(time.Second)
+	s := sim.ctl.findStep(workload.StepID{Job: "j1"})
+	if got := sim.ctl.waitCauseOf(s, sim.now); got.reason != WaitCapacity {
+		t.Errorf("wait reason %q, want %q", got.reason, WaitCapacity)
+	}
+}
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -91,3 +91,26 @@
 		m.playArrivals(time.Second)
 	}
 }
+
+// BenchmarkWideMix plays bursts of short jobs and of gangs at 1.2 times the load of newWideMix and
+// reports the value of each class as a share of what it could be.
+func BenchmarkWideMix(b *testing.B) {
+	for b.Loop() {
+		m := newWideMix(b, 1)
+		m.loadFactor = 1.2
+		gangs, tight := &m.classes[0], &m.classes[2]
+		m.playArrivals(4 * time.Second)
+		tight.jobsPerSecond *= 2.1
+		m.playArrivals(4 * time.Second)
+		tight.jobsPerSecond /= 2.1
+		m.playArrivals(8 * time.Second)
+		gangs.jobsPerSecond *= 1.6
+		m.playArrivals(4 * time.Second)
+		gangs.jobsPerSecond /= 1.6
+		m.playArrivals(8 * time.Second)
+		m.advanceAndWatch(8 * time.Second)
+		for i, r := range m.results() {
+			b.ReportMetric(r.value/r.maxValue, m.classes[i].name+"-value")
+		}
+	}
+}
