Events of stops and the reason of a lost run

What callers saw: tasks that ran twice while workers carried orders out late and refused others. The log could not tell three hypotheses apart (docs/incidents/issue-24-late-starts.md): it had no line for a stop or its answer, and task_lost did not say why the run counted as ended. No logic is changed.

--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -144,7 +144,7 @@
 	}
 	for _, r := range w.runs {
 		if r.listedByWorker {
-			c.runLost(r, now)
+			c.runLost(r, lostWithBoot, now)
 		}
 	}
 }
@@ -378,9 +378,11 @@
 		if present[id] || r.inFlight {
 			continue
 		}
-		ended := !r.confirmedAt.IsZero() && sent.After(r.confirmedAt) || !r.stopAcked.IsZero() && sent.After(r.stopAcked)
-		if ended {
-			c.runLost(r, now)
+		switch {
+		case !r.confirmedAt.IsZero() && sent.After(r.confirmedAt):
+			c.runLost(r, lostAfterStart, now)
+		case !r.stopAcked.IsZero() && sent.After(r.stopAcked):
+			c.runLost(r, lostAfterStop, now)
 		}
 	}
 	for id, orphan := range w.orphans {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -65,10 +65,19 @@
 	}
 }
 
-// runLost ends a run that has certainly ended but whose end no worker will list.
-func (c *Controller) runLost(r *run, now time.Time) {
+// The reasons why a run is known to have ended although no worker lists its end, in events.
+const (
+	lostAfterStart = "absent after its start was answered"
+	lostAfterStop  = "absent after its stop was carried out"
+	lostWithBoot   = "its worker was restarted"
+	lostWithLease  = "its worker's lease expired"
+)
+
+// runLost ends a run that has certainly ended but whose end no worker will list. The reason is
+// for the event.
+func (c *Controller) runLost(r *run, reason string, now time.Time) {
 	t := r.task
-	c.recordRun(event.TaskLost, r, "")
+	c.recordRun(event.TaskLost, r, reason)
 	c.removeRun(r)
 	if t.done || t.step.job().ended() {
 		return
@@ -274,6 +283,7 @@
 func (c *Controller) sendStop(r *run, now time.Time) {
 	r.stopSent = now
 	r.inFlight = true
+	c.recordRun(event.TaskStopSent, r, "")
 	c.orders.Stops = append(c.orders.Stops, Stop{Worker: r.worker.info.ID, Addr: r.worker.info.Addr, Run: r.id()})
 }
 
@@ -380,6 +390,7 @@
 		return
 	}
 	r.inFlight = false
+	c.recordRun(event.TaskStopAnswered, r, result.String())
 	if result.HasResponse() {
 		r.state = runStopping
 		r.stopAcked = now
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -124,7 +124,7 @@
 	w.accountedFor = true
 	c.recordWorker(event.WorkerLeasesExpired, w, "")
 	for _, r := range w.runs {
-		c.runLost(r, now)
+		c.runLost(r, lostWithLease, now)
 	}
 	for id := range w.orphans {
 		c.removeOrphan(w, id)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,7 +67,9 @@
 	StepWaiting         Type = "step_waits"       // tasks wait: Task (step), Count (tasks), Candidates (workers that could run them but for the reason), AgeMs (expected time until a gang starts), Detail (reason)
 	TaskMoved           Type = "task_moved"       // a run is stalled or slow and is started on another worker: Task, Attempt, Worker
 	TaskRefused         Type = "task_refused"     // a worker refused to start a task: Task, Attempt, Worker, Detail (answer)
-	TaskLost            Type = "task_lost"        // a run ended without its end being observed: Task, Attempt, Worker
+	TaskLost            Type = "task_lost"        // a run ended without its end being observed: Task, Attempt, Worker, Detail (why)
+	TaskStopSent        Type = "task_stop"        // the controller orders a stop: Task, Attempt, Worker
+	TaskStopAnswered    Type = "task_stop_result" // the result of a stop order: Task, Attempt, Worker, Detail (answer)
 	AdviceReceived      Type = "advice_got"       // Task (step), Candidates (asked), Count (allowed), AgeMs, Member (lane)
 	AdviceFailed        Type = "advice_failed"    // the same
 	JobRefused          Type = "job_refused"      // a submission was refused: Job, Class, Code, Count (load), AgeMs
