--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -19,6 +19,7 @@
 	draining    bool
 	up          bool // runs and can respond
 	partitioned bool // runs, but can't be reached
+	unhealthy   bool // refuses starts and stops
 	stalled     bool // its runs make no progress
 	stalledAt   time.Time
 	boot        int64
@@ -265,12 +266,20 @@
 func (sim *simulation) start(ctl *Controller, s Start) {
 	sent := sim.now
 	sim.callWorker(ctl, s.Worker, func(f *fakeWorker) func() {
-		result := f.startRun(ctl.epoch, &s)
+		result := RefusedUnhealthy
+		if !f.refusesOrder() {
+			result = f.startRun(ctl.epoch, &s)
+		}
 		clock := f.clock()
 		return func() { ctl.StartDone(s.Worker, s.Run, result, clock, sent, sim.now) }
 	}, func(failure OrderResult) { ctl.StartDone(s.Worker, s.Run, failure, 0, sent, sim.now) })
 }
 
+// refusesOrder reports whether the worker answers a start or stop that arrives now with an error.
+func (f *fakeWorker) refusesOrder() bool {
+	return f.unhealthy || f.sim.refusedOrderShare > 0 && f.sim.rng.Float64() < f.sim.refusedOrderShare
+}
+
 // startRun carries out a start order.
 func (f *fakeWorker) startRun(token int64, s *Start) OrderResult {
 	sim := f.sim
@@ -352,9 +361,12 @@
 	sent := sim.now
 	sim.callWorker(ctl, s.Worker, func(f *fakeWorker) func() {
 		result := CarriedOut
-		if ctl.epoch < f.fencingToken {
+		switch {
+		case f.refusesOrder():
+			result = RefusedUnhealthy
+		case ctl.epoch < f.fencingToken:
 			result = RefusedStaleToken
-		} else {
+		default:
 			f.fencingToken = ctl.epoch
 			f.stopRun(s.Run)
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -33,6 +33,7 @@
 	advisorEntries    []string
 	lostAnswerShare   float64 // share of orders that are carried out but get no response
 	delayedOrderShare float64 // share of orders that are carried out 2 to 12 s later and get no response
+	refusedOrderShare float64 // share of starts and stops that an unhealthy worker refuses
 	meanLatency       time.Duration
 
 	committing       bool
