A refused stop is not in force: it is sent again

Cause: StopDone took every response for the worker's word that the stop was carried out, also one with which an unhealthy worker says that it has done nothing. The next poll that did not list the run ended it, its room counted as free and the task started again, while an earlier start of the run was still on its way.

Change: OrderResult.Effect tells three cases apart: done, none, unknown. HasResponse, which mixed the first two, is gone. A stop is in force only if it was carried out or the worker says that the run has ended there; otherwise it is sent again.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -98,8 +98,34 @@
 	return "unknown"
 }
 
-// HasResponse reports whether the worker has responded.
-func (r OrderResult) HasResponse() bool { return r != NotDelivered && r != NoResponse }
+// Effect is what the sender of an order knows of its effect on the worker. The three cases must
+// never be confused: what was refused, and what may still happen, has not happened.
+type Effect uint8
+
+// The effects of an order.
+const (
+	// EffectUnknown means that the order may have been carried out, or may be carried out later.
+	EffectUnknown Effect = iota
+	// EffectNone means that this order certainly has no effect and never will. An earlier copy of
+	// it may.
+	EffectNone
+	// EffectDone means that the worker has done what the order asks for.
+	EffectDone
+)
+
+// Effect returns what the result says of the order's effect. A result that is not known says
+// nothing.
+func (r OrderResult) Effect() Effect {
+	switch r {
+	case CarriedOut:
+		return EffectDone
+	case RefusedStaleToken, RefusedEndedRun, RefusedLeaseExpired, RefusedNoCapacity, RefusedTicket,
+		RefusedBoot, RefusedUnhealthy, RefusedMalformed, NotDelivered:
+		return EffectNone
+	default:
+		return EffectUnknown
+	}
+}
 
 // NextOrders returns the orders that are due and removes them from the controller. Without a
 // leader lease it adds no polls, starts, repeated orders or advisor calls.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -291,7 +291,7 @@
 // known. It also records the clock reading in the worker's response, if there was one.
 func (c *Controller) workerForResult(id string, result OrderResult, clockMs int64, sent, now time.Time) *worker {
 	w := c.workers[id]
-	if w != nil && result.HasResponse() && clockMs > 0 && result != RefusedBoot {
+	if w != nil && clockMs > 0 && result != RefusedBoot {
 		c.recordClock(w, clockMs, sent, now)
 	}
 	return w
@@ -334,7 +334,7 @@
 		r.confirmedAt = now
 	case NoResponse:
 		r.state = runStartUnknown
-		c.retryLater(r, now)
+		c.retryLater(r, orderRetryPause, now)
 	default:
 		c.startRefused(r, result, now)
 	}
@@ -343,8 +343,12 @@
 	}
 }
 
-// orderRetryPause is the pause before an order without a response is sent again.
-const orderRetryPause = 30 * time.Millisecond
+const (
+	// orderRetryPause is the pause before an order without a response is sent again.
+	orderRetryPause = 30 * time.Millisecond
+	// refusedStopPause is the pause before a stop that was refused is sent again.
+	refusedStopPause = 150 * time.Millisecond
+)
 
 // startRefused processes the refusal of a start. The run is removed, unless an earlier start
 // order may have taken effect.
@@ -382,7 +386,7 @@
 	if result == RefusedStaleToken {
 		c.markFenced(w)
 	}
-	if orphan := w.orphans[run]; orphan != nil && result.HasResponse() {
+	if orphan := w.orphans[run]; orphan != nil && stopInForce(result) {
 		orphan.stopSent = now
 	}
 	r := w.runs[run]
@@ -391,17 +395,31 @@
 	}
 	r.inFlight = false
 	c.recordRun(event.TaskStopAnswered, r, result.String())
-	if result.HasResponse() {
+	if stopInForce(result) {
 		r.state = runStopping
 		r.stopAcked = now
 		return
 	}
-	c.retryLater(r, now)
+	c.retryLater(r, stopRetryPause(result), now)
+}
+
+// stopInForce reports whether the worker refuses every start of the run from now on: it has carried
+// out the stop, or it says that the run has ended there.
+func stopInForce(result OrderResult) bool {
+	return result.Effect() == EffectDone || result == RefusedEndedRun
+}
+
+// stopRetryPause returns the pause before a stop that is not in force is sent again.
+func stopRetryPause(result OrderResult) time.Duration {
+	if result.Effect() == EffectUnknown {
+		return orderRetryPause
+	}
+	return refusedStopPause
 }
 
 // retryLater schedules the order for a run to be sent again.
-func (c *Controller) retryLater(r *run, now time.Time) {
-	r.retryAt = now.Add(orderRetryPause)
+func (c *Controller) retryLater(r *run, pause time.Duration, now time.Time) {
+	r.retryAt = now.Add(pause)
 	c.retries[r] = struct{}{}
 	c.wakeups.add(r.retryAt)
 }
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -75,7 +75,7 @@
 	runStarting     runState = iota // the start order is in flight
 	runStartUnknown                 // the start order got no response
 	runRunning
-	runStopping // the stop order was answered; the end is not listed yet
+	runStopping // the worker has carried out the stop; the end is not listed yet
 )
 
 // run is a run of a task that may be present on a worker.
@@ -89,7 +89,7 @@
 	startSent      time.Time // when the start order was first sent
 	confirmedAt    time.Time // when the worker confirmed the run
 	stopSent       time.Time // when the stop order was last sent
-	stopAcked      time.Time // when the worker last answered a stop order
+	stopAcked      time.Time // when the worker last said that the run is stopped or has ended
 	stopping       bool      // the stop was requested
 	retryAt        time.Time
 	inFlight       bool // a start or stop order is in flight
