The stop of a run that an earlier controller left is repeated

The stop of an orphan run was sent once; refused or unanswered, it was never sent again while the lease of the worker was renewed, and the run's room was given back without the worker's word.

Change: an orphan run keeps whether its stop is in force; polls repeat it until it is, and only then does the run's absence end it.

--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -276,10 +276,20 @@
 }
 
 func (c *Controller) stopOrphan(w *worker, orphan *orphanRun, now time.Time) {
+	orphan.stopInFlight = true
 	orphan.stopSent = now
 	c.orders.Stops = append(c.orders.Stops, Stop{Worker: w.info.ID, Addr: w.info.Addr, Run: orphan.run})
 }
 
+// repeatOrphanStop sends the stop of an orphan run again if an earlier one was refused or got no
+// response. Each poll gives the occasion.
+func (c *Controller) repeatOrphanStop(w *worker, orphan *orphanRun, now time.Time) {
+	if orphan.stopInFlight || now.Sub(orphan.stopSent) < refusedStopPause || !c.HasLeaderLease(now) {
+		return
+	}
+	c.stopOrphan(w, orphan, now)
+}
+
 func (c *Controller) removeOrphan(w *worker, id workload.Run) {
 	orphan := w.orphans[id]
 	if orphan == nil {
@@ -386,7 +396,10 @@
 		}
 	}
 	for id, orphan := range w.orphans {
-		if !present[id] && sent.After(orphan.stopSent) {
+		switch {
+		case orphan.stopAcked.IsZero():
+			c.repeatOrphanStop(w, orphan, now)
+		case !present[id] && sent.After(orphan.stopAcked):
 			c.removeOrphan(w, id)
 		}
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -386,8 +386,11 @@
 	if result == RefusedStaleToken {
 		c.markFenced(w)
 	}
-	if orphan := w.orphans[run]; orphan != nil && stopInForce(result) {
-		orphan.stopSent = now
+	if orphan := w.orphans[run]; orphan != nil {
+		orphan.stopInFlight = false
+		if stopInForce(result) {
+			orphan.stopAcked = now
+		}
 	}
 	r := w.runs[run]
 	if r == nil {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -65,7 +65,12 @@
 	task      *task // nil if the task is not known
 	size      structs.Resources
 	sizeKnown bool // whether size is known
-	stopSent  time.Time
+	// stopInFlight says that a stop order is in flight, stopSent when the last one was sent.
+	stopInFlight bool
+	stopSent     time.Time
+	// stopAcked is when the worker last said that the run is stopped or has ended, zero if it
+	// has not.
+	stopAcked time.Time
 }
 
 // runState is the state of a run as far as the controller knows it.
