Orders to a crashed worker wait for its answer to a poll

Cause: a crashed worker refuses connections at once, and the stop of each of its runs was sent again every 30 ms: 7,012 stops in 15 s used up the controller's processor.

Change: an order is sent again only to a worker that answers polls; while it refuses connections, one order at a time and not before pollRetryPause.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -234,6 +234,9 @@
 				duration += 40 * time.Second
 			}
 			sim.after(duration, func() {
+				if f.up || f.replaced {
+					return
+				}
 				f.start()
 				sim.listWorker(f)
 			})
@@ -290,6 +293,9 @@
 	for _, id := range sim.workerIDs() {
 		f := sim.workers[id]
 		f.partitioned = false
+		if f.replaced {
+			continue
+		}
 		if !f.up {
 			f.start()
 		}
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -18,6 +18,8 @@
 	listed      bool
 	draining    bool
 	up          bool // runs and can respond
+	replaced    bool // another worker runs at its address
+	portClosed  bool // refuses connections while it is down
 	partitioned bool // runs, but can't be reached
 	unhealthy   bool // refuses starts and stops
 	stalled     bool // its runs make no progress
@@ -76,6 +78,9 @@
 // crash ends everything on the worker.
 func (f *fakeWorker) crash() {
 	f.up = false
+	for id := range f.runs {
+		f.sim.crashesUnder[id]++
+	}
 	f.runs = map[workload.TaskID]*fakeRun{}
 }
 
@@ -164,6 +169,10 @@
 	sim.after(sim.networkDelay(), func() {
 		f := sim.workers[id]
 		switch {
+		case f != nil && f.replaced && !f.partitioned:
+			respond(func() { fail(RefusedBoot) })
+		case f != nil && !f.up && f.portClosed && !f.partitioned:
+			respond(func() { fail(NotDelivered) })
 		case f == nil || !f.up || f.partitioned:
 			timeout()
 		case draw < sim.delayedOrderShare:
@@ -270,6 +279,9 @@
 		if !f.refusesOrder() {
 			result = f.startRun(ctl.epoch, &s)
 		}
+		if !f.up {
+			return func() { ctl.StartDone(s.Worker, s.Run, NoResponse, 0, sent, sim.now) }
+		}
 		clock := f.clock()
 		return func() { ctl.StartDone(s.Worker, s.Run, result, clock, sent, sim.now) }
 	}, func(failure OrderResult) { ctl.StartDone(s.Worker, s.Run, failure, 0, sent, sim.now) })
@@ -303,6 +315,10 @@
 	r := &fakeRun{id: s.Run, step: step, startedAt: sim.now, reason: reason, endAt: sim.now.Add(runTime), waitsForGang: step.Gang}
 	f.runs[s.Run.Task] = r
 	f.extendLease(s.LeaseDeadlineMs)
+	if sim.deadly != nil && sim.deadly(s.Run.Task) {
+		sim.crashByTask(f)
+		return CarriedOut
+	}
 	if step.Gang {
 		sim.gangStarted(f, r, runTime)
 		return CarriedOut
@@ -359,6 +375,7 @@
 
 func (sim *simulation) stop(ctl *Controller, s Stop) {
 	sent := sim.now
+	sim.stopsSent++
 	sim.callWorker(ctl, s.Worker, func(f *fakeWorker) func() {
 		result := CarriedOut
 		switch {
@@ -445,6 +462,66 @@
 	}
 }
 
+// Bounds on the starts of a task that crashes its workers: after maxCrashesUnderTask workers have
+// crashed under it, fewer than maxStartsAfterCrashes starts may follow.
+const (
+	maxCrashesUnderTask   = 3
+	maxStartsAfterCrashes = 3
+)
+
+// crashByTask crashes a worker at which a deadly task starts, at once or a moment later. After some
+// seconds it is back, under its own ID or as another worker at the same address.
+func (sim *simulation) crashByTask(f *fakeWorker) {
+	boot := f.boot
+	crash := func() {
+		if !f.up || f.boot != boot {
+			return
+		}
+		f.crash()
+		sim.after(3*time.Second+time.Duration(sim.rng.Int64N(int64(time.Second))), func() { sim.comeBack(f) })
+	}
+	if sim.rng.IntN(2) == 0 {
+		crash()
+		return
+	}
+	sim.after(time.Duration(sim.rng.Int64N(int64(20*time.Millisecond))), crash)
+}
+
+// comeBack starts a crashed worker again, under its own ID or as another worker at its address.
+func (sim *simulation) comeBack(f *fakeWorker) {
+	if f.up {
+		return
+	}
+	if sim.rng.IntN(2) == 0 {
+		f.start()
+		sim.listWorker(f)
+		return
+	}
+	f.replaced = true
+	fresh := &fakeWorker{sim: sim, id: f.id + "+", capacity: f.capacity, rack: f.rack}
+	fresh.start()
+	sim.workers[fresh.id] = fresh
+	sim.listWorker(fresh)
+	sim.after(2*time.Second, func() {
+		f.listed = false
+		if sim.ctl != nil {
+			sim.ctl.UnlistWorker(f.id, sim.now)
+		}
+	})
+}
+
+// checkCrashBudget checks how often a task is started after several workers crashed under it.
+func (sim *simulation) checkCrashBudget(s *Start) {
+	id := s.Run.Task
+	if sim.crashesUnder[id] < maxCrashesUnderTask {
+		return
+	}
+	sim.startsAfterCrashes[id]++
+	if n := sim.startsAfterCrashes[id]; n >= maxStartsAfterCrashes {
+		sim.violation("%s is start %d after %d workers crashed under its task", s.Run, n, maxCrashesUnderTask)
+	}
+}
+
 // checkStart checks the guarantees of the controller for a start.
 func (sim *simulation) checkStart(f *fakeWorker, s *Start) {
 	id := s.Run.Task
@@ -478,6 +555,9 @@
 		}
 		sim.maxStartDelay = max(sim.maxStartDelay, late)
 	}
+	if sim.deadly != nil && sim.deadly(id) {
+		sim.checkCrashBudget(s)
+	}
 	if s.Payload != job.Payload {
 		sim.violation("%s has a payload other than its job's", s.Run)
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -291,7 +291,11 @@
 // known. It also records the clock reading in the worker's response, if there was one.
 func (c *Controller) workerForResult(id string, result OrderResult, clockMs int64, sent, now time.Time) *worker {
 	w := c.workers[id]
-	if w != nil && clockMs > 0 && result != RefusedBoot {
+	if w == nil {
+		return nil
+	}
+	w.refusesConnections = result == NotDelivered
+	if clockMs > 0 && result != RefusedBoot {
 		c.recordClock(w, clockMs, sent, now)
 	}
 	return w
@@ -427,14 +431,14 @@
 	c.wakeups.add(r.retryAt)
 }
 
-// sendRetries resends the orders that got no response and whose pause has passed.
+// sendRetries resends the orders that are not in force and whose pause has passed.
 func (c *Controller) sendRetries(now time.Time) {
 	for r := range c.retries {
 		if r.worker.runs[r.id()] != r {
 			delete(c.retries, r)
 			continue
 		}
-		if r.inFlight || now.Before(r.retryAt) {
+		if r.inFlight || now.Before(r.retryAt) || !r.worker.takesRetry(now) {
 			continue
 		}
 		delete(c.retries, r)
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -34,8 +34,12 @@
 	pollSent         time.Time
 	nextPoll         time.Time
 	pollFailures     int // consecutive failed polls
-	leaseExpired     bool
-	noStartsUntil    time.Time
+	// refusesConnections says that the latest order was not delivered. Until another one is, only
+	// one order is sent again at a time, not before nextRetry.
+	refusesConnections bool
+	nextRetry          time.Time
+	leaseExpired       bool
+	noStartsUntil      time.Time
 
 	speed  speedEstimate
 	health healthRecord
@@ -141,6 +145,16 @@
 	return !w.polling || now.Sub(w.pollSent) < pollTimeout
 }
 
+// takesRetry reports whether an order may be sent to the worker again now. A worker that does not
+// answer polls would not answer the order either.
+func (w *worker) takesRetry(now time.Time) bool {
+	if w.pollFailures > 0 || w.refusesConnections && now.Before(w.nextRetry) {
+		return false
+	}
+	w.nextRetry = now.Add(pollRetryPause)
+	return true
+}
+
 // pollTimeout is how long a poll may be in flight before the worker counts as unreachable. It
 // covers Timing.PollWait and a slow round trip.
 const pollTimeout = 2500 * time.Millisecond
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -46,12 +46,20 @@
 	accepted         map[string]bool
 	// startsSent counts the starts by the current controller.
 	startsSent int
+	// stopsSent counts the stops by all controllers.
+	stopsSent int
 	// maxStartDelay is the longest time between an occurrence's scheduled time and its start.
 	maxStartDelay time.Duration
 	ackedDone     map[workload.TaskID]bool // tasks of which an end with EndDone was acknowledged
 	ackedFailures map[workload.TaskID]int  // acknowledged failures
-	drawResult    func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason)
-	record        func(event.Event)
+	// deadly tells the tasks that crash each worker that starts them. crashesUnder counts the
+	// workers that crashed while they ran a task, startsAfterCrashes the starts since there were
+	// maxCrashesUnderTask.
+	deadly             func(workload.TaskID) bool
+	crashesUnder       map[workload.TaskID]int
+	startsAfterCrashes map[workload.TaskID]int
+	drawResult         func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason)
+	record             func(event.Event)
 }
 
 // simulationStart is the start of the virtual time.
@@ -117,6 +125,9 @@
 		accepted:         map[string]bool{},
 		ackedDone:        map[workload.TaskID]bool{},
 		ackedFailures:    map[workload.TaskID]int{},
+
+		crashesUnder:       map[workload.TaskID]int{},
+		startsAfterCrashes: map[workload.TaskID]int{},
 	}
 	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
 		return time.Second, workload.EndDone
