Only confirmed runs count as crashed; suspicion alone is stored too

Cause: the start of its first run got no answer because the worker had crashed just before; it counted as certain. And a suspicion without a certain crash was not stored, so that the next controller began to count anew.

Change: only a run that was confirmed counts as a certain crash; three possible ones in a row give a task up as well. The progress of a task with only a suspicion is stored.

--- a/internal/controller/crash.go
+++ b/internal/controller/crash.go
@@ -27,7 +27,8 @@
 	sharedCrashWorkers = 2
 	// maxCrashes is the number of workers after whose crashes a task is given up whoever is to blame.
 	maxCrashes = 4
-	// maxSuspicion is the same for crashes shortly after a start, of which no worker has outlived one.
+	// maxSuspicion is the same for crashes after which it is not certain that the task had started,
+	// if no worker has outlived a start in between.
 	maxSuspicion = 3
 )
 
@@ -70,7 +71,8 @@
 		if t.done || t.step.job().ended() {
 			continue
 		}
-		if w.mustHaveHad(r) {
+		// A start without an answer may have been sent to a worker that had crashed before.
+		if !r.confirmedAt.IsZero() {
 			t.crashes++
 		}
 		if r.outlived {
@@ -111,12 +113,6 @@
 	return t.suspicionVersion <= t.step.job().storedProgressVersion
 }
 
-// mustHaveHad reports whether a run was certainly on the worker when it crashed. The start of the run
-// may have got no answer because of the crash, or because the worker was silent before.
-func (w *worker) mustHaveHad(r *run) bool {
-	return !r.confirmedAt.IsZero() || r.startSent.Before(w.silentAfter)
-}
-
 // crashedWithOthers reports whether several workers fell silent at the same moment. Then a fault that
 // they share is a likelier cause than a task.
 func (c *Controller) crashedWithOthers(w *worker) bool {
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -322,7 +322,7 @@
 	case t.index == 0:
 		tp.FailedRuns, tp.Checkpoint = g.failedRuns, g.checkpoint
 	}
-	return tp, len(tp.FailedRuns) > 0 || tp.Checkpoint != "" || tp.WorkerCrashes > 0
+	return tp, len(tp.FailedRuns) > 0 || tp.Checkpoint != "" || tp.WorkerCrashes > 0 || tp.Suspicion > 0
 }
 
 // mustJSON encodes a value of the controller's own types, for which encoding can't fail.
