The refusal of a repeated start does not say that the run is not there

Callers of the product's own protocol could see a task run twice: the answer to a start was lost, the start was sent again, and the worker refused the second one (draining, overload, no capacity). The refusal counted for both, the run was dropped, and the task was placed elsewhere while the first start had taken effect.

Change: such a run stays in doubt and is stopped; the stop is repeated until the worker confirms it or the run's state is known otherwise. TestRefusedRepeatOfAStart (both cases) failed before and passes; the tests of internal/entry and internal/fleet pass with -race. The platform's programs do not use internal/entry.

--- a/internal/entry/commands.go
+++ b/internal/entry/commands.go
@@ -133,7 +133,8 @@
 
 // sendStarts starts tasks. If the worker does not answer, the same starts are sent again
 // until it answers or its runs are given up. Workers ignore the start of a run that they
-// already have, so repeating is safe.
+// already have, so repeating is safe. The refusal of a repeated start does not say
+// whether an earlier one took effect, so the run is stopped instead.
 func (a *agent) sendStarts(ctx context.Context, starts []queuedStart) {
 	if len(starts) == 0 {
 		return
@@ -148,8 +149,11 @@
 	}
 	cmd, _ := a.commandHeader()
 	tasks := make([]worker.TaskStart, len(starts))
-	for i, s := range starts {
-		tasks[i] = s.task
+	repeated := make([]bool, len(starts))
+	for i := range starts {
+		tasks[i] = starts[i].task
+		repeated[i] = starts[i].sent
+		starts[i].sent = true
 	}
 	results, uptime, err := a.client.StartTasks(ctx, cmd, tasks)
 	if structs.CodeOf(err) == structs.CodeStaleEpoch {
@@ -159,7 +163,18 @@
 		a.requeueStarts(ctx, starts)
 		err = structs.NewError(structs.CodeUnknown, "worker %s: %v", a.info.ID, err)
 	}
-	a.completeStarts(starts, results, err)
+	outcomes := make([]error, len(starts))
+	for i, s := range starts {
+		outcomes[i] = err
+		if err == nil && results[i].Error != nil {
+			outcomes[i] = results[i].Error
+		}
+		if outcomes[i] != nil && repeated[i] && structs.CodeOf(outcomes[i]) != structs.CodeUnknown {
+			outcomes[i] = structs.NewError(structs.CodeUnknown, "worker %s refused a repeated start: %v", a.info.ID, outcomes[i])
+			a.stopUnconfirmed(ctx, fleet.RunKey{Task: s.task.Task, Attempt: s.task.Attempt})
+		}
+	}
+	a.completeStarts(starts, outcomes, err == nil)
 	if err == nil {
 		a.recordUptime(uptime, false)
 	}
@@ -177,7 +192,8 @@
 		}
 		unsent = append(unsent, s)
 	}
-	a.completeStarts(unsent, nil, structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed"))
+	lapsed := structs.NewError(structs.CodeNoAuthority, "the owner's authority has lapsed")
+	a.completeStarts(unsent, slices.Repeat([]error{lapsed}, len(unsent)), false)
 	if len(sent) > 0 {
 		a.requeueStarts(ctx, sent)
 	}
@@ -200,9 +216,6 @@
 			return true
 		})
 	})
-	for i := range starts {
-		starts[i].sent = true
-	}
 	return starts
 }
 
@@ -228,18 +241,35 @@
 	})
 }
 
-func (a *agent) completeStarts(starts []queuedStart, results []worker.TaskResult, err error) {
+// stopUnconfirmed stops a run of which it is not known whether a start took effect. The
+// stop is repeated until the worker confirms it or the run is no longer starting.
+func (a *agent) stopUnconfirmed(ctx context.Context, k fleet.RunKey) {
+	a.stopTask(k, false, func(k fleet.RunKey, err error) {
+		if err == nil {
+			a.e.core.fleet.StopDone(k, time.Now())
+			return
+		}
+		alloc := a.e.core.fleet.Alloc(k)
+		if ctx.Err() != nil || alloc == nil || alloc.State != structs.AllocStarting {
+			return
+		}
+		a.e.spawn(func() {
+			sleep(ctx, agentRetryDelay)
+			a.stopUnconfirmed(ctx, k)
+		})
+	})
+}
+
+// completeStarts reports the outcomes of starts to their callers. answered says that they are from
+// an answer of the worker.
+func (a *agent) completeStarts(starts []queuedStart, outcomes []error, answered bool) {
 	now := time.Now()
 	a.e.runOnControl(func() {
-		if err == nil {
+		if answered {
 			a.e.core.fleet.WorkerAnswered(a.info.ID, now, now)
 		}
 		for i, s := range starts {
-			result := err
-			if err == nil && results[i].Error != nil {
-				result = results[i].Error
-			}
-			s.done(fleet.RunKey{Task: s.task.Task, Attempt: s.task.Attempt}, result)
+			s.done(fleet.RunKey{Task: s.task.Task, Attempt: s.task.Attempt}, outcomes[i])
 		}
 	})
 }
