--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -34,7 +34,10 @@
 	lostAnswerShare   float64 // share of orders that are carried out but get no response
 	delayedOrderShare float64 // share of orders that are carried out 2 to 12 s later and get no response
 	refusedOrderShare float64 // share of starts and stops that an unhealthy worker refuses
-	meanLatency       time.Duration
+	// orderTimeout is the time after which a start or stop counts as unanswered. The platform's
+	// client has 400 ms, which leaves time to send a start again before it is given up.
+	orderTimeout time.Duration
+	meanLatency  time.Duration
 
 	committing       bool
 	wakeAt           time.Time            // when the controller is called next
@@ -107,6 +110,7 @@
 			CheckpointInterval: time.Second,
 			StatusRetention:    120 * time.Second,
 		},
+		orderTimeout: time.Second,
 		config: &workload.Config{Version: 1, Classes: map[string]*workload.Class{
 			"batch": {Name: "batch", Service: "svc", MaxAttempts: 3, Stretch: 2, Target: 3 * time.Second, Priority: 1},
 			"gang": {
