A refused repeat of a start says nothing of its earlier copies

Cause: a start without an answer is sent again. Meanwhile a poll may list the run, or a stop be answered, which changes the state by which a refusal was judged; the refusal of the repeat then removed a run that was alive. And an unanswered start of a run that the worker had listed made the run one to be stopped.

Change: a run keeps that some start of it was not answered. The refusal of a repeat then only stops a run that the worker has not confirmed. A missing answer changes nothing of a run that is confirmed or stopped.

--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -339,6 +339,10 @@
 		// started. The next poll shows which.
 		r.confirmedAt = now
 	case NoResponse:
+		r.unanswered = true
+		if !r.confirmedAt.IsZero() || !r.stopAcked.IsZero() {
+			break
+		}
 		r.state = runStartUnknown
 		c.retryLater(r, orderRetryPause, now)
 	default:
@@ -357,7 +361,7 @@
 )
 
 // startRefused processes the refusal of a start. The run is removed, unless an earlier start
-// order may have taken effect.
+// order may have taken effect. A run that the worker has confirmed goes on.
 func (c *Controller) startRefused(r *run, result OrderResult, now time.Time) {
 	switch result {
 	case RefusedTicket:
@@ -368,9 +372,11 @@
 	case RefusedBoot:
 		r.worker.nextPoll = now
 	}
-	if r.state == runStartUnknown {
-		// An earlier start order of this run may still arrive.
-		c.stopRun(r, now)
+	if r.unanswered {
+		// An earlier start order of this run may have taken effect, or may still arrive.
+		if r.confirmedAt.IsZero() {
+			c.stopRun(r, now)
+		}
 		return
 	}
 	t := r.task
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -116,6 +116,7 @@
 	stopping       bool      // the stop was requested
 	retryAt        time.Time
 	inFlight       bool // a start or stop order is in flight
+	unanswered     bool // some start order got no response
 	outlived       bool // the worker has outlived the run's start by crashWindow
 	testsSuspect   bool // counted in suspectRuns of its worker
 	listedByWorker bool // in its response to a poll, under the current boot
