A start is sent again only to a worker that still has room for it

Cause: the capacity and labels of a worker may change between two copies of a start, by a shrink or a restart under the same ID; the repeat was not checked against them (LIMIT, ROUTE). TestRepeatedStartOnSmallerBoot failed before and passes.

--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -459,7 +459,8 @@
 	}
 }
 
-// resendStart resends a start order that got no response. The worker starts a run only once.
+// resendStart resends a start order that got no response. The worker starts a run only once. The
+// worker may have shrunk or been restarted with other properties since the first order.
 func (c *Controller) resendStart(r *run, now time.Time) {
 	s := r.task.step
 	ticket, ok := s.ticket(r.worker, now)
@@ -467,7 +468,7 @@
 		c.abortGang(s, now)
 		return
 	}
-	if !ok || now.Sub(r.startSent) > maxStartRetryTime {
+	if !ok || now.Sub(r.startSent) > maxStartRetryTime || !s.matchesWorker(r.worker) || r.worker.free().HasNegative() {
 		c.stopRun(r, now)
 		return
 	}
