The clock of a worker is not read from answers of its earlier boot

Cause: an answer to an order that an earlier boot had carried out could arrive after the next boot had answered, and set the clock from which the end of its lease is computed; the lease then counted as ended too early (TWICE). TestLateAnswerOfEarlierBoot failed before and passes.

--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -297,7 +297,8 @@
 		return nil
 	}
 	w.refusesConnections = result == NotDelivered
-	if clockMs > 0 && result != RefusedBoot {
+	// An order that was sent before the controller knew of the boot may have met the earlier one.
+	if clockMs > 0 && result != RefusedBoot && !sent.Before(w.bootSeenAt) {
 		c.recordClock(w, clockMs, sent, now)
 	}
 	return w
