A takeover does not wait for workers that were replaced

Cause: a worker that an earlier controller may have used was awaited for the sum of a leader lease and the longest lease, also where another worker answered at its address (421), which shows that its process has ended.

Change: that answer, at the address where the worker answered or at the one in its record, accounts for it. So the record must hold the current address before anything is started there.

TestReplacedWorkerHoldsUpNoTakeover failed before and passes.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -96,6 +96,7 @@
 	}
 	w := newWorker(workload.Worker{ID: id, Addr: reg.Addr})
 	w.registered = true
+	w.storedAddr = reg.Addr
 	w.nextPoll = now
 	c.workers[id] = w
 }
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -22,6 +22,9 @@
 		c.recordWorker(event.WorkerListed, w, w.info.String())
 	}
 	draining := info.Draining && !w.info.Draining
+	if info.Addr != w.info.Addr {
+		w.registered = false
+	}
 	w.info = info
 	if !w.listed {
 		w.listed = true
@@ -113,7 +116,7 @@
 			w.silentAfter = w.lastAnsweredCall
 		}
 	}
-	if result == RefusedBoot && w.bootAnswered && w.polledAddr == w.answeredAddr {
+	if result == RefusedBoot && w.mustHaveEnded() {
 		c.workerReplaced(w, now)
 	}
 	w.nextPoll = now.Add(pollRetryPause)
@@ -171,8 +174,18 @@
 	c.blame(w, crashed, now)
 }
 
-// workerReplaced records that another worker answers at the address at which a worker has answered:
-// the process of the worker has ended, and all its runs with it.
+// mustHaveEnded reports whether the process of the worker has ended if another worker answers at the
+// address of the latest poll: it has answered there, or may have got runs of an earlier controller
+// only there.
+func (w *worker) mustHaveEnded() bool {
+	if w.bootAnswered {
+		return w.polledAddr == w.answeredAddr
+	}
+	return !w.accountedFor && w.polledAddr == w.storedAddr
+}
+
+// workerReplaced records that the process of a worker has ended, and all its runs with it, since
+// another worker answers at its address.
 func (c *Controller) workerReplaced(w *worker, now time.Time) {
 	c.recordWorker(event.WorkerReplaced, w, "")
 	w.bootAnswered = false
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -37,7 +37,13 @@
 
 	jobs       []batchJob
 	acks       []endAck
-	registered []*worker
+	registered []registration
+}
+
+// registration is the record of a worker that may be in use, in a batch.
+type registration struct {
+	worker *worker
+	addr   string
 }
 
 // batchJob is a job in a batch, with the version of its progress that the batch holds.
@@ -183,7 +189,7 @@
 	for w := range c.dirty.registered {
 		delete(c.dirty.registered, w)
 		add(workerPrefix+w.info.ID, mustJSON(workerRecord{Addr: w.info.Addr}))
-		b.registered = append(b.registered, w)
+		b.registered = append(b.registered, registration{worker: w, addr: w.info.Addr})
 	}
 	for id := range c.dirty.unregistered {
 		delete(c.dirty.unregistered, id)
@@ -245,8 +251,9 @@
 	for _, ack := range b.acks {
 		c.ackEnd(ack)
 	}
-	for _, w := range b.registered {
-		w.registered = true
+	for _, reg := range b.registered {
+		reg.worker.registered = reg.addr == reg.worker.info.Addr
+		reg.worker.storedAddr = reg.addr
 	}
 	c.requestPlacement(now)
 }
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -14,6 +14,9 @@
 	listed bool
 	// registered says that the store records the worker as possibly in use.
 	registered bool
+	// storedAddr is the address in that record. Until the record has the current address, nothing is
+	// started there: the next controller asks at the stored one.
+	storedAddr string
 	// boot is the start time of the worker's process as last reported, in Unix milliseconds.
 	boot int64
 	// bootSeenAt is when the controller learned of this boot.
