A start without an answer is fenced at the worker's next boot

Cause: a worker may restart under its own ID. It then knows nothing of the runs that its earlier boot has started, stopped or ended, and a copy of a start that is still on its way is carried out, although a stop was in force at the earlier boot.

Change: a worker keeps the runs of which a start got no response. When it has restarted, they are stopped there, and their tasks wait until these stops are in force.

--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -171,6 +171,7 @@
 			c.runLost(r, lostWithBoot, now)
 		}
 	}
+	c.fenceLateStarts(w, now)
 	c.blame(w, crashed, now)
 }
 
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -341,6 +341,7 @@
 		r.confirmedAt = now
 	case NoResponse:
 		r.unanswered = true
+		r.worker.noteLateStart(r, now)
 		if !r.confirmedAt.IsZero() || !r.stopAcked.IsZero() {
 			break
 		}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -67,6 +67,10 @@
 	runs    map[workload.Run]*run
 	orphans map[workload.Run]*orphanRun
 
+	// lateStarts are the runs of which some start got no response, so that a copy of it may still
+	// arrive, also at a later boot.
+	lateStarts map[workload.Run]lateStart
+
 	// storedEnds are the ends above ackedSeq that are stored, processedEnds those that were
 	// processed.
 	ackedSeq      int64
@@ -139,6 +143,7 @@
 		orphans:       map[workload.Run]*orphanRun{},
 		storedEnds:    map[int64]bool{},
 		processedEnds: map[int64]bool{},
+		lateStarts:    map[workload.Run]lateStart{},
 	}
 }
 
