--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -69,7 +69,7 @@
 	// RefusedStaleToken means that the worker has seen a higher fencing token.
 	RefusedStaleToken
 	// RefusedEndedRun means that the run, or a later one of its task, was stopped or has
-	// ended there.
+	// ended there. So a stop has no effect, but its purpose is reached.
 	RefusedEndedRun
 	// RefusedLeaseExpired means that the lease deadline in the start had passed.
 	RefusedLeaseExpired
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -325,21 +325,21 @@
 	if result != CarriedOut {
 		c.recordRun(event.TaskRefused, r, result.String())
 	}
-	switch result {
-	case CarriedOut:
+	switch {
+	case result.Effect() == EffectDone:
 		c.markStarted(r.task.step.job(), now)
 		r.confirmedAt = now
 		if r.state != runRunning {
 			r.state = runRunning
 			r.progressedAt = now
 		}
-	case RefusedStaleToken:
+	case result == RefusedStaleToken:
 		c.markFenced(r.worker)
-	case RefusedEndedRun:
+	case result == RefusedEndedRun:
 		// Either the worker lists the end of the run or the run was stopped before it
 		// started. The next poll shows which.
 		r.confirmedAt = now
-	case NoResponse:
+	case result.Effect() == EffectUnknown:
 		r.unanswered = true
 		r.worker.noteLateStart(r, now)
 		if !r.confirmedAt.IsZero() || !r.stopAcked.IsZero() {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -105,7 +105,7 @@
 	runStarting     runState = iota // the start order is in flight
 	runStartUnknown                 // the start order got no response
 	runRunning
-	runStopping // the worker has carried out the stop; the end is not listed yet
+	runStopping // the stop is in force on the worker; the end is not listed yet
 )
 
 // run is a run of a task that may be present on a worker.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,7 +68,7 @@
 	TaskAdopted         Type = "task_adopted"     // a run of a former epoch is adopted and continues: Task, Attempt, Worker
 	StepWaiting         Type = "step_waits"       // tasks wait: Task (step), Count (tasks), Candidates (workers that could run them but for the reason), AgeMs (expected time until a gang starts), Detail (reason)
 	TaskMoved           Type = "task_moved"       // a run is stalled or slow and is started on another worker: Task, Attempt, Worker
-	TaskRefused         Type = "task_refused"     // a worker refused to start a task: Task, Attempt, Worker, Detail (answer)
+	TaskRefused         Type = "task_refused"     // the result of a start order, unless the run was started: Task, Attempt, Worker, Detail (answer)
 	TaskLost            Type = "task_lost"        // a run ended without its end being observed: Task, Attempt, Worker, Detail (why)
 	TaskStopSent        Type = "task_stop"        // the controller orders a stop: Task, Attempt, Worker
 	TaskStopAnswered    Type = "task_stop_result" // the result of a stop order: Task, Attempt, Worker, Detail (answer)
