Orders take the way on which a worker answered last

Cause: a poll after a failed one went through another agent, but renewed no lease, and the next one took the first agent again. Where that agent did not reach the worker, its lease was never renewed and its runs lapsed (over 100 workers). Starts and stops always took the first agent.

Change: each failed poll changes the way, which then stays for all orders.

--- a/internal/cell/agents.go
+++ b/internal/cell/agents.go
@@ -11,6 +11,7 @@
 	"dotterelhitch/internal/agent"
 	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/clock"
+	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/event"
 )
 
@@ -197,9 +198,9 @@
 }
 
 // linkFor returns the link for an order to a worker, nil if the controller has to send the order
-// itself. Each failed attempt is followed by one through another agent: a worker that does not
-// answer one agent may answer another.
-func (p *agentPool) linkFor(worker string, failures int) *agentLink {
+// itself. A failed poll is followed by one through another agent: a worker that does not answer one
+// agent may answer another.
+func (p *agentPool) linkFor(worker string, route controller.Route) *agentLink {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.usable) == 0 {
@@ -210,7 +211,7 @@
 		ranked = agent.Rank(worker, p.usable)
 		p.byWorker[worker] = ranked
 	}
-	return p.links[ranked[failures%len(ranked)]]
+	return p.links[ranked[int(route)%len(ranked)]]
 }
 
 // awaitFirst waits until most of the selected agents can be used, or for agentStartWait.
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -168,7 +168,7 @@
 
 // callWorker delivers an order to a worker over the network. Lost and delayed orders end with
 // fail(NoResponse) after a time-out.
-func (sim *simulation) callWorker(ctl *Controller, id string, failures int, deliver func(f *fakeWorker) func(), fail func(OrderResult)) {
+func (sim *simulation) callWorker(ctl *Controller, id string, route Route, deliver func(f *fakeWorker) func(), fail func(OrderResult)) {
 	respond := func(f func()) {
 		sim.after(sim.networkDelay(), func() {
 			if sim.ctl == ctl {
@@ -185,7 +185,7 @@
 			respond(func() { fail(RefusedBoot) })
 		case f != nil && !f.up && f.portClosed && !f.partitioned:
 			respond(func() { fail(NotDelivered) })
-		case f == nil || !f.up || f.partitioned || f.firstWayCut && failures == 0:
+		case f == nil || !f.up || f.partitioned || f.firstWayCut && route == 0:
 			timeout()
 		case draw < sim.delayedOrderShare:
 			boot := f.boot
@@ -209,7 +209,7 @@
 func (sim *simulation) poll(ctl *Controller, poll Poll) {
 	sent := sim.now
 	boot := int64(0)
-	sim.callWorker(ctl, poll.Worker, poll.Failures, func(f *fakeWorker) func() {
+	sim.callWorker(ctl, poll.Worker, poll.Route, func(f *fakeWorker) func() {
 		boot = f.boot
 		if ctl.epoch < f.fencingToken {
 			return func() { ctl.PollFailed(poll.Worker, RefusedStaleToken, sim.now) }
@@ -297,7 +297,7 @@
 
 func (sim *simulation) start(ctl *Controller, s Start) {
 	sent := sim.now
-	sim.callWorker(ctl, s.Worker, 0, func(f *fakeWorker) func() {
+	sim.callWorker(ctl, s.Worker, s.Route, func(f *fakeWorker) func() {
 		result := RefusedUnhealthy
 		if !f.refusesOrder() {
 			result = f.startRun(ctl.epoch, &s)
@@ -399,7 +399,7 @@
 func (sim *simulation) stop(ctl *Controller, s Stop) {
 	sent := sim.now
 	sim.stopsSent++
-	sim.callWorker(ctl, s.Worker, 0, func(f *fakeWorker) func() {
+	sim.callWorker(ctl, s.Worker, s.Route, func(f *fakeWorker) func() {
 		result := CarriedOut
 		switch {
 		case f.refusesOrder():
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -109,6 +109,7 @@
 		c.recordWorker(event.WorkerUnresponsive, w, result.String())
 	}
 	w.pollFailures++
+	w.route++
 	if w.pollFailures == 1 {
 		w.silentSince = now
 		w.silentAfter = now
@@ -333,7 +334,7 @@
 func (c *Controller) stopOrphan(w *worker, orphan *orphanRun, now time.Time) {
 	orphan.stopInFlight = true
 	orphan.stopSent = now
-	c.orders.Stops = append(c.orders.Stops, Stop{Worker: w.info.ID, Addr: w.info.Addr, Run: orphan.run})
+	c.orders.Stops = append(c.orders.Stops, Stop{Worker: w.info.ID, Addr: w.info.Addr, Run: orphan.run, Route: w.route})
 }
 
 // repeatOrphanStop sends the stop of an orphan run again if an earlier one was refused or got no
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -25,11 +25,14 @@
 	// AckedSeq is the number of the last end that the worker may drop from its list.
 	AckedSeq int64
 	// Wait is how long the worker may delay its response while no run ends.
-	Wait time.Duration
-	// Failures is the number of polls of the worker that failed since the last response.
-	Failures int
+	Wait  time.Duration
+	Route Route
 }
 
+// Route selects one of the ways to a worker if there are several. It changes with each failed poll,
+// and stays while polls are answered.
+type Route int
+
 // Start starts a run on a worker.
 type Start struct {
 	Worker          string
@@ -39,6 +42,7 @@
 	LeaseDeadlineMs int64
 	Checkpoint      string
 	Ticket          string
+	Route           Route
 }
 
 // Stop stops a run on a worker.
@@ -46,6 +50,7 @@
 	Worker string
 	Addr   string
 	Run    workload.Run
+	Route  Route
 }
 
 // AdvisorCall asks the placement advisor, through an entry, which of some workers may run a
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -286,7 +286,9 @@
 	r.stopSent = now
 	r.inFlight = true
 	c.recordRun(event.TaskStopSent, r, "")
-	c.orders.Stops = append(c.orders.Stops, Stop{Worker: r.worker.info.ID, Addr: r.worker.info.Addr, Run: r.id()})
+	c.orders.Stops = append(c.orders.Stops, Stop{
+		Worker: r.worker.info.ID, Addr: r.worker.info.Addr, Run: r.id(), Route: r.worker.route,
+	})
 }
 
 // workerForResult returns the worker that an order was sent to, nil if it is no longer
@@ -502,5 +504,6 @@
 		LeaseDeadlineMs: deadline,
 		Checkpoint:      checkpoint,
 		Ticket:          ticket,
+		Route:           r.worker.route,
 	})
 }
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -60,7 +60,7 @@
 		w.polling = true
 		w.pollSent = now
 		w.polledAddr = w.info.Addr
-		poll := Poll{Worker: w.info.ID, Addr: w.info.Addr, AckedSeq: w.ackedSeq, Failures: w.pollFailures}
+		poll := Poll{Worker: w.info.ID, Addr: w.info.Addr, AckedSeq: w.ackedSeq, Route: w.route}
 		switch {
 		case w.pollFailures > 0:
 			// The worker may run a new boot, whose ends are numbered from 1 again. Its lease
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -39,6 +39,7 @@
 	pollSent         time.Time
 	nextPoll         time.Time
 	pollFailures     int // consecutive failed polls
+	route            Route
 	// polledAddr is the address of the latest poll, answeredAddr that at which the boot has
 	// answered.
 	polledAddr, answeredAddr string
