A key in the list of workers that can't be a worker's ID names no worker

What callers saw: with one entry under a key of 255 bytes in the list of workers, no job was accepted any more; each controller lost its term within a commit. With a key that is not UTF-8, all agents were lost one after the other.

Cause: the key of an entry became the ID of a worker unchecked. The ID is part of the key of the worker's stored record (two bytes longer: the log refuses the append as invalid, and the term ends), a string in the messages to agents (the stream breaks on one that is not UTF-8) and a header of each order.

Evidence, before the change: TestOddWorkerKeysEndNoTerm (255 bytes) "submit j1: unknown_state: the controller did not answer in time"; TestOddWorkerKeyBreaksNoAgent "5 agents were lost: node-03: internal: marshal message: string field contains invalid UTF-8". The test log now refuses long keys as the platform's does, and the test decoder takes the ID from the key.

Change: an ID has 1 to 128 printable ASCII characters; other entries count as malformed.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -108,11 +108,12 @@
 			ConfigKey:    "config",
 			DecodeConfig: decodeJSON[workload.Config],
 			WorkerTopic:  "keyed.servers",
-			DecodeWorker: func(_ string, value []byte) (workload.Worker, error) {
+			DecodeWorker: func(id string, value []byte) (workload.Worker, error) {
 				w, err := decodeJSON[workload.Worker](value)
 				if err != nil {
 					return workload.Worker{}, err
 				}
+				w.ID = id
 				return *w, nil
 			},
 		},
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -127,7 +127,15 @@
 	return v.log.newest(topic, after), nil
 }
 
+// maxFakeKeyBytes is the maximum length of a key. The platform's log stores it in one byte.
+const maxFakeKeyBytes = 255
+
 func (f *fakeLog) append(a stream.Append) (stream.AppendResult, error) {
+	for _, r := range a.Records {
+		if len(r.Key) > maxFakeKeyBytes {
+			return stream.AppendResult{}, structs.NewError(structs.CodeInvalid, "key of %d bytes", len(r.Key))
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.topic(a.Topic)
--- a/internal/cell/workerlist.go
+++ b/internal/cell/workerlist.go
@@ -1,9 +1,12 @@
 package cell
 
 import (
+	"strings"
 	"time"
 
 	"dotterelhitch/internal/stream"
+	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/workload"
 )
 
 const (
@@ -50,7 +53,7 @@
 			l.post(func(now time.Time) { l.ctl.UnlistWorker(id, now) })
 			continue
 		}
-		w, err := l.node.opts.Topics.DecodeWorker(id, records[i].Value)
+		w, err := l.decodeWorker(id, records[i].Value)
 		if err != nil {
 			l.node.stats.malformedWorkerRecords.Inc()
 			continue
@@ -59,3 +62,22 @@
 		l.post(func(now time.Time) { l.ctl.SetWorker(w, now) })
 	}
 }
+
+// maxWorkerIDBytes is the maximum length of a worker ID. With its prefix, the key under which a
+// worker in use is stored stays below the log's limit of 255 bytes.
+const maxWorkerIDBytes = 128
+
+// decodeWorker decodes the record of a worker.
+func (l *leaderTerm) decodeWorker(id string, value []byte) (workload.Worker, error) {
+	if !validWorkerID(id) {
+		return workload.Worker{}, structs.NewError(structs.CodeInvalid, "worker ID of %d bytes: want 1 to %d printable ASCII characters", len(id), maxWorkerIDBytes)
+	}
+	return l.node.opts.Topics.DecodeWorker(id, value)
+}
+
+// validWorkerID reports whether an ID can be used as a key of the log, in messages to agents and in
+// headers of orders.
+func validWorkerID(id string) bool {
+	notPrintable := func(r rune) bool { return r <= ' ' || r > '~' }
+	return id != "" && len(id) <= maxWorkerIDBytes && !strings.ContainsFunc(id, notPrintable)
+}
