A key that is not UTF-8 stops no relayed read

What callers would see: a member without a path of its own to the store stops following the topic, at the same offset for ever, once a record's key is not UTF-8; so do reloads. For the leader's list of workers that means that no change arrives any more.

Cause: the key is a string in the messages between members, which can't be encoded then. Evidence: TestRelayedReadOfOddKeys failed with "internal: marshal message: string field contains invalid UTF-8" for both calls.

Change: such bytes are replaced in relayed records, as the store itself does in its pages of newest records. The test passes.

--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -348,10 +349,13 @@
 	return stream.Page{Records: recordsFromProto(resp.Records), HasMore: resp.More, End: resp.End}, errorFromProto(resp.Error)
 }
 
+// recordsToProto converts records. Keys of other writers may not be UTF-8, which a message can't
+// hold; a page of newest records has the same replacement in them. Appended keys are UTF-8.
 func recordsToProto(records []stream.Record) []*cellv1.Record {
 	out := make([]*cellv1.Record, 0, len(records))
 	for _, r := range records {
-		out = append(out, &cellv1.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+		key := strings.ToValidUTF8(r.Key, "\uFFFD")
+		out = append(out, &cellv1.Record{Offset: r.Offset, Key: key, Value: r.Value})
 	}
 	return out
 }
