--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -16,6 +16,9 @@
 	Offset int64
 	Key    string
 	Value  []byte
+	// Malformed says that the content can't be decoded. Value is empty then, and Key is empty
+	// unless it can be decoded.
+	Malformed bool
 }
 
 // Producer identifies the source of an append and fences it: an append under a lower epoch
