Pages of keys that are not UTF-8 end

What callers would see: a process that takes all memory and ends, again and again, once it reloads a topic in which the last key of a page is not UTF-8.

Cause: pages are JSON, in which the log replaces such bytes. The next page is asked for after the replaced key, which may be below the true one: the same page comes again, and all of its records are kept each time. One such record does it where its value fills a page.

Change: where a page does not lead on, the next one begins above the keys with the same readable prefix and a byte that is not ASCII; if that does not lead on either, the reading fails.

--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/structs"
@@ -52,8 +54,30 @@
 		if !page.HasMore || len(page.Records) == 0 {
 			return all, end, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		after, err = nextPageStart(after, page.Records[len(page.Records)-1].Key)
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+// maxKeyBytes is the maximum length of a key.
+const maxKeyBytes = 255
+
+// nextPageStart returns the key after which the next page begins. last is the last key of the page
+// that began after after. In a key that is not UTF-8, the log replaces bytes; such a key may be
+// returned as one that is not above after, which would lead to the same page again. The next page
+// then begins above all keys with the same readable prefix and a byte that is not ASCII.
+func nextPageStart(after, last string) (string, error) {
+	if last > after {
+		return last, nil
+	}
+	prefix, _, _ := strings.Cut(last, string(utf8.RuneError))
+	next := prefix + strings.Repeat("\xff", maxKeyBytes-min(len(prefix), maxKeyBytes))
+	if next <= after {
+		return "", structs.NewError(structs.CodeInternal, "a page of keys after %q ends at %q", after, last)
 	}
+	return next, nil
 }
 
 // Follower reads the records of a keyed topic as they are appended. Its callbacks run on the
