A class name that fits into no metric ends no process

What callers would see: each process that becomes the controller ends as soon as it accepts a job of a class whose configured name has a quote, a backslash or a line break; the next controller ends likewise.

Cause: the name became part of the name of a metric unchanged, and the metrics package panics on an invalid one. The same with the code of an error that another member answers with. Evidence: TestOddNamesInMetrics, panic: BUG: invalid metric name "hitch_cell_accept_seconds{class=\"a\"b\"}".

Change: values of labels are cut to 128 bytes, and characters that don't fit are replaced. The test passes.

--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,12 +58,34 @@
 
 // classHistogram returns the histogram of that name for a class.
 func (s *nodeStats) classHistogram(name, class string) *metrics.Histogram {
-	return s.set.GetOrCreateHistogram(name + `{class="` + class + `"}`)
+	return s.set.GetOrCreateHistogram(name + classLabel(class))
+}
+
+// registerClassGauge adds a gauge of a class whose value is read at each scrape.
+func (s *nodeStats) registerClassGauge(name, class string, read func() float64) {
+	s.registerGauge(name+classLabel(class), read)
+}
+
+func classLabel(class string) string { return `{class="` + labelValue(class) + `"}` }
+
+// maxLabelBytes is the maximum length of the value of a label.
+const maxLabelBytes = 128
+
+// labelValue returns a value from another process as the value of a label: an invalid metric name
+// is a panic of the metrics package.
+func labelValue(s string) string {
+	s = strings.ToValidUTF8(s[:min(len(s), maxLabelBytes)], "_")
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == '"' || r == '\\' {
+			return '_'
+		}
+		return r
+	}, s)
 }
 
 // countRefused counts a request that was answered with an error.
 func (s *nodeStats) countRefused(code structs.Code) {
-	s.set.GetOrCreateCounter(`hitch_cell_refused{code="` + string(code) + `"}`).Inc()
+	s.set.GetOrCreateCounter(`hitch_cell_refused{code="` + labelValue(string(code)) + `"}`).Inc()
 }
 
 // registerGauge adds a gauge whose value is read at each scrape.
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -265,7 +265,7 @@
 	for class, n := range counts {
 		out[class] = int32(n)
 		if _, known := published[class]; !known {
-			l.node.stats.registerGauge(`hitch_cell_jobs_waiting{class="`+class+`"}`, func() float64 { return l.node.localWaitingJobs(class) })
+			l.node.stats.registerClassGauge("hitch_cell_jobs_waiting", class, func() float64 { return l.node.localWaitingJobs(class) })
 		}
 	}
 	l.waitingJobs.Store(&out)
