--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -39,8 +39,10 @@
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
 	// delayAnswers is how long what it sends to peers is delayed, in nanoseconds.
 	delayAnswers atomic.Int64
-	stop         context.CancelFunc
-	done         chan struct{}
+	// events are the events that the node has recorded.
+	events eventLog
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 func newTestCell(t *testing.T, nodes int) *testCell {
@@ -127,6 +129,7 @@
 		Clock:    clock,
 	})
 	n.opts.Events.OnEvent(func(e event.Event) {
+		n.events.add(e)
 		if testing.Verbose() {
 			b, _ := json.Marshal(e)
 			fmt.Println(string(b))
