Malformed entries of the list of workers are reported

What operators saw: nothing but a counter; which entry can't be read, and why, was in no event.

TestMalformedEntriesAreReportedOnce checks the counter, the number of events and their size.

--- a/internal/cell/workerlist_test.go
+++ b/internal/cell/workerlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -160,3 +161,37 @@
 	leader.kill()
 	c.awaitWorkers(c.awaitLeader(10*time.Second), event.WorkerGained, good...)
 }
+
+// TestMalformedEntriesAreReportedOnce checks that each unreadable entry is counted, and reported
+// once with a reason of bounded length, however often it is written.
+func TestMalformedEntriesAreReportedOnce(t *testing.T) {
+	c := newTestCell(t, 1)
+	leader := c.awaitLeader(10 * time.Second)
+	values := oddWorkerValues()
+	const repetitions = 3
+	for range repetitions {
+		for name, value := range values {
+			c.mustAppend("keyed.servers", "odd-"+name, value)
+		}
+		c.mustAppend("keyed.servers", strings.Repeat("k", 255), values["another-type"])
+	}
+	for i := range 2 * maxMalformedReports {
+		c.mustAppend("keyed.servers", fmt.Sprintf("many-%d", i), values["another-type"])
+	}
+	c.addWorker("i-2")
+	c.awaitWorkers(leader, event.WorkerGained, "i-2")
+	reports := map[string]int{}
+	for _, e := range leader.events.ofType(event.WorkerMalformed) {
+		reports[e.Worker]++
+		if e.Detail == "" || len(e.Detail) > maxReasonBytes || len(e.Worker) > maxWorkerIDBytes || reports[e.Worker] > 1 {
+			t.Errorf("%+v", e)
+		}
+	}
+	if len(reports) != maxMalformedReports {
+		t.Errorf("%d entries were reported, want %d", len(reports), maxMalformedReports)
+	}
+	want := repetitions*(len(values)+1) + 2*maxMalformedReports
+	if counted := leader.stats.malformedWorkerRecords.Get(); counted != uint64(want) {
+		t.Errorf("%d malformed entries were counted, want %d", counted, want)
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	WorkerLost          Type = "worker_lost"      // Member, Worker: another member owns the worker now
 	WorkerListed        Type = "worker_listed"    // the list shows a new worker: Worker
 	WorkerUnlisted      Type = "worker_unlisted"  // the list has dropped it: Worker
+	WorkerMalformed     Type = "worker_malformed" // the list has an entry that can't be read: Worker (key), Detail (why)
 	WorkerDraining      Type = "worker_draining"  // the list shows it draining: Worker
 	WorkerUnresponsive  Type = "worker_silent"    // a worker did not answer a poll: Worker, Count (runs), Detail (how)
 	WorkerLeasesExpired Type = "worker_lapsed"    // all leases on the worker have expired: Worker, Count (runs)
