An unreadable entry over that of a worker names no worker

What callers would see: starts go on to a worker whose newest entry names none, until the list is read anew; the worker then is dropped. Two members that read the same list came to different results.

Cause: in the followed log, a malformed record was skipped and the one before it stayed in force; in a reload only the newest record of a key counts. Evidence: TestOddEntryOverAGoodOne, no worker_unlisted of the worker in 10 s.

Change: a malformed record unlists the worker with its key in both; its runs go on and keep their lease, as for any unlisted worker, and it is used again with its next readable entry. The test passes.

--- a/internal/cell/workerlist.go
+++ b/internal/cell/workerlist.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// apply applies records to the list. Malformed records are counted and ignored.
+// apply applies records to the list. Malformed records are counted, and unlist the worker with their
+// key until it has a readable one.
 func (w *workerList) apply(records []stream.Record) {
 	for i := range records {
 		id := records[i].Key
@@ -66,6 +67,7 @@
 		worker, err := w.decode(&records[i])
 		if err != nil {
 			w.countMalformed(id, err)
+			w.unlist(id)
 			continue
 		}
 		w.listed[id] = true
--- a/internal/cell/workerlist_test.go
+++ b/internal/cell/workerlist_test.go
@@ -195,3 +195,30 @@
 		t.Errorf("%d malformed entries were counted, want %d", counted, want)
 	}
 }
+
+// TestOddEntryOverAGoodOne guards against starts on a worker whose newest entry can't be read. The
+// worker is used again once its entry is good, and the others meanwhile.
+func TestOddEntryOverAGoodOne(t *testing.T) {
+	c := newTestCell(t, 1)
+	leader := c.awaitLeader(10 * time.Second)
+	c.awaitWorkers(leader, event.WorkerGained, "i-1")
+	for _, value := range oddWorkerValues() {
+		c.mustAppend("keyed.servers", "i-1", value)
+	}
+	c.addWorker("i-2")
+	c.awaitWorkers(leader, event.WorkerGained, "i-2")
+	c.awaitWorkers(leader, event.WorkerUnlisted, "i-1")
+	c.submit(leader, "j1")
+	c.awaitCompleted(leader, "j1")
+	if got := leader.events.workersOf(event.TaskPlaced); slices.Contains(got, "i-1") {
+		t.Errorf("tasks were placed on %q", got)
+	}
+	c.mustAppend("keyed.servers", "i-2", nil)
+	c.awaitWorkers(leader, event.WorkerUnlisted, "i-2")
+	c.addWorker("i-1")
+	c.submit(leader, "j2")
+	c.awaitCompleted(leader, "j2")
+	if got := leader.events.workersOf(event.TaskPlaced); !slices.Contains(got, "i-1") {
+		t.Errorf("tasks were placed on %q", got)
+	}
+}
