A newest claim that can't be read is waited for like any other

What callers could see: a task that runs twice. A member that starts, or reads the claims anew, after another writer has deleted the claim of the controller finds none, claims, and issues orders without waiting for the lease of the controller that is still there.

Cause: no readable claim was taken for no controller ever. Evidence: TestUnreadableNewestClaim, deleted: "the predecessor is {node: boot: epoch:0}", for which the takeover does not wait.

Change: if the topic is not empty, an unknown member counts as the controller of the epoch at its end: the member claims after the usual timeouts, and waits for the leases of that epoch. Members that have read all claims one by one are not concerned.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -45,7 +45,10 @@
 			l.confirmEpoch(sent)
 		}
 	}
-	f.OnReload = apply
+	f.OnReload = func(records []stream.Record, sent time.Time) {
+		n.noteHiddenClaim(records, f.NextOffset)
+		apply(records, sent)
+	}
 	f.OnRecords = apply
 	f.Run(n.ctx)
 }
@@ -62,13 +65,18 @@
 			n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
 			continue
 		}
-		if !n.view.applyClaim(c, clock.Now()) {
-			continue
-		}
-		n.record(event.Event{Type: event.LeaderFound, Member: c.Node, Epoch: c.Epoch, Detail: c.Boot})
-		if l := n.term.Load(); l != nil && l.epoch < c.Epoch {
-			l.stop()
-		}
+		n.adoptClaim(c)
+	}
+}
+
+// adoptClaim adds a claim to the view, and ends this member's term if the claim has a higher epoch.
+func (n *Node) adoptClaim(c election.Claim) {
+	if !n.view.applyClaim(c, clock.Now()) {
+		return
+	}
+	n.record(event.Event{Type: event.LeaderFound, Member: c.Node, Epoch: c.Epoch, Detail: c.Boot})
+	if l := n.term.Load(); l != nil && l.epoch < c.Epoch {
+		l.stop()
 	}
 }
 
@@ -210,14 +218,28 @@
 func (n *Node) refreshClaims() {
 	ctx, cancel := context.WithTimeout(n.ctx, claimRefreshTimeout)
 	defer cancel()
-	records, _, err := stream.ReadNewest(ctx, n.log, election.Topic)
+	records, end, err := stream.ReadNewest(ctx, n.log, election.Topic)
 	if err != nil {
 		n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Detail: "reading the newest claim: " + structs.AsError(err).Message})
 		return
 	}
+	n.noteHiddenClaim(records, end)
 	n.applyClaims(records)
 }
 
+// noteHiddenClaim handles a topic of claims, read up to its end, whose newest record by key is no
+// claim. An unknown member may then be the controller of any epoch up to end: it has to be waited
+// for as for a known one that does not answer.
+func (n *Node) noteHiddenClaim(records []stream.Record, end int64) {
+	readable := func(r stream.Record) bool {
+		_, err := election.ParseClaim(r)
+		return r.Key == election.Key && err == nil
+	}
+	if end > 0 && !slices.ContainsFunc(records, readable) {
+		n.adoptClaim(election.Claim{Epoch: end})
+	}
+}
+
 // probeMembers asks other members at once about the controller of a claim, maxProbes of them at
 // random if there are more. It returns the number of members that answered, whether the
 // controller answers one of them, and whether one of them knows a newer claim.
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -7,6 +7,7 @@
 
 	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/election"
+	"dotterelhitch/internal/event"
 )
 
 // newLargeCellNode returns a node, not running, that knows a number of other members.
@@ -78,3 +79,34 @@
 		t.Errorf("the controller is given up after %v, want %v", got, n.opts.Election.LeaderTimeout)
 	}
 }
+
+// TestUnreadableNewestClaim guards against a member that issues orders beside an earlier controller,
+// because it found no readable claim when it started and concluded that there is none.
+func TestUnreadableNewestClaim(t *testing.T) {
+	for name, value := range map[string][]byte{"odd": []byte("{}"), "deleted": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell(t, 1)
+			former := c.awaitLeader(10 * time.Second)
+			c.mustAppend(election.Topic, election.Key, value)
+			epoch := former.events.ofType(event.AuthorityGained)[0].Epoch
+			next := c.awaitTermAfter(epoch, former, c.addNode("late"))
+			if next.predecessor.epoch < epoch {
+				t.Errorf("the predecessor of epoch %d is %+v", next.epoch, next.predecessor)
+			}
+		})
+	}
+}
+
+// awaitTermAfter waits until one of some nodes is the controller of a later epoch.
+func (c *testCell) awaitTermAfter(epoch int64, nodes ...*testNode) *leaderTerm {
+	c.t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range nodes {
+			if l := n.term.Load(); l != nil && l.epoch > epoch {
+				return l
+			}
+		}
+	}
+	c.t.Fatalf("no controller after epoch %d", epoch)
+	return nil
+}
