A record that names no member is no claim

What callers would see: the controller ends its term, and all members have none for a second or more, whenever another writer leaves null, {} or the like among the claims.

Cause: missing fields were taken for an empty claim of a higher epoch, whose controller answers nobody. Evidence: TestOddClaimsEndNoTerm, authority_off of epoch 1.

Change: a claim names the member's node, process and address; other records are skipped with an alarm, as those that are not JSON. The test passes.

--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,6 +81,31 @@
 	}
 }
 
+// TestOddClaimsEndNoTerm guards against a controller that is replaced because of a record among the
+// claims that no member wrote.
+func TestOddClaimsEndNoTerm(t *testing.T) {
+	c := newTestCell(t, 3)
+	leader := c.awaitLeader(10 * time.Second)
+	for _, value := range []string{
+		"null", "{}", "[]", "7", "\x00\xff", `{"node":"x"}`, `{"node":"x","boot":"y"}`, `{"node":1}`, `{"former":1e400}`,
+		strings.Repeat(`{"node":`, 50_000), `{"resigned":true}`, `{"resigned":true,"former":9223372036854775807}`,
+	} {
+		c.mustAppend(election.Topic, election.Key, []byte(value))
+	}
+	c.mustAppend(election.Topic, election.Key, nil)
+	c.mustAppend(election.Topic, "", []byte("{}"))
+	for i := range 20 {
+		c.submit(c.otherThan(leader), fmt.Sprintf("j%d", i))
+		time.Sleep(leader.opts.Election.LeaderTimeout / 10)
+	}
+	if now := c.awaitLeader(10 * time.Second); now != leader {
+		t.Error("the controller was replaced")
+	}
+	if lost := leader.events.ofType(event.AuthorityLost); len(lost) > 0 {
+		t.Errorf("%+v", lost)
+	}
+}
+
 // TestUnreadableNewestClaim guards against a member that issues orders beside an earlier controller,
 // because it found no readable claim when it started and concluded that there is none.
 func TestUnreadableNewestClaim(t *testing.T) {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -43,12 +43,15 @@
 	return stream.Record{Key: Key, Value: b}, nil
 }
 
-// ParseClaim decodes a claim from a record.
+// ParseClaim decodes a claim from a record. A record that does not name a member is no claim.
 func ParseClaim(r stream.Record) (Claim, error) {
 	var c Claim
 	if err := json.Unmarshal(r.Value, &c); err != nil {
 		return Claim{}, structs.NewError(structs.CodeInternal, "decode claim at offset %d: %v", r.Offset, err)
 	}
+	if c.Node == "" || c.Boot == "" || c.Addr == "" {
+		return Claim{}, structs.NewError(structs.CodeInternal, "claim at offset %d: no member", r.Offset)
+	}
 	c.Epoch = r.Offset + 1
 	return c, nil
 }
