Records that describe no member are skipped; alarms on records are of bounded length

What callers would see: a starting member counts made-up machines as members: its heartbeats and election slow down with their number, store calls and agents' orders go through them, and it prints an alarm of a megabyte for a large number.

Cause: any JSON object was taken for a member, without a name, process, address or under another key, and errors of the decoder quote the number that they refuse. Evidence: TestOddMemberRecords: 9 other machines are known, want 1; alarm of 1048671 bytes.

The test passes.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -41,7 +41,7 @@
 	}
 	cfg, err := n.opts.Topics.DecodeConfig(raw)
 	if err != nil {
-		n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
+		n.recordAlarm(err)
 		return
 	}
 	next := &configVersion{Config: cfg, record: raw}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -62,7 +62,7 @@
 		}
 		c, err := election.ParseClaim(records[i])
 		if err != nil {
-			n.record(event.Event{Type: event.Alarm, Detail: err.Error()})
+			n.recordAlarm(err)
 			continue
 		}
 		n.adoptClaim(c)
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/stream"
+	"dotterelhitch/internal/structs"
 )
 
 // membersTopic has one record for each machine, from which a starting process learns the
@@ -40,11 +42,16 @@
 	}
 }
 
+// applyMemberRecords adds the members that records describe to the view. A deleted record has no
+// value.
 func (n *Node) applyMemberRecords(records []stream.Record) {
 	for i := range records {
-		var m Member
-		if err := json.Unmarshal(records[i].Value, &m); err != nil {
-			n.record(event.Event{Type: event.Alarm, Detail: "member record: " + err.Error()})
+		if len(records[i].Value) == 0 && !records[i].Malformed {
+			continue
+		}
+		m, err := parseMember(&records[i])
+		if err != nil {
+			n.recordAlarm(err)
 			continue
 		}
 		if m.Node != n.self.Node {
@@ -52,3 +59,24 @@
 		}
 	}
 }
+
+// maxMemberCores is more processor time than any machine has, in cores.
+const maxMemberCores = 1 << 20
+
+// parseMember decodes the record of a member.
+func parseMember(r *stream.Record) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return Member{}, structs.NewError(structs.CodeInvalid, "member record %q: %v", r.Key, err)
+	}
+	addr, err := netip.ParseAddrPort(m.Addr)
+	if m.Node == "" || m.Node != r.Key || m.Boot == "" || err != nil || addr.Port() == 0 || m.Cores < 0 || m.Cores > maxMemberCores {
+		return Member{}, structs.NewError(structs.CodeInvalid, "member record %q describes no member", r.Key)
+	}
+	return m, nil
+}
+
+// recordAlarm records an alarm for a record that can't be used. The error may quote the record.
+func (n *Node) recordAlarm(err error) {
+	n.record(event.Event{Type: event.Alarm, Code: structs.CodeOf(err), Detail: truncate(err.Error(), maxReasonBytes)})
+}
