Changes of a worker's inventory are checked like the whole of it

What operators would see: a run in no known state, or with a negative size, counted in the records of its worker.

Cause: of the three calls that answer with an inventory, the one for changes, which is the most frequent, did not check it. Evidence: TestOddInventoriesAreRefused failed for that call in 5 of 7 cases.

--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -121,8 +121,10 @@
 func (c *Client) InventoryChanges(ctx context.Context, after int64, wait time.Duration) (Inventory, error) {
 	path := fmt.Sprintf("/v1/inventory?changed=true&after=%d&wait_ms=%d", after, wait.Milliseconds())
 	var out Inventory
-	err := c.http.Call(ctx, wait+pollGrace, http.MethodGet, path, nil, &out)
-	return out, err
+	if err := c.http.Call(ctx, wait+pollGrace, http.MethodGet, path, nil, &out); err != nil {
+		return Inventory{}, err
+	}
+	return out, out.check()
 }
 
 // Probe checks whether the worker answers.
