An odd entry in the instance list is left out, the others are applied

What callers would see: no new workers, no drains and no ends of instances at any entry of the cell, for as long as one entry of the list is odd.

Cause: the list was decoded and checked as a whole, and refused as a whole; the same list was asked for again every half second.

Change: entries are decoded one by one; those that describe no instance, or whose name is there twice, are left out, and what is known of that instance holds (an instance that is absent from the list is not taken for gone).

--- a/internal/instancelist/client.go
+++ b/internal/instancelist/client.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"dotterelhitch/internal/event"
@@ -56,46 +58,80 @@
 	Entries   []Entry          `json:"entries"`
 }
 
+// answer is the body of an answer, whose entries are decoded one by one.
+type answer struct {
+	Version   int64             `json:"version"`
+	Full      bool              `json:"whole"`
+	LagMs     int64             `json:"lag_ms"`
+	Instances []json.RawMessage `json:"instances"`
+	Entries   []json.RawMessage `json:"entries"`
+}
+
 // Read returns the instances that changed after a version, or the whole list if
 // after is zero or not known to the service. If the version is still after, it waits
-// up to wait for another and then returns what there is.
+// up to wait for another and then returns what there is. Entries that can't be read are
+// left out: what the reader knows of these instances holds.
 func (c *Client) Read(ctx context.Context, after int64, wait time.Duration) (List, error) {
 	path := fmt.Sprintf("/v1/instances?after=%d&wait_ms=%d", after, wait.Milliseconds())
-	var out List
+	var out answer
 	if err := c.http.Call(ctx, wait+readGrace, http.MethodGet, path, nil, &out); err != nil {
 		return List{}, err
 	}
-	return out, out.check()
+	return out.list(), nil
 }
 
-// check refuses a list that names an instance twice or in no known state.
-func (l List) check() error {
-	seen := make(map[string]bool, len(l.Instances)+len(l.Entries))
-	for _, w := range l.Instances {
-		if err := checkInstance(seen, w.ID, w.State); err != nil {
-			return err
-		}
-		if w.Size.HasNegative() {
-			return structs.NewError(structs.CodeInternal, "instance list: %s has a negative size", w.ID)
+// list returns the entries that describe an instance in a known state and whose name is there
+// once.
+func (a *answer) list() List {
+	l := List{Version: a.Version, Full: a.Full, LagMs: a.LagMs}
+	for _, raw := range a.Instances {
+		var w structs.Worker
+		if json.Unmarshal(raw, &w) == nil && validInstance(&w) {
+			l.Instances = append(l.Instances, w)
 		}
 	}
-	for _, e := range l.Entries {
-		if err := checkInstance(seen, e.ID, e.State); err != nil {
-			return err
+	for _, raw := range a.Entries {
+		var e Entry
+		if json.Unmarshal(raw, &e) == nil && e.ID != "" && validState(e.State) {
+			l.Entries = append(l.Entries, e)
 		}
 	}
-	return nil
+	l.dropRepeated(a.names())
+	return l
 }
 
-func checkInstance(seen map[string]bool, id string, state structs.WorkerState) error {
-	if id == "" || seen[id] {
-		return structs.NewError(structs.CodeInternal, "instance list: name %q is empty or there twice", id)
-	}
-	seen[id] = true
-	switch state {
-	case structs.WorkerLive, structs.WorkerLeaving, structs.WorkerRemoved:
-		return nil
-	default:
-		return structs.NewError(structs.CodeInternal, "instance list: %s is in state %q", id, state)
+// names returns how often each name is in the answer, also in entries that can't be used.
+func (a *answer) names() map[string]int {
+	n := make(map[string]int, len(a.Instances)+len(a.Entries))
+	for _, raw := range slices.Concat(a.Instances, a.Entries) {
+		var named struct {
+			ID string `json:"id"`
+		}
+		if json.Unmarshal(raw, &named) == nil {
+			n[named.ID]++
+		}
 	}
+	return n
+}
+
+// dropRepeated drops the entries whose name is there more than once.
+func (l *List) dropRepeated(names map[string]int) {
+	l.Instances = slices.DeleteFunc(l.Instances, func(w structs.Worker) bool { return names[w.ID] > 1 })
+	l.Entries = slices.DeleteFunc(l.Entries, func(e Entry) bool { return names[e.ID] > 1 })
+}
+
+// maxSize is the most that an instance may have of each resource, slots and connections. Sums
+// over all instances stay below the maximum of an int64.
+const maxSize = 1 << 40
+
+var largestInstance = structs.Resources{CPUMilli: maxSize, MemoryMiB: maxSize, Accelerators: maxSize}
+
+// validInstance reports whether an instance has a name, a known state and a possible size.
+func validInstance(w *structs.Worker) bool {
+	return w.ID != "" && validState(w.State) && !w.Size.HasNegative() && w.Size.Fits(largestInstance) &&
+		w.Slots >= 0 && w.Slots <= maxSize && w.Connections >= 0 && w.Connections <= maxSize
+}
+
+func validState(state structs.WorkerState) bool {
+	return state == structs.WorkerLive || state == structs.WorkerLeaving || state == structs.WorkerRemoved
 }
