--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -110,14 +110,7 @@
 			ConfigKey:    "config",
 			DecodeConfig: decodeJSON[workload.Config],
 			WorkerTopic:  "keyed.servers",
-			DecodeWorker: func(id string, value []byte) (workload.Worker, error) {
-				w, err := decodeJSON[workload.Worker](value)
-				if err != nil {
-					return workload.Worker{}, err
-				}
-				w.ID = id
-				return *w, nil
-			},
+			DecodeWorker: decodeTestWorker,
 		},
 		Timing: controller.Timing{
 			MaxLease: 6 * time.Second, RequestedLease: 5 * time.Second, LeaderLease: 20 * time.Second,
@@ -145,6 +138,16 @@
 	return n
 }
 
+// decodeTestWorker decodes a record that addWorker has written.
+func decodeTestWorker(id string, value []byte) (workload.Worker, error) {
+	w, err := decodeJSON[workload.Worker](value)
+	if err != nil {
+		return workload.Worker{}, err
+	}
+	w.ID = id
+	return *w, nil
+}
+
 func decodeJSON[T any](value []byte) (*T, error) {
 	v := new(T)
 	return v, json.Unmarshal(value, v)
--- a/internal/cell/members_test.go
+++ b/internal/cell/members_test.go
@@ -1,11 +1,13 @@
 package cell
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/stream"
 )
 
 // oddMemberRecords are records that describe no member.
@@ -54,3 +56,21 @@
 		}
 	}
 }
+
+// FuzzMemberRecord checks that a record either is refused or names a member that can be called.
+func FuzzMemberRecord(f *testing.F) {
+	f.Add("a", []byte(`{"node":"a","boot":"b","addr":"10.0.0.1:80","domain":"d","cores":0.5}`))
+	for key, value := range oddMemberRecords {
+		f.Add(key, []byte(value))
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		m, err := parseMember(&stream.Record{Key: key, Value: value})
+		if err != nil {
+			return
+		}
+		_, port, err := net.SplitHostPort(m.Addr)
+		if err != nil || port == "0" || m.Node != key || m.Node == "" || m.Boot == "" || m.Cores < 0 {
+			t.Fatalf("accepted %+v", m)
+		}
+	})
+}
--- a/internal/cell/workerlist_test.go
+++ b/internal/cell/workerlist_test.go
@@ -3,13 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
@@ -222,3 +225,38 @@
 		t.Errorf("tasks were placed on %q", got)
 	}
 }
+
+// FuzzWorkerRecords applies records with odd keys and values between good ones to the list of
+// workers, and checks that exactly the good ones and those that can be decoded are listed.
+func FuzzWorkerRecords(f *testing.F) {
+	for _, key := range oddWorkerKeys() {
+		f.Add(key, []byte("{}"), false)
+	}
+	for _, value := range oddWorkerValues() {
+		f.Add("odd", value, false)
+	}
+	f.Add("good-1", []byte("x"), false)
+	f.Add("", []byte(nil), true)
+	n := New(Options{Topics: PlatformTopics{DecodeWorker: decodeTestWorker}, Clock: &event.Clock{}})
+	f.Fuzz(func(t *testing.T, key string, value []byte, malformed bool) {
+		l := &leaderTerm{node: n, inbox: make(chan func(time.Time), inboxSize), ctx: t.Context()}
+		l.ctl = controller.New(1, controller.Timing{}, func(event.Event) {})
+		list := &workerList{term: l, listed: map[string]bool{}, reported: map[string]bool{}}
+		good := workerValue(t, "good")
+		odd := stream.Record{Key: key, Value: value, Malformed: malformed}
+		list.apply([]stream.Record{{Key: "good-1", Value: good}, odd, {Key: "good-2", Value: good}})
+		l.runQueued()
+		want := map[string]bool{"good-1": true, "good-2": true}
+		if _, err := list.decode(&odd); err == nil && len(value) > 0 {
+			want[key] = true
+		} else if key == "good-1" {
+			delete(want, key)
+		}
+		if !maps.Equal(list.listed, want) && key != "good-2" {
+			t.Fatalf("listed %v, want %v", list.listed, want)
+		}
+		if len(value) > 0 && l.ctl.WorkerCount() < len(want) {
+			t.Fatalf("the controller has %d workers, want %v", l.ctl.WorkerCount(), want)
+		}
+	})
+}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,8 +1,11 @@
 package election
 
 import (
+	"strings"
 	"testing"
 	"time"
+
+	"dotterelhitch/internal/stream"
 )
 
 var testTiming = Timing{LeaderTimeout: time.Second, RefusedTimeout: time.Second / 3, IsolatedTimeout: 4 * time.Second, ClaimDelay: 100 * time.Millisecond}
@@ -49,3 +52,23 @@
 		t.Errorf("%+v, %v; want %+v", got, err, c)
 	}
 }
+
+// FuzzParseClaim checks that a record either is refused or names a member, and that its epoch is that
+// of its offset.
+func FuzzParseClaim(f *testing.F) {
+	for _, value := range []string{
+		`{"node":"a","boot":"a1","addr":"10.0.0.1:80"}`, `{"node":"a","boot":"a1","addr":"x","resigned":true,"former":7}`,
+		"null", "{}", "[]", "7", "\x00\xff", `{"node":1}`, `{"former":1e400}`, strings.Repeat(`{"node":`, 20_000),
+	} {
+		f.Add([]byte(value), int64(3))
+	}
+	f.Fuzz(func(t *testing.T, value []byte, offset int64) {
+		c, err := ParseClaim(stream.Record{Key: Key, Value: value, Offset: offset})
+		if err == nil && (c.Node == "" || c.Boot == "" || c.Addr == "" || c.Epoch != offset+1) {
+			t.Fatalf("accepted %+v", c)
+		}
+		if err != nil && c != (Claim{}) {
+			t.Fatalf("%+v with %v", c, err)
+		}
+	})
+}
--- a/internal/stream/follow_test.go
+++ b/internal/stream/follow_test.go
@@ -26,7 +26,7 @@
 	if p.pages > maxTestPages {
 		return Page{}, structs.NewError(structs.CodeInvalid, "more than %d pages", maxTestPages)
 	}
-	keys := slices.Sorted(slices.Values(p.keys))
+	keys := slices.Compact(slices.Sorted(slices.Values(p.keys)))
 	from, found := slices.BinarySearch(keys, after)
 	if found {
 		from++
@@ -68,3 +68,33 @@
 		}
 	}
 }
+
+// FuzzPagesEnd checks that the reading of a topic ends, and returns all keys that are ASCII, whatever
+// the other keys are.
+func FuzzPagesEnd(f *testing.F) {
+	f.Add("a", "b\xff", "b\xfe\x01", "c", uint8(1))
+	f.Add("\xff", "\xff\xff", "\xf5\x00", "z", uint8(2))
+	f.Add("i-\xf0\x9f", "i-\ufffd", "i-\u00e9", "i.", uint8(1))
+	f.Add("", "\x00", "\x7f", "\U0010FFFF", uint8(0))
+	f.Fuzz(func(t *testing.T, a, b, c, d string, pageSize uint8) {
+		topic := &pagedTopic{keys: []string{a, b, c, d, "m", "z9"}, pageSize: 1 + int(pageSize%4)}
+		for _, key := range topic.keys {
+			if len(key) > maxKeyBytes {
+				return
+			}
+		}
+		records, _, err := ReadNewest(context.Background(), topic, "keyed.t")
+		if err != nil {
+			if structs.CodeOf(err) != structs.CodeInternal {
+				t.Fatal(err)
+			}
+			return
+		}
+		for _, key := range topic.keys {
+			ascii := !strings.ContainsFunc(key, func(r rune) bool { return r > 0x7f })
+			if key != "" && ascii && !slices.ContainsFunc(records, func(r Record) bool { return r.Key == key }) {
+				t.Fatalf("%q, pages of %d: %q is missing", topic.keys, topic.pageSize, key)
+			}
+		}
+	})
+}
