A record whose data can't be decoded does not stop the reader of its stream

What operators would see: an entry that applies no change of its stream any more and repeats the same read for ever.

Cause: data that is not base64, or no text, made the whole answer fail.

Change: such a record has no data; the tables refuse it as a change that can't be decoded, as they do with any garbage (FuzzApply). Offsets are still checked. The test passes.

--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -63,6 +64,23 @@
 	Data   []byte `json:"data"`
 }
 
+// UnmarshalJSON implements json.Unmarshaler. A record whose data can't be decoded has none, so that
+// the records after it can be read.
+func (r *Record) UnmarshalJSON(b []byte) error {
+	var raw struct {
+		Offset int64           `json:"offset"`
+		Data   json.RawMessage `json:"data"`
+	}
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return err
+	}
+	r.Offset = raw.Offset
+	if json.Unmarshal(raw.Data, &r.Data) != nil {
+		r.Data = nil
+	}
+	return nil
+}
+
 // Batch is the answer to a read.
 type Batch struct {
 	// FirstOffset is the oldest offset that is kept.
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -100,3 +100,27 @@
 		}
 	})
 }
+
+// TestUnreadableRecordSpoilsNoOther guards against a reader that stays at one offset of a stream for
+// ever because the data of one record can't be decoded. Such a record has no data, which the readers
+// of a stream refuse as a change.
+func TestUnreadableRecordSpoilsNoOther(t *testing.T) {
+	for _, data := range []string{`"***"`, `"eA="`, `7`, `{"a":[]}`, `["eA=="]`, `1e999`, `true`} {
+		body := `{"first":1,"next":4,"records":[{"offset":1,"data":"eA=="},{"offset":2,"data":` + data + `},{"offset":3,"data":"eQ=="}]}`
+		var b Batch
+		if err := json.Unmarshal([]byte(body), &b); err != nil {
+			t.Errorf("%s: %v", data, err)
+			continue
+		}
+		if err := b.check(1); err != nil || len(b.Records) != 3 || string(b.Records[0].Data) != "x" || len(b.Records[1].Data) != 0 || string(b.Records[2].Data) != "y" {
+			t.Errorf("%s: %+v, %v", data, b, err)
+		}
+	}
+	for _, offset := range []string{`"2"`, `2.5`, `9223372036854775808`, `[]`} {
+		var b Batch
+		body := `{"first":1,"next":4,"records":[{"offset":1,"data":"eA=="},{"offset":` + offset + `,"data":"eA=="}]}`
+		if json.Unmarshal([]byte(body), &b) == nil && b.check(1) == nil {
+			t.Errorf("offset %s: %+v", offset, b)
+		}
+	}
+}
