--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -39,8 +39,10 @@
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
 	// delayAnswers is how long what it sends to peers is delayed, in nanoseconds.
 	delayAnswers atomic.Int64
-	stop         context.CancelFunc
-	done         chan struct{}
+	// events are the events that the node has recorded.
+	events eventLog
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 func newTestCell(t *testing.T, nodes int) *testCell {
@@ -108,13 +110,7 @@
 			ConfigKey:    "config",
 			DecodeConfig: decodeJSON[workload.Config],
 			WorkerTopic:  "keyed.servers",
-			DecodeWorker: func(_ string, value []byte) (workload.Worker, error) {
-				w, err := decodeJSON[workload.Worker](value)
-				if err != nil {
-					return workload.Worker{}, err
-				}
-				return *w, nil
-			},
+			DecodeWorker: decodeTestWorker,
 		},
 		Timing: controller.Timing{
 			MaxLease: 6 * time.Second, RequestedLease: 5 * time.Second, LeaderLease: 20 * time.Second,
@@ -126,6 +122,7 @@
 		Clock:    clock,
 	})
 	n.opts.Events.OnEvent(func(e event.Event) {
+		n.events.add(e)
 		if testing.Verbose() {
 			b, _ := json.Marshal(e)
 			fmt.Println(string(b))
@@ -141,6 +138,16 @@
 	return n
 }
 
+// decodeTestWorker decodes a record that addWorker has written.
+func decodeTestWorker(id string, value []byte) (workload.Worker, error) {
+	w, err := decodeJSON[workload.Worker](value)
+	if err != nil {
+		return workload.Worker{}, err
+	}
+	w.ID = id
+	return *w, nil
+}
+
 func decodeJSON[T any](value []byte) (*T, error) {
 	v := new(T)
 	return v, json.Unmarshal(value, v)
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/election"
+	"dotterelhitch/internal/event"
 )
 
 // newLargeCellNode returns a node, not running, that knows a number of other members.
@@ -78,3 +80,59 @@
 		t.Errorf("the controller is given up after %v, want %v", got, n.opts.Election.LeaderTimeout)
 	}
 }
+
+// TestOddClaimsEndNoTerm guards against a controller that is replaced because of a record among the
+// claims that no member wrote.
+func TestOddClaimsEndNoTerm(t *testing.T) {
+	c := newTestCell(t, 3)
+	leader := c.awaitLeader(10 * time.Second)
+	for _, value := range []string{
+		"null", "{}", "[]", "7", "\x00\xff", `{"node":"x"}`, `{"node":"x","boot":"y"}`, `{"node":1}`, `{"former":1e400}`,
+		strings.Repeat(`{"node":`, 50_000), `{"resigned":true}`, `{"resigned":true,"former":9223372036854775807}`,
+	} {
+		c.mustAppend(election.Topic, election.Key, []byte(value))
+	}
+	c.mustAppend(election.Topic, election.Key, nil)
+	c.mustAppend(election.Topic, "", []byte("{}"))
+	for i := range 20 {
+		c.submit(c.otherThan(leader), fmt.Sprintf("j%d", i))
+		time.Sleep(leader.opts.Election.LeaderTimeout / 10)
+	}
+	if now := c.awaitLeader(10 * time.Second); now != leader {
+		t.Error("the controller was replaced")
+	}
+	if lost := leader.events.ofType(event.AuthorityLost); len(lost) > 0 {
+		t.Errorf("%+v", lost)
+	}
+}
+
+// TestUnreadableNewestClaim guards against a member that issues orders beside an earlier controller,
+// because it found no readable claim when it started and concluded that there is none.
+func TestUnreadableNewestClaim(t *testing.T) {
+	for name, value := range map[string][]byte{"odd": []byte("{}"), "deleted": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell(t, 1)
+			former := c.awaitLeader(10 * time.Second)
+			c.mustAppend(election.Topic, election.Key, value)
+			epoch := former.events.ofType(event.AuthorityGained)[0].Epoch
+			next := c.awaitTermAfter(epoch, former, c.addNode("late"))
+			if next.predecessor.epoch < epoch {
+				t.Errorf("the predecessor of epoch %d is %+v", next.epoch, next.predecessor)
+			}
+		})
+	}
+}
+
+// awaitTermAfter waits until one of some nodes is the controller of a later epoch.
+func (c *testCell) awaitTermAfter(epoch int64, nodes ...*testNode) *leaderTerm {
+	c.t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, n := range nodes {
+			if l := n.term.Load(); l != nil && l.epoch > epoch {
+				return l
+			}
+		}
+	}
+	c.t.Fatalf("no controller after epoch %d", epoch)
+	return nil
+}
