--- a/internal/controller/crash.go
+++ b/internal/controller/crash.go
@@ -65,7 +65,24 @@
 	if len(crashed.runs) == 0 {
 		return
 	}
-	var suspects, repeated []*task
+	suspects, repeated := c.countCrash(crashed)
+	c.record(event.Event{
+		Type: event.WorkerCrashed, Worker: w.info.ID, Epoch: c.epoch,
+		Count: len(crashed.runs), Candidates: suspects,
+	})
+	if len(repeated) == 1 && repeated[0].crashes >= crashesToGiveUp && !c.crashedWithOthers(w) {
+		c.giveUpTask(repeated[0], now)
+	}
+	for _, r := range crashed.runs {
+		if r.task.crashes >= maxCrashes || r.task.suspicion >= maxSuspicion {
+			c.giveUpTask(r.task, now)
+		}
+	}
+}
+
+// countCrash counts a crash for the tasks that were on the worker. It returns the number of suspects,
+// and those of them that were suspects before.
+func (c *Controller) countCrash(crashed crash) (suspects int, repeated []*task) {
 	for _, r := range crashed.runs {
 		t := r.task
 		if t.done || t.step.job().ended() {
@@ -79,24 +96,13 @@
 			c.markProgressDirty(t.step.job())
 			continue
 		}
-		suspects = append(suspects, t)
 		if t.suspect() {
 			repeated = append(repeated, t)
 		}
+		suspects++
 		c.raiseSuspicion(t)
 	}
-	c.record(event.Event{
-		Type: event.WorkerCrashed, Worker: w.info.ID, Epoch: c.epoch,
-		Count: len(crashed.runs), Candidates: len(suspects),
-	})
-	if len(repeated) == 1 && repeated[0].crashes >= crashesToGiveUp && !c.crashedWithOthers(w) {
-		c.giveUpTask(repeated[0], now)
-	}
-	for _, r := range crashed.runs {
-		if r.task.crashes >= maxCrashes || r.task.suspicion >= maxSuspicion {
-			c.giveUpTask(r.task, now)
-		}
-	}
+	return suspects, repeated
 }
 
 // raiseSuspicion counts a crash shortly after the start of a task. The task is not started again before
@@ -127,6 +133,9 @@
 
 // giveUpTask fails the job of a task that crashes its workers.
 func (c *Controller) giveUpTask(t *task, now time.Time) {
+	if t.done {
+		return
+	}
 	c.endJob(t.step.job(), workload.JobFailed, fmt.Sprintf("workers crashed under task %s", t.id()), now)
 }
 
