--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -98,10 +98,6 @@
 			c.forgetWorker(id, w)
 			continue
 		}
-		if !w.accountedFor && !w.registered {
-			w.accountedFor = true
-			continue
-		}
 		end := c.latestLeaseEnd(w)
 		// A confirmation of the epoch that began after the end shows that no other controller
 		// has renewed the lease.
