--- a/internal/controller/crash.go
+++ b/internal/controller/crash.go
@@ -19,7 +19,7 @@
 	// not suspected of a later crash.
 	crashWindow = 500 * time.Millisecond
 	// crashesToGiveUp is the number of workers that have to crash shortly after the start of a task
-	// for the task to be given up, the last of them without another suspect.
+	// for the task to be given up, if no other run had begun shortly before the last crash.
 	crashesToGiveUp = 2
 	// Workers that fall silent within sharedCrashWindow of each other crashed together if there are
 	// sharedCrashWorkers others.
@@ -70,7 +70,7 @@
 		Type: event.WorkerCrashed, Worker: w.info.ID, Epoch: c.epoch,
 		Count: len(crashed.runs), Candidates: suspects,
 	})
-	if len(repeated) == 1 && repeated[0].crashes >= crashesToGiveUp && !c.crashedWithOthers(w) {
+	if suspects == 1 && len(repeated) == 1 && repeated[0].crashes >= crashesToGiveUp && !c.crashedWithOthers(w) {
 		c.giveUpTask(repeated[0], now)
 	}
 	for _, r := range crashed.runs {
--- a/internal/entry/commands_test.go
+++ b/internal/entry/commands_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,14 +66,14 @@
 }
 
 func playRefusedRepeat(t *testing.T, refusal string) {
-	starts, stops := 0, make(chan struct{}, 10)
+	var starts atomic.Int64
+	stops := make(chan struct{}, 10)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == "/v1/stops":
 			stops <- struct{}{}
 			httpx.WriteJSON(w, http.StatusOK, worker.TaskResults{Results: []worker.TaskResult{{TaskRef: worker.TaskRef{Task: "g:j#0", Attempt: 1}}}})
-		case starts == 0:
-			starts++
+		case starts.Add(1) == 1:
 			panic(http.ErrAbortHandler)
 		case strings.Contains(refusal, "results"):
 			_, _ = w.Write([]byte(refusal))
