--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -220,7 +220,7 @@
 // are retained.
 func (t Type) isDetail() bool {
 	switch t {
-	case TaskPlaced, TaskEndObserved, TaskAdopted, AdviceReceived, StepWaiting:
+	case TaskPlaced, TaskEndObserved, TaskAdopted, TaskStopSent, TaskStopAnswered, AdviceReceived, StepWaiting:
 		return true
 	}
 	return false
