--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -151,7 +151,6 @@
 	}
 	sim.startController(true)
 	sim.advance(200 * time.Millisecond)
-	var ids []string
 	for i := range 30 {
 		sim.advance(time.Duration(rng.IntN(700)) * time.Millisecond)
 		sim.injectFault(rng)
@@ -160,16 +159,21 @@
 		}
 		job := randomJob(fmt.Sprintf("j%d", i), rng)
 		sim.submit(job)
-		ids = append(ids, job.ID)
 		if rng.IntN(8) == 0 {
 			sim.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { sim.cancel(job.ID) })
 		}
 	}
 	sim.endFaults()
 	sim.advance(90 * time.Second)
-	for _, id := range ids {
-		if sim.accepted[id] && !sim.state(id).Ended() && sim.feasible(sim.jobs[id]) {
-			t.Errorf("job %s is %q in the end", id, sim.state(id))
+	sim.checkAllJobsEnded()
+}
+
+// checkAllJobsEnded checks that all accepted jobs that fit the workers have a final state.
+func (sim *simulation) checkAllJobsEnded() {
+	sim.t.Helper()
+	for id, job := range sim.jobs {
+		if sim.accepted[id] && !sim.state(id).Ended() && sim.feasible(job) {
+			sim.t.Errorf("job %s is %q in the end", id, sim.state(id))
 		}
 	}
 }
--- a/internal/controller/latestart_test.go
+++ b/internal/controller/latestart_test.go
@@ -71,22 +71,15 @@
 	sim.advance(200 * time.Millisecond)
 	sim.delayedOrderShare = 0.1 + 0.2*rng.Float64()
 	sim.refusedOrderShare = 0.5 * rng.Float64()
-	var ids []string
 	for i := range 20 {
 		sim.advance(time.Duration(rng.IntN(700)) * time.Millisecond)
 		if rng.IntN(12) == 0 {
 			sim.startController(true)
 		}
-		job := randomJob(fmt.Sprintf("j%d", i), rng)
-		sim.submit(job)
-		ids = append(ids, job.ID)
+		sim.submit(randomJob(fmt.Sprintf("j%d", i), rng))
 	}
 	sim.refusedOrderShare = 0
 	sim.endFaults()
 	sim.advance(60 * time.Second)
-	for _, id := range ids {
-		if sim.accepted[id] && !sim.state(id).Ended() && sim.feasible(sim.jobs[id]) {
-			t.Errorf("job %s is %q in the end", id, sim.state(id))
-		}
-	}
+	sim.checkAllJobsEnded()
 }
--- a/internal/controller/outcome_test.go
+++ b/internal/controller/outcome_test.go
@@ -37,12 +37,10 @@
 	sim.lostAnswerShare = 0.3 * rng.Float64()
 	sim.delayedOrderShare = 0.2 * rng.Float64()
 	sim.refusedOrderShare = 0.5 * rng.Float64()
-	var ids []string
 	for i := range 20 {
 		sim.advance(time.Duration(rng.IntN(700)) * time.Millisecond)
 		job := randomJob(fmt.Sprintf("j%d", i), rng)
 		sim.submit(job)
-		ids = append(ids, job.ID)
 		if rng.IntN(5) == 0 {
 			sim.after(time.Duration(rng.IntN(2000))*time.Millisecond, func() { sim.cancel(job.ID) })
 		}
@@ -50,11 +48,7 @@
 	sim.refusedOrderShare = 0
 	sim.endFaults()
 	sim.advance(60 * time.Second)
-	for _, id := range ids {
-		if sim.accepted[id] && !sim.state(id).Ended() && sim.feasible(sim.jobs[id]) {
-			t.Errorf("job %s is %q in the end", id, sim.state(id))
-		}
-	}
+	sim.checkAllJobsEnded()
 }
 
 // startWithLostAnswer submits a job of one task that fills a worker. Its start is carried out, but all
--- a/internal/controller/overlap_test.go
+++ b/internal/controller/overlap_test.go
@@ -34,7 +34,6 @@
 	sim.delayedOrderShare = 0.1 + 0.2*rng.Float64()
 	sim.lostAnswerShare = 0.05 * rng.Float64()
 	sim.refusedOrderShare = 0.5 * rng.Float64()
-	var ids []string
 	for i := range 25 {
 		sim.advance(time.Duration(rng.IntN(700)) * time.Millisecond)
 		if rng.IntN(3) == 0 {
@@ -43,16 +42,10 @@
 		if sim.ctl == nil {
 			continue
 		}
-		job := randomJob(fmt.Sprintf("j%d", i), rng)
-		sim.submit(job)
-		ids = append(ids, job.ID)
+		sim.submit(randomJob(fmt.Sprintf("j%d", i), rng))
 	}
 	sim.refusedOrderShare = 0
 	sim.endFaults()
 	sim.advance(90 * time.Second)
-	for _, id := range ids {
-		if sim.accepted[id] && !sim.state(id).Ended() && sim.feasible(sim.jobs[id]) {
-			t.Errorf("job %s is %q in the end", id, sim.state(id))
-		}
-	}
+	sim.checkAllJobsEnded()
 }
