--- a/internal/controller/outcome_test.go
+++ b/internal/controller/outcome_test.go
@@ -269,3 +269,25 @@
 		t.Errorf("state %q, want completed", got)
 	}
 }
+
+// TestStopOfEarlierBootIsNotInForce guards against tasks that run twice: the answer to a stop that a
+// worker's earlier boot has carried out arrives after its next boot is known, at which a copy of the
+// start may still arrive.
+func TestStopOfEarlierBootIsNotInForce(t *testing.T) {
+	sim, r := startWithLostAnswer(t, 1)
+	f := sim.workers[r.worker.info.ID]
+	sim.ctl.Cancel("j1", sim.now)
+	sent, clock := sim.now, f.clock()
+	sim.advance(time.Millisecond)
+	f.crash()
+	f.start()
+	sim.lostAnswerShare = 0
+	f.unhealthy = true
+	sim.ctl.PollDone(f.id, f.pollResult(), sim.now, sim.now)
+	sim.ctl.StopDone(f.id, r.id(), CarriedOut, clock, sent, sim.now)
+	sim.advance(2 * time.Second)
+	w := sim.ctl.workers[f.id]
+	if w.runs[r.id()] == nil && w.orphans[r.id()] == nil {
+		t.Error("the run is given up although its stop is not in force at the new boot")
+	}
+}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -402,9 +402,11 @@
 	if result == RefusedStaleToken {
 		c.markFenced(w)
 	}
+	// A stop that was sent before the controller knew of the boot may have met the earlier one.
+	inForce := stopInForce(result) && !sent.Before(w.bootSeenAt)
 	if orphan := w.orphans[run]; orphan != nil {
 		orphan.stopInFlight = false
-		if stopInForce(result) {
+		if inForce {
 			orphan.stopAcked = now
 		}
 	}
@@ -414,7 +416,7 @@
 	}
 	r.inFlight = false
 	c.recordRun(event.TaskStopAnswered, r, result.String())
-	if stopInForce(result) {
+	if inForce {
 		r.state = runStopping
 		r.stopAcked = now
 		return
