A task is given up after three certain crashes, whoever is to blame

Suspected, not shown: tasks that three workers crashed under, but that were not the only ones begun before, have one more start, and gangs start again for the sake of their other members.

--- a/internal/controller/crash.go
+++ b/internal/controller/crash.go
@@ -26,7 +26,7 @@
 	sharedCrashWindow  = 50 * time.Millisecond
 	sharedCrashWorkers = 2
 	// maxCrashes is the number of workers after whose crashes a task is given up whoever is to blame.
-	maxCrashes = 4
+	maxCrashes = 3
 	// maxSuspicion is the same for crashes after which it is not certain that the task had started,
 	// if no worker has outlived a start in between.
 	maxSuspicion = 3
