A member tells the number of waiting jobs only if the controller has reported it

Cause: a member took the controller for serving as soon as it got orders as an agent, or an answer to a call, and then told the counts of its last heartbeat, or zero if there had been none.

Change: counts are told only within servingTimeout of a heartbeat that brought them; otherwise the call is refused with a time to come back. TestWaitingJobsAreReportedOrUnknown failed before ('error <nil>, want unavailable') and passes.

--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -124,13 +124,19 @@
 	if !n.leaderServing() {
 		return 0, structs.NewRetryAfterError(structs.CodeUnavailable, noLeaderRetryAfter, "no controller at present")
 	}
-	return n.view.waitingJobsOf(class), nil
+	count, known := n.view.waitingJobsOf(class, clock.Now(), n.servingTimeout())
+	if !known {
+		return 0, structs.NewRetryAfterError(structs.CodeUnavailable, noLeaderRetryAfter, "the controller has not reported its waiting jobs lately")
+	}
+	return count, nil
 }
 
-func (v *cellView) waitingJobsOf(class string) int {
+// waitingJobsOf returns the controller's count of waiting jobs of a class, and whether the controller
+// has reported its counts within a time before now.
+func (v *cellView) waitingJobsOf(class string, now time.Time, within time.Duration) (count int, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return int(v.waitingJobs[class])
+	return int(v.waitingJobs[class]), now.Sub(v.waitingAt) < within
 }
 
 // leaderCall is a call that only the controller can answer: local makes it on the controller
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -87,8 +87,12 @@
 
 // leaderServing reports whether the controller serves as far as this member knows.
 func (n *Node) leaderServing() bool {
-	within := max(minServingTimeout, servingHeartbeats*n.heartbeatPeriod())
-	return n.view.leaderServing(clock.Now(), within)
+	return n.view.leaderServing(clock.Now(), n.servingTimeout())
+}
+
+// servingTimeout is how long the controller's last answer counts.
+func (n *Node) servingTimeout() time.Duration {
+	return max(minServingTimeout, servingHeartbeats*n.heartbeatPeriod())
 }
 
 // heartbeatLeader sends one heartbeat to the controller of a claim and applies the response to
@@ -112,7 +116,11 @@
 		return true
 	}
 	n.applyMembers(resp)
-	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, resp.Waiting, now)
+	waiting := resp.Waiting
+	if waiting == nil && resp.Ready {
+		waiting = map[string]int32{} // no job waits
+	}
+	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, waiting, now)
 	if resp.Leaving {
 		n.view.markLeaderHandsOver(claim.Epoch, now)
 	}
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -28,8 +28,10 @@
 	refusedConnections int
 	// leaderStream is true while the controller sends orders to this member as its agent.
 	leaderStream bool
-	waitingJobs  map[string]int32
-	members      map[string]Member // by Member.Node, without this member
+	// waitingJobs are the controller's counts of waiting jobs by class, as of waitingAt.
+	waitingJobs map[string]int32
+	waitingAt   time.Time
+	members     map[string]Member // by Member.Node, without this member
 	// knownNodes are the machines of all members that this member has learned of, whether they
 	// run now or not.
 	knownNodes map[string]struct{}
@@ -112,6 +114,7 @@
 	v.refusedConnections = 0
 	if waiting != nil {
 		v.waitingJobs = waiting
+		v.waitingAt = now
 	}
 	if ready != v.leaderReady {
 		v.leaderReady = ready
