The runs of a replaced worker are lost, also if it was draining

What callers would see: tasks that never start again after their worker has drained and left with them (LOST; simulation).

When another worker answers at the address of one that has gone (421), its runs are ended; the list of them was the one for blame, which is empty for a draining worker. Its runs stayed counted, and nothing ended them any more.

Change: all runs of the worker are ended. TestRunsOfAReplacedDrainingWorkerAreLost failed before ('state running') and passes.

--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -194,7 +194,7 @@
 	w.accountedFor = true
 	w.leaseExpired = true
 	crashed := crashOf(w)
-	for _, r := range crashed.runs {
+	for _, r := range w.runs {
 		c.runLost(r, lostWithBoot, now)
 	}
 	for id := range w.orphans {
--- a/internal/controller/replaced_test.go
+++ b/internal/controller/replaced_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"dotterelhitch/internal/workload"
 )
 
 // TestReplacedWorkerHoldsUpNoTakeover guards against jobs that stood still for the sum of a leader
@@ -26,3 +28,24 @@
 		t.Error("the takeover waits for a worker of which another boot has answered")
 	}
 }
+
+// TestRunsOfAReplacedDrainingWorkerAreLost guards against tasks that were never started again (LOST): their
+// worker was draining, left with them, and another one answered at its address before its lease ended.
+func TestRunsOfAReplacedDrainingWorkerAreLost(t *testing.T) {
+	sim := newSimulationWithController(t, 2, 4000)
+	sim.submit(simpleJob("j1", "batch", 8, 1000, nil))
+	sim.advance(300 * time.Millisecond)
+	left := sim.workers["i-aa"]
+	if len(left.runs) == 0 {
+		t.Fatal("no run on the worker that leaves")
+	}
+	left.draining = true
+	sim.listWorker(left)
+	sim.advance(100 * time.Millisecond)
+	left.crash()
+	left.replaced = true
+	sim.advance(20 * time.Second)
+	if got := sim.state("j1"); got != workload.JobCompleted {
+		t.Errorf("state %q, want completed", got)
+	}
+}
