--- a/internal/instancelist/client.go
+++ b/internal/instancelist/client.go
@@ -120,16 +120,10 @@
 	l.Entries = slices.DeleteFunc(l.Entries, func(e Entry) bool { return names[e.ID] > 1 })
 }
 
-// maxSize is the most that an instance may have of each resource, slots and connections. Sums
-// over all instances stay below the maximum of an int64.
-const maxSize = 1 << 40
-
-var largestInstance = structs.Resources{CPUMilli: maxSize, MemoryMiB: maxSize, Accelerators: maxSize}
-
 // validInstance reports whether an instance has a name, a known state and a possible size.
 func validInstance(w *structs.Worker) bool {
-	return w.ID != "" && validState(w.State) && !w.Size.HasNegative() && w.Size.Fits(largestInstance) &&
-		w.Slots >= 0 && w.Slots <= maxSize && w.Connections >= 0 && w.Connections <= maxSize
+	return w.ID != "" && validState(w.State) && w.Size.Possible() &&
+		w.Slots >= 0 && w.Slots <= structs.MaxAmount && w.Connections >= 0 && w.Connections <= structs.MaxAmount
 }
 
 func validState(state structs.WorkerState) bool {
--- a/internal/structs/resources.go
+++ b/internal/structs/resources.go
@@ -85,6 +85,15 @@
 	return r.CPUMilli < 0 || r.MemoryMiB < 0 || r.Accelerators < 0
 }
 
+// MaxAmount is the most that an instance may have of a resource, in its unit. Sums over all instances
+// stay below the maximum of an int64.
+const MaxAmount = 1 << 40
+
+// Possible reports whether an instance may have r: no component is below zero or above MaxAmount.
+func (r Resources) Possible() bool {
+	return !r.HasNegative() && r.Fits(Resources{CPUMilli: MaxAmount, MemoryMiB: MaxAmount, Accelerators: MaxAmount})
+}
+
 // IsZero reports whether every component is zero.
 func (r Resources) IsZero() bool {
 	return r == Resources{}
