--- a/internal/controller/outcome_test.go
+++ b/internal/controller/outcome_test.go
@@ -51,9 +51,9 @@
 	sim.checkAllJobsEnded()
 }
 
-// startWithLostAnswer submits a job of one task that fills a worker. Its start is carried out, but all
-// answers are lost, until the controller has sent the start again.
-func startWithLostAnswer(t *testing.T, workers int) (*simulation, *run) {
+// newSimulationWithLostAnswers returns a simulation with a job of one task that fills a worker. Its start
+// has been carried out, but all answers are lost.
+func newSimulationWithLostAnswers(t *testing.T, workers int) *simulation {
 	sim := newSimulationWithController(t, workers, 4000)
 	sim.orderTimeout = platformOrderTimeout
 	sim.lostAnswerShare = 1
@@ -62,6 +62,12 @@
 	}
 	sim.submit(simpleJob("j1", "batch", 1, 4000, nil))
 	sim.advance(30 * time.Millisecond)
+	return sim
+}
+
+// startWithLostAnswer returns such a simulation at the moment at which the start is sent again.
+func startWithLostAnswer(t *testing.T, workers int) (*simulation, *run) {
+	sim := newSimulationWithLostAnswers(t, workers)
 	var r *run
 	for _, w := range sim.ctl.workers {
 		for _, other := range w.runs {
@@ -120,14 +126,7 @@
 // TestUnansweredStartOfListedRun guards against lost work: a run that a poll has listed is sent again
 // after its start's answer was lost, and is stopped when the worker refuses that.
 func TestUnansweredStartOfListedRun(t *testing.T) {
-	sim := newSimulationWithController(t, 1, 4000)
-	sim.orderTimeout = platformOrderTimeout
-	sim.lostAnswerShare = 1
-	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
-		return 3 * time.Second, workload.EndDone
-	}
-	sim.submit(simpleJob("j1", "batch", 1, 4000, nil))
-	sim.advance(30 * time.Millisecond)
+	sim := newSimulationWithLostAnswers(t, 1)
 	f := sim.workers["i-aa"]
 	if len(f.runs) != 1 {
 		t.Fatalf("%d runs, want 1", len(f.runs))
