--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -93,10 +93,10 @@
 
 // entry is one process of the project, started with the command of the deploy file.
 type entry struct {
-	addr, readiness string
-	settingsPath    string
-	log             *os.File
-	cmd             *exec.Cmd
+	name, addr, readiness string
+	settingsPath          string
+	log                   *os.File
+	cmd                   *exec.Cmd
 }
 
 // loopback returns an address of its own for the nth peer of this process.
@@ -108,7 +108,7 @@
 func newEntry(binary, dir string, i int, storeAddr string) (*entry, error) {
 	ip := loopback(i + 1)
 	e := &entry{
-		addr: ip + ":8161", readiness: "http://" + ip + ":8167/readiness",
+		name: fmt.Sprintf("front-%d", i), addr: ip + ":8161", readiness: "http://" + ip + ":8167/readiness",
 		settingsPath: filepath.Join(dir, fmt.Sprintf("node-%d.toml", i)),
 	}
 	if err := os.WriteFile(e.settingsPath, fmt.Appendf(nil, settings, i, ip, storeAddr, loopback(1)), 0o600); err != nil {
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -8,6 +8,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -37,12 +39,28 @@
 // requesters sends requests to the entries.
 type requesters struct {
 	ledger *ledger
-	addrs  []string
 	client *http.Client
+
+	mu    sync.Mutex
+	addrs []string
+}
+
+// add has requests sent to an entry too.
+func (q *requesters) add(addr string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addrs = append(q.addrs, addr)
+}
+
+// remove has no more requests sent to an entry, as the platform does with one that isn't ready.
+func (q *requesters) remove(addr string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addrs = slices.DeleteFunc(q.addrs, func(a string) bool { return a == addr })
 }
 
-func newRequesters(l *ledger, addrs []string) *requesters {
-	return &requesters{ledger: l, addrs: addrs, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+func newRequesters(l *ledger) *requesters {
+	return &requesters{ledger: l, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -51,7 +69,9 @@
 func (q *requesters) call(method, queue, id string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeBudget)
 	defer cancel()
+	q.mu.Lock()
 	addr := q.addrs[rand.IntN(len(q.addrs))]
+	q.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/"+queue+"/"+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -69,6 +69,13 @@
 	s.add(s.topic(name), [][]byte{append(record, value...)})
 }
 
+// value returns the newest value of a key.
+func (s *store) value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).newest[key].value
+}
+
 func (s *store) add(t *topic, records [][]byte) {
 	for _, r := range records {
 		if len(r) > 0 && int(r[0]) < len(r) {
