--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -113,18 +113,26 @@
 	})
 }
 
+// maxCountsAge is how old the controller's counts of waiting jobs may be.
+const maxCountsAge = 2 * time.Second
+
 // WaitingJobs returns the number of accepted jobs of a class of which no task has started. On a
-// member that is not the controller the number is that of the last heartbeat.
-func (n *Node) WaitingJobs(ctx context.Context, class string) (int, error) {
+// member that is not the controller the number is that of the last heartbeat, or of one sent now if
+// that is too old.
+func (n *Node) WaitingJobs(_ context.Context, class string) (int, error) {
 	if l := n.term.Load(); l != nil && l.serving() {
 		if counts := l.waitingJobs.Load(); counts != nil {
-			return int((*counts)[class]), nil
+			return int(counts.ByClass[class]), nil
 		}
 	}
 	if !n.leaderServing() {
 		return 0, structs.NewRetryAfterError(structs.CodeUnavailable, noLeaderRetryAfter, "no controller at present")
 	}
-	count, known := n.view.waitingJobsOf(class, clock.Now(), n.servingTimeout())
+	count, known := n.view.waitingJobsOf(class, clock.Now(), maxCountsAge)
+	if claim, _, _ := n.view.latestClaim(); !known && claim.Boot != n.self.Boot {
+		n.heartbeatLeader(claim)
+		count, known = n.view.waitingJobsOf(class, clock.Now(), maxCountsAge)
+	}
 	if !known {
 		return 0, structs.NewRetryAfterError(structs.CodeUnavailable, noLeaderRetryAfter, "the controller has not reported its waiting jobs lately")
 	}
@@ -136,7 +144,10 @@
 func (v *cellView) waitingJobsOf(class string, now time.Time, within time.Duration) (count int, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return int(v.waitingJobs[class]), now.Sub(v.waitingAt) < within
+	if v.waitingJobs == nil || now.Sub(v.waitingAt) >= within {
+		return 0, false
+	}
+	return int(v.waitingJobs.ByClass[class]), true
 }
 
 // leaderCall is a call that only the controller can answer: local makes it on the controller
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -116,17 +116,22 @@
 		return true
 	}
 	n.applyMembers(resp)
-	waiting := resp.Waiting
-	if waiting == nil && resp.Ready {
-		waiting = map[string]int32{} // no job waits
-	}
-	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, waiting, now)
+	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, reportedCounts(resp), now)
 	if resp.Leaving {
 		n.view.markLeaderHandsOver(claim.Epoch, now)
 	}
 	return true
 }
 
+// reportedCounts returns the counts of waiting jobs in a controller's answer, nil if it has reported
+// none. A controller of an earlier program does not report that no job waits.
+func reportedCounts(resp *cellv1.HelloResponse) *cellv1.WaitingJobs {
+	if resp.WaitingJobs == nil && len(resp.Waiting) > 0 {
+		return &cellv1.WaitingJobs{ByClass: resp.Waiting}
+	}
+	return resp.WaitingJobs
+}
+
 // applyMembers replaces the known members by the controller's list if the response has one.
 func (n *Node) applyMembers(resp *cellv1.HelloResponse) {
 	if len(resp.Members) == 0 {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -42,6 +42,7 @@
 		l.ctl.PredecessorEnded(l.predecessor.epoch, now)
 	}
 	l.updateAdvisorEntries(now)
+	l.publishWaitingJobs()
 	l.ready.Store(true)
 	l.node.view.recordLeaderAnswer(l.epoch, true, nil, now)
 	return true
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -52,7 +52,8 @@
 	confirming atomic.Bool
 	// commitSignal wakes commitLoop.
 	commitSignal chan struct{}
-	waitingJobs  atomic.Pointer[map[string]int32] // by class, jobs of which no task has started
+	// waitingJobs counts the jobs of which no task has started, nil until they are counted.
+	waitingJobs atomic.Pointer[cellv1.WaitingJobs]
 
 	// The fields below are used by the control goroutine only.
 	acceptWaiters  map[string][]chan error // by job ID: calls that wait until its acceptance is stored
@@ -265,18 +266,15 @@
 	if !changed {
 		return
 	}
-	var published map[string]int32
-	if before := l.waitingJobs.Load(); before != nil {
-		published = *before
-	}
-	out := make(map[string]int32, len(counts))
+	published := l.waitingJobs.Load().GetByClass()
+	out := &cellv1.WaitingJobs{ByClass: make(map[string]int32, len(counts))}
 	for class, n := range counts {
-		out[class] = int32(n)
+		out.ByClass[class] = int32(n)
 		if _, known := published[class]; !known {
 			l.node.stats.registerClassGauge("hitch_cell_jobs_waiting", class, func() float64 { return l.node.localWaitingJobs(class) })
 		}
 	}
-	l.waitingJobs.Store(&out)
+	l.waitingJobs.Store(out)
 }
 
 // localWaitingJobs returns the number of jobs of a class of which no task has started, zero on
@@ -286,11 +284,7 @@
 	if l == nil {
 		return 0
 	}
-	counts := l.waitingJobs.Load()
-	if counts == nil {
-		return 0
-	}
-	return float64((*counts)[class])
+	return float64(l.waitingJobs.Load().GetByClass()[class])
 }
 
 func (l *leaderTerm) setConfig(cfg *workload.Config) {
@@ -323,9 +317,8 @@
 	resp.Leads = !l.ended.Load()
 	resp.Ready = l.serving()
 	resp.Leaving = l.handingOver.Load()
-	if counts := l.waitingJobs.Load(); counts != nil {
-		resp.Waiting = *counts
-	}
+	resp.WaitingJobs = l.waitingJobs.Load()
+	resp.Waiting = resp.WaitingJobs.GetByClass()
 	members := append(l.node.view.otherMembers(now.Add(-l.node.memberFreshness())), l.node.describeSelf())
 	resp.MembersVersion = membersVersion(members)
 	if resp.MembersVersion != req.MembersVersion {
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"dotterelhitch/internal/cell/cellv1"
 	"dotterelhitch/internal/election"
 )
 
@@ -28,8 +29,9 @@
 	refusedConnections int
 	// leaderStream is true while the controller sends orders to this member as its agent.
 	leaderStream bool
-	// waitingJobs are the controller's counts of waiting jobs by class, as of waitingAt.
-	waitingJobs map[string]int32
+	// waitingJobs are the controller's counts of waiting jobs as of waitingAt, nil if it has reported
+	// none.
+	waitingJobs *cellv1.WaitingJobs
 	waitingAt   time.Time
 	members     map[string]Member // by Member.Node, without this member
 	// knownNodes are the machines of all members that this member has learned of, whether they
@@ -44,7 +46,6 @@
 
 func (v *cellView) init(now time.Time) {
 	v.watchedSince = now
-	v.waitingJobs = map[string]int32{}
 	v.members = map[string]Member{}
 	v.knownNodes = map[string]struct{}{}
 	v.lastSeen = map[string]time.Time{}
@@ -103,8 +104,9 @@
 	return v.newestClaim, v.claimsEnd, v.claimsLoaded
 }
 
-// recordLeaderAnswer records an answer of the controller of an epoch.
-func (v *cellView) recordLeaderAnswer(epoch int64, ready bool, waiting map[string]int32, now time.Time) {
+// recordLeaderAnswer records an answer of the controller of an epoch. waiting is nil if the answer has no
+// counts of waiting jobs.
+func (v *cellView) recordLeaderAnswer(epoch int64, ready bool, waiting *cellv1.WaitingJobs, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if epoch != v.newestClaim.Epoch {
