The lease on a worker that has just answered a new controller has not ended

What callers would see (TWICE): a task is started while its run goes on, at a worker that answers a new controller once and falls silent before that controller has renewed the lease.

Cause: the end of a worker's leases is computed from the latest deadline that this controller has sent. Before it has sent one, that is zero, and the leases counted as ended at the worker's last answer, although a former controller may have renewed them a moment before. (With runs known before the first answer that was minded, with runs adopted in it not.) The controller sends the next poll within 30 ms, so that only one that may not, or does not, is hit.

Change: a worker's first answer to a controller bounds its leases by the longest that it grants.

--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -74,14 +74,14 @@
 	}
 	c.recordClock(w, result.ClockMs, sent, now)
 	if !w.bootAnswered {
-		if len(w.runs) > 0 {
-			// Their starts bore deadlines by the clock of an earlier boot.
-			w.maxLeaseDeadlineMs = w.clockMs + c.timing.MaxLease.Milliseconds()
-		}
+		// An earlier controller may have just renewed the lease, or a start have borne a deadline by
+		// the clock of an earlier boot.
+		w.maxLeaseDeadlineMs = w.clockMs + c.timing.MaxLease.Milliseconds()
 		w.bootAnswered = true
 		w.accountedFor = true
 		c.recordWorker(event.WorkerGained, w, "")
 	}
+	c.requestLeaseRecord(w)
 	w.leaseExpired = false
 	w.presumedCrash = nil
 	w.skipAckedEnds(result)
