Takeovers in a row keep the wait that has passed

Callers saw (LOST): while controllers followed one another within seconds, tasks of a worker that was lost waited until the leases had ended that each new controller counted from its own start.

Cause: what a controller knew of a worker out of reach (it has granted no lease there, and the leases of those before end at a time) was lost with it.

Change: the lease record names the workers that have not answered and the time that their leases last from its append. Such a worker gets no lease until a record without it is stored. Confirmations of the epoch reach the controller at each tick and not behind a long inbox.

--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -62,7 +62,7 @@
 func (l *leaderTerm) confirmEpoch(sent time.Time) {
 	raiseTime(&l.confirmedAt, sent)
 	raiseTime(&l.renewedAt, sent)
-	l.post(func(time.Time) { l.ctl.ConfirmEpoch(sent) })
+	l.post(func(time.Time) {}) // the next tick applies it
 }
 
 // confirmOnRequest reads the newest claim if ctl waits for a call of the store that shows its epoch to be
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -36,7 +36,7 @@
 		l.ctl.SetConfig(cfg.Config, now)
 	}
 	l.ctl.Load(records, now)
-	l.ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: l.predecessor.epoch, UsesWitnesses: v.Newest.Witnessed}, fencedAt)
+	l.ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: l.predecessor.epoch, UsesWitnesses: v.Newest.Witnessed}, fencedAt, now)
 	l.ctl.FollowedBy(l.node.self.Node, now)
 	if v.Newest.Epoch == 0 || v.Newest.Resigned || v.LeaderProcessEnded || v.Newest.Node == l.node.self.Node {
 		l.ctl.PredecessorEnded(l.predecessor.epoch, now)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -243,6 +243,8 @@
 		l.stop()
 		return
 	}
+	// The inbox may be long.
+	l.ctl.ConfirmEpoch(loadTime(&l.confirmedAt))
 	l.updateAdvisorEntries(now)
 	l.updateWitnesses(now)
 	l.confirmOnRequest()
--- a/internal/controller/authority.go
+++ b/internal/controller/authority.go
@@ -39,10 +39,14 @@
 func (c *Controller) Witnesses() []string { return c.lease.Witnesses() }
 
 // BoundPredecessors bounds the leader leases of the earlier controllers, of which last is the newest.
-// The store was fenced at fencedAt and then read by Load.
-func (c *Controller) BoundPredecessors(last leaderlease.Predecessor, fencedAt time.Time) {
+// The store was fenced at fencedAt and then read by Load, which was over at now.
+func (c *Controller) BoundPredecessors(last leaderlease.Predecessor, fencedAt, now time.Time) {
 	c.predecessors = leaderlease.NewPredecessors(c.timing.LeaderLease, fencedAt, c.leaseRecord, c.predecessorsEndedBefore, last)
 	c.SetPredecessorsExpiry(c.predecessors.Expiry())
+	if last.UsesWitnesses && last.Epoch == c.leaseRecord.Epoch {
+		c.loadUnreached(now)
+	}
+	c.updateLeaseRecord(now)
 	c.dirty.leaseRecord = true
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,12 @@
 	predecessors *leaderlease.Predecessors
 	// leaseRecord is what the predecessor has stored of leader leases.
 	leaseRecord leaderlease.Record
+	// unreachedMs are the workers that are not accounted for, with the time until every lease there
+	// has ended, as of the latest updateLeaseRecord. leaseRecordDue is when that is due again,
+	// leaseRecordVersion counts the records.
+	unreachedMs        map[string]int64
+	leaseRecordDue     time.Time
+	leaseRecordVersion int
 	// predecessorsExpiry is the time by which the leader leases of all earlier controllers
 	// have ended. It is zero until SetPredecessorsExpiry is called.
 	predecessorsExpiry time.Time
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -43,6 +43,8 @@
 	registered []registration
 	// witnesses are those of the controller's leader lease, nil if the batch holds none.
 	witnesses *leaderlease.WitnessSet
+	// leaseRecordVersion is that of the lease record in the batch, zero if there is none.
+	leaseRecordVersion int
 }
 
 // registration is the record of a worker that may be in use, in a batch.
@@ -199,7 +201,8 @@
 		if b.witnesses != nil {
 			c.lease.Storing(b.witnesses)
 		}
-		add(leaseRecordKey, mustJSON(c.predecessors.Record(c.epoch, b.witnesses)))
+		add(leaseRecordKey, mustJSON(c.nextLeaseRecord(b.witnesses)))
+		b.leaseRecordVersion = c.leaseRecordVersion
 	}
 	for w := range c.dirty.registered {
 		delete(c.dirty.registered, w)
@@ -266,6 +269,9 @@
 	for _, ack := range b.acks {
 		c.ackEnd(ack)
 	}
+	if b.leaseRecordVersion > 0 {
+		c.leaseRecordStored(b.leaseRecordVersion)
+	}
 	if b.witnesses != nil {
 		c.lease.Stored(b.witnesses)
 	}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -14,6 +14,7 @@
 		c.requestPlacement(now)
 	}
 	c.storePredecessorsEnd(now)
+	c.refreshLeaseRecord(now)
 	if c.HasLeaderLease(now) {
 		c.sendRetries(now)
 	}
@@ -67,6 +68,10 @@
 			// is not renewed while the boot is unknown, so that it expires.
 			poll.AckedSeq = 0
 		case w.bootAnswered:
+			c.requestLeaseRecord(w)
+			if !w.takesLeases() {
+				break
+			}
 			poll.Wait = c.pollWait(w)
 			poll.LeaseDeadlineMs = w.leaseDeadlineMs(now, c.timing.RequestedLease)
 			w.maxLeaseDeadlineMs = max(w.maxLeaseDeadlineMs, poll.LeaseDeadlineMs)
@@ -123,7 +128,11 @@
 	if c.predecessorsExpiry.IsZero() {
 		return time.Time{}
 	}
-	return c.predecessorsExpiry.Add(c.timing.longestLease())
+	end := c.predecessorsExpiry.Add(c.timing.longestLease())
+	if !w.leasesEndBy.IsZero() && w.leasesEndBy.Before(end) {
+		return w.leasesEndBy
+	}
+	return end
 }
 
 // expireWorker ends all runs on a worker whose leases have expired.
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -27,6 +27,12 @@
 	// known.
 	accountedFor bool
 
+	// leasesEndBy is the time by which every lease of earlier controllers has ended, zero if it follows
+	// from Controller.predecessorsExpiry alone. unreachedIn is the latest version of the lease record
+	// that says that this controller has granted none, zero if the store has no such record.
+	leasesEndBy time.Time
+	unreachedIn int
+
 	// clockMs is the worker's clock in its latest response, which arrived at clockAt.
 	clockMs int64
 	clockAt time.Time
@@ -197,7 +203,7 @@
 
 // usable reports whether tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.bootAnswered && w.registered && !w.info.Draining && !w.leaseExpired &&
+	return w.listed && w.bootAnswered && w.registered && w.takesLeases() && !w.info.Draining && !w.leaseExpired &&
 		w.reachable(now) && !now.Before(w.noStartsUntil) && !w.hasUnknownUsage()
 }
 
--- a/internal/leaderlease/leaderlease.go
+++ b/internal/leaderlease/leaderlease.go
@@ -72,4 +72,7 @@
 	Epoch int64        `json:"epoch"`
 	From  int64        `json:"from"`
 	Sets  []WitnessSet `json:"sets,omitempty"`
+	// UnreachedMs are the workers to which the controller has granted no lease: all leases there
+	// have ended by that many milliseconds after the record was stored.
+	UnreachedMs map[string]int64 `json:"unreached_ms,omitempty"`
 }
--- a/internal/leaderlease/leaderlease_test.go
+++ b/internal/leaderlease/leaderlease_test.go
@@ -87,6 +87,47 @@
 	}
 }
 
+// TestRenewalNeedsBothSetsUntilTheSecondIsStored guards against a set that is forgotten when an earlier one
+// turns out to be stored: the successor may read either.
+func TestRenewalNeedsBothSetsUntilTheSecondIsStored(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h := NewHolder(walkTiming)
+	var sets []*WitnessSet
+	for _, nodes := range []string{"a b", "c d"} {
+		h.Propose(WitnessSet{Epoch: 7, Nodes: strings.Fields(nodes)})
+		sets = append(sets, h.Proposed())
+		h.Storing(h.Proposed())
+	}
+	h.Stored(sets[0])
+	for follows, want := range map[string]bool{"a b": false, "c d": false, "a b c d": true} {
+		if got := h.RenewByWitnesses(start, nodeSet(follows)); got != want {
+			t.Errorf("renewed by %q: %v", follows, got)
+		}
+	}
+}
+
+// TestRecordNamesThePredecessorsIfAllAreKnown guards against a successor that relies on a record which
+// leaves out a controller that may still act.
+func TestRecordNamesThePredecessorsIfAllAreKnown(t *testing.T) {
+	before := WitnessSet{Epoch: 7, Nodes: []string{"a", "b"}}
+	own := WitnessSet{Epoch: 8, Nodes: []string{"c"}}
+	for name, c := range map[string]struct {
+		last Predecessor
+		from int64
+		sets int
+	}{
+		"known":     {Predecessor{Epoch: 7, UsesWitnesses: true}, 7, 2},
+		"not known": {Predecessor{Epoch: 7}, 8, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPredecessors(walkTiming, time.Unix(1000, 0), Record{Epoch: 7, From: 7, Sets: []WitnessSet{before}}, 7, c.last)
+			if r := p.Record(8, &own); r.Epoch != 8 || r.From != c.from || len(r.Sets) != c.sets {
+				t.Errorf("the record is %+v", r)
+			}
+		})
+	}
+}
+
 // TestWitnessesRenewNoLongerThanMaxLease guards against a lease that outlasts what a successor waits for
 // if it reaches no witness.
 func TestWitnessesRenewNoLongerThanMaxLease(t *testing.T) {
