Cells: tell how a version of the configuration came, and how old the knowledge of it is

The follower of a topic tells through whom it read last and when the topic was known to end there. No decision depends on any of it yet.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -1,61 +1,180 @@
 package cell
 
 import (
+	"sync/atomic"
 	"time"
 
+	"dotterelhitch/internal/clock"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/stream"
+	"dotterelhitch/internal/workload"
 )
 
 // configReadWait is how long a read of the configuration waits for a change. It is short enough
 // to detect a dead connection within the time by which a new version must be in force.
 const configReadWait = 1500 * time.Millisecond
 
+// configVersion is a version of the configuration and the record from which it was decoded.
+type configVersion struct {
+	*workload.Config
+	record []byte
+}
+
+// configSource tells how a version of the configuration reached this member.
+type configSource struct {
+	kind string
+	// member is the member that passed it on, empty for a direct read of the store.
+	member string
+}
+
+// Kinds of configSource.
+const (
+	sourceStore     = "store"
+	sourceRelay     = "relay"
+	sourceHeartbeat = "heartbeat"
+)
+
+// configState is the configuration in force at a member.
+type configState struct {
+	version atomic.Pointer[configVersion]
+	// confirmedAt is the latest time at which the version in force is known to have been the
+	// newest, in Unix nanoseconds of the steady clock; zero if it never was.
+	confirmedAt atomic.Int64
+}
+
+// confirm records that the version in force was the newest at a time.
+func (s *configState) confirm(at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	for {
+		old := s.confirmedAt.Load()
+		if old >= at.UnixNano() || s.confirmedAt.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// age returns the time since the version in force was known to be the newest, zero if it never was.
+func (s *configState) age(now time.Time) time.Duration {
+	at := s.confirmedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(now.Sub(time.Unix(0, at)), 0)
+}
+
+// number returns the number of the version in force, zero while there is none.
+func (s *configState) number() int64 {
+	if v := s.version.Load(); v != nil {
+		return v.Version
+	}
+	return 0
+}
+
 // followConfig reads the configuration topic, and applies each newer version, until the node
 // stops.
 func (n *Node) followConfig() {
 	f := stream.Follower{
-		Reader:    n.log,
-		Topic:     n.opts.Topics.ConfigTopic,
-		PollWait:  configReadWait,
-		OnReload:  func(records []stream.Record, _ time.Time) { n.applyConfigRecords(records) },
-		OnRecords: func(records []stream.Record, _ time.Time) { n.applyConfigRecords(records) },
-		OnError:   func(error) {},
+		Reader:   n.log,
+		Topic:    n.opts.Topics.ConfigTopic,
+		PollWait: configReadWait,
+		OnError:  func(error) {},
+	}
+	apply := func(records []stream.Record, _ time.Time) {
+		source := configSource{kind: sourceStore}
+		if f.LastRelay != "" {
+			source = configSource{kind: sourceRelay, member: f.LastRelay}
+		}
+		if n.applyConfigRecords(records, source) {
+			n.config.confirm(f.CurrentAt)
+		}
 	}
+	f.OnReload = apply
+	f.OnRecords = apply
 	f.Run(n.ctx)
 }
 
-func (n *Node) applyConfigRecords(records []stream.Record) {
+// applyConfigRecords applies the versions among records of the configuration topic. It returns false if
+// one of them can't be decoded.
+func (n *Node) applyConfigRecords(records []stream.Record, source configSource) bool {
+	ok := true
 	for i := range records {
 		if records[i].Key == n.opts.Topics.ConfigKey {
-			n.applyConfig(records[i].Value)
+			ok = n.applyConfig(records[i].Value, source) && ok
 		}
 	}
+	return ok
 }
 
 // applyConfig decodes a configuration record and puts it in force if its version is higher than
-// the one in force.
-func (n *Node) applyConfig(raw []byte) {
+// the one in force. It returns false if the record can't be decoded.
+func (n *Node) applyConfig(raw []byte, source configSource) bool {
 	if len(raw) == 0 {
-		return
+		return true
 	}
 	cfg, err := n.opts.Topics.DecodeConfig(raw)
 	if err != nil {
 		n.recordAlarm(err)
-		return
+		return false
 	}
 	next := &configVersion{Config: cfg, record: raw}
 	for {
-		old := n.config.Load()
+		old := n.config.version.Load()
 		if old != nil && old.Version >= cfg.Version {
-			return
+			return true
 		}
-		if n.config.CompareAndSwap(old, next) {
+		if n.config.version.CompareAndSwap(old, next) {
 			break
 		}
 	}
-	n.record(event.Event{Type: event.ConfigApplied, Version: cfg.Version, Count: len(cfg.Classes)})
+	n.record(event.Event{
+		Type:    event.ConfigApplied,
+		Version: cfg.Version,
+		Count:   len(cfg.Classes),
+		Member:  source.member,
+		AgeMs:   n.config.age(clock.Now()).Milliseconds(),
+		Detail:  source.kind,
+	})
 	if l := n.term.Load(); l != nil {
 		l.setConfig(cfg)
 	}
+	return true
+}
+
+const (
+	// configStaleAfter is the age from which a configuration that was not confirmed is reported as
+	// stale.
+	configStaleAfter = 2 * time.Second
+	// configAgePeriod is the period at which the age of the configuration is checked.
+	configAgePeriod = 500 * time.Millisecond
+)
+
+// The states of event.ConfigStale.
+const (
+	stateStale   = "stale"
+	stateCurrent = "current"
+)
+
+// monitorConfigAge records when the configuration becomes stale, and when it is confirmed again, until
+// the node stops.
+func (n *Node) monitorConfigAge() {
+	oldest := time.Duration(0)
+	for n.sleep(configAgePeriod) {
+		age := n.config.age(clock.Now())
+		switch {
+		case age >= configStaleAfter:
+			if oldest == 0 {
+				n.recordConfigAge(stateStale, age)
+			}
+			oldest = max(oldest, age)
+		case oldest > 0:
+			n.recordConfigAge(stateCurrent, oldest)
+			oldest = 0
+		}
+	}
+}
+
+func (n *Node) recordConfigAge(state string, age time.Duration) {
+	n.record(event.Event{Type: event.ConfigStale, Version: n.config.number(), State: state, AgeMs: age.Milliseconds()})
 }
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -86,7 +86,7 @@
 func (n *Node) runElection() {
 	for n.sleep(electionPeriod) {
 		_, _, claimsLoaded := n.view.latestClaim()
-		if !claimsLoaded || n.term.Load() != nil || n.isSteppingDown() || n.config.Load() == nil {
+		if !claimsLoaded || n.term.Load() != nil || n.isSteppingDown() || n.config.version.Load() == nil {
 			continue
 		}
 		v, end := n.view.electionView(n.self, clock.Now())
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -28,7 +28,7 @@
 
 // Config returns the configuration in force, nil while there is none.
 func (n *Node) Config() *workload.Config {
-	if v := n.config.Load(); v != nil {
+	if v := n.config.version.Load(); v != nil {
 		return v.Config
 	}
 	return nil
@@ -63,24 +63,23 @@
 }
 
 // RecordRefusal records that a caller's request was answered with an error. The event has the
-// state of this member: the known controller, how long ago it last answered, and the version of
-// the configuration.
+// state of this member: the known controller, how long ago it last answered, the version of the
+// configuration, and how long ago that was known to be the newest.
 func (n *Node) RecordRefusal(jobID, class, method string, elapsed time.Duration, err error) {
 	claim, _, _ := n.view.latestClaim()
 	since, _ := n.view.sinceLeaderHeard(clock.Now())
 	e := event.Event{
-		Type:    event.RequestRefused,
-		Request: jobID,
-		Class:   class,
-		Code:    structs.CodeOf(err),
-		Member:  claim.Node,
-		Epoch:   claim.Epoch,
-		AgeMs:   since.Milliseconds(),
-		Count:   int(elapsed.Milliseconds()),
-		Detail:  method + ": " + structs.AsError(err).Message,
-	}
-	if cfg := n.Config(); cfg != nil {
-		e.Version = cfg.Version
+		Type:        event.RequestRefused,
+		Request:     jobID,
+		Class:       class,
+		Code:        structs.CodeOf(err),
+		Member:      claim.Node,
+		Epoch:       claim.Epoch,
+		AgeMs:       since.Milliseconds(),
+		Count:       int(elapsed.Milliseconds()),
+		Version:     n.config.number(),
+		ConfigAgeMs: n.config.age(clock.Now()).Milliseconds(),
+		Detail:      method + ": " + structs.AsError(err).Message,
 	}
 	n.stats.countRefused(e.Code)
 	n.record(e)
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -111,7 +111,7 @@
 		n.view.markLeaderEnded(claim.Epoch, now)
 		return true
 	}
-	n.applyConfig(resp.Config)
+	n.applyConfigOfMember(resp)
 	if !resp.Leads || resp.Epoch != claim.Epoch {
 		return true
 	}
@@ -123,6 +123,11 @@
 	return true
 }
 
+// applyConfigOfMember applies the configuration in another member's answer, if it has one.
+func (n *Node) applyConfigOfMember(resp *cellv1.HelloResponse) {
+	n.applyConfig(resp.Config, configSource{kind: sourceHeartbeat, member: resp.From.GetNode()})
+}
+
 // reportedCounts returns the counts of waiting jobs in a controller's answer, nil if it has reported
 // none. A controller of an earlier program does not report that no job waits.
 func reportedCounts(resp *cellv1.HelloResponse) *cellv1.WaitingJobs {
@@ -151,9 +156,7 @@
 		Epoch:          claim.Epoch,
 		Slow:           n.speed.isSlow(),
 		MembersVersion: n.view.knownMembersVersion(),
-	}
-	if cfg := n.config.Load(); cfg != nil {
-		req.ConfigVersion = cfg.Version
+		ConfigVersion:  n.config.number(),
 	}
 	return callPeer(n.ctx, n.peers, addr, timeout, (*peerClient).Hello, req)
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -15,7 +15,6 @@
 	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
-	"dotterelhitch/internal/workload"
 )
 
 // Member is one process of the cell.
@@ -63,7 +62,7 @@
 	// workers is opts.Workers with counters.
 	workers Workers
 
-	config atomic.Pointer[configVersion]
+	config configState
 	// term is this member's term as the controller, nil while it is not the controller.
 	term atomic.Pointer[leaderTerm]
 
@@ -80,12 +79,6 @@
 	stepDownOnce sync.Once
 }
 
-// configVersion is a version of the configuration and the record from which it was decoded.
-type configVersion struct {
-	*workload.Config
-	record []byte
-}
-
 // New returns a node; Run starts it.
 func New(opts Options) *Node {
 	opts.Self.Boot = uuid.NewString()[:8]
@@ -101,6 +94,8 @@
 	n.stats.registerGauge("hitch_cell_authority_left_seconds", n.leaderLeaseLeft)
 	n.stats.registerGauge("hitch_cell_agents", n.agentMetric((*agentPool).agentCount))
 	n.stats.registerGauge("hitch_cell_agent_orders_pending", n.agentMetric((*agentPool).pendingOrders))
+	n.stats.registerGauge("hitch_cell_config_version", func() float64 { return float64(n.config.number()) })
+	n.stats.registerGauge("hitch_cell_config_age_seconds", func() float64 { return n.config.age(clock.Now()).Seconds() })
 	n.view.init(clock.Now())
 	n.log = newRelayLog(opts.Log, n)
 	return n
@@ -130,6 +125,7 @@
 	server := newPeerServer(n)
 	n.spawn(func() { n.serve(server) })
 	n.spawn(n.followConfig)
+	n.spawn(n.monitorConfigAge)
 	n.spawn(n.followClaims)
 	n.spawn(n.register)
 	n.spawn(n.sendHeartbeats)
@@ -176,7 +172,7 @@
 // Ready reports whether the node can serve callers: it has a configuration, and it is a serving
 // controller or has had a recent answer from one.
 func (n *Node) Ready() bool {
-	if n.config.Load() == nil {
+	if n.config.version.Load() == nil {
 		return false
 	}
 	if l := n.term.Load(); l != nil {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -337,6 +337,7 @@
 		Next:    resp.Next,
 		End:     resp.End,
 		First:   resp.First,
+		Relay:   m.Node,
 	}, errorFromProto(resp.Error)
 }
 
@@ -346,7 +347,7 @@
 	if err != nil {
 		return stream.Page{}, err
 	}
-	return stream.Page{Records: recordsFromProto(resp.Records), HasMore: resp.More, End: resp.End}, errorFromProto(resp.Error)
+	return stream.Page{Records: recordsFromProto(resp.Records), HasMore: resp.More, End: resp.End, Relay: m.Node}, errorFromProto(resp.Error)
 }
 
 // recordsToProto converts records. Keys of other writers may not be UTF-8, which a message can't
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -43,7 +43,7 @@
 	if since, heard := n.view.sinceLeaderHeard(now); heard {
 		resp.LeaderHeardMs = since.Milliseconds()
 	}
-	if cfg := n.config.Load(); cfg != nil && cfg.Version > req.ConfigVersion {
+	if cfg := n.config.version.Load(); cfg != nil && cfg.Version > req.ConfigVersion {
 		resp.Config = cfg.record
 	}
 	if l := n.term.Load(); l != nil {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -32,7 +32,7 @@
 	}
 	now := clock.Now()
 	l.ctl.ConfirmEpoch(sent)
-	if cfg := l.node.config.Load(); cfg != nil {
+	if cfg := l.node.config.version.Load(); cfg != nil {
 		l.ctl.SetConfig(cfg.Config, now)
 	}
 	l.ctl.Load(records, now)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -79,7 +79,8 @@
 	AdviceReceived      Type = "advice_got"       // Task (step), Candidates (asked), Count (allowed), AgeMs, Member (lane)
 	AdviceFailed        Type = "advice_failed"    // the same
 	JobRefused          Type = "job_refused"      // a submission was refused: Job, Class, Code, Count (load), AgeMs
-	ConfigApplied       Type = "config_taken"     // Version, Count (classes)
+	ConfigApplied       Type = "config_taken"     // Version, Count (classes), Member (that passed it on, if any), AgeMs (since the former version was known to be the newest), Detail (source)
+	ConfigStale         Type = "config_stale"     // whether the configuration is the newest has not been confirmed lately, or is confirmed again after that: Version, State, AgeMs (since it was confirmed)
 	StoreLost           Type = "store_lost"       // Detail
 	StoreRecovered      Type = "store_regained"   // AgeMs (duration of the outage)
 	LeaderLost          Type = "leader_lost"      // Member (the controller), Epoch, AgeMs, Detail
@@ -90,7 +91,7 @@
 	LeaderFound         Type = "leader_found"     // Member, Epoch
 	SettingsReloaded    Type = "settings_taken"   // the settings were read again
 	SettingsRejected    Type = "settings_refused" // Detail: what is wrong with them
-	RequestRefused      Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since the controller's last message), Version (configuration), Count (ms the entry held the request), Detail
+	RequestRefused      Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since the controller's last message), Version (configuration), ConfigAgeMs, Count (ms the entry held the request), Detail
 	TaskEndObserved     Type = "task_noted"       // the controller observed a run's end: Task, Attempt, Worker, State
 	LinesDropped        Type = "lines_dropped"    // lines dropped because the output was blocked or the rate limit was exceeded: Count
 	FaultInjected       Type = "fault"            // a test injected a fault: Detail
@@ -127,9 +128,11 @@
 	// Candidates is the number of alternatives that a decision considered. AgeMs is the
 	// age of the information that it was based on, in milliseconds, unless the comment
 	// on the event's type says otherwise.
-	Candidates int    `json:"candidates,omitempty"`
-	AgeMs      int64  `json:"age_ms,omitempty"`
-	Detail     string `json:"detail,omitempty"`
+	Candidates int   `json:"candidates,omitempty"`
+	AgeMs      int64 `json:"age_ms,omitempty"`
+	// ConfigAgeMs is the time since the configuration was confirmed to be the newest, in milliseconds.
+	ConfigAgeMs int64  `json:"config_age_ms,omitempty"`
+	Detail      string `json:"detail,omitempty"`
 }
 
 // Digest returns a short hash of a body for Event.Digest and Event.ExpectedDigest.
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -24,7 +24,8 @@
 // The pages are no snapshot: the offset is the end of the topic at the first page, so that no
 // record is missed.
 func ReadNewest(ctx context.Context, r Reader, topic string) ([]Record, int64, error) {
-	return readPages(ctx, r, topic, "", "")
+	all, first, err := readPages(ctx, r, topic, "", "")
+	return all, first.End, err
 }
 
 // ReadRange returns the newest records of the keys above after and below before. An empty
@@ -34,29 +35,28 @@
 	return records, err
 }
 
-// readPages reads the pages of a range of keys, and returns the end of the topic at the first
-// page.
-func readPages(ctx context.Context, r Reader, topic, after, before string) (all []Record, end int64, err error) {
-	for first := true; ; first = false {
+// readPages reads the pages of a range of keys. It also returns the first page.
+func readPages(ctx context.Context, r Reader, topic, after, before string) (all []Record, first Page, err error) {
+	for isFirst := true; ; isFirst = false {
 		page, err := r.Newest(ctx, topic, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, Page{}, err
 		}
-		if first {
-			end = page.End
+		if isFirst {
+			first = page
 		}
 		for _, record := range page.Records {
 			if before != "" && record.Key >= before {
-				return all, end, nil
+				return all, first, nil
 			}
 			all = append(all, record)
 		}
 		if !page.HasMore || len(page.Records) == 0 {
-			return all, end, nil
+			return all, first, nil
 		}
 		after, err = nextPageStart(after, page.Records[len(page.Records)-1].Key)
 		if err != nil {
-			return nil, 0, err
+			return nil, Page{}, err
 		}
 	}
 }
@@ -100,6 +100,11 @@
 	// read first.
 	NextOffset  int64
 	OffsetKnown bool
+	// LastRelay is the member through which the last successful read was made, empty for a direct
+	// one. CurrentAt is a time at which the topic ended at NextOffset, zero if it may have had more
+	// records. Both are set before a callback is called.
+	LastRelay string
+	CurrentAt time.Time
 }
 
 // Limits of the pause after a failed read.
@@ -126,12 +131,14 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	sent := clock.Now()
 	if !f.OffsetKnown {
-		records, end, err := ReadNewest(ctx, f.Reader, f.Topic)
+		records, first, err := readPages(ctx, f.Reader, f.Topic, "", "")
 		if err != nil {
 			return err
 		}
-		f.NextOffset = end
+		f.NextOffset = first.End
 		f.OffsetKnown = true
+		f.LastRelay = first.Relay
+		f.CurrentAt = sent
 		f.OnReload(records, sent)
 		return nil
 	}
@@ -145,6 +152,8 @@
 		return err
 	}
 	f.NextOffset = batch.Next
+	f.LastRelay = batch.Relay
+	f.CurrentAt = f.currentAt(batch, sent)
 	f.OnRecords(batch.Records, sent)
 	if len(batch.Records) > 0 && f.PauseAfterRecords > 0 {
 		sleep(ctx, f.PauseAfterRecords)
@@ -152,6 +161,18 @@
 	return nil
 }
 
+// currentAt returns a time at which the topic ended where a batch ends, zero if there is none. A read
+// without records was answered PollWait after it was sent.
+func (f *Follower) currentAt(batch Batch, sent time.Time) time.Time {
+	switch {
+	case batch.Next < batch.End:
+		return time.Time{}
+	case len(batch.Records) == 0 && clock.Since(sent) >= f.PollWait:
+		return sent.Add(f.PollWait)
+	}
+	return sent
+}
+
 // sleep waits for a time or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -56,6 +56,8 @@
 	Next  int64
 	End   int64
 	First int64
+	// Relay is the member through which the call was made, empty for a direct call.
+	Relay string
 }
 
 // Page is a page of the newest records of a keyed topic.
@@ -65,4 +67,6 @@
 	HasMore bool
 	// End is the end of the topic.
 	End int64
+	// Relay is the member through which the call was made, empty for a direct call.
+	Relay string
 }
