--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -40,6 +40,9 @@
 	cutFromLog atomic.Bool // its calls to the log get no answer
 	readsHang  atomic.Bool // its waiting reads of the log get no answer
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
+	// logConnections are those to the log, listener has those from peers.
+	logConnections logConnections
+	listener       *powerCutListener
 	// delayAnswers is how long what it sends to peers is delayed, in nanoseconds.
 	delayAnswers atomic.Int64
 	// events are the events that the node has recorded.
@@ -109,6 +112,7 @@
 		c.t.Fatal(err)
 	}
 	n := &testNode{done: make(chan struct{})}
+	n.listener = &powerCutListener{Listener: listener, poweredOff: &n.poweredOff, delay: &n.delayAnswers}
 	clock := &event.Clock{}
 	var workers Workers = c.workers
 	if c.orderTarget != nil {
@@ -116,8 +120,8 @@
 	}
 	n.Node = New(Options{
 		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d", Cores: c.cores},
-		Listener: &powerCutListener{Listener: listener, poweredOff: &n.poweredOff, delay: &n.delayAnswers},
-		Log:      c.log.view(n.cutFromLog.Load, n.readsHang.Load),
+		Listener: n.listener,
+		Log:      c.log.view(n.cutFromLog.Load, n.readsHang.Load, &n.logConnections),
 		Workers:  workers,
 		Topics: PlatformTopics{
 			ConfigTopic:  "keyed.op",
@@ -167,6 +171,15 @@
 	return v, json.Unmarshal(value, v)
 }
 
+// goSilent has all connections to the log and between nodes that are open now carry nothing more,
+// without closing them. New ones work.
+func (c *testCell) goSilent() {
+	for _, n := range c.nodes {
+		n.logConnections.goSilent()
+		n.listener.goSilent()
+	}
+}
+
 // kill stops a node without a hand-over.
 func (n *testNode) kill() {
 	n.stop()
--- a/internal/cell/config_test.go
+++ b/internal/cell/config_test.go
@@ -96,3 +96,87 @@
 		t.Errorf("confirmed %v ago", age)
 	}
 }
+
+// contactWindow is how long after a disruption of its own a member must have applied what was
+// acknowledged configBound before.
+const (
+	contactWindow = 3 * time.Second
+	configBound   = 2500 * time.Millisecond
+)
+
+// useRelays has each node call the log through the others once, so that they have connections to one
+// another.
+func (c *testCell) useRelays() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		for _, m := range n.relayCandidates() {
+			if _, err := n.relayNewest(n.ctx, m, membersTopic, ""); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// TestSilentConnectionsDelayNoConfig guards against a member that goes on by an old version after all open
+// connections went silent (CONFIG): its reader waited for dead calls although a new one would have
+// been answered.
+func TestSilentConnectionsDelayNoConfig(t *testing.T) {
+	c := newTestCell(t, 4)
+	c.awaitLeader(5 * time.Second)
+	c.awaitVersion(1, time.Now(), 5*time.Second)
+	for version := int64(2); version <= 4; version++ {
+		c.useRelays()
+		began := time.Now()
+		c.goSilent()
+		c.writeConfig(version)
+		t.Logf("version %d is in force after %v", version, c.awaitVersion(version, began, contactWindow))
+		time.Sleep(time.Duration(version) * 300 * time.Millisecond) // another phase of the reads
+	}
+}
+
+// newCellBehindDeadRelays returns a cell whose controller has no path of its own to the log, and in
+// which the two members that it would choose as relays have just ended. The third one is well.
+func newCellBehindDeadRelays(t *testing.T) (c *testCell, leader, well *testNode) {
+	c = newEmptyTestCell(t)
+	c.cores = 4
+	c.addNode("leader")
+	leader = c.awaitLeader(10 * time.Second)
+	c.cores = 3
+	dead := []*testNode{c.addNode("dead-1"), c.addNode("dead-2")}
+	c.cores = 1
+	well = c.addNode("well")
+	for len(leader.view.otherMembers(time.Now().Add(-time.Second))) < 3 || !well.leaderServing() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.awaitVersion(1, time.Now(), 5*time.Second)
+	for _, n := range dead {
+		n.kill()
+	}
+	leader.cutFromLog.Store(true)
+	return c, leader, well
+}
+
+// TestControllerBehindIsToldByMembers guards against a controller that decides by an old version although a
+// member whose heartbeats it answers has the new one (CONFIG).
+func TestControllerBehindIsToldByMembers(t *testing.T) {
+	c, leader, well := newCellBehindDeadRelays(t)
+	began := time.Now()
+	c.writeConfig(2)
+	for well.config.number() < 2 || leader.config.number() < 2 {
+		if time.Since(began) > configBound {
+			t.Fatalf("after %v the member has version %d and the controller %d", configBound, well.config.number(), leader.config.number())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestRelaysThatFailAreReplaced guards against a member without a path of its own that calls the log through
+// the same two dead members again and again, while another one would answer.
+func TestRelaysThatFailAreReplaced(t *testing.T) {
+	c, leader, _ := newCellBehindDeadRelays(t)
+	began := time.Now()
+	c.submit(leader, "j1")
+	if took := time.Since(began); took > 2*contactWindow {
+		t.Errorf("the job was stored after %v", took)
+	}
+}
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -55,13 +55,53 @@
 }
 
 // view returns the log for one machine. The machine's calls get no answer while cut returns
-// true, and its waiting reads get none while hang returns true.
-func (f *fakeLog) view(cut, hang func() bool) Log { return &logView{log: f, isCut: cut, hangs: hang} }
+// true, and its waiting reads get none while hang returns true. connections are those that the machine
+// has open to the log.
+func (f *fakeLog) view(cut, hang func() bool, connections *logConnections) Log {
+	return &logView{log: f, isCut: cut, hangs: hang, connections: connections}
+}
 
 type logView struct {
-	log   *fakeLog
-	isCut func() bool
-	hangs func() bool
+	log         *fakeLog
+	isCut       func() bool
+	hangs       func() bool
+	connections *logConnections
+}
+
+// logConnections simulates the open connections of a machine to the log.
+type logConnections struct {
+	mu sync.Mutex
+	// silence counts the times at which all open connections went silent. idleSilent is true
+	// while idle ones among them are kept: the next calls use these.
+	silence    int
+	idleSilent bool
+}
+
+// goSilent has all open connections carry nothing more: the calls on them get no answer.
+func (c *logConnections) goSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silence++
+	c.idleSilent = true
+}
+
+// begin begins a call. It returns a function that tells whether the call's connection is silent.
+func (c *logConnections) begin() func() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	silence, idleSilent := c.silence, c.idleSilent
+	return func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return idleSilent || c.silence != silence
+	}
+}
+
+// closeIdle closes the idle connections, as the client of the log does after a call without an answer.
+func (c *logConnections) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSilent = false
 }
 
 // cutPathTimeout is the time after which a call on a cut path fails.
@@ -76,7 +116,11 @@
 	return structs.NewError(structs.CodeUnknown, "no answer")
 }
 
-func (v *logView) Append(_ context.Context, a stream.Append) (stream.AppendResult, error) {
+func (v *logView) Append(ctx context.Context, a stream.Append) (stream.AppendResult, error) {
+	return onConnection(ctx, v, 0, func(context.Context) (stream.AppendResult, error) { return v.append(a) })
+}
+
+func (v *logView) append(a stream.Append) (stream.AppendResult, error) {
 	if v.log.refuseAppends.Load() {
 		return stream.AppendResult{}, structs.NewError(structs.CodeUnavailable, "busy")
 	}
@@ -105,7 +149,29 @@
 	return out, err
 }
 
+// onConnection makes a call that waits up to wait. If its connection goes silent, it ends without an answer
+// after the time in which the client of the log would give it up.
+func onConnection[T any](ctx context.Context, v *logView, wait time.Duration, call func(context.Context) (T, error)) (T, error) {
+	isSilent := v.connections.begin()
+	timeout := time.After(wait + cutPathTimeout)
+	out, err := call(ctx)
+	if !isSilent() {
+		return out, err
+	}
+	select {
+	case <-ctx.Done():
+	case <-timeout:
+	}
+	v.connections.closeIdle()
+	var zero T
+	return zero, structs.NewError(structs.CodeUnknown, "no answer")
+}
+
 func (v *logView) Read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
+	return onConnection(ctx, v, wait, func(ctx context.Context) (stream.Batch, error) { return v.read(ctx, topic, from, wait) })
+}
+
+func (v *logView) read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
 	if err := v.pathError(); err != nil {
 		return stream.Batch{}, err
 	}
@@ -120,11 +186,13 @@
 	return batch, err
 }
 
-func (v *logView) Newest(_ context.Context, topic, after string) (stream.Page, error) {
-	if err := v.pathError(); err != nil {
-		return stream.Page{}, err
-	}
-	return v.log.newest(topic, after), nil
+func (v *logView) Newest(ctx context.Context, topic, after string) (stream.Page, error) {
+	return onConnection(ctx, v, 0, func(context.Context) (stream.Page, error) {
+		if err := v.pathError(); err != nil {
+			return stream.Page{}, err
+		}
+		return v.log.newest(topic, after), nil
+	})
 }
 
 // maxFakeKeyBytes is the maximum length of a key. The platform's log stores it in one byte.
--- a/internal/cell/power_test.go
+++ b/internal/cell/power_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,23 +15,32 @@
 	net.Listener
 	poweredOff *atomic.Bool
 	delay      *atomic.Int64 // of what is written, in nanoseconds
+	// silence counts the times at which all open connections went silent.
+	silence atomic.Int64
 }
 
+// goSilent has all open connections carry nothing more. New ones work.
+func (l *powerCutListener) goSilent() { l.silence.Add(1) }
+
 func (l *powerCutListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	conn := &powerCutConn{Conn: c, poweredOff: l.poweredOff, delay: l.delay, writes: make(chan delayedWrite, 1<<12)}
+	silence := l.silence.Load()
+	isSilent := func() bool { return l.poweredOff.Load() || l.silence.Load() != silence }
+	conn := &powerCutConn{Conn: c, isSilent: isSilent, delay: l.delay, writes: make(chan delayedWrite, 1<<12), closed: make(chan struct{})}
 	go conn.writeDelayed()
 	return conn, nil
 }
 
 type powerCutConn struct {
 	net.Conn
-	poweredOff *atomic.Bool
-	delay      *atomic.Int64
-	writes     chan delayedWrite
+	isSilent  func() bool
+	delay     *atomic.Int64
+	writes    chan delayedWrite
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // delayedWrite is what a connection sends at a time.
@@ -51,12 +61,18 @@
 
 func (c *powerCutConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.waitWhileOff()
+	c.waitWhileSilent()
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *powerCutConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 func (c *powerCutConn) Write(b []byte) (int, error) {
-	if c.poweredOff.Load() {
+	if c.isSilent() {
 		return len(b), nil
 	}
 	select {
@@ -67,10 +83,14 @@
 	}
 }
 
-// waitWhileOff waits while poweredOff is set.
-func (c *powerCutConn) waitWhileOff() {
-	for c.poweredOff.Load() {
-		time.Sleep(5 * time.Millisecond)
+// waitWhileSilent waits while the connection is silent, until it is closed.
+func (c *powerCutConn) waitWhileSilent() {
+	for c.isSilent() {
+		select {
+		case <-c.closed:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
 	}
 }
 
