--- /dev/null
+++ b/internal/cell/hedge.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"dotterelhitch/internal/structs"
+)
+
+// isPathFailure reports whether a call to the store got no answer or certainly had no effect, so
+// that another path may be tried. Refusals by the store itself with status 503, 507 or 429 also
+// count as path failures: their codes are CodeUnavailable and CodeOverload.
+func isPathFailure(err error) bool {
+	switch structs.CodeOf(err) {
+	case structs.CodeUnknown, structs.CodeDeadline:
+		return true
+	}
+	return certainlyNotDone(err)
+}
+
+// hedgeDelay is how long an idempotent call to the store goes without an answer before it is
+// also made through other members.
+const hedgeDelay = 350 * time.Millisecond
+
+// result is the result of a call to the store.
+type result[T any] struct {
+	out T
+	err error
+}
+
+// callStore makes a call directly, and through other members if direct calls fail or take
+// longer than wait plus hedgeDelay. A call that is not idempotent is retried through others only
+// if it certainly was not done.
+func callStore[T any](
+	ctx context.Context,
+	r *relayLog,
+	idempotent bool,
+	wait time.Duration,
+	direct func() (T, error),
+	relayed func(Member) (T, error),
+) (T, error) {
+	var relayErr error
+	if r.directFailing() {
+		out, err := callRelays(r, idempotent, relayed)
+		if isFinal(err, idempotent) {
+			return out, err
+		}
+		relayErr = err
+	}
+	directDone := make(chan result[T], 1)
+	go func() {
+		out, err := direct()
+		r.recordResult(ctx, err)
+		directDone <- result[T]{out, err}
+	}()
+	if !idempotent {
+		got := <-directDone
+		if isFinal(got.err, idempotent) {
+			return got.out, got.err
+		}
+		return callRelays(r, idempotent, relayed)
+	}
+	out, err := hedge(r, directDone, wait+hedgeDelay, relayed)
+	return out, combineErrors(err, relayErr)
+}
+
+// combineErrors returns the error of a call that was attempted twice: err is that of the last
+// attempt, other that of the attempt before. If the last attempt is no path failure, its result
+// counts. Otherwise the outcome of the call is unknown if that of either attempt is.
+func combineErrors(err, other error) error {
+	if isPathFailure(err) && other != nil && !certainlyNotDone(other) {
+		return other
+	}
+	return err
+}
+
+// certainlyNotDone reports whether an error says that a call to the store had no effect.
+func certainlyNotDone(err error) bool {
+	switch structs.CodeOf(err) {
+	case structs.CodeUnavailable, structs.CodeOverload:
+		return true
+	}
+	return false
+}
+
+// hedge waits for a direct call, and makes the call through other members too if the direct one
+// fails or takes longer than delay. The first result that is no path failure counts.
+func hedge[T any](r *relayLog, directDone chan result[T], delay time.Duration, relayed func(Member) (T, error)) (T, error) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case got := <-directDone:
+		if !isPathFailure(got.err) {
+			return got.out, got.err
+		}
+		out, err := callRelays(r, true, relayed)
+		return out, combineErrors(err, got.err)
+	case <-timer.C:
+	}
+	relayDone := make(chan result[T], 1)
+	go func() {
+		out, err := callRelays(r, true, relayed)
+		relayDone <- result[T]{out, err}
+	}()
+	var got result[T]
+	other := relayDone
+	select {
+	case got = <-directDone:
+	case got = <-relayDone:
+		other = directDone
+		if !isPathFailure(got.err) {
+			r.markDirectUnresponsive()
+		}
+	}
+	if !isPathFailure(got.err) {
+		return got.out, got.err
+	}
+	last := <-other
+	return last.out, combineErrors(last.err, got.err)
+}
+
+// callRelays makes a call through other members: through all of them at once if the call is
+// idempotent, else through one after the other. The first result that isFinal accepts counts.
+func callRelays[T any](r *relayLog, idempotent bool, relayed func(Member) (T, error)) (T, error) {
+	var out T
+	err := structs.NewError(structs.CodeUnavailable, "no other member is known")
+	relays := r.node.relayCandidates()
+	if !idempotent {
+		for _, m := range relays {
+			out, err = relayed(m)
+			if isFinal(err, idempotent) {
+				return out, err
+			}
+		}
+		return out, err
+	}
+	var combined error
+	answers := make(chan result[T], len(relays))
+	for _, m := range relays {
+		go func() {
+			out, err := relayed(m)
+			answers <- result[T]{out, err}
+		}()
+	}
+	for range relays {
+		got := <-answers
+		if !isPathFailure(got.err) {
+			return got.out, got.err
+		}
+		combined = combineErrors(got.err, combined)
+		out, err = got.out, combined
+	}
+	return out, err
+}
+
+// isFinal reports whether a call is not to be attempted again: its result is no path failure, or
+// the call may have been done and is not idempotent.
+func isFinal(err error, idempotent bool) bool {
+	return !isPathFailure(err) || !idempotent && !certainlyNotDone(err)
+}
