Cells: a dead call does not hold up the reader of a topic (CONFIG)

Cause: a read of the store waited for its direct call (wait + 0.9 s) and for its calls through other members (made after wait + 0.35 s, up to wait + 1.5 s), and for the slower of the two; while direct calls failed it waited for the members, up to wait + 1.5 s, before it tried the direct path again. With a wait of 1.5 s the reader of the configuration was blind for up to 4.85 s, although a new call would have been answered at once.

Change: a read ends with its direct call; while direct calls fail, it ends as soon as they succeed again, and tries the direct path once if no member has one. A hedged read through others does not wait for records. Writes keep awaiting both, as their outcome depends on it. The reads of the configuration wait 1 s in place of 1.5 s: 1 + 0.9 s is a second less than the 3 s after which the machine is in touch. The readers of claims and of the list of workers gain by the same.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -10,9 +10,10 @@
 	"dotterelhitch/internal/workload"
 )
 
-// configReadWait is how long a read of the configuration waits for a change. It is short enough
-// to detect a dead connection within the time by which a new version must be in force.
-const configReadWait = 1500 * time.Millisecond
+// configReadWait is how long a read of the configuration waits for a change. After all connections
+// went silent, the next read begins configReadWait plus readTimeout later at most, which is a second
+// before the platform counts the member as in touch again.
+const configReadWait = time.Second
 
 // configVersion is a version of the configuration and the record from which it was decoded.
 type configVersion struct {
--- a/internal/cell/hedge.go
+++ b/internal/cell/hedge.go
@@ -28,14 +28,13 @@
 	err error
 }
 
-// callStore makes a call directly, and through other members if direct calls fail or take
-// longer than wait plus hedgeDelay. A call that is not idempotent is retried through others only
-// if it certainly was not done.
-func callStore[T any](
+// writeStore makes a write directly, and through other members if direct calls fail or, for an
+// idempotent one, take longer than hedgeDelay. A call that is not idempotent is retried through others
+// only if it certainly was not done.
+func writeStore[T any](
 	ctx context.Context,
 	r *relayLog,
 	idempotent bool,
-	wait time.Duration,
 	direct func() (T, error),
 	relayed func(Member) (T, error),
 ) (T, error) {
@@ -60,7 +59,7 @@
 		}
 		return callRelays(r, idempotent, relayed)
 	}
-	out, err := hedge(r, directDone, wait+hedgeDelay, relayed)
+	out, err := hedge(r, directDone, relayed)
 	return out, combineErrors(err, relayErr)
 }
 
@@ -84,9 +83,10 @@
 }
 
 // hedge waits for a direct call, and makes the call through other members too if the direct one
-// fails or takes longer than delay. The first result that is no path failure counts.
-func hedge[T any](r *relayLog, directDone chan result[T], delay time.Duration, relayed func(Member) (T, error)) (T, error) {
-	timer := time.NewTimer(delay)
+// fails or takes longer than hedgeDelay. The first result that is no path failure counts. Both are
+// awaited, since the outcome is unknown while one of them may still be done.
+func hedge[T any](r *relayLog, directDone chan result[T], relayed func(Member) (T, error)) (T, error) {
+	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
 	select {
 	case got := <-directDone:
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -63,28 +63,34 @@
 
 // Append implements Log.
 func (r *relayLog) Append(ctx context.Context, a stream.Append) (stream.AppendResult, error) {
-	return callStore(ctx, r, a.Producer != nil, 0,
+	return writeStore(ctx, r, a.Producer != nil,
 		func() (stream.AppendResult, error) { return r.direct.Append(ctx, a) },
 		func(m Member) (stream.AppendResult, error) { return r.node.relayAppend(ctx, m, a) })
 }
 
 // Read implements stream.Reader.
 func (r *relayLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (stream.Batch, error) {
-	return callStore(ctx, r, true, wait,
-		func() (stream.Batch, error) { return r.direct.Read(ctx, topic, from, wait) },
-		func(m Member) (stream.Batch, error) { return r.node.relayRead(ctx, m, topic, from, wait) })
+	return readStore(ctx, r, wait, readCall[stream.Batch]{
+		direct: func(ctx context.Context, wait time.Duration) (stream.Batch, error) {
+			return r.direct.Read(ctx, topic, from, wait)
+		},
+		relayed: func(m Member, wait time.Duration) (stream.Batch, error) {
+			return r.node.relayRead(ctx, m, topic, from, wait)
+		},
+	})
 }
 
 // Newest implements stream.Reader.
 func (r *relayLog) Newest(ctx context.Context, topic, after string) (stream.Page, error) {
-	return callStore(ctx, r, true, 0,
-		func() (stream.Page, error) {
+	return readStore(ctx, r, 0, readCall[stream.Page]{
+		direct: func(ctx context.Context, _ time.Duration) (stream.Page, error) {
 			began := clock.Now()
 			page, err := r.direct.Newest(ctx, topic, after)
 			r.recordLatency(began, err)
 			return page, err
 		},
-		func(m Member) (stream.Page, error) { return r.node.relayNewest(ctx, m, topic, after) })
+		relayed: func(m Member, _ time.Duration) (stream.Page, error) { return r.node.relayNewest(ctx, m, topic, after) },
+	})
 }
 
 func (n *Node) relayAppend(ctx context.Context, m Member, a stream.Append) (stream.AppendResult, error) {
