Cells: members pass a newer version on to a controller that is behind (CONFIG)

Cause: a version passed from the controller to a member in the answer to a heartbeat, never the other way. The heartbeat names the member's version; the controller did nothing with it.

Answers to heartbeats also tell the version and how long ago it was known to be the newest, so that a member without a path confirms its own version by the controller's. Members of earlier programs send neither; nothing is concluded then.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -78,14 +78,25 @@
 }
 
 func (c *testCell) writeConfig(version int64) {
-	value, err := json.Marshal(&workload.Config{
-		Version: version,
-		Classes: map[string]*workload.Class{"batch": {Name: "batch", Service: "svc", Stretch: 2, Target: time.Second}},
-	})
+	c.mustAppend("keyed.op", "config", testConfigRecord(version))
+}
+
+// testConfigRecord returns the record of a version of the configuration with the class "batch" and those
+// of further names.
+func testConfigRecord(version int64, further ...string) []byte {
+	cfg := workload.Config{Version: version, Classes: map[string]*workload.Class{}}
+	for _, name := range append(further, "batch") {
+		cfg.Classes[name] = &workload.Class{Name: name, Service: "svc", Stretch: 2, Target: time.Second}
+	}
+	value, err := json.Marshal(&cfg)
 	if err != nil {
-		c.t.Fatal(err)
+		panic(err)
 	}
-	c.mustAppend("keyed.op", "config", value)
+	return value
+}
+
+func decodeTestConfig(value []byte) (*workload.Config, error) {
+	return decodeJSON[workload.Config](value)
 }
 
 func (c *testCell) addWorker(id string) {
@@ -126,7 +137,7 @@
 		Topics: PlatformTopics{
 			ConfigTopic:  "keyed.op",
 			ConfigKey:    "config",
-			DecodeConfig: decodeJSON[workload.Config],
+			DecodeConfig: decodeTestConfig,
 			WorkerTopic:  "keyed.servers",
 			DecodeWorker: decodeTestWorker,
 		},
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -56,13 +56,19 @@
 	}
 }
 
-// age returns the time since the version in force was known to be the newest, zero if it never was.
-func (s *configState) age(now time.Time) time.Duration {
+// age returns the time since the version in force was known to be the newest, false if it never was.
+func (s *configState) age(now time.Time) (time.Duration, bool) {
 	at := s.confirmedAt.Load()
 	if at == 0 {
-		return 0
+		return 0, false
 	}
-	return max(now.Sub(time.Unix(0, at)), 0)
+	return max(now.Sub(time.Unix(0, at)), 0), true
+}
+
+// ageMs returns the age in milliseconds for an event, zero if there is none.
+func (s *configState) ageMs(now time.Time) int64 {
+	age, _ := s.age(now)
+	return age.Milliseconds()
 }
 
 // number returns the number of the version in force, zero while there is none.
@@ -134,7 +140,7 @@
 		Version: cfg.Version,
 		Count:   len(cfg.Classes),
 		Member:  source.member,
-		AgeMs:   n.config.age(clock.Now()).Milliseconds(),
+		AgeMs:   n.config.ageMs(clock.Now()),
 		Detail:  source.kind,
 	})
 	if l := n.term.Load(); l != nil {
@@ -162,7 +168,7 @@
 func (n *Node) monitorConfigAge() {
 	oldest := time.Duration(0)
 	for n.sleep(configAgePeriod) {
-		age := n.config.age(clock.Now())
+		age, _ := n.config.age(clock.Now())
 		switch {
 		case age >= configStaleAfter:
 			if oldest == 0 {
@@ -179,3 +185,9 @@
 func (n *Node) recordConfigAge(state string, age time.Duration) {
 	n.record(event.Event{Type: event.ConfigStale, Version: n.config.number(), State: state, AgeMs: age.Milliseconds()})
 }
+
+// configAgeSeconds returns the age of the configuration for a metric.
+func (n *Node) configAgeSeconds() float64 {
+	age, _ := n.config.age(clock.Now())
+	return age.Seconds()
+}
--- a/internal/cell/config_test.go
+++ b/internal/cell/config_test.go
@@ -92,7 +92,7 @@
 	if e := await(stateCurrent); e.AgeMs < configStaleAfter.Milliseconds() || e.Version != 1 {
 		t.Errorf("confirmed again after %d ms, version %d", e.AgeMs, e.Version)
 	}
-	if age := n.config.age(clock.Now()); age > configStaleAfter {
+	if age, _ := n.config.age(clock.Now()); age > configStaleAfter {
 		t.Errorf("confirmed %v ago", age)
 	}
 }
--- a/internal/cell/gateway.go
+++ b/internal/cell/gateway.go
@@ -78,7 +78,7 @@
 		AgeMs:       since.Milliseconds(),
 		Count:       int(elapsed.Milliseconds()),
 		Version:     n.config.number(),
-		ConfigAgeMs: n.config.age(clock.Now()).Milliseconds(),
+		ConfigAgeMs: n.config.ageMs(clock.Now()),
 		Detail:      method + ": " + structs.AsError(err).Message,
 	}
 	n.stats.countRefused(e.Code)
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -100,6 +100,7 @@
 func (n *Node) heartbeatLeader(claim election.Claim) bool {
 	overdue := time.AfterFunc(heartbeatOverdue, func() { n.peers.resetIfSilent(claim.Addr, n.peers.client(claim.Addr)) })
 	defer overdue.Stop()
+	sent := clock.Now()
 	resp, err := n.callHello(claim.Addr, heartbeatTimeout)
 	if err != nil {
 		refused := structs.CodeOf(err) == structs.CodeUnavailable
@@ -111,7 +112,7 @@
 		n.view.markLeaderEnded(claim.Epoch, now)
 		return true
 	}
-	n.applyConfigOfMember(resp)
+	n.applyConfigOfMember(resp, sent)
 	if !resp.Leads || resp.Epoch != claim.Epoch {
 		return true
 	}
@@ -123,11 +124,6 @@
 	return true
 }
 
-// applyConfigOfMember applies the configuration in another member's answer, if it has one.
-func (n *Node) applyConfigOfMember(resp *cellv1.HelloResponse) {
-	n.applyConfig(resp.Config, configSource{kind: sourceHeartbeat, member: resp.From.GetNode()})
-}
-
 // reportedCounts returns the counts of waiting jobs in a controller's answer, nil if it has reported
 // none. A controller of an earlier program does not report that no job waits.
 func reportedCounts(resp *cellv1.HelloResponse) *cellv1.WaitingJobs {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -63,6 +63,8 @@
 	workers Workers
 
 	config configState
+	// fetchingConfig is true while fetchConfig makes a call.
+	fetchingConfig atomic.Bool
 	// term is this member's term as the controller, nil while it is not the controller.
 	term atomic.Pointer[leaderTerm]
 
@@ -95,7 +97,7 @@
 	n.stats.registerGauge("hitch_cell_agents", n.agentMetric((*agentPool).agentCount))
 	n.stats.registerGauge("hitch_cell_agent_orders_pending", n.agentMetric((*agentPool).pendingOrders))
 	n.stats.registerGauge("hitch_cell_config_version", func() float64 { return float64(n.config.number()) })
-	n.stats.registerGauge("hitch_cell_config_age_seconds", func() float64 { return n.config.age(clock.Now()).Seconds() })
+	n.stats.registerGauge("hitch_cell_config_age_seconds", n.configAgeSeconds)
 	n.view.init(clock.Now())
 	n.log = newRelayLog(opts.Log, n)
 	return n
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -43,9 +43,8 @@
 	if since, heard := n.view.sinceLeaderHeard(now); heard {
 		resp.LeaderHeardMs = since.Milliseconds()
 	}
-	if cfg := n.config.version.Load(); cfg != nil && cfg.Version > req.ConfigVersion {
-		resp.Config = cfg.record
-	}
+	n.fillConfig(resp, req.ConfigVersion, now)
+	n.fetchConfig(req.ConfigVersion, from.Addr)
 	if l := n.term.Load(); l != nil {
 		l.fillHelloResponse(resp, req, from, now)
 	}
