Cells: calls to the store go through other members after some have failed (CONFIG)

Cause: relays are chosen by what they last reported of their path and by processor time. A dead member reports nothing, and the controller's own list keeps it with its last report.

Change: a member through which a call has failed in the last 5 s comes after the others, the one whose failure is longest ago first, so that all are tried in turn.

--- a/internal/cell/hedge.go
+++ b/internal/cell/hedge.go
@@ -128,6 +128,7 @@
 	if !idempotent {
 		for _, m := range relays {
 			out, err = relayed(m)
+			r.failures.note(m.Node, err)
 			if isFinal(err, idempotent) {
 				return out, err
 			}
@@ -139,6 +140,7 @@
 	for _, m := range relays {
 		go func() {
 			out, err := relayed(m)
+			r.failures.note(m.Node, err)
 			answers <- result[T]{out, err}
 		}()
 	}
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -15,9 +15,10 @@
 // relayLog calls the platform's log directly and, while direct calls fail, through other members
 // that may have a path to it.
 type relayLog struct {
-	direct Log
-	node   *Node
-	path   pathState
+	direct   Log
+	node     *Node
+	path     pathState
+	failures relayFailures
 }
 
 const (
@@ -35,12 +36,18 @@
 }
 
 // relayCandidates returns up to maxRelays members through which the store may be reached.
-// Members that report that they reach the store come first, and among equals those with more
-// processor time: a weak machine takes long to relay a batch of records.
+// Members through which a call has failed lately come last. Members that report that they reach the store
+// come first, and among equals those with more processor time: a weak machine takes long to relay a
+// batch of records.
 func (n *Node) relayCandidates() []Member {
 	others := n.view.otherMembers(time.Time{})
+	failedAt := n.log.failures.recent(clock.Now())
 	slices.SortStableFunc(others, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(storeReachRank(a), storeReachRank(b)), cmp.Compare(b.Cores, a.Cores))
+		return cmp.Or(
+			failedAt[a.Node].Compare(failedAt[b.Node]),
+			cmp.Compare(storeReachRank(a), storeReachRank(b)),
+			cmp.Compare(b.Cores, a.Cores),
+		)
 	})
 	return others[:min(len(others), maxRelays)]
 }
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -63,3 +63,43 @@
 		t.Errorf("relays %v, want %v", got, want)
 	}
 }
+
+// TestFailedRelaysComeLast checks the order of the relays after calls through some of them have failed: the
+// others first, then those whose failure is longest ago.
+func TestFailedRelaysComeLast(t *testing.T) {
+	n := New(Options{Self: Member{Node: "self"}})
+	for _, m := range []Member{
+		{Node: "a", Cores: 4, ReachesStore: true},
+		{Node: "b", Cores: 3, ReachesStore: true},
+		{Node: "c", Cores: 2},
+		{Node: "d", Cores: 1},
+	} {
+		n.view.recordMember(m, false, time.Now())
+	}
+	failed := structs.NewError(structs.CodeUnknown, "no answer")
+	refused := structs.NewError(structs.CodeUnavailable, "this member does not reach the store either")
+	other := structs.NewError(structs.CodeStaleEpoch, "fenced")
+	steps := []struct {
+		node string
+		err  error
+		want []string
+	}{
+		{"a", failed, []string{"b", "c"}},
+		{"b", refused, []string{"c", "d"}},
+		{"c", other, []string{"c", "d"}},
+		{"d", failed, []string{"c", "a"}},
+		{"c", failed, []string{"a", "b"}},
+		{"b", nil, []string{"b", "a"}},
+	}
+	for i, step := range steps {
+		n.log.failures.note(step.node, step.err)
+		var got []string
+		for _, m := range n.relayCandidates() {
+			got = append(got, m.Node)
+		}
+		if !slices.Equal(got, step.want) {
+			t.Errorf("step %d, a call through %s: relays %v, want %v", i, step.node, got, step.want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
