--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -175,8 +175,8 @@
 }
 
 const (
-	// configStaleAfter is the age from which a configuration that was not confirmed is reported as
-	// stale.
+	// configStaleAfter is the age from which a configuration counts as stale: a newer version may be
+	// about to be, or already, in force elsewhere.
 	configStaleAfter = 2 * time.Second
 	// configAgePeriod is the period at which the age of the configuration is checked.
 	configAgePeriod = 500 * time.Millisecond
@@ -188,6 +188,13 @@
 	stateCurrent = "current"
 )
 
+// ConfigIsCurrent reports whether the configuration in force was known to be the newest within
+// configStaleAfter.
+func (n *Node) ConfigIsCurrent() bool {
+	age, confirmed := n.config.age(clock.Now())
+	return confirmed && age < configStaleAfter
+}
+
 // monitorConfigAge records when the configuration becomes stale, and when it is confirmed again, until
 // the node stops.
 func (n *Node) monitorConfigAge() {
