--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -39,6 +39,7 @@
 	*Node
 	cutFromLog atomic.Bool // its calls to the log get no answer
 	readsHang  atomic.Bool // its waiting reads of the log get no answer
+	refused    atomic.Bool // its calls to the log are refused
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
 	// logConnections are those to the log, listener has those from peers.
 	logConnections logConnections
@@ -132,7 +133,7 @@
 	n.Node = New(Options{
 		Self:     Member{Node: name, Addr: listener.Addr().String(), Domain: "d", Cores: c.cores},
 		Listener: n.listener,
-		Log:      c.log.view(n.cutFromLog.Load, n.readsHang.Load, &n.logConnections),
+		Log:      c.log.view(n.cutFromLog.Load, n.refused.Load, n.readsHang.Load, &n.logConnections),
 		Workers:  workers,
 		Topics: PlatformTopics{
 			ConfigTopic:  "keyed.op",
--- a/internal/cell/fakelog_test.go
+++ b/internal/cell/fakelog_test.go
@@ -55,15 +55,16 @@
 }
 
 // view returns the log for one machine. The machine's calls get no answer while cut returns
-// true, and its waiting reads get none while hang returns true. connections are those that the machine
+// true, are refused while refuse does, and its waiting reads get no answer while hang does. connections are those that the machine
 // has open to the log.
-func (f *fakeLog) view(cut, hang func() bool, connections *logConnections) Log {
-	return &logView{log: f, isCut: cut, hangs: hang, connections: connections}
+func (f *fakeLog) view(cut, refuse, hang func() bool, connections *logConnections) Log {
+	return &logView{log: f, isCut: cut, refuses: refuse, hangs: hang, connections: connections}
 }
 
 type logView struct {
 	log         *fakeLog
 	isCut       func() bool
+	refuses     func() bool
 	hangs       func() bool
 	connections *logConnections
 }
@@ -109,6 +110,9 @@
 
 func (v *logView) pathError() error {
 	time.Sleep(time.Duration(v.log.latency.Load()))
+	if v.refuses() {
+		return structs.NewError(structs.CodeUnavailable, "turned away")
+	}
 	if !v.isCut() {
 		return nil
 	}
