--- a/internal/cell/config_test.go
+++ b/internal/cell/config_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -184,3 +185,35 @@
 		t.Errorf("the job was stored after %v", took)
 	}
 }
+
+// TestSilentConnectionsDelayNoWorkerEntry guards against a controller that goes on by an old list of workers,
+// and starts tasks on one that drains, after all open connections went silent: the same cause as in
+// TestSilentConnectionsDelayNoConfig.
+func TestSilentConnectionsDelayNoWorkerEntry(t *testing.T) {
+	c := newTestCell(t, 3)
+	l := c.awaitLeader(5 * time.Second)
+	isListed := func(id string) bool {
+		for _, e := range l.events.ofType(event.WorkerListed) {
+			if e.Worker == id {
+				return true
+			}
+		}
+		return false
+	}
+	c.useRelays()
+	for i := range 3 {
+		id := fmt.Sprintf("i-new-%d", i)
+		began := time.Now()
+		c.goSilent()
+		c.addWorker(id)
+		for !isListed(id) {
+			if time.Since(began) > contactWindow {
+				t.Fatalf("%s is not listed after %v", id, contactWindow)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("%s is listed after %v", id, time.Since(began))
+		time.Sleep(time.Duration(i) * 300 * time.Millisecond) // another phase of the reads
+		c.useRelays()
+	}
+}
--- a/internal/cell/workerlist.go
+++ b/internal/cell/workerlist.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// workerReadWait is how long a read of the list of workers waits for a change.
+	// workerReadWait is how long a read of the list of workers waits for a change. As with
+	// configReadWait it bounds how long a dead connection goes unnoticed.
 	// workerReadPause is the pause between reads, which batches the changes: every worker
 	// rewrites its record with each of its heartbeats.
-	workerReadWait  = 2 * time.Second
+	workerReadWait  = time.Second
 	workerReadPause = 250 * time.Millisecond
 )
 
