Test of late answers: the speed of the test's machine has no part in it

The controller is to hand over then; the test is about the others, which must not replace it. On a busy machine it tested something else.

--- a/internal/cell/agents_test.go
+++ b/internal/cell/agents_test.go
@@ -119,7 +119,11 @@
 // up to several times the time after which a silent controller is replaced. It answers late, but it
 // answers: the others must not replace it, since each change would add to the load.
 func TestLoadedControllerKeepsLeadership(t *testing.T) {
-	c := newTestCell(t, 4)
+	c := newEmptyTestCell(t)
+	c.steadySpeed = true // it would hand over on a busy machine
+	for i := range 4 {
+		c.addNode(fmt.Sprintf("node-%d", i))
+	}
 	leader := c.awaitLeader(5 * time.Second)
 	epoch := leader.term.Load().epoch
 	const longestDelay = 2 * time.Second
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -31,6 +31,9 @@
 	claimDelay time.Duration
 	// cores is the processor time, in cores, of the nodes that are added next.
 	cores float64
+	// steadySpeed has the nodes that are added next measure the same speed of their machine at all
+	// times, however busy the test's machine is.
+	steadySpeed bool
 	// leaderLease is that of the nodes that are added next.
 	leaderLease leaderlease.Timing
 }
@@ -151,6 +154,9 @@
 		Events:   event.NewRecorder(name, clock, nil),
 		Clock:    clock,
 	})
+	if c.steadySpeed {
+		n.speed.sample = func() time.Duration { return time.Millisecond }
+	}
 	n.opts.Events.OnEvent(func(e event.Event) {
 		n.events.add(e)
 		if testing.Verbose() {
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -12,6 +12,9 @@
 // speedMonitor measures how fast this machine runs by timing a fixed piece of work. A slow
 // machine hands over leadership if it is the controller, and delays its claims otherwise.
 type speedMonitor struct {
+	// sample takes one sample, nil for timeSample.
+	sample func() time.Duration
+
 	mu     sync.Mutex
 	buf    [speedSampleBytes]byte
 	best   time.Duration
@@ -40,11 +43,20 @@
 func (m *speedMonitor) measure() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.sample != nil {
+		m.add(m.sample())
+		return
+	}
+	m.add(m.timeSample())
+}
+
+// timeSample times the fixed piece of work.
+func (m *speedMonitor) timeSample() time.Duration {
 	began := time.Now()
 	h := fnv.New64a()
 	_, _ = h.Write(m.buf[:])
 	m.buf[0] = byte(h.Sum64())
-	m.add(time.Since(began))
+	return time.Since(began)
 }
 
 // add records a sample.
