--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,16 +106,10 @@
 		return
 	}
 	l.witnessesDueAt = now.Add(witnessCheckPeriod)
-	fresh := make([]string, 0, len(l.lastHeartbeats))
-	for node, seen := range l.lastHeartbeats {
-		if now.Sub(seen) < l.node.memberFreshness() {
-			fresh = append(fresh, node)
-		}
-	}
+	fresh := l.freshMembers(now)
 	if len(fresh) == 0 && now.Sub(l.startedAt) < l.node.memberFreshness() {
 		return // the first heartbeats are still to come
 	}
-	slices.Sort(fresh)
 	l.witnesses = leaderlease.SelectWitnesses(l.witnesses, fresh, maxWitnesses)
 	l.ctl.SetWitnesses(l.witnesses)
 }
--- a/internal/cell/storeread.go
+++ b/internal/cell/storeread.go
@@ -50,6 +50,7 @@
 		return got.out, got.err
 	case <-timer.C:
 	}
+	// The answer is due: the others are asked for what there is now.
 	relayDone := c.startRelays(r, 0)
 	select {
 	case got := <-directDone:
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -295,18 +295,25 @@
 	l.post(func(now time.Time) { l.ctl.SetConfig(cfg, now) })
 }
 
+// freshMembers returns the names of the members with a recent heartbeat of this epoch, in order.
+func (l *leaderTerm) freshMembers(now time.Time) []string {
+	fresh := make([]string, 0, len(l.lastHeartbeats)+1)
+	for node, seen := range l.lastHeartbeats {
+		if now.Sub(seen) < l.node.memberFreshness() {
+			fresh = append(fresh, node)
+		}
+	}
+	slices.Sort(fresh)
+	return fresh
+}
+
 // updateAdvisorEntries tells ctl through which members it may call the advisor: this one, and
 // those with a recent heartbeat.
 func (l *leaderTerm) updateAdvisorEntries(now time.Time) {
 	if l.node.opts.Advisor == nil {
 		return
 	}
-	entries := []string{l.node.self.Node}
-	for node, seen := range l.lastHeartbeats {
-		if now.Sub(seen) < l.node.memberFreshness() {
-			entries = append(entries, node)
-		}
-	}
+	entries := append(l.freshMembers(now), l.node.self.Node)
 	slices.Sort(entries)
 	if !slices.Equal(entries, l.advisorEntries) {
 		l.advisorEntries = entries
