--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -69,24 +69,17 @@
 
 // confirm records that the version in force was the newest at a time.
 func (s *configState) confirm(at time.Time) {
-	if at.IsZero() {
-		return
-	}
-	for {
-		old := s.confirmedAt.Load()
-		if old >= at.UnixNano() || s.confirmedAt.CompareAndSwap(old, at.UnixNano()) {
-			return
-		}
+	if !at.IsZero() {
+		raiseTime(&s.confirmedAt, at)
 	}
 }
 
 // age returns the time since the version in force was known to be the newest, false if it never was.
 func (s *configState) age(now time.Time) (time.Duration, bool) {
-	at := s.confirmedAt.Load()
-	if at == 0 {
+	if s.confirmedAt.Load() == 0 {
 		return 0, false
 	}
-	return max(now.Sub(time.Unix(0, at)), 0), true
+	return max(now.Sub(loadTime(&s.confirmedAt)), 0), true
 }
 
 // ageMs returns the age in milliseconds for an event, zero if there is none.
--- a/internal/cell/config_test.go
+++ b/internal/cell/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -210,21 +211,13 @@
 func TestSilentConnectionsDelayNoWorkerEntry(t *testing.T) {
 	c := newTestCell(t, 3)
 	l := c.awaitLeader(5 * time.Second)
-	isListed := func(id string) bool {
-		for _, e := range l.events.ofType(event.WorkerListed) {
-			if e.Worker == id {
-				return true
-			}
-		}
-		return false
-	}
 	c.useRelays()
 	for i := range 3 {
 		id := fmt.Sprintf("i-new-%d", i)
 		began := time.Now()
 		c.goSilent()
 		c.addWorker(id)
-		for !isListed(id) {
+		for !slices.Contains(l.events.workersOf(event.WorkerListed), id) {
 			if time.Since(began) > contactWindow {
 				t.Fatalf("%s is not listed after %v", id, contactWindow)
 			}
--- a/internal/cell/hedge.go
+++ b/internal/cell/hedge.go
@@ -28,6 +28,21 @@
 	err error
 }
 
+// start makes a call on a goroutine of its own.
+func start[T any](call func() (T, error)) <-chan result[T] {
+	done := make(chan result[T], 1)
+	go func() {
+		out, err := call()
+		done <- result[T]{out, err}
+	}()
+	return done
+}
+
+// startRelays makes an idempotent call through other members on a goroutine of its own.
+func startRelays[T any](r *relayLog, relayed func(Member) (T, error)) <-chan result[T] {
+	return start(func() (T, error) { return callRelays(r, true, relayed) })
+}
+
 // writeStore makes a write directly, and through other members if direct calls fail or, for an
 // idempotent one, take longer than hedgeDelay. A call that is not idempotent is retried through others
 // only if it certainly was not done.
@@ -46,12 +61,11 @@
 		}
 		relayErr = err
 	}
-	directDone := make(chan result[T], 1)
-	go func() {
+	directDone := start(func() (T, error) {
 		out, err := direct()
 		r.recordResult(ctx, err)
-		directDone <- result[T]{out, err}
-	}()
+		return out, err
+	})
 	if !idempotent {
 		got := <-directDone
 		if isFinal(got.err, idempotent) {
@@ -85,7 +99,7 @@
 // hedge waits for a direct call, and makes the call through other members too if the direct one
 // fails or takes longer than hedgeDelay. The first result that is no path failure counts. Both are
 // awaited, since the outcome is unknown while one of them may still be done.
-func hedge[T any](r *relayLog, directDone chan result[T], relayed func(Member) (T, error)) (T, error) {
+func hedge[T any](r *relayLog, directDone <-chan result[T], relayed func(Member) (T, error)) (T, error) {
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
 	select {
@@ -97,11 +111,7 @@
 		return out, combineErrors(err, got.err)
 	case <-timer.C:
 	}
-	relayDone := make(chan result[T], 1)
-	go func() {
-		out, err := callRelays(r, true, relayed)
-		relayDone <- result[T]{out, err}
-	}()
+	relayDone := startRelays(r, relayed)
 	var got result[T]
 	other := relayDone
 	select {
--- a/internal/cell/storeread.go
+++ b/internal/cell/storeread.go
@@ -82,23 +82,16 @@
 
 // startDirect makes the direct call on a goroutine of its own.
 func (c readCall[T]) startDirect(ctx context.Context, r *relayLog, wait time.Duration) <-chan result[T] {
-	done := make(chan result[T], 1)
-	go func() {
+	return start(func() (T, error) {
 		callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 		defer cancel()
 		out, err := c.direct(callCtx, wait)
 		r.recordResult(ctx, err)
-		done <- result[T]{out, err}
-	}()
-	return done
+		return out, err
+	})
 }
 
 // startRelays makes the call through other members on a goroutine of its own.
 func (c readCall[T]) startRelays(r *relayLog, wait time.Duration) <-chan result[T] {
-	done := make(chan result[T], 1)
-	go func() {
-		out, err := callRelays(r, true, func(m Member) (T, error) { return c.relayed(m, wait) })
-		done <- result[T]{out, err}
-	}()
-	return done
+	return startRelays(r, func(m Member) (T, error) { return c.relayed(m, wait) })
 }
