Tests of cells: the speed of the test's machine has no part in any of them

Traced for the first: 14 processes of it at a time under the race detector, 1 of 56 runs fails, and its events have hands_over "this machine runs below its usual speed" just before the authority of epoch 1 ends: the controller is to hand over then, and the odd claims had no part in it.

The nodes of all test cells measure a steady speed now, unless a test makes one slow. What each test does and checks is as before. That a slow machine hands over was tested by nothing but such accidents: TestSlowMachineHandsOver is new.

--- a/internal/cell/agents_test.go
+++ b/internal/cell/agents_test.go
@@ -120,7 +120,6 @@
 // answers: the others must not replace it, since each change would add to the load.
 func TestLoadedControllerKeepsLeadership(t *testing.T) {
 	c := newEmptyTestCell(t)
-	c.steadySpeed = true // it would hand over on a busy machine
 	for i := range 4 {
 		c.addNode(fmt.Sprintf("node-%d", i))
 	}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -31,9 +31,6 @@
 	claimDelay time.Duration
 	// cores is the processor time, in cores, of the nodes that are added next.
 	cores float64
-	// steadySpeed has the nodes that are added next measure the same speed of their machine at all
-	// times, however busy the test's machine is.
-	steadySpeed bool
 	// leaderLease is that of the nodes that are added next.
 	leaderLease leaderlease.Timing
 }
@@ -44,6 +41,7 @@
 	readsHang  atomic.Bool // its waiting reads of the log get no answer
 	refused    atomic.Bool // its calls to the log are refused
 	poweredOff atomic.Bool // its connections with peers stay open without traffic
+	slow       atomic.Bool // its machine runs at a tenth of its speed
 	// logConnections are those to the log, listener has those from peers.
 	logConnections logConnections
 	listener       *powerCutListener
@@ -154,9 +152,7 @@
 		Events:   event.NewRecorder(name, clock, nil),
 		Clock:    clock,
 	})
-	if c.steadySpeed {
-		n.speed.sample = func() time.Duration { return time.Millisecond }
-	}
+	n.speed.sample = n.speedSample
 	n.opts.Events.OnEvent(func(e event.Event) {
 		n.events.add(e)
 		if testing.Verbose() {
@@ -198,6 +194,24 @@
 	}
 }
 
+// speedSample returns a sample of the speed of the node's machine. However busy the test's machine is, it
+// changes with slow alone.
+func (n *testNode) speedSample() time.Duration {
+	if n.slow.Load() {
+		return 10 * time.Millisecond
+	}
+	return time.Millisecond
+}
+
+// awaitUsualSpeed waits until the node knows the usual speed of its machine.
+func (n *testNode) awaitUsualSpeed() {
+	for measured := false; !measured; time.Sleep(10 * time.Millisecond) {
+		n.speed.mu.Lock()
+		measured = n.speed.count > 0
+		n.speed.mu.Unlock()
+	}
+}
+
 // kill stops a node without a hand-over.
 func (n *testNode) kill() {
 	n.stop()
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// TestSlowMachineHandsOver guards against a controller that keeps its office on a machine that has become
+// slow, while the others run at their usual speed.
+func TestSlowMachineHandsOver(t *testing.T) {
+	c := newTestCell(t, 3)
+	leader := c.awaitLeader(10 * time.Second)
+	leader.awaitUsualSpeed()
+	leader.slow.Store(true)
+	for end := time.Now().Add(10 * time.Second); !c.otherLeads(leader); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no other member took over from the slow one")
+		}
+	}
+	if len(leader.events.ofType(event.LeaderHandover)) == 0 {
+		t.Error("the slow controller was replaced without a hand-over")
+	}
+}
+
 // TestUnreadableNewestClaim guards against a member that issues orders beside an earlier controller,
 // because it found no readable claim when it started and concluded that there is none.
 func TestUnreadableNewestClaim(t *testing.T) {
