--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -104,6 +104,10 @@
 	// until all workers are accounted for.
 	unretiredJobs []*job
 
+	// elapsed measures the ages of jobs across controllers. A reading is stored at elapsedRecordDue.
+	elapsed          elapsedTime
+	elapsedRecordDue time.Time
+
 	dirty   dirtySet
 	orders  Orders
 	wakeups wakeupQueue
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -74,7 +74,7 @@
 	}
 	lost.crash()
 	sim.advance(time.Second)
-	sim.ctl.UnlistWorker(lost.id, sim.now)
+	sim.ctl.UnlistWorker(lost.id, sim.nowOf(sim.ctl))
 	sim.advance(16 * time.Second)
 	for _, id := range []string{"j1", "j2"} {
 		if got := sim.state(id); got != workload.JobCompleted {
@@ -199,7 +199,7 @@
 
 func (sim *simulation) cancel(id string) {
 	if sim.ctl != nil {
-		sim.ctl.Cancel(id, sim.now)
+		sim.ctl.Cancel(id, sim.nowOf(sim.ctl))
 	}
 }
 
@@ -256,7 +256,7 @@
 	case 4:
 		f.listed = false
 		if sim.ctl != nil {
-			sim.ctl.UnlistWorker(f.id, sim.now)
+			sim.ctl.UnlistWorker(f.id, sim.nowOf(sim.ctl))
 		}
 		sim.after(duration, func() { sim.listWorker(f) })
 	}
@@ -266,7 +266,7 @@
 func (sim *simulation) listWorker(f *fakeWorker) {
 	f.listed = true
 	if sim.ctl != nil && f.up {
-		sim.ctl.SetWorker(f.info(), sim.now)
+		sim.ctl.SetWorker(f.info(), sim.nowOf(sim.ctl))
 	}
 }
 
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -221,7 +221,7 @@
 	sim.callWorker(ctl, poll.Worker, poll.Route, func(f *fakeWorker) func() {
 		boot = f.boot
 		if ctl.epoch < f.fencingToken {
-			return func() { ctl.PollFailed(poll.Worker, RefusedStaleToken, sim.now) }
+			return func() { ctl.PollFailed(poll.Worker, RefusedStaleToken, sim.nowOf(ctl)) }
 		}
 		f.fencingToken = ctl.epoch
 		f.dropAckedEnds(poll.AckedSeq)
@@ -230,7 +230,7 @@
 		}
 		reply := func() func() {
 			result := f.pollResult()
-			return func() { ctl.PollDone(poll.Worker, result, sent, sim.now) }
+			return func() { ctl.PollDone(poll.Worker, result, sim.clockOf(ctl, sent), sim.nowOf(ctl)) }
 		}
 		if len(f.ends) > 0 || poll.Wait == 0 {
 			return reply()
@@ -255,7 +255,7 @@
 			answered = true
 			sim.after(sim.networkDelay(), func() {
 				if sim.ctl == ctl {
-					ctl.PollFailed(poll.Worker, failure, sim.now)
+					ctl.PollFailed(poll.Worker, failure, sim.nowOf(ctl))
 				}
 			})
 		}
@@ -268,13 +268,13 @@
 			if !answered {
 				sim.after(time.Second, func() {
 					if sim.ctl == ctl {
-						ctl.PollFailed(poll.Worker, NoResponse, sim.now)
+						ctl.PollFailed(poll.Worker, NoResponse, sim.nowOf(ctl))
 					}
 				})
 			}
 		})
 		return nil
-	}, func(failure OrderResult) { ctl.PollFailed(poll.Worker, failure, sim.now) })
+	}, func(failure OrderResult) { ctl.PollFailed(poll.Worker, failure, sim.nowOf(ctl)) })
 }
 
 // dropAckedEnds drops the acknowledged ends. An end that was acknowledged only after the
@@ -312,11 +312,13 @@
 			result = f.startRun(ctl.epoch, &s)
 		}
 		if !f.up {
-			return func() { ctl.StartDone(s.Worker, s.Run, ConnectionBroken, 0, sent, sim.now) }
+			return func() { ctl.StartDone(s.Worker, s.Run, ConnectionBroken, 0, sim.clockOf(ctl, sent), sim.nowOf(ctl)) }
 		}
 		clock := f.clock()
-		return func() { ctl.StartDone(s.Worker, s.Run, result, clock, sent, sim.now) }
-	}, func(failure OrderResult) { ctl.StartDone(s.Worker, s.Run, failure, 0, sent, sim.now) })
+		return func() { ctl.StartDone(s.Worker, s.Run, result, clock, sim.clockOf(ctl, sent), sim.nowOf(ctl)) }
+	}, func(failure OrderResult) {
+		ctl.StartDone(s.Worker, s.Run, failure, 0, sim.clockOf(ctl, sent), sim.nowOf(ctl))
+	})
 }
 
 // refusesOrder reports whether the worker answers a start or stop that arrives now with an error.
@@ -420,8 +422,10 @@
 			f.stopRun(s.Run)
 		}
 		clock := f.clock()
-		return func() { ctl.StopDone(s.Worker, s.Run, result, clock, sent, sim.now) }
-	}, func(failure OrderResult) { ctl.StopDone(s.Worker, s.Run, failure, 0, sent, sim.now) })
+		return func() { ctl.StopDone(s.Worker, s.Run, result, clock, sim.clockOf(ctl, sent), sim.nowOf(ctl)) }
+	}, func(failure OrderResult) {
+		ctl.StopDone(s.Worker, s.Run, failure, 0, sim.clockOf(ctl, sent), sim.nowOf(ctl))
+	})
 }
 
 // stopRun stops a run. A start order for that run that arrives later is refused.
@@ -537,7 +541,7 @@
 	sim.after(2*time.Second, func() {
 		f.listed = false
 		if sim.ctl != nil {
-			sim.ctl.UnlistWorker(f.id, sim.now)
+			sim.ctl.UnlistWorker(f.id, sim.nowOf(sim.ctl))
 		}
 	})
 }
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -36,6 +36,7 @@
 		return 0, structs.NewError(structs.CodeNotFound, "no class %q in configuration version %d", spec.Class, c.config.Version)
 	}
 	spec.AcceptedMs = now.UnixMilli()
+	spec.AcceptedElapsedMs = c.elapsed.readingAt(now)
 	spec.AcceptedClass = *class
 	j := &job{spec: spec, acceptedAt: now}
 	j.setClass(class)
@@ -233,5 +234,6 @@
 	}
 }
 
-// statusMargin is added to the retention of ended jobs to allow for clock differences.
+// statusMargin is added to the retention of ended jobs, since the clocks of two machines may run at
+// slightly different rates.
 const statusMargin = 5 * time.Second
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -55,12 +55,13 @@
 		delete(specs, id)
 		delete(progress, id)
 	}
+	c.loadElapsed(records, specs, progress, now)
 	for id, spec := range specs {
 		c.loadJob(spec, progress[id], now)
 		delete(progress, id)
 	}
 	for id, p := range progress {
-		c.loadEnded(id, p, now)
+		c.loadEnded(id, p)
 	}
 }
 
@@ -108,14 +109,14 @@
 }
 
 // loadEnded restores a job of which only the final state is stored.
-func (c *Controller) loadEnded(id string, p *workload.Progress, now time.Time) {
+func (c *Controller) loadEnded(id string, p *workload.Progress) {
 	j := &job{spec: &workload.Job{ID: id}, state: p.State, stored: true, endStored: true}
 	if !j.ended() {
 		// Progress of a job that has not ended is useless without the job's own record.
 		c.dirty.drop(id)
 		return
 	}
-	j.endedAt = now.Add(time.Duration(p.EndedMs-now.UnixMilli()) * time.Millisecond)
+	j.endedAt = c.elapsed.timeOf(p.EndedElapsedMs)
 	c.jobs[id] = j
 	c.ended = append(c.ended, j)
 }
@@ -128,12 +129,12 @@
 // loadJob restores a job.
 func (c *Controller) loadJob(spec *workload.Job, p *workload.Progress, now time.Time) {
 	j := &job{spec: spec, stored: true, runNumberBase: c.epoch << runNumberBits}
-	j.acceptedAt = now.Add(time.Duration(spec.AcceptedMs-now.UnixMilli()) * time.Millisecond)
+	j.acceptedAt = c.elapsed.timeOf(spec.AcceptedElapsedMs)
 	c.jobs[spec.ID] = j
 	if p != nil && p.State != "" {
 		j.state = p.State
 		j.endStored = true
-		j.endedAt = now.Add(time.Duration(p.EndedMs-now.UnixMilli()) * time.Millisecond)
+		j.endedAt = c.elapsed.timeOf(p.EndedElapsedMs)
 		c.ended = append(c.ended, j)
 		c.unretiredJobs = append(c.unretiredJobs, j)
 		return
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -79,6 +79,8 @@
 	predecessorsEnded bool
 	// leaseRecord says that the leaderlease.Record is to be stored.
 	leaseRecord bool
+	// elapsedMs is the reading of the elapsed time to store, zero if there is none.
+	elapsedMs int64
 }
 
 func newDirtySet() dirtySet {
@@ -115,7 +117,7 @@
 
 func (d *dirtySet) empty() bool {
 	n := len(d.accepted) + len(d.changed) + len(d.retired) + len(d.dropped) + len(d.registered) + len(d.unregistered)
-	return n == 0 && !d.predecessorsEnded && !d.leaseRecord
+	return n == 0 && !d.predecessorsEnded && !d.leaseRecord && d.elapsedMs == 0
 }
 
 // markProgressDirty records that the progress of a job has changed.
@@ -204,6 +206,10 @@
 		add(leaseRecordKey, mustJSON(c.nextLeaseRecord(b.witnesses)))
 		b.leaseRecordVersion = c.leaseRecordVersion
 	}
+	if c.dirty.elapsedMs > 0 {
+		add(elapsedRecordKey, mustJSON(c.dirty.elapsedMs))
+		c.dirty.elapsedMs = 0
+	}
 	for w := range c.dirty.registered {
 		delete(c.dirty.registered, w)
 		add(workerPrefix+w.info.ID, mustJSON(workerRecord{Addr: w.info.Addr}))
@@ -227,7 +233,7 @@
 			continue
 		}
 		delete(c.dirty.changed, j)
-		add(progressPrefix+j.spec.ID, mustJSON(j.progress()))
+		add(progressPrefix+j.spec.ID, mustJSON(j.progress(&c.elapsed)))
 		b.acks = append(b.acks, j.pendingAcks...)
 		j.pendingAcks = nil
 		if j.ended() && !j.endStored {
@@ -312,10 +318,11 @@
 }
 
 // progress returns the job's progress as it is stored.
-func (j *job) progress() *workload.Progress {
+func (j *job) progress(elapsed *elapsedTime) *workload.Progress {
 	p := &workload.Progress{State: j.state, DoneBelow: j.doneBelow}
 	if j.ended() {
 		p.EndedMs = j.endedAt.UnixMilli()
+		p.EndedElapsedMs = elapsed.readingAt(j.endedAt)
 		return p
 	}
 	p.DoneOccurrences = slices.Sorted(maps.Keys(j.doneOccurrences))
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -16,6 +16,7 @@
 	}
 	c.storePredecessorsEnd(now)
 	c.refreshLeaseRecord(now)
+	c.refreshElapsedRecord(now)
 	if c.HasLeaderLease(now) {
 		c.sendRetries(now)
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -24,13 +24,17 @@
 	seq     int
 	pending actions
 
-	timing            Timing
-	config            *workload.Config
-	workers           map[string]*fakeWorker
-	store             map[string][]byte
-	storeEpoch        int64 // the newest epoch known to the store
-	storeDown         bool  // the store does not respond
-	ctl               *Controller
+	timing     Timing
+	config     *workload.Config
+	workers    map[string]*fakeWorker
+	store      map[string][]byte
+	storeEpoch int64 // the newest epoch known to the store
+	storeDown  bool  // the store does not respond
+	ctl        *Controller
+	// clocks tells how far the clock of each controller is ahead of now, clockAhead that of those
+	// started next.
+	clocks            map[*Controller]time.Duration
+	clockAhead        time.Duration
 	advisorEntries    []string
 	lostAnswerShare   float64 // share of orders that are carried out but get no response
 	delayedOrderShare float64 // share of orders that are carried out 2 to 12 s later and get no response
@@ -127,6 +131,7 @@
 		allowedShare:     0.5,
 		jobs:             map[string]*workload.Job{},
 		cancelAckedAt:    map[string]time.Time{},
+		clocks:           map[*Controller]time.Duration{},
 		accepted:         map[string]bool{},
 		ackedDone:        map[workload.TaskID]bool{},
 		ackedFailures:    map[workload.TaskID]int{},
@@ -170,6 +175,12 @@
 	return sim.meanLatency/2 + time.Duration(sim.rng.Int64N(int64(sim.meanLatency)))
 }
 
+// clockOf returns what the clock of a controller shows at a time.
+func (sim *simulation) clockOf(ctl *Controller, t time.Time) time.Time { return t.Add(sim.clocks[ctl]) }
+
+// nowOf returns what the clock of a controller shows now.
+func (sim *simulation) nowOf(ctl *Controller) time.Time { return sim.clockOf(ctl, sim.now) }
+
 // advance runs the simulation for a time.
 func (sim *simulation) advance(d time.Duration) {
 	sim.t.Helper()
@@ -189,7 +200,7 @@
 	if ctl == nil {
 		return
 	}
-	orders := ctl.NextOrders(sim.now)
+	orders := ctl.NextOrders(sim.nowOf(ctl))
 	orders.sort()
 	for _, l := range orders.Polls {
 		sim.poll(ctl, l)
@@ -218,7 +229,7 @@
 
 // scheduleWakeup schedules the next call of the controller.
 func (sim *simulation) scheduleWakeup(ctl *Controller) {
-	next := ctl.NextWake(sim.now)
+	next := ctl.NextWake(sim.nowOf(ctl)).Add(-sim.clocks[ctl])
 	if !next.After(sim.now) {
 		next = sim.now.Add(time.Millisecond)
 	}
@@ -245,19 +256,21 @@
 		}
 		return 1
 	})
-	ctl.SetConfig(sim.config, sim.now)
-	ctl.Load(records, sim.now)
-	ctl.ConfirmEpoch(sim.now)
-	ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: sim.storeEpoch - 1, UsesWitnesses: true}, sim.now, sim.now)
+	sim.clocks[ctl] = sim.clockAhead
+	now := sim.nowOf(ctl)
+	ctl.SetConfig(sim.config, now)
+	ctl.Load(records, now)
+	ctl.ConfirmEpoch(now)
+	ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: sim.storeEpoch - 1, UsesWitnesses: true}, now, now)
 	if predecessorEnded {
-		ctl.PredecessorEnded(sim.storeEpoch-1, sim.now)
+		ctl.PredecessorEnded(sim.storeEpoch-1, now)
 	}
 	ctl.SetAdvisorEntries(sim.advisorEntries)
 	sim.ctl = ctl
 	sim.committing = false
 	for _, id := range sim.workerIDs() {
 		if f := sim.workers[id]; f.listed {
-			ctl.SetWorker(f.info(), sim.now)
+			ctl.SetWorker(f.info(), now)
 		}
 	}
 	sim.keepConfirmingEpoch(ctl)
@@ -272,7 +285,7 @@
 			return
 		}
 		if !sim.storeDown {
-			ctl.ConfirmEpoch(sim.now.Add(-4 * time.Millisecond))
+			ctl.ConfirmEpoch(sim.nowOf(ctl).Add(-4 * time.Millisecond))
 		}
 		sim.keepConfirmingEpoch(ctl)
 	})
@@ -320,7 +333,7 @@
 					sim.cancelAckedAt[id] = sim.now
 				}
 			}
-			ctl.BatchStored(b, sim.now)
+			ctl.BatchStored(b, sim.nowOf(ctl))
 			for _, id := range b.Ended {
 				if state, _ := ctl.JobState(id); state == workload.JobCancelled {
 					sim.cancelAckedAt[id] = sim.now
@@ -338,7 +351,7 @@
 	}
 	sim.jobs[job.ID] = job
 	copied := *job
-	if _, err := sim.ctl.Submit(&copied, sim.now); err != nil {
+	if _, err := sim.ctl.Submit(&copied, sim.nowOf(sim.ctl)); err != nil {
 		sim.t.Fatal(err)
 	}
 	sim.carryOutOrders()
@@ -362,7 +375,7 @@
 				allowed = append(allowed, workload.Ticket{Worker: id, Ticket: fmt.Sprintf("%s@%d", call.Step, end.UnixMilli())})
 			}
 		}
-		ctl.AdvisorCallDone(&call, allowed, 0, nil, sim.now)
+		ctl.AdvisorCallDone(&call, allowed, 0, nil, sim.nowOf(ctl))
 	})
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -26,8 +26,12 @@
 	Steps   []Step `json:"steps"`
 	// Recurrence says how often and when the steps run.
 	Recurrence Recurrence `json:"repeat,omitzero"`
-	// AcceptedMs is when the job was accepted, in Unix milliseconds.
+	// AcceptedMs is when the job was accepted, in Unix milliseconds by the clock of the controller that
+	// accepted it. Other controllers can't compare it with their own; earlier programs do.
 	AcceptedMs int64 `json:"accepted_ms"`
+	// AcceptedElapsedMs is the reading of the cell's elapsed time then, in milliseconds, zero if an
+	// earlier program accepted the job.
+	AcceptedElapsedMs int64 `json:"accepted_elapsed_ms,omitempty"`
 }
 
 // Recurrence is the schedule of a recurring job. The zero value means a single occurrence
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -4,8 +4,12 @@
 type Progress struct {
 	// State is the final state, empty until the job has ended.
 	State JobState `json:"state,omitempty"`
-	// EndedMs is when the job ended, in Unix milliseconds.
+	// EndedMs is when the job ended, in Unix milliseconds by the clock of the controller of then. It is
+	// for earlier programs only.
 	EndedMs int64 `json:"ended_ms,omitempty"`
+	// EndedElapsedMs is the reading of the cell's elapsed time when the job ended, in milliseconds, zero
+	// if an earlier program stored its end.
+	EndedElapsedMs int64 `json:"ended_elapsed_ms,omitempty"`
 	// DoneBelow is the number below which all occurrences are done.
 	DoneBelow int `json:"done_below,omitempty"`
 	// DoneOccurrences are the occurrences from DoneBelow on that are done, in ascending
