Occurrences that an earlier controller has opened go on under a clock that is behind (TWICE)

Callers would see, after a change of the controller to a machine whose clock is behind: the running tasks of a recurring job stopped, and tasks that had ended done started again at the time of the new controller's clock.

Cause: findTask knows open occurrences only, and an occurrence is opened when it is due by the controller's own clock. The runs of one that the predecessor had opened counted as unknown and were stopped; their ends were acknowledged without being noted. And an occurrence that was done ahead of nextOccurrence was forgotten as done once doneBelow passed it, and opened anew.

Change: a run or an end that a worker shows, and progress in the store, open their occurrence. occurrenceDone looks at doneBelow too. While workers of earlier controllers are not accounted for, tasks of occurrences that were due at the takeover, or up to maxClockLead later, may be running.

The opening of occurrences has a file of its own.

--- a/internal/controller/clocksapart_test.go
+++ b/internal/controller/clocksapart_test.go
@@ -192,3 +192,52 @@
 		}
 	}
 }
+
+// newTimetableSimulation returns a simulation of a recurring job, and its controller, whose clock is right. An
+// occurrence is due each 2 s, from 1 s after the start on, and its task runs for 3 s.
+func newTimetableSimulation(t *testing.T, seed uint64) *simulation {
+	sim := newSimulation(t, seed)
+	sim.addWorkers(4, 8000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 3 * time.Second, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	job := simpleJob("j1", "batch", 1, 3000, nil)
+	job.Recurrence = workload.Recurrence{Count: 8, StartMs: sim.now.Add(time.Second).UnixMilli(), IntervalMs: 2000}
+	sim.submit(job)
+	return sim
+}
+
+// TestOccurrenceOpenedByAnEarlierControllerGoesOn guards against runs of a recurring job that are stopped, or
+// run again, because they are not due yet by the clock of the next controller (TWICE).
+func TestOccurrenceOpenedByAnEarlierControllerGoesOn(t *testing.T) {
+	for _, behind := range []time.Duration{0, 3 * time.Second, 7 * time.Second, 100 * time.Second, time.Hour} {
+		for _, ended := range []bool{false, true} {
+			t.Run(fmt.Sprint(behind, " ended ", ended), func(t *testing.T) {
+				sim := newTimetableSimulation(t, 1)
+				sim.advance(5500 * time.Millisecond) // the first three have started
+				runs := sim.runCount()
+				stops := sim.stopsSent
+				sim.ctl = nil
+				if ended {
+					sim.advance(4 * time.Second) // the runs end, and no controller learns of it
+				}
+				sim.clockAhead = -behind
+				sim.startController(true)
+				sim.advance(1500 * time.Millisecond)
+				if sim.stopsSent != stops {
+					t.Errorf("%d of %d runs were stopped", sim.stopsSent-stops, runs)
+				}
+				if behind > 10*time.Second {
+					sim.clockAhead = 0
+					sim.startController(true)
+				}
+				sim.advance(30 * time.Second)
+				if state := sim.state("j1"); state != workload.JobCompleted {
+					t.Errorf("the job is %q", state)
+				}
+			})
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -104,6 +104,8 @@
 	// until all workers are accounted for.
 	unretiredJobs []*job
 
+	// loadedAt is when the store was loaded.
+	loadedAt time.Time
 	// elapsed measures the ages of jobs across controllers. A reading is stored at elapsedRecordDue.
 	elapsed          elapsedTime
 	elapsedRecordDue time.Time
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -62,63 +62,6 @@
 	delete(c.recurring, j)
 }
 
-// maxOpenOccurrences bounds the open occurrences of one job, so that a schedule with a start
-// long ago does not exhaust the memory.
-const maxOpenOccurrences = 64
-
-// openOccurrences opens the occurrences that are due or nearly due.
-func (c *Controller) openOccurrences(j *job, now time.Time) {
-	for j.nextOccurrence < j.spec.OccurrenceCount() && !j.ended() && len(j.open) < maxOpenOccurrences {
-		scheduledAt := j.acceptedAt
-		if j.spec.Recurring() {
-			scheduledAt = now.Add(time.Duration(j.spec.EarliestStartMs(j.nextOccurrence)-now.UnixMilli()) * time.Millisecond)
-			if openAt := scheduledAt.Add(-j.openLeadTime()); openAt.After(now) {
-				c.scheduleOpening(j, openAt, now)
-				return
-			}
-		}
-		if !j.doneOccurrences[j.nextOccurrence] {
-			c.openOccurrence(j, j.nextOccurrence, scheduledAt, now)
-		}
-		j.nextOccurrence++
-	}
-}
-
-// scheduleOpening schedules a wake-up for opening the next occurrence of a job, unless an
-// earlier one is scheduled.
-func (c *Controller) scheduleOpening(j *job, openAt, now time.Time) {
-	if j.nextOpenAt.After(now) && !openAt.Before(j.nextOpenAt) {
-		return
-	}
-	j.nextOpenAt = openAt
-	c.wakeups.add(openAt)
-}
-
-// openMargin is how long before its start time an occurrence has its tickets. It covers the
-// round trip to the advisor.
-const openMargin = 150 * time.Millisecond
-
-// openLeadTime returns how long before its start time an occurrence is opened, so that the
-// advisor has answered by then.
-func (j *job) openLeadTime() time.Duration {
-	if j.class.Advisor == nil {
-		return 0
-	}
-	return j.class.Advisor.CallTime(assumedWorkersPerCall) + openMargin
-}
-
-func (c *Controller) openOccurrence(j *job, number int, scheduledAt, now time.Time) {
-	occ := j.newOccurrence(number, scheduledAt)
-	j.open = append(j.open, occ)
-	for _, s := range occ.steps {
-		s.notBefore = scheduledAt
-		c.updateStepSets(s)
-	}
-	if scheduledAt.After(now) {
-		c.wakeups.add(scheduledAt)
-	}
-}
-
 // Cancel ends a job at its caller's request. It returns whether the job is known, and whether
 // its final state is stored.
 func (c *Controller) Cancel(id string, now time.Time) (known, stored bool) {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -55,6 +55,7 @@
 		delete(specs, id)
 		delete(progress, id)
 	}
+	c.loadedAt = now
 	c.loadElapsed(records, specs, progress, now)
 	for id, spec := range specs {
 		c.loadJob(spec, progress[id], now)
@@ -161,6 +162,9 @@
 		j.markOccurrenceDone(k)
 	}
 	c.openOccurrences(j, now)
+	for i := range p.Steps {
+		c.openByEarlierController(j, p.Steps[i].Occurrence, now)
+	}
 	byStep := map[[2]int]*workload.StepProgress{}
 	for i := range p.Steps {
 		byStep[[2]int{p.Steps[i].Occurrence, p.Steps[i].Step}] = &p.Steps[i]
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -287,7 +287,7 @@
 	if orphan := w.orphans[status.Run]; orphan != nil {
 		return nil
 	}
-	t := c.findTask(status.Run.Task)
+	t := c.findShownTask(status.Run.Task, now)
 	if t == nil || !c.adoptable(t, status.Run) {
 		c.addOrphan(w, status.Run, t, now)
 		return nil
@@ -405,7 +405,7 @@
 	c.removeOrphan(w, e.Run)
 	j := c.jobs[e.Run.Task.Job]
 	r := w.runs[e.Run]
-	t := c.findTask(e.Run.Task)
+	t := c.findShownTask(e.Run.Task, now)
 	if r != nil {
 		t = r.task
 		c.removeRun(r)
--- /dev/null
+++ b/internal/controller/occurrences.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"time"
+
+	"dotterelhitch/internal/workload"
+)
+
+// maxOpenOccurrences bounds the open occurrences of one job, so that a schedule with a start
+// long ago does not exhaust the memory.
+const maxOpenOccurrences = 64
+
+// scheduledAt returns the start time of an occurrence.
+func (c *Controller) scheduledAt(j *job, number int, now time.Time) time.Time {
+	if !j.spec.Recurring() {
+		return j.acceptedAt
+	}
+	return now.Add(time.Duration(j.spec.EarliestStartMs(number)-now.UnixMilli()) * time.Millisecond)
+}
+
+// openOccurrences opens the occurrences that are due or nearly due.
+func (c *Controller) openOccurrences(j *job, now time.Time) {
+	for j.nextOccurrence < j.spec.OccurrenceCount() && !j.ended() && len(j.open) < maxOpenOccurrences {
+		scheduledAt := c.scheduledAt(j, j.nextOccurrence, now)
+		if j.spec.Recurring() {
+			if openAt := scheduledAt.Add(-j.openLeadTime()); openAt.After(now) {
+				c.scheduleOpening(j, openAt, now)
+				return
+			}
+		}
+		if !j.occurrenceDone(j.nextOccurrence) && j.openOccurrence(j.nextOccurrence) == nil {
+			c.openOccurrence(j, j.nextOccurrence, scheduledAt, now)
+		}
+		j.nextOccurrence++
+	}
+}
+
+// scheduleOpening schedules a wake-up for opening the next occurrence of a job, unless an
+// earlier one is scheduled.
+func (c *Controller) scheduleOpening(j *job, openAt, now time.Time) {
+	if j.nextOpenAt.After(now) && !openAt.Before(j.nextOpenAt) {
+		return
+	}
+	j.nextOpenAt = openAt
+	c.wakeups.add(openAt)
+}
+
+// openMargin is how long before its start time an occurrence has its tickets. It covers the
+// round trip to the advisor.
+const openMargin = 150 * time.Millisecond
+
+// openLeadTime returns how long before its start time an occurrence is opened, so that the
+// advisor has answered by then.
+func (j *job) openLeadTime() time.Duration {
+	if j.class.Advisor == nil {
+		return 0
+	}
+	return j.class.Advisor.CallTime(assumedWorkersPerCall) + openMargin
+}
+
+// openOccurrence opens an occurrence.
+func (c *Controller) openOccurrence(j *job, number int, scheduledAt, now time.Time) {
+	occ := j.newOccurrence(number, scheduledAt)
+	j.open = append(j.open, occ)
+	for _, s := range occ.steps {
+		s.notBefore = scheduledAt
+		c.updateStepSets(s)
+	}
+	if scheduledAt.After(now) {
+		c.wakeups.add(scheduledAt)
+	}
+	if c.mayHaveBeenOpened(j, scheduledAt) {
+		occ.markMayBeRunning()
+	}
+}
+
+// occurrenceDone reports whether an occurrence is done.
+func (j *job) occurrenceDone(number int) bool {
+	return number < j.doneBelow || j.doneOccurrences[number]
+}
+
+// openOccurrence returns an open occurrence of a job, nil if it is not open.
+func (j *job) openOccurrence(number int) *occurrence {
+	for _, occ := range j.open {
+		if occ.number == number {
+			return occ
+		}
+	}
+	return nil
+}
+
+// maxClockLead is how far the clock of an earlier controller may have been ahead without being corrected, plus
+// openMargin.
+const maxClockLead = 1500 * time.Millisecond
+
+// mayHaveBeenOpened reports whether an earlier controller may have started tasks of an occurrence that this one
+// opens now: one that was due, or nearly due, when this controller took over.
+func (c *Controller) mayHaveBeenOpened(j *job, scheduledAt time.Time) bool {
+	return j.runNumberBase > 0 && !c.takeoverComplete && scheduledAt.Before(c.loadedAt.Add(maxClockLead))
+}
+
+// markMayBeRunning has the tasks wait until all workers of earlier controllers are accounted for.
+func (occ *occurrence) markMayBeRunning() {
+	for _, s := range occ.steps {
+		for _, t := range s.tasks {
+			t.mayBeRunning = true
+		}
+	}
+}
+
+// openByEarlierController opens an occurrence of which an earlier controller has started a task, if it is not open
+// or done. By the clock of that controller it was due; by this one's it may be due later.
+func (c *Controller) openByEarlierController(j *job, number int, now time.Time) {
+	if !j.spec.Recurring() || j.ended() || number < j.nextOccurrence || number >= j.spec.OccurrenceCount() ||
+		j.occurrenceDone(number) || j.openOccurrence(number) != nil {
+		return
+	}
+	c.openOccurrence(j, number, c.scheduledAt(j, number, now), now)
+	if !c.takeoverComplete {
+		j.openOccurrence(number).markMayBeRunning()
+	}
+}
+
+// findShownTask returns the task of a run that a worker shows, nil if it is of no open occurrence.
+func (c *Controller) findShownTask(id workload.TaskID, now time.Time) *task {
+	if j := c.jobs[id.Job]; j != nil && j.spec != nil {
+		c.openByEarlierController(j, id.Occurrence, now)
+	}
+	return c.findTask(id)
+}
