Scheduled times count by the median of the members' clocks (ORDER)

Callers would see, with a controller whose clock is off by minutes: occurrences of recurring jobs that start minutes early, or late, by that clock.

Cause: scheduled times were compared with the controller's own clock, and a process keeps the time of day that it has at its start.

Change: members measure how far their clock is ahead of the controller's and say so in their heartbeats; the controller takes the median (internal/timeofday, pure), if more than half of the known members are in it, and tells it in its answers, so that the next controller knows it before it opens an occurrence. One that was never told has recurring jobs wait for the others, for 1 s at most. Programs of before send no clocks: then nothing is corrected.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -31,6 +31,8 @@
 	claimDelay time.Duration
 	// cores is the processor time, in cores, of the nodes that are added next.
 	cores float64
+	// clockAhead is how far the clocks of the nodes that are added next are ahead of the true time.
+	clockAhead time.Duration
 	// leaderLease is that of the nodes that are added next.
 	leaderLease leaderlease.Timing
 }
@@ -153,6 +155,8 @@
 		Clock:    clock,
 	})
 	n.speed.sample = n.speedSample
+	ahead := c.clockAhead
+	n.Node.clock.read = func() time.Time { return time.Now().Add(ahead) }
 	n.opts.Events.OnEvent(func(e event.Event) {
 		n.events.add(e)
 		if testing.Verbose() {
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -100,14 +100,14 @@
 func (n *Node) heartbeatLeader(claim election.Claim) bool {
 	overdue := time.AfterFunc(heartbeatOverdue, func() { n.peers.resetIfSilent(claim.Addr, n.peers.client(claim.Addr)) })
 	defer overdue.Stop()
-	sent := clock.Now()
+	sent, clockSent := clock.Now(), n.clock.now()
 	resp, err := n.callHello(claim.Addr, heartbeatTimeout)
 	if err != nil {
 		refused := structs.CodeOf(err) == structs.CodeUnavailable
 		n.view.recordLeaderFailure(claim.Epoch, refused)
 		return !refused
 	}
-	now := clock.Now()
+	now, clockNow := clock.Now(), n.clock.now()
 	if resp.From.GetNode() == claim.Node && resp.From.GetBoot() != claim.Boot {
 		n.view.markLeaderEnded(claim.Epoch, now)
 		return true
@@ -116,6 +116,7 @@
 	if !resp.Leads || resp.Epoch != claim.Epoch {
 		return true
 	}
+	n.clock.recordLeaderClock(resp, clockSent, clockNow)
 	n.applyMembers(resp)
 	n.view.recordLeaderAnswer(claim.Epoch, resp.Ready, reportedCounts(resp), now)
 	if resp.Leaving {
@@ -153,6 +154,7 @@
 		Slow:           n.speed.isSlow(),
 		MembersVersion: n.view.knownMembersVersion(),
 		ConfigVersion:  n.config.number(),
+		Clock:          n.clock.difference(claim.Boot),
 	}
 	return callPeer(n.ctx, n.peers, addr, timeout, (*peerClient).Hello, req)
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -72,6 +72,7 @@
 	refreshingCounts atomic.Bool
 
 	view  cellView
+	clock memberClock
 	speed speedMonitor
 	wg    sync.WaitGroup
 	ctx   context.Context
@@ -98,6 +99,7 @@
 	n.stats.registerGauge("hitch_cell_agent_orders_pending", n.agentMetric((*agentPool).pendingOrders))
 	n.stats.registerGauge("hitch_cell_config_version", func() float64 { return float64(n.config.number()) })
 	n.stats.registerGauge("hitch_cell_config_age_seconds", n.configAgeSeconds)
+	n.stats.registerGauge("hitch_cell_clock_offset_seconds", n.clock.offsetSeconds)
 	n.view.init(clock.Now())
 	n.log = newRelayLog(opts.Log, n)
 	return n
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -43,6 +43,7 @@
 	if since, heard := n.view.sinceLeaderHeard(now); heard {
 		resp.LeaderHeardMs = since.Milliseconds()
 	}
+	resp.TimeMs = n.clock.now().UnixMilli()
 	n.fillConfig(resp, req.ConfigVersion, now)
 	n.fetchConfig(configRef{req.ConfigVersion, from.Addr})
 	if l := n.term.Load(); l != nil {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -35,6 +35,7 @@
 	if cfg := l.node.config.version.Load(); cfg != nil {
 		l.ctl.SetConfig(cfg.Config, now)
 	}
+	l.inheritTimeOfDay(now)
 	l.ctl.Load(records, now)
 	l.ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: l.predecessor.epoch, UsesWitnesses: v.Newest.Witnessed}, fencedAt, now)
 	l.ctl.FollowedBy(l.node.self.Node, now)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -65,6 +65,14 @@
 	witnesses      []string  // by Member.Node, in order
 	startedAt      time.Time // when the control goroutine began
 	witnessesDueAt time.Time // when witnesses is checked next
+	// clocks are the other members' clocks, wrongClocks those that differ from the time of day, by Member.Node.
+	clocks      map[string]reportedClock
+	wrongClocks map[string]bool
+	// timeOfDayAhead is how far the time of day is ahead of this member's clock. awaitsTimeOfDay says that
+	// recurring jobs wait for it.
+	timeOfDayAhead  time.Duration
+	awaitsTimeOfDay bool
+	timeOfDayDueAt  time.Time // when the clocks are compared next
 }
 
 // predecessor is the previous controller, whose leader lease may not have expired yet.
@@ -95,6 +103,8 @@
 		acceptWaiters:  map[string][]chan error{},
 		endWaiters:     map[string][]chan error{},
 		lastHeartbeats: map[string]time.Time{},
+		clocks:         map[string]reportedClock{},
+		wrongClocks:    map[string]bool{},
 		predecessor:    predecessorOf(v.Newest),
 	}
 	l.agents = newAgentPool(l)
@@ -249,6 +259,7 @@
 	l.recordLeaseChange(now)
 	l.updateAdvisorEntries(now)
 	l.updateWitnesses(now)
+	l.updateTimeOfDay(now)
 	l.confirmOnRequest()
 	l.agents.setWorkers(l.ctl.WorkerCount())
 	l.refuseUnbatched(now)
@@ -337,7 +348,11 @@
 			resp.Members = append(resp.Members, memberToProto(m))
 		}
 	}
-	l.post(func(now time.Time) { l.recordHeartbeat(from, req.Epoch, now) })
+	l.node.fillTimeOfDay(resp)
+	l.post(func(now time.Time) {
+		l.recordHeartbeat(from, req.Epoch, now)
+		l.recordClock(from, req.Clock)
+	})
 }
 
 // recordHeartbeat records a member's heartbeat. If it comes from the predecessor's machine and
--- a/internal/controller/clocksapart_test.go
+++ b/internal/controller/clocksapart_test.go
@@ -241,3 +241,61 @@
 		}
 	}
 }
+
+// TestScheduledTimesByTheTimeOfDay guards against occurrences that start early, or late, because the clock of the
+// controller is off (ORDER).
+func TestScheduledTimesByTheTimeOfDay(t *testing.T) {
+	for _, ahead := range clockDifferences {
+		for _, known := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprint(ahead, " known after ", known), func(t *testing.T) {
+				sim := newTimetableSimulation(t, 1)
+				sim.timeKnownAfter = known
+				sim.advance(time.Duration(5700) * time.Millisecond)
+				sim.clockAhead = ahead
+				sim.startController(true)
+				sim.advance(20 * time.Second)
+				if state := sim.state("j1"); state != workload.JobCompleted {
+					t.Errorf("the job is %q", state)
+				}
+				if limit := known + 200*time.Millisecond; sim.maxStartDelay > limit {
+					t.Errorf("an occurrence started %v late, want at most %v", sim.maxStartDelay, limit)
+				}
+			})
+		}
+	}
+}
+
+// TestTimetablesWithClocksApart guards against occurrences that start early, twice or never under a series of
+// controllers whose clocks are apart, and which learn the time of day, among faults.
+func TestTimetablesWithClocksApart(t *testing.T) {
+	for seed := range *clockSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed)
+			rng := rand.New(rand.NewPCG(seed, 5))
+			sim.addWorkers(6, 8000)
+			sim.allowedShare = 1
+			sim.lostAnswerShare = 0.02 * rng.Float64()
+			sim.timeKnownAfter = time.Duration(rng.IntN(1500)) * time.Millisecond
+			sim.startController(true)
+			sim.advance(200 * time.Millisecond)
+			for i := range 4 {
+				job := randomJob(fmt.Sprintf("j%d", i), rng)
+				start := sim.now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+				job.Recurrence = workload.Recurrence{Count: 1 + rng.IntN(12), StartMs: start.UnixMilli(), IntervalMs: int64(200 + rng.IntN(3000))}
+				sim.submit(job)
+			}
+			for range 20 {
+				sim.clockAhead = clockDifferences[rng.IntN(len(clockDifferences))]
+				sim.advance(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				sim.injectFault(rng)
+				if rng.IntN(4) == 0 {
+					sim.replaceController(rng, time.Second)
+				}
+			}
+			sim.endFaults()
+			sim.advance(90 * time.Second)
+			sim.checkAllJobsEnded()
+			sim.checkAcceptedAreKnown()
+		})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -104,6 +104,10 @@
 	// until all workers are accounted for.
 	unretiredJobs []*job
 
+	// timeOfDayAhead is how far the time of day is ahead of the controller's clock. awaitsTimeOfDay says that
+	// this is not known yet.
+	timeOfDayAhead  time.Duration
+	awaitsTimeOfDay bool
 	// loadedAt is when the store was loaded.
 	loadedAt time.Time
 	// elapsed measures the ages of jobs across controllers. A reading is stored at elapsedRecordDue.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -165,6 +165,7 @@
 	for i := range p.Steps {
 		c.openByEarlierController(j, p.Steps[i].Occurrence, now)
 	}
+	c.endIfComplete(j, now)
 	byStep := map[[2]int]*workload.StepProgress{}
 	for i := range p.Steps {
 		byStep[[2]int{p.Steps[i].Occurrence, p.Steps[i].Step}] = &p.Steps[i]
--- a/internal/controller/occurrences.go
+++ b/internal/controller/occurrences.go
@@ -15,11 +15,36 @@
 	if !j.spec.Recurring() {
 		return j.acceptedAt
 	}
-	return now.Add(time.Duration(j.spec.EarliestStartMs(number)-now.UnixMilli()) * time.Millisecond)
+	timeOfDay := now.Add(c.timeOfDayAhead).UnixMilli()
+	return now.Add(time.Duration(j.spec.EarliestStartMs(number)-timeOfDay) * time.Millisecond)
+}
+
+// AwaitTimeOfDay has the occurrences of recurring jobs wait for SetTimeOfDay. It is called before Load.
+func (c *Controller) AwaitTimeOfDay() { c.awaitsTimeOfDay = true }
+
+// SetTimeOfDay sets how far the time of day is ahead of the controller's own clock. Scheduled times count by
+// it; nothing else does.
+func (c *Controller) SetTimeOfDay(ahead time.Duration, now time.Time) {
+	if !c.awaitsTimeOfDay && ahead == c.timeOfDayAhead {
+		return
+	}
+	c.awaitsTimeOfDay = false
+	c.timeOfDayAhead = ahead
+	for j := range c.recurring {
+		for _, occ := range j.open {
+			c.schedule(occ, c.scheduledAt(j, occ.number, now), now)
+		}
+		j.nextOpenAt = time.Time{}
+		c.openOccurrences(j, now)
+	}
+	c.requestPlacement(now)
 }
 
 // openOccurrences opens the occurrences that are due or nearly due.
 func (c *Controller) openOccurrences(j *job, now time.Time) {
+	if c.awaitsTimeOfDay && j.spec.Recurring() {
+		return
+	}
 	for j.nextOccurrence < j.spec.OccurrenceCount() && !j.ended() && len(j.open) < maxOpenOccurrences {
 		scheduledAt := c.scheduledAt(j, j.nextOccurrence, now)
 		if j.spec.Recurring() {
@@ -62,13 +87,10 @@
 func (c *Controller) openOccurrence(j *job, number int, scheduledAt, now time.Time) {
 	occ := j.newOccurrence(number, scheduledAt)
 	j.open = append(j.open, occ)
+	c.schedule(occ, scheduledAt, now)
 	for _, s := range occ.steps {
-		s.notBefore = scheduledAt
 		c.updateStepSets(s)
 	}
-	if scheduledAt.After(now) {
-		c.wakeups.add(scheduledAt)
-	}
 	if c.mayHaveBeenOpened(j, scheduledAt) {
 		occ.markMayBeRunning()
 	}
@@ -79,6 +101,28 @@
 	return number < j.doneBelow || j.doneOccurrences[number]
 }
 
+// schedule sets the start time of an occurrence.
+func (c *Controller) schedule(occ *occurrence, at, now time.Time) {
+	occ.scheduledAt = at
+	for _, s := range occ.steps {
+		s.notBefore = at
+	}
+	if at.After(now) {
+		c.wakeups.add(at)
+	}
+}
+
+// endIfComplete ends a job of which all occurrences are done, those that are not due yet by this
+// controller's clock included.
+func (c *Controller) endIfComplete(j *job, now time.Time) {
+	for j.nextOccurrence < j.spec.OccurrenceCount() && j.occurrenceDone(j.nextOccurrence) {
+		j.nextOccurrence++
+	}
+	if len(j.open) == 0 && j.nextOccurrence >= j.spec.OccurrenceCount() {
+		c.endJob(j, workload.JobCompleted, "", now)
+	}
+}
+
 // openOccurrence returns an open occurrence of a job, nil if it is not open.
 func (j *job) openOccurrence(number int) *occurrence {
 	for _, occ := range j.open {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -174,22 +174,20 @@
 		c.updateStepSets(next)
 	}
 	if occ.stepsLeft == 0 {
-		c.occurrenceDone(occ, now)
+		c.closeOccurrence(occ, now)
 	}
 	c.requestPlacement(now)
 }
 
-// occurrenceDone closes an occurrence and ends the job with its last one.
-func (c *Controller) occurrenceDone(occ *occurrence, now time.Time) {
+// closeOccurrence closes an occurrence that is done, and ends the job with its last one.
+func (c *Controller) closeOccurrence(occ *occurrence, now time.Time) {
 	j := occ.job
 	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool { return o == occ })
 	if j.spec.Recurring() {
 		j.markOccurrenceDone(occ.number)
 		c.openOccurrences(j, now)
 	}
-	if len(j.open) == 0 && j.nextOccurrence >= j.spec.OccurrenceCount() {
-		c.endJob(j, workload.JobCompleted, "", now)
-	}
+	c.endIfComplete(j, now)
 }
 
 // taskFailed counts a failed attempt and fails the job if no attempts are left.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -33,8 +33,10 @@
 	ctl        *Controller
 	// clocks tells how far the clock of each controller is ahead of now, clockAhead that of those
 	// started next.
-	clocks            map[*Controller]time.Duration
-	clockAhead        time.Duration
+	clocks     map[*Controller]time.Duration
+	clockAhead time.Duration
+	// timeKnownAfter is when controllers learn how far their clocks are ahead, negative for never.
+	timeKnownAfter    time.Duration
 	advisorEntries    []string
 	lostAnswerShare   float64 // share of orders that are carried out but get no response
 	delayedOrderShare float64 // share of orders that are carried out 2 to 12 s later and get no response
@@ -139,6 +141,7 @@
 		crashesUnder:       map[workload.TaskID]int{},
 		startsAfterCrashes: map[workload.TaskID]int{},
 	}
+	sim.timeKnownAfter = -1
 	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
 		return time.Second, workload.EndDone
 	}
@@ -259,6 +262,7 @@
 	sim.clocks[ctl] = sim.clockAhead
 	now := sim.nowOf(ctl)
 	ctl.SetConfig(sim.config, now)
+	sim.tellTimeOfDay(ctl)
 	ctl.Load(records, now)
 	ctl.ConfirmEpoch(now)
 	ctl.BoundPredecessors(leaderlease.Predecessor{Epoch: sim.storeEpoch - 1, UsesWitnesses: true}, now, now)
@@ -277,6 +281,21 @@
 	sim.carryOutOrders()
 }
 
+// tellTimeOfDay has a controller whose clock is not right wait for the time of day, and learn it after
+// timeKnownAfter.
+func (sim *simulation) tellTimeOfDay(ctl *Controller) {
+	ahead := sim.clocks[ctl]
+	if ahead == 0 || sim.timeKnownAfter < 0 {
+		return
+	}
+	ctl.AwaitTimeOfDay()
+	sim.after(sim.timeKnownAfter, func() {
+		if sim.ctl == ctl {
+			ctl.SetTimeOfDay(-ahead, sim.nowOf(ctl))
+		}
+	})
+}
+
 // keepConfirmingEpoch confirms the controller's epoch periodically while it is the newest and
 // the store responds.
 func (sim *simulation) keepConfirmingEpoch(ctl *Controller) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -81,6 +81,7 @@
 	JobRefused          Type = "job_refused"      // a submission was refused: Job, Class, Code, Count (load), AgeMs
 	ConfigApplied       Type = "config_taken"     // Version, Count (classes), Member (that passed it on, if any), AgeMs (since the former version was known to be the newest), Detail (source)
 	ConfigStale         Type = "config_stale"     // whether the configuration is the newest has not been confirmed lately, or is confirmed again after that: Version, State, AgeMs (since it was confirmed)
+	ClockOff            Type = "clock_off"        // a member's clock differs from the cell's time of day, or no longer does: Member, Epoch, State, AgeMs (by how much it is ahead, negative if it is behind)
 	StoreLost           Type = "store_lost"       // Detail
 	StoreRecovered      Type = "store_regained"   // AgeMs (duration of the outage)
 	LeaderLost          Type = "leader_lost"      // Member (the controller), Epoch, AgeMs, Detail
