A job of which nothing may have begun counts as waiting after a takeover (MIXED)

Cause: when a worker with young runs falls silent, a test is stored for their tasks, whether the start orders arrived or not, and the next controller took any stored result of a task for a begun job.

Change: a job has begun if a task is done, or a stored failure, checkpoint or certain crash shows it. Until a worker shows its run, it counts as waiting; the rule is about counts that are too low.

TestJobThatMayNotHaveBegunWaits before: 0 waiting jobs after the change, want 1. TestBegunJobDoesNotWaitAfterTakeover holds before and after.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -196,7 +196,9 @@
 		if tp.Index < 0 || tp.Index >= len(s.tasks) {
 			continue
 		}
-		s.job().started = true
+		if tp.HasBegun() {
+			s.job().started = true
+		}
 		t := s.tasks[tp.Index]
 		t.load(tp)
 		c.inheritTest(t)
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -158,3 +158,50 @@
 		}
 	}
 }
+
+// TestJobThatMayNotHaveBegunWaits guards against a job that does not count as waiting after a change of the
+// controller, although nothing of it has begun: a worker that was cut off had got its start order, or not (MIXED).
+func TestJobThatMayNotHaveBegunWaits(t *testing.T) {
+	sim := newSimulationWithController(t, 2, 4000)
+	for _, f := range sim.workers {
+		f.partitioned = true
+	}
+	sim.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	sim.advance(4 * time.Second)
+	if p := sim.store[progressPrefix+"j1"]; p == nil {
+		t.Fatal("no progress is stored, which the case is about")
+	}
+	if got := sim.ctl.WaitingJobs("batch"); got != 1 {
+		t.Fatalf("%d waiting jobs before the change, want 1", got)
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	if got := sim.ctl.WaitingJobs("batch"); got != 1 {
+		t.Errorf("%d waiting jobs after the change, want 1", got)
+	}
+}
+
+// TestBegunJobDoesNotWaitAfterTakeover guards against the reverse: a job of which a run has ended is not waiting.
+func TestBegunJobDoesNotWaitAfterTakeover(t *testing.T) {
+	for _, reason := range []workload.EndReason{workload.EndDone, workload.EndFailed} {
+		sim := newSimulation(t, 1)
+		sim.addWorkers(1, 4000)
+		sim.drawResult = func(id workload.TaskID, _ *fakeWorker) (time.Duration, workload.EndReason) {
+			if id.Index == 0 {
+				return 300 * time.Millisecond, reason
+			}
+			return time.Hour, workload.EndDone
+		}
+		sim.startController(true)
+		sim.advance(100 * time.Millisecond)
+		sim.submit(simpleJob("j1", "batch", 2, 1000, nil))
+		sim.advance(time.Second)
+		for _, f := range sim.workers {
+			f.partitioned = true
+		}
+		sim.startController(true)
+		if got := sim.ctl.WaitingJobs("batch"); got != 0 {
+			t.Errorf("%s: %d waiting jobs after the change, want 0", reason, got)
+		}
+	}
+}
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -1,5 +1,7 @@
 package workload
 
+import "slices"
+
 // Progress is the part of a job's state that is stored beside the job itself.
 type Progress struct {
 	// State is the final state, empty until the job has ended.
@@ -43,6 +45,13 @@
 	Test *SuspectTest `json:"p,omitempty"`
 }
 
+// HasBegun reports whether a run of the task has certainly begun. A crash that is not certain, and a test,
+// may be of a run whose start order never arrived.
+func (tp *TaskProgress) HasBegun() bool {
+	isCertain := func(c TaskCrash) bool { return c.Finding == CrashCertain }
+	return len(tp.FailedRuns) > 0 || tp.Checkpoint != "" || slices.ContainsFunc(tp.Crashes, isCertain)
+}
+
 // TaskCrash is a crash of a worker that counts for a task.
 type TaskCrash struct {
 	Run     int64        `json:"r"`
