--- a/internal/cell/timeofday.go
+++ b/internal/cell/timeofday.go
@@ -152,16 +152,11 @@
 	}
 	l.timeOfDayDueAt = now.Add(timeOfDayPeriod)
 	fresh := l.freshMembers(now)
-	ahead := []time.Duration{0}
-	for _, node := range fresh {
-		if reported, ok := l.clocks[node]; ok {
-			ahead = append(ahead, reported.ahead)
-		}
-	}
+	ahead := l.clockDifferences(fresh)
 	known := max(l.node.view.knownNodeCount(), len(fresh)) + 1
-	switch {
-	case 2*len(ahead) > known:
-	case !l.awaitsTimeOfDay || now.Sub(l.startedAt) < timeOfDayWait:
+	isMajority := 2*len(ahead) > known
+	hasWaited := l.awaitsTimeOfDay && now.Sub(l.startedAt) >= timeOfDayWait
+	if !isMajority && !hasWaited {
 		return
 	}
 	l.awaitsTimeOfDay = false
@@ -173,6 +168,17 @@
 	l.ctl.SetTimeOfDay(l.timeOfDayAhead, now)
 }
 
+// clockDifferences returns how far the reported clocks of some members, and this one, are ahead of this one.
+func (l *leaderTerm) clockDifferences(nodes []string) []time.Duration {
+	ahead := []time.Duration{0}
+	for _, node := range nodes {
+		if reported, ok := l.clocks[node]; ok {
+			ahead = append(ahead, reported.ahead)
+		}
+	}
+	return ahead
+}
+
 // The states of event.ClockOff.
 const (
 	clockWrong = "off"
--- a/internal/cell/timeofday_test.go
+++ b/internal/cell/timeofday_test.go
@@ -24,7 +24,7 @@
 	c.t.Fatalf("%s takes the time of day to be %v ahead of its clock (known: %v), want %v", n.opts.Self.Node, got, known, want)
 }
 
-// awaitsTimeOfDay reports whether recurring jobs wait for the time of day, and by how much it is ahead of the
+// termTimeOfDay returns whether recurring jobs wait for the time of day, and by how much it is ahead of the
 // controller's clock.
 func (c *testCell) termTimeOfDay(leader *testNode) (awaits bool, ahead time.Duration) {
 	c.t.Helper()
--- a/internal/controller/elapsed.go
+++ b/internal/controller/elapsed.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"encoding/json"
 	"time"
 
 	"dotterelhitch/internal/workload"
@@ -52,32 +51,22 @@
 // lasts less may not count for their retention.
 const elapsedRecordPeriod = 30 * time.Second
 
-// loadElapsed starts the elapsed time at the highest reading in the store.
-func (c *Controller) loadElapsed(records []Record, specs map[string]*workload.Job, progress map[string]*workload.Progress, now time.Time) {
+// highestElapsed returns the highest reading in the store, of which recorded is that of elapsedRecordKey.
+func highestElapsed(recorded int64, specs map[string]*workload.Job, progress map[string]*workload.Progress) int64 {
 	var highest int64
 	add := func(reading int64) {
 		if reading <= maxElapsedMs {
 			highest = max(highest, reading)
 		}
 	}
-	for _, r := range records {
-		if r.Key == elapsedRecordKey {
-			var reading int64
-			if err := json.Unmarshal(r.Value, &reading); err != nil {
-				c.recordUnreadable(r.Key, err)
-				continue
-			}
-			add(reading)
-		}
-	}
+	add(recorded)
 	for _, spec := range specs {
 		add(spec.AcceptedElapsedMs)
 	}
 	for _, p := range progress {
 		add(p.EndedElapsedMs)
 	}
-	c.elapsed.startAt(now, highest)
-	c.elapsedRecordDue = now.Add(elapsedRecordPeriod)
+	return highest
 }
 
 // refreshElapsedRecord has a reading of the elapsed time stored if it is due.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -19,6 +19,7 @@
 func (c *Controller) Load(records []Record, now time.Time) {
 	specs := map[string]*workload.Job{}
 	progress := map[string]*workload.Progress{}
+	var elapsedMs int64
 	for _, r := range records {
 		switch {
 		case strings.HasPrefix(r.Key, jobPrefix):
@@ -44,6 +45,11 @@
 				c.predecessorsEndedBefore = 0
 				c.recordUnreadable(r.Key, err)
 			}
+		case r.Key == elapsedRecordKey:
+			if err := json.Unmarshal(r.Value, &elapsedMs); err != nil {
+				elapsedMs = 0
+				c.recordUnreadable(r.Key, err)
+			}
 		case r.Key == leaseRecordKey:
 			if err := json.Unmarshal(r.Value, &c.leaseRecord); err != nil {
 				c.leaseRecord = leaderlease.Record{}
@@ -56,7 +62,8 @@
 		delete(progress, id)
 	}
 	c.loadedAt = now
-	c.loadElapsed(records, specs, progress, now)
+	c.elapsed.startAt(now, highestElapsed(elapsedMs, specs, progress))
+	c.elapsedRecordDue = now.Add(elapsedRecordPeriod)
 	for id, spec := range specs {
 		c.loadJob(spec, progress[id], now)
 		delete(progress, id)
--- a/internal/controller/occurrences.go
+++ b/internal/controller/occurrences.go
@@ -53,7 +53,7 @@
 				return
 			}
 		}
-		if !j.occurrenceDone(j.nextOccurrence) && j.openOccurrence(j.nextOccurrence) == nil {
+		if !j.occurrenceDone(j.nextOccurrence) && j.findOpen(j.nextOccurrence) == nil {
 			c.openOccurrence(j, j.nextOccurrence, scheduledAt, now)
 		}
 		j.nextOccurrence++
@@ -123,8 +123,8 @@
 	}
 }
 
-// openOccurrence returns an open occurrence of a job, nil if it is not open.
-func (j *job) openOccurrence(number int) *occurrence {
+// findOpen returns an open occurrence of a job, nil if it is not open.
+func (j *job) findOpen(number int) *occurrence {
 	for _, occ := range j.open {
 		if occ.number == number {
 			return occ
@@ -156,12 +156,12 @@
 // or done. By the clock of that controller it was due; by this one's it may be due later.
 func (c *Controller) openByEarlierController(j *job, number int, now time.Time) {
 	if !j.spec.Recurring() || j.ended() || number < j.nextOccurrence || number >= j.spec.OccurrenceCount() ||
-		j.occurrenceDone(number) || j.openOccurrence(number) != nil {
+		j.occurrenceDone(number) || j.findOpen(number) != nil {
 		return
 	}
 	c.openOccurrence(j, number, c.scheduledAt(j, number, now), now)
 	if !c.takeoverComplete {
-		j.openOccurrence(number).markMayBeRunning()
+		j.findOpen(number).markMayBeRunning()
 	}
 }
 
