Teams: keys of callers, the team of a job, and one account of what runs

Callers' requests carry the key of a team where the configuration has teams: an unknown or missing key gets 401, or 503 while the configuration may be out of date.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/leaderlease"
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
 )
 
@@ -70,6 +71,8 @@
 	config  *workload.Config
 	jobs    map[string]*job
 	workers map[string]*worker
+	// usage is what may be running on the workers, beside the used capacity of each of them.
+	usage *usage.Account
 	// retiredTokens are the latest fencing tokens of the workers that were dropped, by worker.
 	retiredTokens map[string]int64
 
@@ -173,6 +176,7 @@
 		config:             &workload.Config{},
 		jobs:               map[string]*job{},
 		workers:            map[string]*worker{},
+		usage:              usage.New(),
 		retiredTokens:      map[string]int64{},
 		unreadable:         map[string]struct{}{},
 		inheritedTests:     map[string][]*task{},
@@ -213,6 +217,7 @@
 		if class := cfg.Classes[j.spec.Class]; class != nil {
 			j.setClass(class)
 		}
+		j.setTeam(cfg.Teams)
 	}
 	c.requestPlacement(now)
 }
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
 )
 
@@ -11,6 +12,8 @@
 type job struct {
 	spec  *workload.Job
 	class *workload.Class
+	// team is the team on whose behalf the job was submitted, as configured, nil if there is none.
+	team *workload.Team
 	// state is the final state, empty until the job ends.
 	state   workload.JobState
 	endedAt time.Time
@@ -161,6 +164,20 @@
 	j.deadline = j.acceptedAt.Add(time.Duration(class.Stretch*float64(longest)) + class.Target)
 }
 
+// setTeam sets the job's team to that of the configuration, or as it was when the job was accepted.
+func (j *job) setTeam(teams *workload.Teams) {
+	if j.spec.Team == "" {
+		return
+	}
+	j.team = teams.ByName(j.spec.Team)
+	if j.team == nil {
+		j.team = &j.spec.AcceptedTeam
+	}
+}
+
+// owner returns on whose account the runs of the job are.
+func (j *job) owner() usage.Owner { return usage.Owner{Team: j.spec.Team, Class: j.spec.Class} }
+
 // assumedWorkersPerCall is the number of workers per advisor call that deadlines allow for.
 const assumedWorkersPerCall = 30
 
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -20,7 +20,7 @@
 )
 
 // Submit adds a job. A repeated submission of the same ID refers to the same job. The error
-// has CodeNotFound if the configuration has no such class.
+// has CodeNotFound if the configuration has no such class, and CodeUnauthorized if it has no such team.
 func (c *Controller) Submit(spec *workload.Job, now time.Time) (SubmitStatus, error) {
 	if j := c.jobs[spec.ID]; j != nil {
 		if j.stored {
@@ -35,11 +35,15 @@
 	if class == nil {
 		return 0, structs.NewError(structs.CodeNotFound, "no class %q in configuration version %d", spec.Class, c.config.Version)
 	}
+	if err := c.checkTeam(spec); err != nil {
+		return 0, err
+	}
 	spec.AcceptedMs = now.UnixMilli()
 	spec.AcceptedElapsedMs = c.elapsed.readingAt(now)
 	spec.AcceptedClass = *class
 	j := &job{spec: spec, acceptedAt: now}
 	j.setClass(class)
+	j.setTeam(c.config.Teams)
 	c.jobs[spec.ID] = j
 	c.activate(j)
 	c.dirty.accept(j)
@@ -48,6 +52,21 @@
 	return SubmitPending, nil
 }
 
+// checkTeam completes a new job with its team as configured. The error has CodeUnauthorized if the configuration has
+// no such team any more.
+func (c *Controller) checkTeam(spec *workload.Job) error {
+	spec.AcceptedTeam = workload.Team{}
+	if spec.Team == "" || c.config.Teams == nil {
+		return nil
+	}
+	team := c.config.Teams.ByName(spec.Team)
+	if team == nil {
+		return structs.NewError(structs.CodeUnauthorized, "no team %q in configuration version %d", spec.Team, c.config.Version)
+	}
+	spec.AcceptedTeam = *team
+	return nil
+}
+
 // activate adds a job to those that have not ended.
 func (c *Controller) activate(j *job) {
 	c.active[j.spec.ID] = j
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -153,6 +153,7 @@
 		class = &spec.AcceptedClass
 	}
 	j.setClass(class)
+	j.setTeam(c.config.Teams)
 	c.loadProgress(j, p, now)
 	c.waiting.update(j)
 }
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -358,8 +358,11 @@
 		orphan.size = size
 		orphan.sizeKnown = true
 	}
+	if j := c.jobs[id.Task.Job]; j != nil {
+		orphan.owner = j.owner()
+	}
 	w.orphans[id] = orphan
-	w.used = w.used.Add(orphan.size)
+	c.occupy(w, orphan.owner, orphan.size)
 	c.stopOrphan(w, orphan, now)
 }
 
@@ -393,7 +396,7 @@
 		return
 	}
 	delete(w.orphans, id)
-	w.used = w.used.Sub(orphan.size)
+	c.release(w, orphan.owner, orphan.size)
 	if orphan.task != nil {
 		orphan.task.orphanRuns--
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -23,7 +23,7 @@
 	t.mayBeRunning = false
 	s.lastWaitEvent = time.Time{}
 	r.worker.runs[r.id()] = r
-	r.worker.used = r.worker.used.Add(r.size)
+	c.occupy(r.worker, s.job().owner(), r.size)
 	c.beginSuspectTest(r)
 	if s.perWorker != nil {
 		s.perWorker[r.worker]++
@@ -38,7 +38,7 @@
 	s := t.step
 	t.removeRun(r)
 	delete(r.worker.runs, r.id())
-	r.worker.used = r.worker.used.Sub(r.size)
+	c.release(r.worker, s.job().owner(), r.size)
 	c.endSuspectTest(r)
 	if s.perWorker != nil {
 		s.perWorker[r.worker]--
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
 )
 
@@ -116,6 +117,7 @@
 type orphanRun struct {
 	run       workload.Run
 	task      *task // nil if the task is not known
+	owner     usage.Owner
 	size      structs.Resources
 	sizeKnown bool // whether size is known
 	// fencingToken is that of the orders when the worker listed the run. An order with a lower one may have brought it.
@@ -203,6 +205,18 @@
 	return Stop{Worker: w.info.ID, Addr: w.info.Addr, Run: run, Route: w.route}
 }
 
+// occupy counts a run on a worker, and on its owner's account.
+func (c *Controller) occupy(w *worker, o usage.Owner, size structs.Resources) {
+	w.used = w.used.Add(size)
+	c.usage.Add(o, size)
+}
+
+// release undoes occupy.
+func (c *Controller) release(w *worker, o usage.Owner, size structs.Resources) {
+	w.used = w.used.Sub(size)
+	c.usage.Remove(o, size)
+}
+
 // free returns the capacity that is not in use.
 func (w *worker) free() structs.Resources {
 	return w.info.Capacity.Sub(w.used)
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,64 @@
+// Package usage accounts for the resources that runs hold on workers, by team and class. Quotas, fair
+// shares, reservations and preemption are decided from this one account.
+package usage
+
+import "dotterelhitch/internal/structs"
+
+// Owner is on whose account a run is. The team is empty for a job that was submitted on behalf of none.
+type Owner struct {
+	Team  string
+	Class string
+}
+
+// Account holds what may be running. A run counts from the moment it is placed until it has certainly ended. The
+// zero value is not usable.
+type Account struct {
+	total   structs.Resources
+	byOwner map[Owner]structs.Resources
+	byTeam  map[string]structs.Resources
+	byClass map[string]structs.Resources
+}
+
+// New returns an empty account.
+func New() *Account {
+	return &Account{
+		byOwner: map[Owner]structs.Resources{},
+		byTeam:  map[string]structs.Resources{},
+		byClass: map[string]structs.Resources{},
+	}
+}
+
+// Add counts a run.
+func (a *Account) Add(o Owner, size structs.Resources) { a.change(o, size) }
+
+// Remove undoes Add.
+func (a *Account) Remove(o Owner, size structs.Resources) { a.change(o, structs.Resources{}.Sub(size)) }
+
+func (a *Account) change(o Owner, by structs.Resources) {
+	a.total = a.total.Add(by)
+	changeEntry(a.byOwner, o, by)
+	changeEntry(a.byTeam, o.Team, by)
+	changeEntry(a.byClass, o.Class, by)
+}
+
+// changeEntry adds to an entry of a map, and drops an entry of zero.
+func changeEntry[K comparable](m map[K]structs.Resources, key K, by structs.Resources) {
+	sum := m[key].Add(by)
+	if sum.IsZero() {
+		delete(m, key)
+		return
+	}
+	m[key] = sum
+}
+
+// Total returns what all runs hold.
+func (a *Account) Total() structs.Resources { return a.total }
+
+// Owner returns what the runs of a team in a class hold.
+func (a *Account) Owner(o Owner) structs.Resources { return a.byOwner[o] }
+
+// Team returns what the runs of a team hold.
+func (a *Account) Team(name string) structs.Resources { return a.byTeam[name] }
+
+// Class returns what the runs of a class hold.
+func (a *Account) Class(name string) structs.Resources { return a.byClass[name] }
--- a/internal/workload/class.go
+++ b/internal/workload/class.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"dotterelhitch/internal/structs"
 )
 
 // Class is a queue of jobs with a common target for their completion time.
@@ -25,6 +27,8 @@
 	// Advisor describes the placement advisor for the class. It is nil if tasks of the class
 	// need no ticket.
 	Advisor *AdvisorTiming `json:"advice,omitempty"`
+	// AllowAnonymous lets callers without a key use the class although the configuration has teams.
+	AllowAnonymous bool `json:"-"`
 }
 
 // AttemptLimit returns the number of failures of one task that fails the job.
@@ -59,9 +63,33 @@
 	Version  int64
 	Classes  map[string]*Class
 	Services map[string]*Service
+	// Teams are the teams whose callers may submit jobs. It is nil if the configuration has none; then
+	// callers need no key and nothing is limited by team.
+	Teams *Teams
 	// MaxBodyBytes is the largest size of a caller's request body. Zero means that the
 	// configuration sets no limit.
 	MaxBodyBytes int64
+	// MaxHeaderBytes, HeaderTimeout and IdleTimeout are what callers may rely on for the headers of their
+	// requests and their idle connections. Zero means that the configuration says nothing.
+	MaxHeaderBytes int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Authorize returns the team on whose behalf a request for a class with a key is made. It is nil if the
+// configuration has no teams, or for an anonymous request, if the class allows that. The error has
+// CodeUnauthorized.
+func (c *Config) Authorize(class *Class, key string) (*Team, error) {
+	if c.Teams == nil {
+		return nil, nil
+	}
+	if team := c.Teams.ByKey(key); team != nil {
+		return team, nil
+	}
+	if class.AllowAnonymous {
+		return nil, nil
+	}
+	return nil, structs.NewError(structs.CodeUnauthorized, "the key is missing or unknown")
 }
 
 // Resolve returns the class for a host and a path, and the rest of the path after the class's
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -21,6 +21,10 @@
 	// AcceptedClass is the class as configured when the job was accepted. It applies if the
 	// class is removed later.
 	AcceptedClass Class `json:"terms"`
+	// Team is the name of the team on whose behalf the job was submitted, empty if there is none.
+	// AcceptedTeam is the team as configured then. It applies if the team is removed later.
+	Team         string `json:"team,omitempty"`
+	AcceptedTeam Team   `json:"team_terms,omitzero"`
 	// Payload is passed unchanged to every task.
 	Payload string `json:"payload,omitempty"`
 	Steps   []Step `json:"steps"`
