Controller: several advisor calls in flight per entry, sent where they end first

What callers saw: in a burst an urgent task ran 600 to 870 ms after its call came in, since its step waited for an answer of the placement advisor (131 of 186 lines about waiting steps).

Cause: one call was in flight per entry. A call takes some 60 ms, of which the advisor works for 13, and the calls of gangs take 0.6 to 1.4 s and occupied an entry for as long.

Change: the new package advisorqueue models the calls in flight for each entry, their known work and the time of the way. Up to three short calls share an entry, never with a longer one; longer calls go where nothing is in flight and leave some entries without one. A call goes where it ends first. An entry that refuses (429) or fails a call is left alone for growing times, and has one call in flight until it answers. The equal parts of the classes stay; a short call counts for a third of an entry. TestAdvisorShares is written anew for that.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dotterelhitch/internal/advisorqueue"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -79,35 +80,8 @@
 	}
 }
 
-// advisorEntry is an entry through which the advisor is called. It has at most one call in
-// flight.
-type advisorEntry struct {
-	name     string
-	busy     bool
-	class    string // of the call in flight
-	callSent time.Time
-	call     *AdvisorCall
-	// backoffUntil is the time before which the entry is not used after a failed call.
-	backoffUntil time.Time
-}
-
-// advisorEntryBackoff is how long an entry is not used after a failed call, since its
-// instance may be down.
-const advisorEntryBackoff = 400 * time.Millisecond
-
 // SetAdvisorEntries sets the entries through which the advisor may be called.
-func (c *Controller) SetAdvisorEntries(names []string) {
-	for name, entry := range c.advisorEntries {
-		if !slices.Contains(names, name) && !entry.busy {
-			delete(c.advisorEntries, name)
-		}
-	}
-	for _, name := range names {
-		if c.advisorEntries[name] == nil {
-			c.advisorEntries[name] = &advisorEntry{name: name}
-		}
-	}
-}
+func (c *Controller) SetAdvisorEntries(names []string) { c.advisorQueue.SetEntries(names) }
 
 // allowedShare estimates the share of workers that the advisor allows for a class.
 type allowedShare struct{ asked, allowed float64 }
@@ -141,24 +115,20 @@
 	}
 }
 
-// longDecisionTime is the decision time from which a call counts as long. Long calls leave
-// the last idle entries to short calls.
-const longDecisionTime = 100 * time.Millisecond
-
 // callAdvisor calls the advisor for steps that need tickets, the most urgent first. Steps of classes
 // that use more than their part of the entries come after the others.
 func (c *Controller) callAdvisor(steps []*step, pool []*worker, now time.Time) {
-	pass := &advisorPass{ctl: c, pool: pool, now: now, idle: c.idleAdvisorEntries(now), shares: c.newAdvisorShares(steps)}
+	pass := &advisorPass{ctl: c, pool: pool, now: now, room: c.advisorQueue.Room(now), shares: c.newAdvisorShares(steps)}
 	var deferred []*step
 	for _, s := range steps {
-		if len(pass.idle) == 0 {
+		if !pass.room.Any() {
 			return
 		}
 		class := s.job().class
 		if class.Advisor == nil {
 			continue
 		}
-		left := pass.shares.left(class.Name)
+		left := pass.shares.left(class.Name, callLength(class))
 		if left == 0 {
 			deferred = append(deferred, s)
 			continue
@@ -166,38 +136,39 @@
 		pass.ask(s, left)
 	}
 	for _, s := range deferred {
-		if len(pass.idle) == 0 {
+		if !pass.room.Any() {
 			return
 		}
-		pass.ask(s, len(pass.idle))
+		pass.ask(s, pass.room[callLength(s.job().class)])
 	}
 }
 
+// callLength returns the length of the calls for a class.
+func callLength(class *workload.Class) advisorqueue.Length {
+	return advisorqueue.LengthOf(class.Advisor.CallTime(assumedWorkersPerCall))
+}
+
 // advisorPass is one pass of calls to the advisor.
 type advisorPass struct {
 	ctl    *Controller
 	pool   []*worker
 	now    time.Time
-	idle   []*advisorEntry
+	room   advisorqueue.Room
 	shares *advisorShares
 }
 
 // ask makes at most maxCalls calls for a step if it needs tickets.
 func (p *advisorPass) ask(s *step, maxCalls int) {
-	class := s.job().class
-	usable := len(p.idle)
-	if class.Advisor.DecisionTime >= longDecisionTime {
-		usable -= p.ctl.entriesKeptForShortCalls()
-	}
-	usable = min(usable, maxCalls)
+	usable := min(p.room[callLength(s.job().class)], maxCalls)
 	if usable <= 0 {
 		return
 	}
 	workers := p.ctl.workersToAskAbout(s, p.pool, p.now)
 	for _, asked := range splitCall(workers, p.ctl.parallelCalls(usable)) {
-		p.ctl.sendAdvisorCall(p.idle[0], s, asked, p.now)
-		p.idle = p.idle[1:]
-		p.shares.add(class.Name)
+		p.ctl.sendAdvisorCall(s, asked, p.now)
+	}
+	if len(workers) > 0 {
+		p.room = p.ctl.advisorQueue.Room(p.now)
 	}
 }
 
@@ -209,10 +180,10 @@
 	workersPerParallelCall = 40
 )
 
-// parallelCalls returns the number of calls that one step may make at the same time while some
-// entries are idle.
-func (c *Controller) parallelCalls(idle int) int {
-	return max(1, min(idle, len(c.advisorEntries)/entriesPerParallelCall))
+// parallelCalls returns the number of calls that one step may make at the same time while there is
+// room for some.
+func (c *Controller) parallelCalls(room int) int {
+	return max(1, min(room, c.advisorQueue.Entries()/entriesPerParallelCall))
 }
 
 // splitCall splits the workers to ask about into at most maxCalls calls of similar size. Workers
@@ -227,26 +198,6 @@
 	return slices.Collect(slices.Chunk(workers, size))
 }
 
-// entriesKeptForShortCalls returns the number of idle entries that long calls must leave.
-func (c *Controller) entriesKeptForShortCalls() int {
-	if len(c.advisorEntries) <= 1 {
-		return 0
-	}
-	return 1 + len(c.advisorEntries)/8
-}
-
-// idleAdvisorEntries returns the entries that may be called through now, ordered by name.
-func (c *Controller) idleAdvisorEntries(now time.Time) []*advisorEntry {
-	var idle []*advisorEntry
-	for _, entry := range c.advisorEntries {
-		if !entry.busy && !now.Before(entry.backoffUntil) {
-			idle = append(idle, entry)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *advisorEntry) int { return cmp.Compare(a.name, b.name) })
-	return idle
-}
-
 const (
 	// maxWorkersPerCall is the largest number of workers in one call, maxWorkersAsked in the
 	// calls that are made at the same time for one step.
@@ -429,38 +380,35 @@
 	return out
 }
 
-// sendAdvisorCall starts a call through an entry.
-func (c *Controller) sendAdvisorCall(entry *advisorEntry, s *step, workers []*worker, now time.Time) {
+// sendAdvisorCall starts a call if there is room for it.
+func (c *Controller) sendAdvisorCall(s *step, workers []*worker, now time.Time) {
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.info.ID
 	}
-	call := AdvisorCall{
-		Entry:            entry.name,
+	class := s.job().class
+	work := class.Advisor.CallTime(len(ids))
+	queued := c.advisorQueue.Send(class.Name, callLength(class), work, now)
+	if queued == nil {
+		return
+	}
+	s.advice.callsInFlight++
+	c.orders.AdvisorCalls = append(c.orders.AdvisorCalls, AdvisorCall{
+		ID:               queued.ID,
+		Entry:            queued.Entry,
 		Step:             s.id(),
 		Workers:          ids,
 		Sent:             now,
-		ExpectedDuration: s.job().class.Advisor.CallTime(len(ids)),
-	}
-	entry.busy = true
-	entry.class = s.job().class.Name
-	entry.callSent = now
-	entry.call = &call
-	s.advice.callsInFlight++
-	c.orders.AdvisorCalls = append(c.orders.AdvisorCalls, call)
+		ExpectedDuration: work,
+	})
 }
 
 // AdvisorCallDone processes the advisor's answer to a call; err is not nil if the call
-// failed. With a validity of zero or less, tickets are valid for the time that the class
-// states.
+// failed, with CodeOverload if the advisor refused it. With a validity of zero or less, tickets
+// are valid for the time that the class states.
 func (c *Controller) AdvisorCallDone(call *AdvisorCall, allowed []workload.Ticket, validity time.Duration, err error, now time.Time) {
-	if entry := c.advisorEntries[call.Entry]; entry != nil && entry.busy && entry.call.Step == call.Step && entry.callSent.Equal(call.Sent) {
-		entry.busy = false
-		entry.call = nil
-		if err != nil {
-			entry.backoffUntil = now.Add(advisorEntryBackoff)
-			c.wakeups.add(entry.backoffUntil)
-		}
+	if backoffUntil := c.advisorQueue.Done(call.ID, advisorOutcome(err), now); !backoffUntil.IsZero() {
+		c.wakeups.add(backoffUntil)
 	}
 	c.requestPlacement(now)
 	s := c.findStep(call.Step)
@@ -471,11 +419,23 @@
 	if err != nil {
 		s.advice.retryAt = now.Add(advisorRetryPause)
 		c.wakeups.add(s.advice.retryAt)
-		c.recordAdvisorCall(event.AdviceFailed, s, call, len(allowed), now)
+		c.recordAdvisorCall(event.AdviceFailed, s, call, len(allowed), err, now)
 		return
 	}
 	c.applyVerdicts(s, call, allowed, validity, now)
-	c.recordAdvisorCall(event.AdviceReceived, s, call, len(allowed), now)
+	c.recordAdvisorCall(event.AdviceReceived, s, call, len(allowed), nil, now)
+}
+
+// advisorOutcome returns the outcome of a call with an error or nil.
+func advisorOutcome(err error) advisorqueue.Outcome {
+	switch {
+	case err == nil:
+		return advisorqueue.Answered
+	case structs.CodeOf(err) == structs.CodeOverload:
+		return advisorqueue.Overloaded
+	default:
+		return advisorqueue.Failed
+	}
 }
 
 // advisorRetryPause is the pause before a step is asked about again after a failed call.
--- a/internal/controller/advisorshare.go
+++ b/internal/controller/advisorshare.go
@@ -1,12 +1,14 @@
 package controller
 
+import "dotterelhitch/internal/advisorqueue"
+
 // advisorShares divides the entries through which the advisor is called among the classes whose
 // steps need tickets. Each of these classes may use an equal part; what some leave unused, the others
 // may use. Without it, wide gangs that wait for room would keep all entries busy with the renewal of
 // their tickets, and steps of other classes would not get a ticket for free workers.
 type advisorShares struct {
-	part     int
-	inFlight map[string]int // calls by class
+	queue *advisorqueue.Queue
+	part  int // in parts of advisorqueue.MaxInFlight of an entry
 }
 
 // newAdvisorShares returns the shares for the steps of a pass.
@@ -17,20 +19,14 @@
 			asking[class.Name] = struct{}{}
 		}
 	}
-	shares := &advisorShares{inFlight: map[string]int{}}
-	for _, entry := range c.advisorEntries {
-		if entry.busy {
-			shares.inFlight[entry.class]++
-		}
-	}
+	shares := &advisorShares{queue: c.advisorQueue}
 	if len(asking) > 0 {
-		shares.part = (len(c.advisorEntries) + len(asking) - 1) / len(asking)
+		shares.part = (c.advisorQueue.Entries() + len(asking) - 1) / len(asking) * advisorqueue.MaxInFlight
 	}
 	return shares
 }
 
-// left returns how many more calls a class may make within its part.
-func (a *advisorShares) left(class string) int { return max(a.part-a.inFlight[class], 0) }
-
-// add counts a call of a class.
-func (a *advisorShares) add(class string) { a.inFlight[class]++ }
+// left returns how many more calls of a length a class may make within its part.
+func (a *advisorShares) left(class string, length advisorqueue.Length) int {
+	return max(a.part-a.queue.Units(class), 0) / length.Units()
+}
--- a/internal/controller/advisorshare_test.go
+++ b/internal/controller/advisorshare_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/advisorqueue"
 	"dotterelhitch/internal/workload"
 )
 
@@ -42,16 +43,27 @@
 	}
 }
 
-// TestAdvisorShares checks that a class may make calls up to its part of the entries.
+// TestAdvisorShares checks that a class may make calls up to its part of the entries: a long call takes a whole
+// entry, a short one a third.
 func TestAdvisorShares(t *testing.T) {
-	shares := &advisorShares{part: 2, inFlight: map[string]int{"a": 1}}
-	for i, want := range []int{1, 0, 0} {
-		if got := shares.left("a"); got != want {
+	queue := advisorqueue.New()
+	queue.SetEntries([]string{"l1", "l2", "l3", "l4", "l5", "l6"})
+	shares := &advisorShares{queue: queue, part: 2 * advisorqueue.MaxInFlight}
+	now := simulationStart
+	for i, want := range []int{2, 1, 0} {
+		if got := shares.left("a", advisorqueue.Long); got != want {
 			t.Errorf("after %d calls %d are left, want %d", i, got, want)
 		}
-		shares.add("a")
+		queue.Send("a", advisorqueue.Long, time.Second, now)
 	}
-	if got := shares.left("b"); got != 2 {
+	if got := shares.left("b", advisorqueue.Long); got != 2 {
 		t.Errorf("%d calls are left to a class without calls, want 2", got)
 	}
+	if got := shares.left("b", advisorqueue.Short); got != 6 {
+		t.Errorf("%d short calls are left to a class without calls, want 6", got)
+	}
+	queue.Send("b", advisorqueue.Short, 13*time.Millisecond, now)
+	if got := shares.left("b", advisorqueue.Short); got != 5 {
+		t.Errorf("%d short calls are left after one, want 5", got)
+	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelhitch/internal/advisorqueue"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/leaderlease"
 	"dotterelhitch/internal/structs"
@@ -153,9 +154,9 @@
 	nextPlacement      time.Time
 	placementNeeded    bool
 
-	advisorEntries map[string]*advisorEntry
-	allowedShares  map[string]*allowedShare
-	speeds         speedEstimator
+	advisorQueue  *advisorqueue.Queue
+	allowedShares map[string]*allowedShare
+	speeds        speedEstimator
 	// The fields below are valid during one placement pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
 	reservedAhead    structs.Resources
@@ -188,7 +189,7 @@
 		retries:            map[*run]struct{}{},
 		readySteps:         map[*step]struct{}{},
 		stepsAwaitingStore: map[*step]struct{}{},
-		advisorEntries:     map[string]*advisorEntry{},
+		advisorQueue:       advisorqueue.New(),
 		allowedShares:      map[string]*allowedShare{},
 		reservations:       map[*worker][]*reservation{},
 
--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -114,8 +114,9 @@
 	})
 }
 
-func (c *Controller) recordAdvisorCall(typ event.Type, s *step, call *AdvisorCall, allowed int, now time.Time) {
+func (c *Controller) recordAdvisorCall(typ event.Type, s *step, call *AdvisorCall, allowed int, err error, now time.Time) {
 	c.record(event.Event{
+		Code:       structs.CodeOf(err),
 		Type:       typ,
 		Job:        call.Step.Job,
 		Task:       structs.TaskID(call.Step.String()),
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -60,11 +60,13 @@
 // AdvisorCall asks the placement advisor, through an entry, which of some workers may run a
 // step.
 type AdvisorCall struct {
+	// ID identifies the call within the controller's term.
+	ID      int64
 	Entry   string
 	Step    workload.StepID
 	Workers []string
 	Sent    time.Time
-	// ExpectedDuration is the expected duration of the call.
+	// ExpectedDuration is the time for which the advisor works on the call.
 	ExpectedDuration time.Duration
 }
 
