Placement: a pass visits only workers with room for the step

Callers saw urgent jobs wait while many steps were waiting: each of them had all workers scanned, several times, in every pass.

A pass now begins with an index of the workers by free processor time. A step visits those alone that may have room. Gangs that may not reserve ahead no longer compute the ends of all runs, and those whose known workers are too small compute none. The advisor's verdicts on a gang are counted from the verdicts instead of from all workers, steps are compared one criterion at a time, IDs of victims are built once each, and buffers are used again.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -265,12 +265,12 @@
 		s.advice = &stepAdvice{verdicts: map[*worker]verdict{}}
 	}
 	a := s.advice
-	need := len(s.startableTasks(now))
+	need := s.startableCount(now)
 	if a.callsInFlight > 0 || now.Before(a.retryAt) || need == 0 {
 		return nil
 	}
 	if s.gang == nil {
-		return c.workersForTasks(s, pool, need, now)
+		return c.workersForTasks(s, need, now)
 	}
 	if s.gang.attempt != 0 || need < len(s.tasks) {
 		return nil
@@ -294,26 +294,15 @@
 func (c *Controller) workersForGang(s *step, pool []*worker, need int, now time.Time) []*worker {
 	share := c.allowedShareOf(s.job().class.Name).value()
 	want := gangCapacitySurplus * float64(need)
-	allowed := 0.0
-	var unknown []*worker
-	for _, w := range pool {
-		fits := countFits(w.info.Capacity, s.size)
-		if fits == 0 || !s.matchesWorker(w) {
-			continue
-		}
-		v, known := s.verdict(w)
-		switch {
-		case !known:
-			unknown = append(unknown, w)
-		case v.allowed:
-			allowed += float64(fits)
-		}
-	}
+	allowed := c.allowedSlots(s)
 	if allowed >= want && s.enoughAllowedSince.IsZero() {
 		s.enoughAllowedSince = now
 	}
 	want *= s.surplusFactor(now)
-	if allowed < want && len(unknown) > 0 {
+	if allowed >= want {
+		return c.workersForTicketRenewal(s, pool, now)
+	}
+	if unknown := s.withoutVerdict(pool); len(unknown) > 0 {
 		slices.SortStableFunc(unknown, func(a, b *worker) int {
 			return cmp.Compare(remainingShare(b, structs.Resources{}), remainingShare(a, structs.Resources{}))
 		})
@@ -322,6 +311,33 @@
 	return c.workersForTicketRenewal(s, pool, now)
 }
 
+// allowedSlots returns how many tasks of a step fit, when they are empty, on the usable workers that the advisor has
+// allowed. The verdicts are far fewer than the workers.
+func (c *Controller) allowedSlots(s *step) float64 {
+	total := 0
+	for w, v := range s.advice.verdicts {
+		if v.allowed && v.boot == w.boot && w.lastPass == c.passes && s.matchesWorker(w) {
+			total += countFits(w.info.Capacity, s.size)
+		}
+	}
+	return float64(total)
+}
+
+// withoutVerdict returns the workers of a pool that are large enough for a step and on which the advisor has not
+// given its verdict.
+func (s *step) withoutVerdict(pool []*worker) []*worker {
+	var out []*worker
+	for _, w := range pool {
+		if countFits(w.info.Capacity, s.size) == 0 || !s.matchesWorker(w) {
+			continue
+		}
+		if _, known := s.verdict(w); !known {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // surplusGrowthPeriod is the time in which a waiting gang's surplus grows by the initial
 // amount, since workers that were not asked about may be empty.
 const surplusGrowthPeriod = 1500 * time.Millisecond
@@ -402,12 +418,12 @@
 
 // workersForTasks returns the workers with free capacity to ask about for a step that is not
 // a gang.
-func (c *Controller) workersForTasks(s *step, pool []*worker, need int, now time.Time) []*worker {
+func (c *Controller) workersForTasks(s *step, need int, now time.Time) []*worker {
 	share := c.allowedShareOf(s.job().class.Name).value()
 	expected := 0.0
 	want := taskCapacitySurplus * float64(need)
 	var out []*worker
-	for _, cand := range c.candidates(s, pool, false, now) {
+	for _, cand := range c.candidates(s, false, now) {
 		v, known := s.verdict(cand.w)
 		if known && !v.allowed {
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -152,12 +152,20 @@
 	stepsAwaitingStore map[*step]struct{}
 	nextPlacement      time.Time
 	placementNeeded    bool
+	// passes counts the placement passes.
+	passes int
 
 	advisorEntries map[string]*advisorEntry
 	allowedShares  map[string]*allowedShare
 	speeds         speedEstimator
-	// The fields below are valid during one placement pass. reservedAhead is the capacity that
+	// The fields below are valid during one placement pass. room finds the workers with free capacity,
+	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
+	room             roomIndex
+	stepBuffer       []*step
+	candidateBuffer  []candidate
+	workerBuffer     []*worker
+	slotBuffer       []futureSlot
 	reservedAhead    structs.Resources
 	poolCapacity     structs.Resources
 	reservations     map[*worker][]*reservation
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -65,7 +65,7 @@
 
 // waitCauseOf returns why tasks of a step are not started.
 func (c *Controller) waitCauseOf(s *step, now time.Time) waitCause {
-	if len(s.startableTasks(now)) == 0 {
+	if s.startableCount(now) == 0 {
 		return waitCause{reason: s.whyNotStartable(now)}
 	}
 	var ofService, labelled, largeEnough, withRoom, withVerdict, allowed, slots int
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -20,15 +20,21 @@
 	clear(c.reservations)
 	clear(c.releaseSchedules)
 	pool := c.usableWorkers(now)
+	c.room.rebuild(pool)
+	c.passes++
+	for _, w := range pool {
+		w.lastPass = c.passes
+	}
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
-	steps := sortedSteps(c.readySteps, now)
+	c.stepBuffer = sortedSteps(c.stepBuffer[:0], c.readySteps, now)
+	steps := c.stepBuffer
 	for _, s := range steps {
 		switch {
 		case now.Before(s.notBefore):
 		case s.gang != nil:
 			c.placeGang(s, pool, now)
 		default:
-			c.placeTasks(s, pool, now)
+			c.placeTasks(s, now)
 		}
 	}
 	c.recordWaits(steps, now)
@@ -68,15 +74,12 @@
 	if len(c.stepsAwaitingStore) == 0 {
 		return out
 	}
-	out = append(out, sortedSteps(c.stepsAwaitingStore, now)...)
-	slices.SortFunc(out, compareSteps)
-	return out
+	return sortedSteps(out, c.stepsAwaitingStore, now)
 }
 
-// sortedSteps returns steps by priority. Within a priority, steps that can still be on time
-// come first, then those with the earliest latest start.
-func sortedSteps(set map[*step]struct{}, now time.Time) []*step {
-	out := make([]*step, 0, len(set))
+// sortedSteps appends steps to out and sorts all of out by priority. Within a priority, steps that can
+// still be on time come first, then those with the earliest latest start.
+func sortedSteps(out []*step, set map[*step]struct{}, now time.Time) []*step {
 	for s := range set {
 		s.latestStartAt = s.latestStart()
 		s.late = s.latestStartAt.Before(now)
@@ -86,24 +89,26 @@
 	return out
 }
 
+// compareSteps compares one criterion after the other instead of all by cmp.Or, since a pass makes thousands of
+// comparisons.
 func compareSteps(a, b *step) int {
 	ja, jb := a.job(), b.job()
-	return cmp.Or(
-		cmp.Compare(ja.class.Priority, jb.class.Priority),
-		cmp.Compare(lateRank(a), lateRank(b)),
-		a.latestStartAt.Compare(b.latestStartAt),
-		cmp.Compare(ja.spec.ID, jb.spec.ID),
-		cmp.Compare(a.occ.number, b.occ.number),
-		cmp.Compare(a.index, b.index),
-	)
-}
-
-// lateRank orders steps that can no longer be on time after the others.
-func lateRank(s *step) int {
-	if s.late {
-		return 1
+	if n := cmp.Compare(ja.class.Priority, jb.class.Priority); n != 0 {
+		return n
+	}
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
 	}
-	return 0
+	if n := a.latestStartAt.Compare(b.latestStartAt); n != 0 {
+		return n
+	}
+	if n := cmp.Compare(ja.spec.ID, jb.spec.ID); n != 0 {
+		return n
+	}
+	return cmp.Or(cmp.Compare(a.occ.number, b.occ.number), cmp.Compare(a.index, b.index))
 }
 
 // matchesWorker reports whether a worker has the service and the label that the step
@@ -140,20 +145,25 @@
 // candidate is a worker on which tasks of a step can be started.
 type candidate struct {
 	w      *worker
+	order  int // place in the pool
 	fit    int
 	score  float64
 	ticket string
 }
 
 // candidates returns the workers on which tasks of a step fit now, the best first. With
-// ticketed, workers without a valid ticket of the advisor are left out.
-func (c *Controller) candidates(s *step, pool []*worker, ticketed bool, now time.Time) []candidate {
+// ticketed, workers without a valid ticket of the advisor are left out. The result is valid until
+// the next call.
+func (c *Controller) candidates(s *step, ticketed bool, now time.Time) []candidate {
 	if ticketed && !s.hasTickets(now) {
 		return nil
 	}
-	var out []candidate
-	for _, w := range pool {
-		if w.avoided || w.suspectRuns > 0 || !s.matchesWorker(w) || !s.size.Fits(w.free()) {
+	out := c.candidateBuffer[:0]
+	rooms := c.room.withRoom(s.job().class.Service, s.size)
+	for i := range rooms {
+		room := &rooms[i]
+		w := room.w
+		if !room.fits(s.size) || w.avoided || w.suspectRuns > 0 || !s.matchesWorker(w) {
 			continue
 		}
 		ticket, ok := s.ticket(w, now)
@@ -164,9 +174,15 @@
 		if n == 0 {
 			continue
 		}
-		out = append(out, candidate{w: w, fit: n, score: c.score(s, w, now), ticket: ticket})
+		out = append(out, candidate{w: w, order: room.order, fit: n, score: c.score(s, w, now), ticket: ticket})
 	}
-	slices.SortStableFunc(out, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	slices.SortFunc(out, func(a, b candidate) int {
+		if n := cmp.Compare(a.score, b.score); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.order, b.order)
+	})
+	c.candidateBuffer = out
 	return out
 }
 
@@ -214,25 +230,43 @@
 	return float64(part) / float64(whole)
 }
 
+// startable reports whether the task may be started now.
+func (t *task) startable(now time.Time) bool {
+	return !t.done && (len(t.runs) == 0 || t.copyWanted) && t.orphanRuns == 0 && !t.mayBeRunning && !now.Before(t.notBefore) && t.suspicionStored()
+}
+
 // startableTasks returns the tasks of a step that may be started now.
 func (s *step) startableTasks(now time.Time) []*task {
 	var out []*task
 	for _, t := range s.tasks {
-		if !t.done && (len(t.runs) == 0 || t.copyWanted) && t.orphanRuns == 0 && !t.mayBeRunning && !now.Before(t.notBefore) && t.suspicionStored() {
+		if t.startable(now) {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
+// startableCount returns the number of tasks of a step that may be started now.
+func (s *step) startableCount(now time.Time) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.startable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // placeTasks starts tasks of a step that is not a gang.
-func (c *Controller) placeTasks(s *step, pool []*worker, now time.Time) {
+func (c *Controller) placeTasks(s *step, now time.Time) {
+	if !s.hasTickets(now) || !c.hasRoom(s) {
+		return
+	}
 	tasks := s.startableTasks(now)
 	if len(tasks) == 0 {
 		return
 	}
-	found := c.candidates(s, pool, true, now)
-	found = preferOneRack(s, found, len(tasks))
+	found := preferOneRack(s, c.candidates(s, true, now), len(tasks))
 	chosen, tasks := placeSuspects(tasks, found, now)
 	for _, p := range chosen {
 		c.startRun(p.task, p.on.w, p.on.ticket, p.task.highestRun+1, now)
@@ -302,11 +336,11 @@
 		c.abortIncompleteGang(s, now)
 		return
 	}
-	tasks := s.startableTasks(now)
-	if len(tasks) < len(s.tasks) {
+	if s.startableCount(now) < len(s.tasks) {
 		return
 	}
-	found := preferOneRack(s, c.candidates(s, pool, true, now), len(tasks))
+	tasks := s.tasks
+	found := preferOneRack(s, c.candidates(s, true, now), len(tasks))
 	if totalFit(found) < len(tasks) {
 		c.reserve(s, pool, now)
 		c.preempt(s, pool, now)
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -34,6 +34,7 @@
 // victim is a run that may be preempted, with the work lost by that in core-seconds.
 type victim struct {
 	run  *run
+	id   string // orders runs of the same cost
 	cost float64
 }
 
@@ -109,22 +110,14 @@
 	if w.avoided || !s.matchesWorker(w) || !s.mayUse(w) {
 		return nil
 	}
-	option := &preemptionOption{w: w, free: w.free(), maxSlots: countFits(w.info.Capacity, s.size)}
-	for _, reserved := range c.reservations[w] {
-		if reserved.step != s {
-			option.free = option.free.Sub(reserved.size)
-		}
-	}
-	if s.perWorker != nil {
-		option.maxSlots = min(option.maxSlots, s.def.MaxPerWorker)
-	}
+	option := &preemptionOption{w: w, free: c.freeForReservation(s, w), maxSlots: s.maxSlots(w)}
 	for _, r := range w.runs {
 		if cost, ok := c.victimCost(s, r, now); ok {
-			option.victims = append(option.victims, victim{run: r, cost: cost})
+			option.victims = append(option.victims, victim{run: r, id: r.id().String(), cost: cost})
 		}
 	}
 	slices.SortFunc(option.victims, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.run.id().String(), b.run.id().String()))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.id, b.id))
 	})
 	return option
 }
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -77,8 +77,12 @@
 // renewed in time.
 func (c *Controller) reserve(s *step, pool []*worker, now time.Time) {
 	s.startAt = time.Time{}
-	slots := c.futureSlots(s, pool, now)
+	ahead := c.mayReserveAhead()
 	need := len(s.tasks)
+	if !ahead && !c.fitsWithoutTickets(s, need) {
+		return
+	}
+	slots := c.futureSlots(s, pool, now)
 	if len(slots) < need {
 		// The gang would not fit even after all other runs have ended, so nothing is reserved
 		// for it.
@@ -87,7 +91,7 @@
 	slices.SortStableFunc(slots, func(a, b futureSlot) int { return a.at.Compare(b.at) })
 	slots = slots[:need]
 	startAt := slots[need-1].at
-	if startAt.After(now) && !c.mayReserveAhead() {
+	if startAt.After(now) && !ahead {
 		return
 	}
 	s.startAt = startAt
@@ -116,31 +120,70 @@
 	return share < maxReservedShare
 }
 
-// futureSlots returns the capacity for tasks of a gang on the workers that it may use, with
-// the times at which it is expected to become free.
-func (c *Controller) futureSlots(s *step, pool []*worker, now time.Time) []futureSlot {
-	var out []futureSlot
-	for _, w := range pool {
-		if w.avoided || !s.matchesWorker(w) || !s.mayUse(w) {
+// fitsWithoutTickets reports whether a number of tasks of a gang fit now on workers that it may use, beside the
+// reservations of others, whether or not it has tickets.
+func (c *Controller) fitsWithoutTickets(s *step, need int) bool {
+	rooms := c.room.withRoom(s.job().class.Service, s.size)
+	for i := range rooms {
+		w := rooms[i].w
+		if !rooms[i].fits(s.size) || w.avoided || !s.matchesWorker(w) || !s.mayUse(w) {
 			continue
 		}
-		maxSlots := countFits(w.info.Capacity, s.size)
-		if s.perWorker != nil {
-			maxSlots = min(maxSlots, s.def.MaxPerWorker)
+		if need -= min(countFits(c.freeForReservation(s, w), s.size), s.maxSlots(w)); need <= 0 {
+			return true
 		}
-		out = c.workerSlots(out, s, w, maxSlots, now)
 	}
-	return out
+	return false
 }
 
-// workerSlots appends the slots of one worker to out, beside the reservations of other steps.
-func (c *Controller) workerSlots(out []futureSlot, s *step, w *worker, maxSlots int, now time.Time) []futureSlot {
+// maxSlots returns how many tasks of a step fit on a worker when it is empty.
+func (s *step) maxSlots(w *worker) int {
+	n := countFits(w.info.Capacity, s.size)
+	if s.perWorker != nil {
+		n = min(n, s.def.MaxPerWorker)
+	}
+	return n
+}
+
+// freeForReservation returns the free capacity of a worker beside the reservations of other steps.
+func (c *Controller) freeForReservation(s *step, w *worker) structs.Resources {
 	free := w.free()
 	for _, reserved := range c.reservations[w] {
 		if reserved.step != s {
 			free = free.Sub(reserved.size)
 		}
 	}
+	return free
+}
+
+// futureSlots returns the capacity for tasks of a gang on the workers that it may use, with
+// the times at which it is expected to become free. It returns nil if these workers do not hold the
+// gang even when empty. The result is valid until the next call.
+func (c *Controller) futureSlots(s *step, pool []*worker, now time.Time) []futureSlot {
+	usable := c.workerBuffer[:0]
+	total := 0
+	for _, w := range pool {
+		if w.avoided || !s.matchesWorker(w) || !s.mayUse(w) {
+			continue
+		}
+		usable = append(usable, w)
+		total += s.maxSlots(w)
+	}
+	c.workerBuffer = usable
+	if total < len(s.tasks) {
+		return nil
+	}
+	out := c.slotBuffer[:0]
+	for _, w := range usable {
+		out = c.workerSlots(out, s, w, s.maxSlots(w), now)
+	}
+	c.slotBuffer = out
+	return out
+}
+
+// workerSlots appends the slots of one worker to out, beside the reservations of other steps.
+func (c *Controller) workerSlots(out []futureSlot, s *step, w *worker, maxSlots int, now time.Time) []futureSlot {
+	free := c.freeForReservation(s, w)
 	count := 0
 	add := func(at time.Time) {
 		for fits := min(countFits(free, s.size), maxSlots); count < fits; count++ {
