--- a/internal/controller/passcost_test.go
+++ b/internal/controller/passcost_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/advisorqueue"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
@@ -97,10 +98,9 @@
 }
 
 // freeAdvisorEntries ends all calls of the advisor without an answer.
-func (c *Controller) freeAdvisorEntries() {
-	for _, entry := range c.advisorEntries {
-		entry.busy, entry.call = false, nil
-	}
+func (c *Controller) freeAdvisorEntries(names []string) {
+	c.advisorQueue = advisorqueue.New()
+	c.SetAdvisorEntries(names)
 	for s := range c.readySteps {
 		if s.advice != nil {
 			s.advice.callsInFlight = 0
@@ -122,14 +122,12 @@
 			now := sim.nowOf(sim.ctl)
 			sim.ctl.runPlacementPass(now)
 			if !idle {
-				for _, entry := range sim.ctl.advisorEntries {
-					entry.busy, entry.call = true, &AdvisorCall{}
-				}
+				sim.ctl.SetAdvisorEntries(nil)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
 				if idle {
-					sim.ctl.freeAdvisorEntries()
+					sim.ctl.freeAdvisorEntries(sim.advisorEntries)
 				}
 				sim.ctl.runPlacementPass(now)
 			}
