Teams: quotas in placement

Callers saw a team start whatever fitted on the workers: the quota of a team was configured, stored with its jobs and read by nothing.

The controller asks it before each start: of single tasks, which start in waves, of suspects and copies, and of gangs, which start only when the whole fits. What may be running is the account of runs (unanswered starts, silent workers, runs being stopped, adopted runs and orphans are in it) and, until a takeover is complete, the tasks that an earlier controller may have started, those of jobs that have ended meanwhile included. These count at most for the capacity of the workers that are not accounted for, component by component; if one of them has left the list, its capacity is not known and there is no such bound.

A step that waits for its quota reserves no capacity, has no runs stopped and no call of the advisor made for it. It has its own wait reason; the step_waits event names the quota, and hitch_cell_step_waits counts these events by reason.

--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -53,6 +53,8 @@
 		s.classHistogram("hitch_cell_first_start_seconds", e.Class).Update(seconds)
 	case event.JobEnded:
 		s.classHistogram("hitch_cell_"+e.State+"_seconds", e.Class).Update(seconds)
+	case event.StepWaiting:
+		s.set.GetOrCreateCounter(`hitch_cell_step_waits{reason="` + labelValue(e.State) + `"}`).Inc()
 	}
 }
 
--- a/internal/cell/stats_test.go
+++ b/internal/cell/stats_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"dotterelhitch/internal/controller"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 )
@@ -26,3 +27,17 @@
 		}
 	}
 }
+
+// TestStepWaitsAreCountedByReason guards against steps that wait for the quota of their team without a metric that
+// says so.
+func TestStepWaitsAreCountedByReason(t *testing.T) {
+	s := newNodeStats(nil)
+	for range 3 {
+		s.countDecision(&event.Event{Type: event.StepWaiting, State: controller.WaitQuota.Name()})
+	}
+	var text strings.Builder
+	s.set.WritePrometheus(&text)
+	if want := `hitch_cell_step_waits{reason="quota"} 3`; !strings.Contains(text.String(), want) {
+		t.Errorf("no %q in %s", want, text.String())
+	}
+}
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -265,7 +265,7 @@
 		s.advice = &stepAdvice{verdicts: map[*worker]verdict{}}
 	}
 	a := s.advice
-	need := len(s.startableTasks(now))
+	need := c.quotaRoom(s, len(s.startableTasks(now)))
 	if a.callsInFlight > 0 || now.Before(a.retryAt) || need == 0 {
 		return nil
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,6 +124,8 @@
 	// unretiredJobs are jobs that ended under earlier epochs. Their task sizes are needed
 	// until all workers are accounted for.
 	unretiredJobs []*job
+	// inheritedJobs are the jobs that were accepted under earlier epochs, until all workers are accounted for.
+	inheritedJobs []*job
 
 	// timeOfDayAhead is how far the time of day is ahead of the controller's clock. awaitsTimeOfDay says that
 	// this is not known yet.
@@ -162,6 +164,10 @@
 	poolCapacity     structs.Resources
 	reservations     map[*worker][]*reservation
 	releaseSchedules map[*worker][]expectedRelease
+	// quotaHolds are the gangs for which quota is kept, by team. heldByTeam is what unknown runs of earlier
+	// controllers may hold of the teams' quotas, nil until it is needed.
+	quotaHolds map[string]*quotaHold
+	heldByTeam map[string]structs.Resources
 }
 
 // New returns a controller for an epoch, without any state. The recorder may be nil.
@@ -193,6 +199,7 @@
 		reservations:       map[*worker][]*reservation{},
 
 		releaseSchedules: map[*worker][]expectedRelease{},
+		quotaHolds:       map[string]*quotaHold{},
 	}
 }
 
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -28,6 +28,8 @@
 	// WaitSuspicionStored means that workers crashed shortly after starting the tasks, and that this
 	// is not stored yet.
 	WaitSuspicionStored
+	// WaitQuota means that the team of the step has used up its quota.
+	WaitQuota
 	// WaitAdvisor means that the advisor has not yet answered which workers may run the step.
 	WaitAdvisor
 	// WaitAdvisorForbids means that the advisor allows none of the workers that are large
@@ -47,6 +49,7 @@
 	WaitMayBeRunning:    "a former controller may have started it on a worker that is silent",
 	WaitRetryBackoff:    "it failed and is tried again after a pause",
 	WaitSuspicionStored: "a worker crashed under it, and that is not stored yet",
+	WaitQuota:           "its team has used up its quota",
 	WaitAdvisor:         "the advisor has not said which workers may run it",
 	WaitAdvisorForbids:  "the advisor allows none of the workers",
 	WaitGangCapacity:    "the workers that are known to be allowed do not hold the gang",
@@ -56,6 +59,23 @@
 // String returns the text of the reason for events.
 func (r WaitReason) String() string { return waitReasonTexts[r] }
 
+var waitReasonNames = map[WaitReason]string{
+	WaitNoWorker:        "no_worker",
+	WaitNoLabel:         "no_label",
+	WaitTooLarge:        "too_large",
+	WaitMayBeRunning:    "may_be_running",
+	WaitRetryBackoff:    "retry_backoff",
+	WaitSuspicionStored: "suspicion_stored",
+	WaitQuota:           "quota",
+	WaitAdvisor:         "advisor",
+	WaitAdvisorForbids:  "advisor_forbids",
+	WaitGangCapacity:    "gang_capacity",
+	WaitCapacity:        "capacity",
+}
+
+// Name returns the name of the reason in metrics.
+func (r WaitReason) Name() string { return waitReasonNames[r] }
+
 // waitCause is the reason for which a step waits, with the number of workers that could run
 // it otherwise.
 type waitCause struct {
@@ -101,6 +121,8 @@
 		return waitCause{reason: WaitNoLabel, workers: ofService}
 	case largeEnough == 0:
 		return waitCause{reason: WaitTooLarge, workers: labelled}
+	case c.quotaRoom(s, len(s.tasks)) == 0:
+		return waitCause{reason: WaitQuota, workers: largeEnough}
 	case s.gang == nil && allowed == 0 && withVerdict < largeEnough && withRoom == 0:
 		// The advisor is asked only about workers with room.
 		return waitCause{reason: WaitCapacity, workers: largeEnough}
@@ -178,11 +200,15 @@
 		Epoch:      c.epoch,
 		Count:      s.pending,
 		Candidates: cause.workers,
+		State:      cause.reason.Name(),
 		Detail:     cause.reason.String(),
 	}
 	if cause.reason == WaitNoLabel {
 		e.Detail = fmt.Sprintf("%s %q", e.Detail, s.def.Label)
 	}
+	if cause.reason == WaitQuota {
+		e.Detail += ": " + c.quotaDetail(s)
+	}
 	if s.late {
 		e.Detail += "; it can no longer be on time"
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -20,6 +20,8 @@
 	// stored says that the job itself is in the store, endStored that its final state is.
 	stored    bool
 	endStored bool
+	// endedEarlier says that the job ended under an earlier epoch, so that its tasks are not known.
+	endedEarlier bool
 	// runNumberBase is the number above which runs are numbered. For a job accepted under an
 	// earlier epoch, the runs of that epoch may not be known.
 	runNumberBase int64
@@ -89,6 +91,8 @@
 	// waitingSince is when a gang without enough free capacity first found enough workers to
 	// reserve.
 	waitingSince time.Time
+	// quotaWaitSince is when a gang began to wait for the quota of its team.
+	quotaWaitSince time.Time
 	// enoughAllowedSince is when the advisor had first allowed enough workers to run the gang
 	// if they were empty.
 	enoughAllowedSince time.Time
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -139,9 +139,11 @@
 	j := &job{spec: spec, stored: true, runNumberBase: c.epoch << runNumberBits}
 	j.acceptedAt = c.elapsed.timeOf(spec.AcceptedElapsedMs)
 	c.jobs[spec.ID] = j
+	c.inheritedJobs = append(c.inheritedJobs, j)
 	if p != nil && p.State != "" {
 		j.state = p.State
 		j.endStored = true
+		j.endedEarlier = true
 		j.endedAt = c.elapsed.timeOf(p.EndedElapsedMs)
 		c.ended = append(c.ended, j)
 		c.unretiredJobs = append(c.unretiredJobs, j)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -19,6 +19,8 @@
 	}
 	clear(c.reservations)
 	clear(c.releaseSchedules)
+	clear(c.quotaHolds)
+	c.heldByTeam = nil
 	pool := c.usableWorkers(now)
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
 	steps := sortedSteps(c.readySteps, now)
@@ -59,18 +61,17 @@
 
 // stepsForAdvisor returns the steps to ask the advisor about, the most urgent first: those of
 // a pass that still have tasks to start, and those whose job is being stored, so that the
-// advisor's answer arrives meanwhile.
+// advisor's answer arrives meanwhile. Steps that wait for the quota of their team are left out.
 func (c *Controller) stepsForAdvisor(steps []*step, now time.Time) []*step {
 	out := slices.DeleteFunc(steps, func(s *step) bool {
 		_, ready := c.readySteps[s]
 		return !ready
 	})
-	if len(c.stepsAwaitingStore) == 0 {
-		return out
+	if len(c.stepsAwaitingStore) > 0 {
+		out = append(out, sortedSteps(c.stepsAwaitingStore, now)...)
+		slices.SortFunc(out, compareSteps)
 	}
-	out = append(out, sortedSteps(c.stepsAwaitingStore, now)...)
-	slices.SortFunc(out, compareSteps)
-	return out
+	return slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
 }
 
 // sortedSteps returns steps by priority. Within a priority, steps that can still be on time
@@ -228,17 +229,22 @@
 // placeTasks starts tasks of a step that is not a gang.
 func (c *Controller) placeTasks(s *step, pool []*worker, now time.Time) {
 	tasks := s.startableTasks(now)
-	if len(tasks) == 0 {
+	room := c.quotaRoom(s, len(tasks))
+	if room == 0 {
 		return
 	}
 	found := c.candidates(s, pool, true, now)
-	found = preferOneRack(s, found, len(tasks))
+	found = preferOneRack(s, found, room)
 	chosen, tasks := placeSuspects(tasks, found, now)
 	for _, p := range chosen {
+		if c.quotaRoom(s, 1) == 0 {
+			return
+		}
 		c.startRun(p.task, p.on.w, p.on.ticket, p.task.highestRun+1, now)
 	}
 	for i := range found {
 		cand := &found[i]
+		cand.fit = c.quotaRoom(s, cand.fit)
 		tasks = c.startOnCandidate(tasks, cand, now)
 		if len(tasks) == 0 {
 			return
@@ -306,8 +312,13 @@
 	if len(tasks) < len(s.tasks) {
 		return
 	}
+	if c.quotaRoom(s, len(tasks)) == 0 {
+		c.waitForQuota(s, now)
+		return
+	}
 	found := preferOneRack(s, c.candidates(s, pool, true, now), len(tasks))
 	if totalFit(found) < len(tasks) {
+		c.holdQuota(s, now)
 		c.reserve(s, pool, now)
 		c.preempt(s, pool, now)
 		return
@@ -322,6 +333,7 @@
 	s.gang.attemptCheckpoint = s.gang.checkpoint
 	s.gang.startedAt = now
 	s.waitingSince = time.Time{}
+	s.quotaWaitSince = time.Time{}
 	s.enoughAllowedSince = time.Time{}
 	for _, p := range chosen {
 		c.startRun(p.task, p.on.w, p.on.ticket, s.gang.attempt, now)
--- a/internal/controller/startchecks_test.go
+++ b/internal/controller/startchecks_test.go
@@ -54,6 +54,7 @@
 		}
 		sim.maxStartDelay = max(sim.maxStartDelay, late)
 	}
+	sim.checkQuota(s, step)
 	if sim.deadly != nil && sim.deadly(id) {
 		sim.checkCrashBudget(s)
 	}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -235,6 +235,7 @@
 		c.dirty.retire(j)
 	}
 	c.unretiredJobs = nil
+	c.inheritedJobs = nil
 	c.record(event.Event{Type: event.CellSettled, Epoch: c.epoch, Count: len(c.active)})
 	c.requestPlacement(now)
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -74,6 +74,11 @@
 	startsAfterCrashes map[workload.TaskID]int
 	drawResult         func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason)
 	record             func(event.Event)
+	// quotaWhenPlaced is the quota of a run's team when the run was placed. toleratesOverrun says that a team may
+	// exceed its quota by what a controller can't know. quotaChecks counts the starts that were checked.
+	quotaWhenPlaced  map[string]structs.Resources
+	toleratesOverrun bool
+	quotaChecks      int
 }
 
 // simulationStart is the start of the virtual time.
@@ -145,6 +150,7 @@
 		accepted:         map[string]bool{},
 		ackedDone:        map[workload.TaskID]bool{},
 		ackedFailures:    map[workload.TaskID]int{},
+		quotaWhenPlaced:  map[string]structs.Resources{},
 
 		crashesUnder:       map[workload.TaskID]int{},
 		startsAfterCrashes: map[workload.TaskID]int{},
@@ -157,6 +163,7 @@
 	sim.record = func(e event.Event) {
 		if e.Type == event.TaskPlaced {
 			sim.startsSent++
+			sim.noteQuota(e)
 		}
 		trace(e)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,7 +71,7 @@
 	PredecessorsBounded Type = "former_bounded"   // the former controllers' leader leases expire sooner than assumed: Epoch, AgeMs (by how much)
 	CellSettled         Type = "cell_settled"     // all workers of former epochs are accounted for: Epoch, Count (jobs)
 	TaskAdopted         Type = "task_adopted"     // a run of a former epoch is adopted and continues: Task, Attempt, Worker
-	StepWaiting         Type = "step_waits"       // tasks wait: Task (step), Count (tasks), Candidates (workers that could run them but for the reason), AgeMs (expected time until a gang starts), Detail (reason)
+	StepWaiting         Type = "step_waits"       // tasks wait: Task (step), Count (tasks), Candidates (workers that could run them but for the reason), AgeMs (expected time until a gang starts), State (reason, as in the metrics), Detail (reason)
 	TaskMoved           Type = "task_moved"       // a run is stalled or slow and is started on another worker: Task, Attempt, Worker
 	TaskRefused         Type = "task_refused"     // the result of a start order, unless the run was started: Task, Attempt, Worker, Detail (answer)
 	TaskLost            Type = "task_lost"        // a run ended without its end being observed: Task, Attempt, Worker, Detail (why)
