--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -216,7 +216,7 @@
 		s.advice = &stepAdvice{verdicts: map[*worker]verdict{}}
 	}
 	a := s.advice
-	need := s.startableCount(now)
+	need := c.quotaRoom(s, s.startableCount(now))
 	if a.callsInFlight > 0 || now.Before(a.retryAt) || need == 0 {
 		return nil
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -19,6 +19,8 @@
 	}
 	clear(c.reservations)
 	clear(c.releaseSchedules)
+	clear(c.quotaHolds)
+	c.heldByTeam = nil
 	pool := c.usableWorkers(now)
 	c.room.rebuild(pool)
 	c.passes++
@@ -65,16 +67,16 @@
 
 // stepsForAdvisor returns the steps to ask the advisor about, the most urgent first: those of
 // a pass that still have tasks to start, and those whose job is being stored, so that the
-// advisor's answer arrives meanwhile.
+// advisor's answer arrives meanwhile. Steps that wait for the quota of their team are left out.
 func (c *Controller) stepsForAdvisor(steps []*step, now time.Time) []*step {
 	out := slices.DeleteFunc(steps, func(s *step) bool {
 		_, ready := c.readySteps[s]
 		return !ready
 	})
-	if len(c.stepsAwaitingStore) == 0 {
-		return out
+	if len(c.stepsAwaitingStore) > 0 {
+		out = sortedSteps(out, c.stepsAwaitingStore, now)
 	}
-	return sortedSteps(out, c.stepsAwaitingStore, now)
+	return slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
 }
 
 // sortedSteps appends steps to out and sorts all of out by priority. Within a priority, steps that can
@@ -263,16 +265,21 @@
 		return
 	}
 	tasks := s.startableTasks(now)
-	if len(tasks) == 0 {
+	room := c.quotaRoom(s, len(tasks))
+	if room == 0 {
 		return
 	}
-	found := preferOneRack(s, c.candidates(s, true, now), len(tasks))
+	found := preferOneRack(s, c.candidates(s, true, now), room)
 	chosen, tasks := placeSuspects(tasks, found, now)
 	for _, p := range chosen {
+		if c.quotaRoom(s, 1) == 0 {
+			return
+		}
 		c.startRun(p.task, p.on.w, p.on.ticket, p.task.highestRun+1, now)
 	}
 	for i := range found {
 		cand := &found[i]
+		cand.fit = c.quotaRoom(s, cand.fit)
 		tasks = c.startOnCandidate(tasks, cand, now)
 		if len(tasks) == 0 {
 			return
@@ -340,8 +347,13 @@
 		return
 	}
 	tasks := s.tasks
+	if c.quotaRoom(s, len(tasks)) == 0 {
+		c.waitForQuota(s, now)
+		return
+	}
 	found := preferOneRack(s, c.candidates(s, true, now), len(tasks))
 	if totalFit(found) < len(tasks) {
+		c.holdQuota(s, now)
 		c.reserve(s, pool, now)
 		c.preempt(s, pool, now)
 		return
@@ -356,6 +368,7 @@
 	s.gang.attemptCheckpoint = s.gang.checkpoint
 	s.gang.startedAt = now
 	s.waitingSince = time.Time{}
+	s.quotaWaitSince = time.Time{}
 	s.enoughAllowedSince = time.Time{}
 	for _, p := range chosen {
 		c.startRun(p.task, p.on.w, p.on.ticket, s.gang.attempt, now)
