Quota: what an unreachable worker may run is bounded by its stored capacity, and by the tolerated overrun

Records of workers have the capacity now; what remains unknown is set off against quota_overrun, which the operators tolerate for that. A worker that grows is registered again.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,6 +34,8 @@
 	// OffRackSlowdown is the factor by which a task takes longer on a worker outside the rack
 	// that holds its data.
 	OffRackSlowdown float64
+	// QuotaOverrun is the share of its quota by which a team may exceed it because of runs that are not known.
+	QuotaOverrun float64
 	// StatusRetention is how long the state of an ended job is stored.
 	StatusRetention time.Duration
 }
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -109,9 +109,10 @@
 		reg = workerRecord{}
 		c.recordUnreadable(workerPrefix+id, err)
 	}
-	w := c.newWorker(workload.Worker{ID: id, Addr: reg.Addr}, now)
+	w := c.newWorker(workload.Worker{ID: id, Addr: reg.Addr, Capacity: reg.Capacity}, now)
 	w.registered = true
 	w.storedAddr = reg.Addr
+	w.storedCapacity = reg.Capacity
 	w.nextPoll = now
 	c.workers[id] = w
 }
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -22,10 +22,10 @@
 		c.recordWorker(event.WorkerListed, w, w.info.String())
 	}
 	draining := info.Draining && !w.info.Draining
-	if info.Addr != w.info.Addr {
+	w.info = info
+	if stored := (workerRecord{Addr: w.storedAddr, Capacity: w.storedCapacity}); w.registered && !w.describedBy(&stored) {
 		w.registered = false
 	}
-	w.info = info
 	w.noteDraining()
 	if !w.listed {
 		w.listed = true
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -19,7 +19,7 @@
 		return n
 	}
 	name := s.job().spec.Team
-	running := c.usage.Team(name).Add(c.mayHold(name))
+	running := c.usage.Team(name).Add(c.mayHold(name).Sub(c.toleratedOverrun(team)).ClampNegative())
 	if held := c.quotaHolds[name]; held.precedes(s) {
 		running = running.Add(held.size)
 	}
@@ -50,17 +50,29 @@
 	return c.heldByTeam[team]
 }
 
+// toleratedOverrun returns by how much a team may exceed its quota. The operators allow that for what the system can't
+// know, so only runs of earlier controllers that no worker shows count against it.
+func (c *Controller) toleratedOverrun(team *workload.Team) structs.Resources {
+	share := func(amount int64) int64 { return int64(float64(amount) * c.timing.QuotaOverrun) }
+	return structs.Resources{
+		CPUMilli:     share(team.Quota.CPUMilli),
+		MemoryMiB:    share(team.Quota.MemoryMiB),
+		Accelerators: share(team.Quota.Accelerators),
+	}
+}
+
 // unaccountedCapacity returns the capacity of the workers that are not accounted for. It is not known if one of them
-// is not listed.
+// is not listed and was registered by an earlier program.
 func (c *Controller) unaccountedCapacity() (total structs.Resources, known bool) {
 	for _, w := range c.workers {
 		if w.accountedFor {
 			continue
 		}
-		if w.info.Capacity.IsZero() {
+		capacity := w.info.Capacity.Max(w.storedCapacity)
+		if capacity.IsZero() {
 			return structs.Resources{}, false
 		}
-		total = total.Add(w.info.Capacity)
+		total = total.Add(capacity)
 	}
 	return total, true
 }
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -50,7 +50,7 @@
 // registration is the record of a worker that may be in use, in a batch.
 type registration struct {
 	worker *worker
-	addr   string
+	record workerRecord
 }
 
 // batchJob is a job in a batch, with the version of its progress that the batch holds.
@@ -212,8 +212,9 @@
 	}
 	for w := range c.dirty.registered {
 		delete(c.dirty.registered, w)
-		add(workerPrefix+w.info.ID, mustJSON(workerRecord{Addr: w.info.Addr}))
-		b.registered = append(b.registered, registration{worker: w, addr: w.info.Addr})
+		record := workerRecord{Addr: w.info.Addr, Capacity: w.info.Capacity}
+		add(workerPrefix+w.info.ID, mustJSON(record))
+		b.registered = append(b.registered, registration{worker: w, record: record})
 	}
 	for id := range c.dirty.unregistered {
 		delete(c.dirty.unregistered, id)
@@ -282,8 +283,9 @@
 		c.lease.Stored(b.witnesses)
 	}
 	for _, reg := range b.registered {
-		reg.worker.registered = reg.addr == reg.worker.info.Addr
-		reg.worker.storedAddr = reg.addr
+		reg.worker.storedAddr = reg.record.Addr
+		reg.worker.storedCapacity = reg.record.Capacity
+		reg.worker.registered = reg.worker.describedBy(&reg.record)
 	}
 	c.requestPlacement(now)
 }
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -18,6 +18,8 @@
 	// storedAddr is the address in that record. Until the record has the current address, nothing is
 	// started there: the next controller asks at the stored one.
 	storedAddr string
+	// storedCapacity is the capacity in that record. It bounds what the next controller counts as running there.
+	storedCapacity structs.Resources
 	// fencingToken is that of the orders to the worker since tokenSince. unfenceable says that the epoch has no
 	// token left that the boot would refuse earlier orders for.
 	fencingToken int64
@@ -112,6 +114,14 @@
 // workerRecord is the stored record of a worker that may be in use.
 type workerRecord struct {
 	Addr string `json:"addr"`
+	// Capacity is zero in the records of earlier programs.
+	Capacity structs.Resources `json:"capacity,omitzero"`
+}
+
+// describedBy reports whether a record has the worker's address and bounds what can run there. The records of earlier
+// programs do not say.
+func (w *worker) describedBy(r *workerRecord) bool {
+	return r.Addr == w.info.Addr && (r.Capacity.IsZero() || w.info.Capacity.Fits(r.Capacity))
 }
 
 // orphanRun is a run on a worker that the controller does not count as a run of any task. It
--- a/internal/structs/resources.go
+++ b/internal/structs/resources.go
@@ -108,6 +108,15 @@
 	}
 }
 
+// Max returns the larger of r and o in each component.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		CPUMilli:     max(r.CPUMilli, o.CPUMilli),
+		MemoryMiB:    max(r.MemoryMiB, o.MemoryMiB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
 // ClampNegative returns r with zero in place of each negative component.
 func (r Resources) ClampNegative() Resources {
 	return Resources{
