Placement: passes by what they cost; the best candidates without sorting all

A new urgent job waited for up to 28 ms for the next pass in a cell of 350 workers and 88 ms in one of 1,100, since the time between passes grew with the workers alone. It now follows from what BenchmarkPlacementPass shows that workers and waiting steps cost: 8 ms at 350 workers while few steps wait, 35 ms with 1,000 of them, 16 ms at 1,100 workers. With a pass of 1.2 to 1.6 ms on this machine (busy with other tests), or some 7 ms on a fifth of it, urgent work is decided within 50 ms. All results that arrive between two passes are still processed by one.

A step that needs tickets takes the best workers from a heap instead of having all of them sorted, a pass without any step ends at once, and at most 5 steps a pass have it recorded why they wait, each of which takes a scan of all workers.

--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -423,7 +424,13 @@
 	expected := 0.0
 	want := taskCapacitySurplus * float64(need)
 	var out []*worker
-	for _, cand := range c.candidates(s, false, now) {
+	if len(c.unsortedCandidates(s, false, now)) == 0 {
+		return nil
+	}
+	found := &c.candidateBuffer
+	heap.Init(found)
+	for len(*found) > 0 {
+		cand := found.takeBest()
 		v, known := s.verdict(cand.w)
 		if known && !v.allowed {
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -163,7 +163,7 @@
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
 	room             roomIndex
 	stepBuffer       []*step
-	candidateBuffer  []candidate
+	candidateBuffer  candidateHeap
 	workerBuffer     []*worker
 	slotBuffer       []futureSlot
 	reservedAhead    structs.Resources
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -142,8 +142,9 @@
 	// and between the step's becoming ready and the first such event.
 	minWaitEventInterval = 2 * time.Second
 	// maxWaitEventsPerPass bounds the events of one placement pass. With many waiting steps,
-	// the most urgent ones suffice.
-	maxWaitEventsPerPass = 20
+	// the most urgent ones suffice. Each event takes a scan of all
+	// workers.
+	maxWaitEventsPerPass = 5
 )
 
 // recordWaits records why the most urgent steps wait.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -176,13 +176,21 @@
 const (
 	// maxWakeInterval is the longest time between two calls of NextOrders.
 	maxWakeInterval = 100 * time.Millisecond
-	// minPlacementInterval is the least time between two placement passes in a cell of up to
-	// smallCellWorkers workers. It grows with the number of workers, as the cost of a pass
-	// does.
-	minPlacementInterval = 8 * time.Millisecond
-	smallCellWorkers     = 100
+	// minPlacementInterval is the least time between two placement passes. All results that arrive meanwhile
+	// are processed by one pass. placementTimePerWorker and placementTimePerStep lengthen it in large cells: about
+	// ten times what a worker and a waiting step cost on a fifth of a core, by BenchmarkPlacementPass, so that
+	// passes take a tenth of a slow machine.
+	minPlacementInterval   = 8 * time.Millisecond
+	placementTimePerWorker = 15 * time.Microsecond
+	placementTimePerStep   = 30 * time.Microsecond
 )
 
+// placementInterval returns the time between a placement pass and the next one.
+func (c *Controller) placementInterval() time.Duration {
+	cost := placementTimePerWorker*time.Duration(len(c.workers)) + placementTimePerStep*time.Duration(len(c.readySteps))
+	return max(minPlacementInterval, cost)
+}
+
 // requestPlacement requests a placement pass.
 func (c *Controller) requestPlacement(now time.Time) {
 	if c.placementNeeded {
--- a/internal/controller/passcost_test.go
+++ b/internal/controller/passcost_test.go
@@ -109,6 +109,33 @@
 	c.orders = Orders{}
 }
 
+// TestPlacementPassAllocatesLittle guards the cost of a pass over 1,000 waiting steps for which there is no room: it
+// allocated for each step and worker. The bound is a multiple of what a pass allocates now.
+func TestPlacementPassAllocatesLittle(t *testing.T) {
+	sim := newWaitingCell(t)
+	now := sim.nowOf(sim.ctl)
+	sim.ctl.runPlacementPass(now)
+	if steps := len(sim.ctl.readySteps); steps != waitingUrgent+waitingGangs+waitingBatch {
+		t.Fatalf("%d steps wait", steps)
+	}
+	if n := testing.AllocsPerRun(20, func() { sim.ctl.runPlacementPass(now) }); n > 500 {
+		t.Errorf("a pass makes %v allocations", n)
+	}
+}
+
+// TestUrgentWorkIsDecidedSoon bounds the time between two passes with 1,000 waiting steps on 350 workers. With a
+// pass of a few milliseconds, urgent work is then decided within 50 ms.
+func TestUrgentWorkIsDecidedSoon(t *testing.T) {
+	sim := newWaitingCell(t)
+	if interval := sim.ctl.placementInterval(); interval > 40*time.Millisecond {
+		t.Errorf("%v between two passes", interval)
+	}
+	sim.ctl.readySteps = nil
+	if interval := sim.ctl.placementInterval(); interval > minPlacementInterval {
+		t.Errorf("%v between two passes while nothing waits", interval)
+	}
+}
+
 // BenchmarkPlacementPass measures a pass over the load of newWaitingCell, in which nothing fits, with all
 // entries of the advisor busy and with all of them idle.
 func BenchmarkPlacementPass(b *testing.B) {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -13,15 +14,15 @@
 // first, and calls the advisor for those that need tickets.
 func (c *Controller) runPlacementPass(now time.Time) {
 	c.placementNeeded = false
-	c.nextPlacement = now.Add(minPlacementInterval * time.Duration(max(len(c.workers), smallCellWorkers)) / smallCellWorkers)
-	if !c.HasLeaderLease(now) {
+	c.passes++
+	c.nextPlacement = now.Add(c.placementInterval())
+	if !c.HasLeaderLease(now) || len(c.readySteps)+len(c.stepsAwaitingStore) == 0 {
 		return
 	}
 	clear(c.reservations)
 	clear(c.releaseSchedules)
 	pool := c.usableWorkers(now)
 	c.room.rebuild(pool)
-	c.passes++
 	for _, w := range pool {
 		w.lastPass = c.passes
 	}
@@ -155,6 +156,13 @@
 // ticketed, workers without a valid ticket of the advisor are left out. The result is valid until
 // the next call.
 func (c *Controller) candidates(s *step, ticketed bool, now time.Time) []candidate {
+	out := c.unsortedCandidates(s, ticketed, now)
+	slices.SortFunc(out, compareCandidates)
+	return out
+}
+
+// unsortedCandidates returns the result of candidates in any order.
+func (c *Controller) unsortedCandidates(s *step, ticketed bool, now time.Time) []candidate {
 	if ticketed && !s.hasTickets(now) {
 		return nil
 	}
@@ -176,16 +184,53 @@
 		}
 		out = append(out, candidate{w: w, order: room.order, fit: n, score: c.score(s, w, now), ticket: ticket})
 	}
-	slices.SortFunc(out, func(a, b candidate) int {
-		if n := cmp.Compare(a.score, b.score); n != 0 {
-			return n
-		}
-		return cmp.Compare(a.order, b.order)
-	})
 	c.candidateBuffer = out
 	return out
 }
 
+// compareCandidates orders candidates by score, equally good ones by their place in the pool.
+func compareCandidates(a, b candidate) int {
+	if n := cmp.Compare(a.score, b.score); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.order, b.order)
+}
+
+// candidateHeap takes the best candidates one by one, for steps that need only a few of many.
+type candidateHeap []candidate
+
+// Len implements heap.Interface.
+func (h candidateHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h candidateHeap) Less(i, j int) bool { return compareCandidates(h[i], h[j]) < 0 }
+
+// Swap implements heap.Interface.
+func (h candidateHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface. Candidates are never added.
+func (h candidateHeap) Push(any) { panic("a candidate is added") }
+
+// Pop implements heap.Interface. It removes the last candidate; takeBest does not need it.
+func (h *candidateHeap) Pop() any {
+	last := len(*h) - 1
+	cand := (*h)[last]
+	*h = (*h)[:last]
+	return cand
+}
+
+// takeBest removes and returns the best candidate, without the allocation that heap.Pop makes.
+func (h *candidateHeap) takeBest() candidate {
+	best := (*h)[0]
+	last := len(*h) - 1
+	(*h)[0] = (*h)[last]
+	*h = (*h)[:last]
+	if last > 0 {
+		heap.Fix(h, 0)
+	}
+	return best
+}
+
 // Weights of a score: how much a longer run time counts, for steps with little slack and for
 // others, against the share of the worker that would remain free.
 const (
