--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -19,6 +19,7 @@
 	malformedWorkerRecords *metrics.Counter
 	appendSeconds          *metrics.Histogram
 	advisorCallSeconds     *metrics.Histogram
+	passSeconds, passSteps *metrics.Histogram
 }
 
 func newNodeStats(set *metrics.Set) *nodeStats {
@@ -30,6 +31,8 @@
 		malformedWorkerRecords: set.NewCounter("hitch_cell_malformed_worker_records"),
 		appendSeconds:          set.NewHistogram("hitch_cell_append_seconds"),
 		advisorCallSeconds:     set.NewHistogram("hitch_cell_advice_seconds"),
+		passSeconds:            set.NewHistogram("hitch_cell_placement_seconds"),
+		passSteps:              set.NewHistogram("hitch_cell_placement_steps"),
 	}
 }
 
@@ -98,6 +101,12 @@
 	s.set.GetOrCreateCounter(`hitch_cell_appends{outcome="` + outcomeOf(err) + `"}`).Inc()
 }
 
+// observePass observes a placement pass over a number of waiting steps.
+func (s *nodeStats) observePass(took time.Duration, steps int) {
+	s.passSeconds.Update(took.Seconds())
+	s.passSteps.Update(float64(steps))
+}
+
 func (s *nodeStats) observeAdvisorCall(took time.Duration, err error) {
 	s.advisorCallSeconds.Update(took.Seconds())
 	s.set.GetOrCreateCounter(`hitch_cell_advice{outcome="` + outcomeOf(err) + `"}`).Inc()
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -76,6 +76,7 @@
 	timeOfDayAhead  time.Duration
 	awaitsTimeOfDay bool
 	timeOfDayDueAt  time.Time // when the clocks are compared next
+	passes          int       // the placement passes that ctl has made
 }
 
 // predecessor is the previous controller, whose leader lease may not have expired yet.
@@ -270,6 +271,7 @@
 	l.agents.setWorkers(l.ctl.WorkerCount())
 	l.refuseUnbatched(now)
 	orders := l.ctl.NextOrders(now)
+	l.observePass(clock.Since(now))
 	l.executeOrders(&orders, l.decidedAt(now))
 	if l.ctl.HasUnstoredChanges() {
 		select {
@@ -280,6 +282,15 @@
 	l.publishWaitingJobs()
 }
 
+// observePass records the cost of a call of NextOrders that took some time, if it made a placement pass.
+func (l *leaderTerm) observePass(took time.Duration) {
+	passes, steps := l.ctl.PassCount()
+	if passes != l.passes {
+		l.passes = passes
+		l.node.stats.observePass(took, steps)
+	}
+}
+
 // maxPassTime is the longest time for which a pass of the controller may take before its orders count as decided at
 // its begin. The process may have been paused.
 const maxPassTime = time.Second
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -152,8 +152,8 @@
 	stepsAwaitingStore map[*step]struct{}
 	nextPlacement      time.Time
 	placementNeeded    bool
-	// passes counts the placement passes.
-	passes int
+	// passes counts the placement passes, lastPassSteps the steps that waited at the beginning of the latest.
+	passes, lastPassSteps int
 
 	advisorEntries map[string]*advisorEntry
 	allowedShares  map[string]*allowedShare
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -16,6 +16,7 @@
 	c.placementNeeded = false
 	c.passes++
 	c.nextPlacement = now.Add(c.placementInterval())
+	c.lastPassSteps = len(c.readySteps)
 	if !c.HasLeaderLease(now) || len(c.readySteps)+len(c.stepsAwaitingStore) == 0 {
 		return
 	}
@@ -42,6 +43,10 @@
 	c.callAdvisor(c.stepsForAdvisor(steps, now), pool, now)
 }
 
+// PassCount returns how many placement passes were made, and the number of steps that waited at the beginning of the
+// latest one.
+func (c *Controller) PassCount() (passes, steps int) { return c.passes, c.lastPassSteps }
+
 // usableWorkers returns the workers on which tasks may be started, ordered by ID.
 func (c *Controller) usableWorkers(now time.Time) []*worker {
 	out := make([]*worker, 0, len(c.workers))
