--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -157,8 +157,8 @@
 	stepsAwaitingStore map[*step]struct{}
 	nextPlacement      time.Time
 	placementNeeded    bool
-	// passes counts the placement passes.
-	passes int
+	// passes counts the placement passes, lastPassSteps the steps that waited at the beginning of the latest.
+	passes, lastPassSteps int
 
 	advisorQueue  *advisorqueue.Queue
 	allowedShares map[string]*allowedShare
@@ -168,7 +168,7 @@
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
 	room             roomIndex
 	stepBuffer       []*step
-	candidateBuffer  []candidate
+	candidateBuffer  candidateHeap
 	workerBuffer     []*worker
 	slotBuffer       []futureSlot
 	reservedAhead    structs.Resources
