Teams: weighted max-min shares while capacity is short

Callers of teams within their usual load were served worse while one team sent several times its own: placement goes by priority and deadline over all teams, so the steps of the larger backlog took what became free.

internal/fairshare divides the capacity once a pass: all teams rise in proportion to their weights, in the resource of which each wants the largest part, and a team that wants less leaves the rest to the others. Input are the account of runs and the steps that wait, so a new controller needs no history. While capacity is short, a pass gives teams turns: up to their shares of the nine tenths that tasks can certainly fill, up to their shares of all of it, and then without a bound, beginning with the team that has the least of its share. A wide step starts no more tasks in a turn than bring its team to the share. Inside a team, the order is unchanged. Calls to the advisor follow the same order. What a team leaves unused is lent and comes back as runs end; nothing is stopped for it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelhitch/internal/event"
+	"dotterelhitch/internal/fairshare"
 	"dotterelhitch/internal/leaderlease"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
@@ -168,6 +169,10 @@
 	// controllers may hold of the teams' quotas, nil until it is needed.
 	quotaHolds map[string]*quotaHold
 	heldByTeam map[string]structs.Resources
+	// shares is how the teams share the capacity, nil while it suffices and without teams.
+	shares *fairshare.Division
+	// shareTurn is the fill of their shares up to which teams may start tasks at the turn of the pass.
+	shareTurn float64
 }
 
 // New returns a controller for an epoch, without any state. The recorder may be nil.
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -209,6 +209,9 @@
 	if cause.reason == WaitQuota {
 		e.Detail += ": " + c.quotaDetail(s)
 	}
+	if cause.reason == WaitCapacity && c.shareFill(s) >= 1 {
+		e.Detail += "; " + c.shareDetail(s)
+	}
 	if s.late {
 		e.Detail += "; it can no longer be on time"
 	}
--- a/internal/controller/mix_test.go
+++ b/internal/controller/mix_test.go
@@ -77,12 +77,14 @@
 // mix is a simulation with a random load.
 type mix struct {
 	*simulation
-	classes     []mixClass
-	loadFactor  float64 // multiple of the mean load
-	speeds      []float64
-	mixJobs     map[string]*mixJob
-	rng         *rand.Rand
-	nextJob     int
+	classes    []mixClass
+	loadFactor float64 // multiple of the mean load
+	speeds     []float64
+	mixJobs    map[string]*mixJob
+	rng        *rand.Rand
+	nextJob    int
+	// nextTeam draws the team of a job, nil for jobs without a team.
+	nextTeam    func(id string) string
 	resultDraws int
 }
 
@@ -182,6 +184,9 @@
 		job.Steps = append(job.Steps, step)
 	}
 	m.mixJobs[id] = drawn
+	if m.nextTeam != nil {
+		job.Team = m.nextTeam(id)
+	}
 	m.submit(job)
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -24,7 +24,8 @@
 	pool := c.usableWorkers(now)
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
 	steps := sortedSteps(c.readySteps, now)
-	for _, s := range steps {
+	c.shares = c.divideCapacity(steps, now)
+	steps = c.inShareOrder(steps, func(s *step) {
 		switch {
 		case now.Before(s.notBefore):
 		case s.gang != nil:
@@ -32,7 +33,7 @@
 		default:
 			c.placeTasks(s, pool, now)
 		}
-	}
+	})
 	c.recordWaits(steps, now)
 	c.callAdvisor(c.stepsForAdvisor(steps, now), pool, now)
 }
@@ -59,7 +60,7 @@
 	return total
 }
 
-// stepsForAdvisor returns the steps to ask the advisor about, the most urgent first: those of
+// stepsForAdvisor returns the steps to ask the advisor about, in the order of placement: those of
 // a pass that still have tasks to start, and those whose job is being stored, so that the
 // advisor's answer arrives meanwhile. Steps that wait for the quota of their team are left out.
 func (c *Controller) stepsForAdvisor(steps []*step, now time.Time) []*step {
@@ -71,7 +72,8 @@
 		out = append(out, sortedSteps(c.stepsAwaitingStore, now)...)
 		slices.SortFunc(out, compareSteps)
 	}
-	return slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
+	out = slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
+	return c.inShareOrder(out, func(*step) {})
 }
 
 // sortedSteps returns steps by priority. Within a priority, steps that can still be on time
@@ -229,7 +231,7 @@
 // placeTasks starts tasks of a step that is not a gang.
 func (c *Controller) placeTasks(s *step, pool []*worker, now time.Time) {
 	tasks := s.startableTasks(now)
-	room := c.quotaRoom(s, len(tasks))
+	room := c.startRoom(s, len(tasks))
 	if room == 0 {
 		return
 	}
@@ -237,14 +239,14 @@
 	found = preferOneRack(s, found, room)
 	chosen, tasks := placeSuspects(tasks, found, now)
 	for _, p := range chosen {
-		if c.quotaRoom(s, 1) == 0 {
+		if c.startRoom(s, 1) == 0 {
 			return
 		}
 		c.startRun(p.task, p.on.w, p.on.ticket, p.task.highestRun+1, now)
 	}
 	for i := range found {
 		cand := &found[i]
-		cand.fit = c.quotaRoom(s, cand.fit)
+		cand.fit = c.startRoom(s, cand.fit)
 		tasks = c.startOnCandidate(tasks, cand, now)
 		if len(tasks) == 0 {
 			return
--- /dev/null
+++ b/internal/fairshare/fairshare.go
@@ -0,0 +1,148 @@
+// Package fairshare divides the capacity of the workers among teams by weighted max-min fairness. It has no state:
+// a division follows from what the teams have running and what they want at one time.
+//
+// A team's share is a part of the resource of which it wants the largest part (its dominant resource). All teams
+// rise together in proportion to their weights; a team that wants less gets what it wants and leaves the rest to
+// the others, until the first resource is used up.
+package fairshare
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"dotterelhitch/internal/structs"
+)
+
+// Team is what a division has to know of a team.
+type Team struct {
+	Name string
+	// Weight is the team's part relative to the weights of the others. Zero counts as 1, since a configuration
+	// without weights means equal teams.
+	Weight float64
+	// Demand is what the team has running and what it could start besides.
+	Demand structs.Resources
+}
+
+// Division is how teams share a capacity that does not suffice for all their demands.
+type Division struct {
+	capacity structs.Resources
+	shares   map[string]float64
+}
+
+// usablePercent is the part of the capacity that is divided. Tasks do not fill workers exactly: with tasks of a
+// sixth to a third of a worker, about half of the smaller ones' size stays free on each, so that capacity is short
+// before all of it is in use.
+const usablePercent = 90
+
+// Divide divides a capacity among teams. It returns nil if the capacity suffices for all demands.
+func Divide(capacity structs.Resources, teams []Team) *Division {
+	usable := capacity.Times(usablePercent).DividedBy(100)
+	var total structs.Resources
+	for i := range teams {
+		total = total.Add(teams[i].Demand)
+	}
+	if total.Fits(usable) {
+		return nil
+	}
+	d := &Division{capacity: capacity, shares: make(map[string]float64, len(teams))}
+	wants := make([]want, 0, len(teams))
+	for i := range teams {
+		t := &teams[i]
+		if part := dominantPart(t.Demand, capacity); part > 0 {
+			wants = append(wants, want{team: t, weight: weightOf(t), part: part})
+		}
+	}
+	slices.SortFunc(wants, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.level(), b.level()), cmp.Compare(a.team.Name, b.team.Name))
+	})
+	level := min(
+		levelAt(wants, float64(usable.CPUMilli), func(r structs.Resources) int64 { return r.CPUMilli }),
+		levelAt(wants, float64(usable.MemoryMiB), func(r structs.Resources) int64 { return r.MemoryMiB }),
+		levelAt(wants, float64(usable.Accelerators), func(r structs.Resources) int64 { return r.Accelerators }),
+	)
+	for _, w := range wants {
+		d.shares[w.team.Name] = min(w.part, w.weight*level)
+	}
+	return d
+}
+
+// want is a team's demand. part is the part that it wants of its dominant resource.
+type want struct {
+	team         *Team
+	weight, part float64
+}
+
+// level is the part per weight from which on the team has what it wants.
+func (w want) level() float64 { return w.part / w.weight }
+
+func weightOf(t *Team) float64 {
+	if t.Weight <= 0 {
+		return 1
+	}
+	return t.Weight
+}
+
+// levelAt returns the part per weight at which teams, sorted by their levels, use up an amount of one resource. The
+// result is at least the highest level of any team if the amount suffices for all.
+func levelAt(wants []want, amount float64, of func(structs.Resources) int64) float64 {
+	// rising is what all teams that do not have what they want yet use of the resource per level.
+	rising := 0.0
+	for _, w := range wants {
+		rising += float64(of(w.team.Demand)) / w.level()
+	}
+	satisfied := 0.0
+	highest := 0.0
+	for _, w := range wants {
+		highest = w.level()
+		if satisfied+rising*highest > amount {
+			return max(amount-satisfied, 0) / rising
+		}
+		demand := float64(of(w.team.Demand))
+		satisfied += demand
+		rising -= demand / highest
+	}
+	return highest
+}
+
+// dominantPart returns the largest part that an amount is of the capacity in any resource.
+func dominantPart(amount, capacity structs.Resources) float64 {
+	part := 0.0
+	for _, c := range [...]struct{ amount, capacity int64 }{
+		{amount.CPUMilli, capacity.CPUMilli},
+		{amount.MemoryMiB, capacity.MemoryMiB},
+		{amount.Accelerators, capacity.Accelerators},
+	} {
+		if c.capacity > 0 {
+			part = max(part, float64(c.amount)/float64(c.capacity))
+		}
+	}
+	return part
+}
+
+// Share returns the part of its dominant resource that a team may have, zero for a team without a demand.
+func (d *Division) Share(team string) float64 { return d.shares[team] }
+
+// Levels are the fills up to which teams take turns in one pass: first up to the shares of the part that is certainly
+// usable, then up to those of the whole capacity, then without a bound.
+var Levels = [...]float64{1, 100.0 / usablePercent, math.Inf(1)}
+
+// Room returns how many tasks of a size, at most limit, bring a team that has some amount running to a fill.
+func (d *Division) Room(team string, running, size structs.Resources, fill float64, limit int) int {
+	each := dominantPart(size, d.capacity)
+	if math.IsInf(fill, 1) || each == 0 {
+		return limit
+	}
+	left := d.shares[team]*fill - dominantPart(running, d.capacity)
+	return int(min(max(math.Ceil(left/each), 0), float64(limit)))
+}
+
+// Fill returns how much a team that has some amount running has in proportion to its share: 1 and more if it has
+// reached its share.
+func (d *Division) Fill(team string, running structs.Resources) float64 {
+	part := dominantPart(running, d.capacity)
+	if part == 0 {
+		return 0
+	}
+	return part / d.shares[team] // infinite for a team that wants only what no worker has
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -27,6 +27,21 @@
 	return int(n)
 }
 
+// Wanted returns how much of what a team wants beside what it has running it may have under its quota.
+func Wanted(quota, running, waiting structs.Resources) structs.Resources {
+	part := func(quota, running, waiting int64) int64 {
+		if quota == 0 {
+			return waiting
+		}
+		return min(waiting, max(quota-running, 0))
+	}
+	return structs.Resources{
+		CPUMilli:     part(quota.CPUMilli, running.CPUMilli, waiting.CPUMilli),
+		MemoryMiB:    part(quota.MemoryMiB, running.MemoryMiB, waiting.MemoryMiB),
+		Accelerators: part(quota.Accelerators, running.Accelerators, waiting.Accelerators),
+	}
+}
+
 // MayHold returns the most that a team's tasks may hold on workers of which it is not known what runs there: no
 // more than these tasks together, and no more than these workers have.
 func MayHold(tasks, workers structs.Resources) structs.Resources { return tasks.Min(workers) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -63,3 +63,18 @@
 		}
 	}
 }
+
+// TestWanted guards against a team that wants more than its quota allows, and so takes part in a division with
+// tasks that can't start.
+func TestWanted(t *testing.T) {
+	quota := structs.Resources{CPUMilli: 4000}
+	for name, c := range map[string]struct{ running, waiting, want structs.Resources }{
+		"within":  {cpu(1000), cpu(2000), cpu(2000)},
+		"beyond":  {cpu(1000), cpu(9000), cpu(3000)},
+		"lowered": {cpu(6000), cpu(9000), structs.Resources{MemoryMiB: 100}},
+	} {
+		if got := Wanted(quota, c.running, c.waiting); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -60,5 +60,12 @@
 // Team returns what the runs of a team hold.
 func (a *Account) Team(name string) structs.Resources { return a.byTeam[name] }
 
+// EachTeam calls a function with each team that holds something, and with what it holds, in no order.
+func (a *Account) EachTeam(f func(name string, held structs.Resources)) {
+	for name, held := range a.byTeam {
+		f(name, held)
+	}
+}
+
 // Class returns what the runs of a class hold.
 func (a *Account) Class(name string) structs.Resources { return a.byClass[name] }
