--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -31,8 +31,8 @@
 	}
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
 	c.stepBuffer = sortedSteps(c.stepBuffer[:0], c.readySteps, now)
-	steps := c.stepBuffer
-	for _, s := range steps {
+	c.shares = c.divideCapacity(c.stepBuffer, now)
+	steps := c.inShareOrder(c.stepBuffer, func(s *step) {
 		switch {
 		case now.Before(s.notBefore):
 		case s.gang != nil:
@@ -40,7 +40,7 @@
 		default:
 			c.placeTasks(s, now)
 		}
-	}
+	})
 	c.recordWaits(steps, now)
 	c.callAdvisor(c.stepsForAdvisor(steps, now), pool, now)
 }
@@ -71,7 +71,7 @@
 	return total
 }
 
-// stepsForAdvisor returns the steps to ask the advisor about, the most urgent first: those of
+// stepsForAdvisor returns the steps to ask the advisor about, in the order of placement: those of
 // a pass that still have tasks to start, and those whose job is being stored, so that the
 // advisor's answer arrives meanwhile. Steps that wait for the quota of their team are left out.
 func (c *Controller) stepsForAdvisor(steps []*step, now time.Time) []*step {
@@ -82,7 +82,8 @@
 	if len(c.stepsAwaitingStore) > 0 {
 		out = sortedSteps(out, c.stepsAwaitingStore, now)
 	}
-	return slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
+	out = slices.DeleteFunc(out, func(s *step) bool { return c.quotaRoom(s, len(s.tasks)) == 0 })
+	return c.inShareOrder(out, func(*step) {})
 }
 
 // sortedSteps appends steps to out and sorts all of out by priority. Within a priority, steps that can
@@ -315,21 +316,21 @@
 		return
 	}
 	tasks := s.startableTasks(now)
-	room := c.quotaRoom(s, len(tasks))
+	room := c.startRoom(s, len(tasks))
 	if room == 0 {
 		return
 	}
 	found := preferOneRack(s, c.candidates(s, true, now), room)
 	chosen, tasks := placeSuspects(tasks, found, now)
 	for _, p := range chosen {
-		if c.quotaRoom(s, 1) == 0 {
+		if c.startRoom(s, 1) == 0 {
 			return
 		}
 		c.startRun(p.task, p.on.w, p.on.ticket, p.task.highestRun+1, now)
 	}
 	for i := range found {
 		cand := &found[i]
-		cand.fit = c.quotaRoom(s, cand.fit)
+		cand.fit = c.startRoom(s, cand.fit)
 		tasks = c.startOnCandidate(tasks, cand, now)
 		if len(tasks) == 0 {
 			return
