Controller: overdue advisor calls are repeated elsewhere; the odds decide how many workers a call names

What callers saw: after entries are lost, urgent steps wait for the time-out of their call, 1.5 s and more. In a burst they need several calls in a row, since the few workers that a call names are full when the answer comes.

Cause: a step is not asked about again while its call is in flight, however late the answer is. A call names workers with twice the room needed, whatever a worker costs and however many others want it.

Change: - A call whose answer is late, or whose entry is gone, does not block its step, its class's part or the window any more. Its entry gets no calls until the call has ended. An answer that still comes is used. - A call names workers as long as one more saves more time than it costs. A 429 has CodeOverload, as a test now shows.

--- a/internal/advisorqueue/load_test.go
+++ b/internal/advisorqueue/load_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"dotterelhitch/internal/workload"
 )
 
 // bench plays calls against a stand-in of the advisor, in simulated time. The advisor serves one call at a time for
@@ -17,6 +19,8 @@
 	events  events
 	way     time.Duration
 	backlog map[string][]*request // by class
+	// requests are those for which calls were made, by the calls' IDs.
+	requests map[int64]*request
 	// busyUntil is when the advisor has done all work of an entry, waiting the number of calls that it has not.
 	busyUntil map[string]time.Time
 	waiting   map[string]int
@@ -71,7 +75,7 @@
 
 func newBench(entries int) *bench {
 	b := &bench{
-		q: New(), now: benchStart, way: 48 * time.Millisecond, backlog: map[string][]*request{},
+		q: New(), now: benchStart, way: 48 * time.Millisecond, backlog: map[string][]*request{}, requests: map[int64]*request{},
 		busyUntil: map[string]time.Time{}, waiting: map[string]int{}, down: map[string]bool{}, refusing: map[string]bool{},
 		latencies: map[string][]time.Duration{}, sentThrough: map[string]int{},
 	}
@@ -114,14 +118,19 @@
 var benchClasses = []string{"urgent", "gangs", "batch", "renewals"} // in the order of their urgency
 
 func (b *bench) send() {
+	for _, c := range b.q.TakeOverdue(b.now) {
+		r := b.requests[c.ID]
+		b.backlog[r.class] = slices.Insert(b.backlog[r.class], 0, r)
+	}
 	for _, class := range benchClasses {
 		for len(b.backlog[class]) > 0 {
 			r := b.backlog[class][0]
-			c := b.q.Send(class, LengthOf(r.work), r.work, b.now)
+			c := b.q.Send(workload.StepID{}, class, LengthOf(r.work), r.work, b.now)
 			if c == nil {
 				break
 			}
 			b.backlog[class] = b.backlog[class][1:]
+			b.requests[c.ID] = r
 			b.sentThrough[c.Entry]++
 			b.maxInFlight = max(b.maxInFlight, b.q.InFlight())
 			b.carry(r, c)
@@ -163,10 +172,13 @@
 }
 
 func (b *bench) done(r *request, c *Call, outcome Outcome) {
-	if at := b.q.Done(c.ID, outcome, b.now); !at.IsZero() {
+	awaited, at := b.q.Done(c.ID, outcome, b.now)
+	if !at.IsZero() {
 		b.at(at, func() {})
 	}
 	switch {
+	case !awaited:
+		return
 	case outcome != Answered:
 		b.backlog[r.class] = slices.Insert(b.backlog[r.class], 0, r)
 		return
@@ -261,6 +273,10 @@
 	if lost > 18*2*MaxInFlight {
 		t.Errorf("%d calls went through the lost entries", lost)
 	}
+	// A call that is lost is repeated once it is overdue.
+	if got := b.quantile("urgent", 1); got > 700*time.Millisecond {
+		t.Errorf("an urgent call took %v while half of the entries were lost", got)
+	}
 	b.q.SetEntries(names[18:])
 	b.run(2 * time.Second)
 	b.latencies = map[string][]time.Duration{}
--- a/internal/advisorqueue/queue.go
+++ b/internal/advisorqueue/queue.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"dotterelhitch/internal/workload"
 )
 
 // The advisor serves one call at a time for each calling machine, in order of arrival. It refuses a call with 429
@@ -59,15 +61,19 @@
 type Call struct {
 	ID    int64
 	Entry string
+	Step  workload.StepID
 	Class string
+	Sent  time.Time
 	// EndsAt is when the answer is expected.
 	EndsAt time.Time
 
 	length   Length
-	sent     time.Time
 	servedAt time.Time // when the advisor is expected to have done the work
 	// atAdvisor is the expected time between the call's arrival at the advisor and servedAt.
 	atAdvisor time.Duration
+	// overdue is true once the call's answer is so late that it is not waited for. It may still come.
+	overdue   bool
+	overdueAt time.Time
 }
 
 // entry is the model of one entry.
@@ -87,8 +93,10 @@
 	entries []*entry // in the order of their names
 	byID    map[int64]*entry
 	lastID  int64
-	units   map[string]int // by class, of calls in flight
+	units   map[string]int // by class, of calls in flight that are not overdue
 	window  window
+	// overdueAt is the time before which no call becomes overdue, for TakeOverdue.
+	overdueAt time.Time
 }
 
 // New returns a queue without entries.
@@ -108,6 +116,14 @@
 		}
 		q.entries[i].listed = true
 	}
+	for _, e := range q.entries {
+		for _, c := range e.calls {
+			if !e.listed {
+				c.overdueAt = time.Time{}
+				q.overdueAt = time.Time{}
+			}
+		}
+	}
 	q.dropGone()
 }
 
@@ -130,12 +146,26 @@
 	return n
 }
 
-// InFlight returns the number of calls in flight through listed entries.
+// InFlight returns the number of calls in flight through listed entries that are not overdue.
 func (q *Queue) InFlight() int {
 	n := 0
 	for _, e := range q.entries {
 		if e.listed {
-			n += len(e.calls)
+			n += e.awaited()
+		}
+	}
+	return n
+}
+
+// Limit returns the largest number of calls in flight.
+func (q *Queue) Limit() int { return q.window.limit(q.Entries()) }
+
+// awaited returns the number of calls that are not overdue.
+func (e *entry) awaited() int {
+	n := 0
+	for _, c := range e.calls {
+		if !c.overdue {
+			n++
 		}
 	}
 	return n
@@ -160,7 +190,7 @@
 			continue
 		}
 		listed++
-		inFlight += len(e.calls)
+		inFlight += e.awaited()
 		if !e.usable(now) {
 			continue
 		}
@@ -188,7 +218,10 @@
 	return 1 + entries/8
 }
 
-func (e *entry) usable(now time.Time) bool { return e.listed && !now.Before(e.backoffUntil) }
+// usable reports whether calls may be sent through the entry. One with an overdue call may be down.
+func (e *entry) usable(now time.Time) bool {
+	return e.listed && !now.Before(e.backoffUntil) && e.awaited() == len(e.calls)
+}
 
 // maxInFlight is 1 until an entry that has failed answers again.
 func (e *entry) maxInFlight() int {
@@ -204,7 +237,7 @@
 }
 
 // Send adds a call to the entry where it ends first. It returns nil if there is no room for a call of that length.
-func (q *Queue) Send(class string, length Length, work time.Duration, now time.Time) *Call {
+func (q *Queue) Send(step workload.StepID, class string, length Length, work time.Duration, now time.Time) *Call {
 	if q.Room(now)[length] <= 0 {
 		return nil
 	}
@@ -220,8 +253,12 @@
 	q.lastID++
 	served := best.servedAt(work, now)
 	c := &Call{
-		ID: q.lastID, Entry: best.name, Class: class, EndsAt: served.Add(best.way.back()),
-		length: length, sent: now, servedAt: served, atAdvisor: served.Sub(now.Add(best.way.there())),
+		ID: q.lastID, Entry: best.name, Step: step, Class: class, EndsAt: served.Add(best.way.back()),
+		length: length, Sent: now, servedAt: served, atAdvisor: served.Sub(now.Add(best.way.there())),
+	}
+	c.overdueAt = c.EndsAt.Add(minOverdue + overdueDelays*q.window.delay + time.Duration(overdueShare*float64(c.atAdvisor)))
+	if q.overdueAt.IsZero() || c.overdueAt.Before(q.overdueAt) {
+		q.overdueAt = c.overdueAt
 	}
 	best.calls = append(best.calls, c)
 	q.byID[c.ID] = best
@@ -297,6 +334,51 @@
 	return best
 }
 
+// A call is overdue this long after its expected end: minOverdue, overdueDelays times the mean time that calls spend
+// outside the advisor, which is long while the controller is, and overdueShare of the time at the advisor, since work
+// and waiting are only estimates.
+const (
+	minOverdue    = 100 * time.Millisecond
+	overdueDelays = 2
+	overdueShare  = 0.2
+)
+
+// HasOverdue reports whether TakeOverdue may return a call.
+func (q *Queue) HasOverdue(now time.Time) bool { return len(q.byID) > 0 && !now.Before(q.overdueAt) }
+
+// TakeOverdue returns the calls that have become overdue, each once: those without an answer long after their expected
+// end, and those through entries that are gone. What they ask may be asked through another entry.
+func (q *Queue) TakeOverdue(now time.Time) []*Call {
+	if !q.HasOverdue(now) {
+		return nil
+	}
+	var out []*Call
+	q.overdueAt = time.Time{}
+	for _, e := range q.entries {
+		for _, c := range e.calls {
+			switch {
+			case c.overdue:
+			case !now.Before(c.overdueAt):
+				c.overdue = true
+				q.releaseUnits(c)
+				out = append(out, c)
+			case q.overdueAt.IsZero() || c.overdueAt.Before(q.overdueAt):
+				q.overdueAt = c.overdueAt
+			}
+		}
+	}
+	if q.overdueAt.IsZero() {
+		q.overdueAt = now.Add(minOverdue)
+	}
+	return out
+}
+
+func (q *Queue) releaseUnits(c *Call) {
+	if q.units[c.Class] -= c.length.Units(); q.units[c.Class] <= 0 {
+		delete(q.units, c.Class)
+	}
+}
+
 // Outcome is the result of a call.
 type Outcome int
 
@@ -317,41 +399,50 @@
 	maxBackoff      = 3200 * time.Millisecond
 )
 
-// Done removes a call. It returns when its entry may be used again, zero if the entry has no backoff. A call that is
-// not known changes nothing.
-func (q *Queue) Done(id int64, outcome Outcome, now time.Time) time.Time {
+// Done removes a call. It returns whether the call was still awaited, and when its entry may be used again, zero if the
+// entry has no backoff. A call that is not known changes nothing.
+func (q *Queue) Done(id int64, outcome Outcome, now time.Time) (awaited bool, backoffUntil time.Time) {
 	e := q.byID[id]
 	if e == nil {
-		return time.Time{}
+		return false, time.Time{}
 	}
 	inFlight := q.InFlight()
 	i := slices.IndexFunc(e.calls, func(c *Call) bool { return c.ID == id })
 	c := e.calls[i]
 	e.calls = slices.Delete(e.calls, i, i+1)
 	delete(q.byID, id)
-	if q.units[c.Class] -= c.length.Units(); q.units[c.Class] <= 0 {
-		delete(q.units, c.Class)
+	if !c.overdue {
+		q.releaseUnits(c)
 	}
 	defer q.dropGone()
 	if outcome == Answered {
 		e.failures = 0
 		e.backoffUntil = time.Time{}
-		outside := now.Sub(c.sent) - c.atAdvisor
+		outside := now.Sub(c.Sent) - c.atAdvisor
 		e.way.add(outside)
 		q.window.answered(outside, inFlight, now)
-		return time.Time{}
+		return !c.overdue, time.Time{}
+	}
+	e.backOff(outcome, now)
+	return !c.overdue, e.backoffUntil
+}
+
+// backOff lengthens the entry's backoff after a refused or failed call, but not for one that was sent before the
+// backoff began.
+func (e *entry) backOff(outcome Outcome, now time.Time) {
+	if now.Before(e.backoffUntil) {
+		return
 	}
 	backoff := failureBackoff
 	if outcome == Overloaded {
 		backoff = overloadBackoff
 	}
-	if now.Before(e.backoffUntil) {
-		return e.backoffUntil // a call that was sent before the backoff began
-	}
-	e.failures++
-	for range e.failures - 1 {
+	for range e.failures {
 		backoff = min(2*backoff, maxBackoff)
 	}
+	e.failures++
 	e.backoffUntil = now.Add(backoff)
-	return e.backoffUntil
 }
+
+// Way returns the mean time that calls spend outside the advisor.
+func (q *Queue) Way() time.Duration { return q.window.delay }
--- a/internal/advisorqueue/window.go
+++ b/internal/advisorqueue/window.go
@@ -29,7 +29,7 @@
 	decreaseInterval = 300 * time.Millisecond
 )
 
-func newWindow() window { return window{size: initialWindow, slowStart: true} }
+func newWindow() window { return window{size: initialWindow, slowStart: true, delay: assumedWay} }
 
 // limit returns the largest number of calls in flight for a number of entries.
 func (w *window) limit(entries int) int { return min(int(w.size), MaxInFlight*entries) }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -97,6 +97,8 @@
 	n.stats.registerGauge("hitch_cell_authority_left_seconds", n.leaderLeaseLeft)
 	n.stats.registerGauge("hitch_cell_agents", n.agentMetric((*agentPool).agentCount))
 	n.stats.registerGauge("hitch_cell_agent_orders_pending", n.agentMetric((*agentPool).pendingOrders))
+	n.stats.registerGauge("hitch_cell_advice_in_flight", n.termMetric(func(l *leaderTerm) int64 { return l.advisorCalls.Load() }))
+	n.stats.registerGauge("hitch_cell_advice_limit", n.termMetric(func(l *leaderTerm) int64 { return l.advisorLimit.Load() }))
 	n.stats.registerGauge("hitch_cell_config_version", func() float64 { return float64(n.config.number()) })
 	n.stats.registerGauge("hitch_cell_config_age_seconds", n.configAgeSeconds)
 	n.stats.registerGauge("hitch_cell_clock_offset_seconds", n.clock.offsetSeconds)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -57,6 +57,8 @@
 	commitSignal chan struct{}
 	// waitingJobs counts the jobs of which no task has started, nil until they are counted.
 	waitingJobs atomic.Pointer[cellv1.WaitingJobs]
+	// advisorCalls is the number of calls to the advisor in flight, advisorLimit the largest number that may be.
+	advisorCalls, advisorLimit atomic.Int64
 
 	// The fields below are used by the control goroutine only.
 	acceptWaiters  map[string][]chan error // by job ID: calls that wait until its acceptance is stored
@@ -278,6 +280,9 @@
 		}
 	}
 	l.publishWaitingJobs()
+	inFlight, limit := l.ctl.AdvisorCalls()
+	l.advisorCalls.Store(int64(inFlight))
+	l.advisorLimit.Store(int64(limit))
 }
 
 // maxPassTime is the longest time for which a pass of the controller may take before its orders count as decided at
@@ -313,6 +318,17 @@
 	l.waitingJobs.Store(out)
 }
 
+// termMetric returns a metric of the controller, zero on the other members.
+func (n *Node) termMetric(read func(*leaderTerm) int64) func() float64 {
+	return func() float64 {
+		l := n.term.Load()
+		if l == nil {
+			return 0
+		}
+		return float64(read(l))
+	}
+}
+
 // localWaitingJobs returns the number of jobs of a class of which no task has started, zero on
 // members that are not the controller.
 func (n *Node) localWaitingJobs(class string) float64 {
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -83,7 +83,8 @@
 // SetAdvisorEntries sets the entries through which the advisor may be called.
 func (c *Controller) SetAdvisorEntries(names []string) { c.advisorQueue.SetEntries(names) }
 
-// allowedShare estimates the share of workers that the advisor allows for a class.
+// allowedShare estimates the share of workers that the advisor allows for a class, or of those that
+// have some other property.
 type allowedShare struct{ asked, allowed float64 }
 
 const (
@@ -118,6 +119,7 @@
 // callAdvisor calls the advisor for steps that need tickets, the most urgent first. Steps of classes
 // that use more than their part of the entries come after the others.
 func (c *Controller) callAdvisor(steps []*step, pool []*worker, now time.Time) {
+	c.giveUpOverdueCalls(now)
 	pass := &advisorPass{ctl: c, pool: pool, now: now, room: c.advisorQueue.Room(now), shares: c.newAdvisorShares(steps)}
 	var deferred []*step
 	for _, s := range steps {
@@ -143,6 +145,21 @@
 	}
 }
 
+// giveUpOverdueCalls lets the steps be asked about again whose calls are overdue. Answers that come nevertheless are used.
+func (c *Controller) giveUpOverdueCalls(now time.Time) {
+	for _, overdue := range c.advisorQueue.TakeOverdue(now) {
+		if s := c.findStep(overdue.Step); s != nil && s.advice != nil {
+			s.advice.callsInFlight--
+			c.recordOverdueCall(s, overdue, now)
+		}
+	}
+}
+
+// AdvisorCalls returns the number of calls to the advisor in flight, and the largest number that may be.
+func (c *Controller) AdvisorCalls() (inFlight, limit int) {
+	return c.advisorQueue.InFlight(), c.advisorQueue.Limit()
+}
+
 // callLength returns the length of the calls for a class.
 func callLength(class *workload.Class) advisorqueue.Length {
 	return advisorqueue.LengthOf(class.Advisor.CallTime(assumedWorkersPerCall))
@@ -203,9 +220,6 @@
 	// calls that are made at the same time for one step.
 	maxWorkersPerCall = 100
 	maxWorkersAsked   = 400
-	// taskCapacitySurplus is the expected allowed capacity that a call asks for, as a
-	// multiple of the capacity needed.
-	taskCapacitySurplus = 2.0
 )
 
 // workersToAskAbout returns the workers to ask about for a step, so that those allowed have
@@ -330,7 +344,7 @@
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(b.fit, a.fit) })
 	out := firstWithRoom(found, renewalSurplus*float64(len(s.tasks)))
-	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + ticketLead
+	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + c.advisorQueue.Way() + ticketLead
 	if s.startAt.Sub(now) > lead {
 		return nil
 	}
@@ -354,9 +368,11 @@
 // workersForTasks returns the workers with free capacity to ask about for a step that is not
 // a gang.
 func (c *Controller) workersForTasks(s *step, pool []*worker, need int, now time.Time) []*worker {
-	share := c.allowedShareOf(s.job().class.Name).value()
-	expected := 0.0
-	want := taskCapacitySurplus * float64(need)
+	class := s.job().class
+	share := c.allowedShareOf(class.Name).value()
+	stillFree := c.stillFreeShareOf(class.Name).value()
+	anotherCall := c.advisorQueue.Way() + class.Advisor.DecisionTime + c.placementInterval()
+	naming := advisorqueue.NewNaming(need, class.Advisor.TimePerWorker, anotherCall)
 	var out []*worker
 	for _, cand := range c.candidates(s, pool, false, now) {
 		v, known := s.verdict(cand.w)
@@ -364,22 +380,50 @@
 			continue
 		}
 		if known && now.Before(v.expiresAt.Add(-ticketMargin)) {
-			expected += float64(cand.fit)
+			naming.Add(cand.fit, 1)
 			continue
 		}
-		if expected >= want || len(out) >= maxWorkersAsked {
-			break
+		probability := stillFree
+		if !known {
+			probability *= share
 		}
-		if known {
-			expected += float64(cand.fit)
-		} else {
-			expected += share * float64(cand.fit)
+		if len(out) >= maxWorkersAsked || !naming.Worth(cand.fit, probability) {
+			break
 		}
+		naming.Add(cand.fit, probability)
 		out = append(out, cand.w)
 	}
 	return out
 }
 
+// stillFreeShareOf estimates the share of workers that still have room for a task of a class when the
+// advisor answers, of those that had it when it was called.
+func (c *Controller) stillFreeShareOf(class string) *allowedShare {
+	share := c.stillFreeShares[class]
+	if share == nil {
+		share = &allowedShare{asked: assumedShareWeight, allowed: assumedShareWeight * assumedStillFreeShare}
+		c.stillFreeShares[class] = share
+	}
+	return share
+}
+
+// assumedStillFreeShare is the estimate before the first answer.
+const assumedStillFreeShare = 0.8
+
+// learnStillFree learns from an answer how many of the workers in the call still have room.
+func (c *Controller) learnStillFree(s *step, call *AdvisorCall, now time.Time) {
+	if s.gang != nil {
+		return
+	}
+	free := 0
+	for _, id := range call.Workers {
+		if w := c.workers[id]; w != nil && c.fitCount(s, w, now) > 0 {
+			free++
+		}
+	}
+	c.stillFreeShareOf(s.job().class.Name).add(len(call.Workers), free)
+}
+
 // sendAdvisorCall starts a call if there is room for it.
 func (c *Controller) sendAdvisorCall(s *step, workers []*worker, now time.Time) {
 	ids := make([]string, len(workers))
@@ -388,7 +432,7 @@
 	}
 	class := s.job().class
 	work := class.Advisor.CallTime(len(ids))
-	queued := c.advisorQueue.Send(class.Name, callLength(class), work, now)
+	queued := c.advisorQueue.Send(s.id(), class.Name, callLength(class), work, now)
 	if queued == nil {
 		return
 	}
@@ -407,7 +451,8 @@
 // failed, with CodeOverload if the advisor refused it. With a validity of zero or less, tickets
 // are valid for the time that the class states.
 func (c *Controller) AdvisorCallDone(call *AdvisorCall, allowed []workload.Ticket, validity time.Duration, err error, now time.Time) {
-	if backoffUntil := c.advisorQueue.Done(call.ID, advisorOutcome(err), now); !backoffUntil.IsZero() {
+	awaited, backoffUntil := c.advisorQueue.Done(call.ID, advisorOutcome(err), now)
+	if !backoffUntil.IsZero() {
 		c.wakeups.add(backoffUntil)
 	}
 	c.requestPlacement(now)
@@ -415,13 +460,16 @@
 	if s == nil || s.advice == nil {
 		return
 	}
-	s.advice.callsInFlight--
+	if awaited {
+		s.advice.callsInFlight--
+	}
 	if err != nil {
 		s.advice.retryAt = now.Add(advisorRetryPause)
 		c.wakeups.add(s.advice.retryAt)
 		c.recordAdvisorCall(event.AdviceFailed, s, call, len(allowed), err, now)
 		return
 	}
+	c.learnStillFree(s, call, now)
 	c.applyVerdicts(s, call, allowed, validity, now)
 	c.recordAdvisorCall(event.AdviceReceived, s, call, len(allowed), nil, now)
 }
--- a/internal/controller/advice_test.go
+++ b/internal/controller/advice_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
@@ -115,3 +116,63 @@
 		t.Errorf("%d tasks were started after little more than one call of the advisor, want 90", sim.startsSent)
 	}
 }
+
+// newSimulationWithUrgentClass returns a simulation whose batch class needs tickets by short calls.
+func newSimulationWithUrgentClass(t testing.TB) *simulation {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.config.Classes["batch"].Advisor = &workload.AdvisorTiming{
+		DecisionTime: 11 * time.Millisecond, TimePerWorker: 160 * time.Microsecond, TicketValidity: 2500 * time.Millisecond,
+	}
+	sim.addWorkers(3, 4000)
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	return sim
+}
+
+// TestStepIsAskedAboutAgainWhenAnAnswerIsOverdue loses each call through two of three entries. A step used to wait for
+// the call's timeout of 1.5 s each time.
+func TestStepIsAskedAboutAgainWhenAnAnswerIsOverdue(t *testing.T) {
+	sim := newSimulationWithUrgentClass(t)
+	sim.advisorLoses = func(entry string) bool { return entry != "lane-3" }
+	sim.submit(simpleJob("j1", "batch", 3, 1000, nil))
+	sim.advance(800 * time.Millisecond)
+	if sim.startsSent != 3 {
+		t.Errorf("%d tasks were started within 0.8 s, want 3", sim.startsSent)
+	}
+	sim.advance(3 * time.Second) // the lost calls time out
+	if got := sim.state("j1"); got != workload.JobCompleted {
+		t.Errorf("the job is %s", got)
+	}
+	if calls, _ := sim.ctl.AdvisorCalls(); calls != 0 {
+		t.Errorf("%d calls count as in flight", calls)
+	}
+	if calls := sim.ctl.advisorQueue.Units("batch"); calls != 0 {
+		t.Errorf("the class's calls take %d units", calls)
+	}
+}
+
+// TestEntryThatRefusesIsLeftToItself has the advisor refuse the calls through one entry with 429. The jobs must be
+// started with tickets through the others, and the entry gets few calls.
+func TestEntryThatRefusesIsLeftToItself(t *testing.T) {
+	sim := newSimulationWithUrgentClass(t)
+	refused := 0
+	sim.advisorRefuses = func(entry string) error {
+		if entry != "lane-1" {
+			return nil
+		}
+		refused++
+		return structs.NewError(structs.CodeOverload, "too many calls")
+	}
+	for i := range 40 {
+		sim.submit(simpleJob(fmt.Sprintf("j%d", i), "batch", 1, 1000, nil))
+		sim.advance(100 * time.Millisecond)
+	}
+	sim.advance(2 * time.Second)
+	if sim.startsSent != 40 {
+		t.Errorf("%d of 40 jobs were started", sim.startsSent)
+	}
+	if refused < 1 || refused > 8 {
+		t.Errorf("the entry refused %d calls", refused)
+	}
+}
--- a/internal/controller/advisorshare_test.go
+++ b/internal/controller/advisorshare_test.go
@@ -54,7 +54,7 @@
 		if got := shares.left("a", advisorqueue.Long); got != want {
 			t.Errorf("after %d calls %d are left, want %d", i, got, want)
 		}
-		queue.Send("a", advisorqueue.Long, time.Second, now)
+		queue.Send(workload.StepID{}, "a", advisorqueue.Long, time.Second, now)
 	}
 	if got := shares.left("b", advisorqueue.Long); got != 2 {
 		t.Errorf("%d calls are left to a class without calls, want 2", got)
@@ -62,7 +62,7 @@
 	if got := shares.left("b", advisorqueue.Short); got != 6 {
 		t.Errorf("%d short calls are left to a class without calls, want 6", got)
 	}
-	queue.Send("b", advisorqueue.Short, 13*time.Millisecond, now)
+	queue.Send(workload.StepID{}, "b", advisorqueue.Short, 13*time.Millisecond, now)
 	if got := shares.left("b", advisorqueue.Short); got != 5 {
 		t.Errorf("%d short calls are left after one, want 5", got)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -154,9 +154,10 @@
 	nextPlacement      time.Time
 	placementNeeded    bool
 
-	advisorQueue  *advisorqueue.Queue
-	allowedShares map[string]*allowedShare
-	speeds        speedEstimator
+	advisorQueue    *advisorqueue.Queue
+	allowedShares   map[string]*allowedShare
+	stillFreeShares map[string]*allowedShare
+	speeds          speedEstimator
 	// The fields below are valid during one placement pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
 	reservedAhead    structs.Resources
@@ -191,6 +192,7 @@
 		stepsAwaitingStore: map[*step]struct{}{},
 		advisorQueue:       advisorqueue.New(),
 		allowedShares:      map[string]*allowedShare{},
+		stillFreeShares:    map[string]*allowedShare{},
 		reservations:       map[*worker][]*reservation{},
 
 		releaseSchedules: map[*worker][]expectedRelease{},
--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelhitch/internal/advisorqueue"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -128,3 +129,15 @@
 		AgeMs:      now.Sub(call.Sent).Milliseconds(),
 	})
 }
+
+func (c *Controller) recordOverdueCall(s *step, call *advisorqueue.Call, now time.Time) {
+	c.record(event.Event{
+		Type:   event.AdviceOverdue,
+		Job:    call.Step.Job,
+		Task:   structs.TaskID(call.Step.String()),
+		Class:  s.job().class.Name,
+		Member: call.Entry,
+		Epoch:  c.epoch,
+		AgeMs:  now.Sub(call.Sent).Milliseconds(),
+	})
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -185,6 +185,11 @@
 	smallCellWorkers     = 100
 )
 
+// placementInterval is the least time between two placement passes.
+func (c *Controller) placementInterval() time.Duration {
+	return minPlacementInterval * time.Duration(max(len(c.workers), smallCellWorkers)) / smallCellWorkers
+}
+
 // requestPlacement requests a placement pass.
 func (c *Controller) requestPlacement(now time.Time) {
 	if c.placementNeeded {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -13,7 +13,7 @@
 // first, and calls the advisor for those that need tickets.
 func (c *Controller) runPlacementPass(now time.Time) {
 	c.placementNeeded = false
-	c.nextPlacement = now.Add(minPlacementInterval * time.Duration(max(len(c.workers), smallCellWorkers)) / smallCellWorkers)
+	c.nextPlacement = now.Add(c.placementInterval())
 	if !c.HasLeaderLease(now) {
 		return
 	}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -14,6 +14,9 @@
 		c.openDueOccurrences(now)
 		c.requestPlacement(now)
 	}
+	if c.advisorQueue.HasOverdue(now) {
+		c.requestPlacement(now)
+	}
 	c.storePredecessorsEnd(now)
 	c.refreshLeaseRecord(now)
 	c.refreshElapsedRecord(now)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -37,8 +37,14 @@
 	clocks     map[*Controller]time.Duration
 	clockAhead time.Duration
 	// timeKnownAfter is when controllers learn how far their clocks are ahead, negative for never.
-	timeKnownAfter    time.Duration
-	advisorEntries    []string
+	timeKnownAfter time.Duration
+	advisorEntries []string
+	// advisorWay is the mean time that a call to the advisor spends outside it, beside the network delay.
+	advisorWay time.Duration
+	// advisorRefuses has the advisor answer a call through an entry with an error, advisorLoses with nothing until
+	// the call times out. Both may be nil.
+	advisorRefuses    func(entry string) error
+	advisorLoses      func(entry string) bool
 	lostAnswerShare   float64 // share of orders that are carried out but get no response
 	delayedOrderShare float64 // share of orders that are carried out 2 to 12 s later and get no response
 	heldCallShare     float64 // share of calls to a worker that is down that wait for its next boot
@@ -387,26 +393,54 @@
 
 // answerAdvisorCall answers an advisor call. Each entry has one call in progress at a time.
 func (sim *simulation) answerAdvisorCall(ctl *Controller, call AdvisorCall) {
-	from := sim.advisorBusyUntil[call.Entry]
-	if from.Before(sim.now) {
-		from = sim.now
+	done := func(allowed []workload.Ticket, err error) {
+		if sim.ctl == ctl {
+			ctl.AdvisorCallDone(&call, allowed, 0, err, sim.nowOf(ctl))
+		}
 	}
-	end := from.Add(call.ExpectedDuration)
-	sim.advisorBusyUntil[call.Entry] = end
-	sim.at(end.Add(sim.networkDelay()), func() {
-		if sim.ctl != ctl {
+	switch {
+	case sim.advisorLoses != nil && sim.advisorLoses(call.Entry):
+		sim.after(call.ExpectedDuration+advisorTimeoutSlack, func() { done(nil, structs.NewError(structs.CodeUnknown, "no answer")) })
+		return
+	case sim.advisorRefuses != nil:
+		if err := sim.advisorRefuses(call.Entry); err != nil {
+			sim.after(2*sim.networkDelay(), func() { done(nil, err) })
 			return
 		}
-		var allowed []workload.Ticket
-		for _, id := range call.Workers {
-			if sim.advisorAllows(call.Step, id) {
-				allowed = append(allowed, workload.Ticket{Worker: id, Ticket: fmt.Sprintf("%s@%d", call.Step, end.UnixMilli())})
-			}
+	}
+	there, back := time.Duration(0), time.Duration(0)
+	if sim.advisorWay > 0 {
+		there = sim.advisorWay/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorWay/2)))
+		back = sim.advisorWay/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorWay/2)))
+	}
+	arrive := func() {
+		from := sim.advisorBusyUntil[call.Entry]
+		if from.Before(sim.now) {
+			from = sim.now
 		}
-		ctl.AdvisorCallDone(&call, allowed, 0, nil, sim.nowOf(ctl))
-	})
+		end := from.Add(call.ExpectedDuration)
+		sim.advisorBusyUntil[call.Entry] = end
+		sim.at(end.Add(back+sim.networkDelay()), func() {
+			var allowed []workload.Ticket
+			for _, id := range call.Workers {
+				if sim.advisorAllows(call.Step, id) {
+					allowed = append(allowed, workload.Ticket{Worker: id, Ticket: fmt.Sprintf("%s@%d", call.Step, end.UnixMilli())})
+				}
+			}
+			done(allowed, nil)
+		})
+	}
+	if there == 0 {
+		arrive()
+		return
+	}
+	sim.after(there, arrive)
 }
 
+// advisorTimeoutSlack is the time after which a call to the advisor without an answer fails, beside the time for which
+// the advisor works on it.
+const advisorTimeoutSlack = 1500 * time.Millisecond
+
 // advisorAllows is the policy of the advisor, which does not change.
 func (sim *simulation) advisorAllows(step workload.StepID, worker string) bool {
 	h := fnv(step.String() + "/" + worker)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,7 +78,8 @@
 	TaskStopSent        Type = "task_stop"        // the controller orders a stop: Task, Attempt, Worker
 	TaskStopAnswered    Type = "task_stop_result" // the result of a stop order: Task, Attempt, Worker, Detail (answer)
 	AdviceReceived      Type = "advice_got"       // Task (step), Candidates (asked), Count (allowed), AgeMs, Member (lane)
-	AdviceFailed        Type = "advice_failed"    // the same
+	AdviceFailed        Type = "advice_failed"    // the same, Code (overload: the advisor refused the call since too many of that machine wait)
+	AdviceOverdue       Type = "advice_overdue"   // an answer is late or its entry is gone, and the step is asked about again: the same, without Candidates and Count
 	JobRefused          Type = "job_refused"      // a submission was refused: Job, Class, Code, Count (load), AgeMs
 	ConfigApplied       Type = "config_taken"     // Version, Count (classes), Member (that passed it on, if any), AgeMs (since the former version was known to be the newest), Detail (source)
 	ConfigStale         Type = "config_stale"     // whether the configuration is the newest has not been confirmed lately, or is confirmed again after that: Version, State, AgeMs (since it was confirmed)
@@ -228,7 +229,7 @@
 // are retained.
 func (t Type) isDetail() bool {
 	switch t {
-	case TaskPlaced, TaskEndObserved, TaskAdopted, TaskCrashed, TaskStopSent, TaskStopAnswered, AdviceReceived, StepWaiting:
+	case TaskPlaced, TaskEndObserved, TaskAdopted, TaskCrashed, TaskStopSent, TaskStopAnswered, AdviceReceived, AdviceOverdue, StepWaiting:
 		return true
 	}
 	return false
