--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -161,9 +161,10 @@
 	// passes counts the placement passes, lastPassSteps the steps that waited at the beginning of the latest.
 	passes, lastPassSteps int
 
-	advisorQueue  *advisorqueue.Queue
-	allowedShares map[string]*allowedShare
-	speeds        speedEstimator
+	advisorQueue    *advisorqueue.Queue
+	allowedShares   map[string]*allowedShare
+	stillFreeShares map[string]*allowedShare
+	speeds          speedEstimator
 	// The fields below are valid during one placement pass. room finds the workers with free capacity,
 	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
@@ -212,6 +213,7 @@
 		stepsAwaitingStore: map[*step]struct{}{},
 		advisorQueue:       advisorqueue.New(),
 		allowedShares:      map[string]*allowedShare{},
+		stillFreeShares:    map[string]*allowedShare{},
 		reservations:       map[*worker][]*reservation{},
 
 		releaseSchedules: map[*worker][]expectedRelease{},
