Store: submissions do not wait for the append before, also when the store becomes slow

Cause: no append was sent beside one that took three times as long as the last, which was 4 ms; and at most three were under way, so that a new submission waited for a third of an append's time.

Up to five appends are under way, which is what the store repeats the answers of. While the oldest is late, they are 90 ms apart, and none is added once it has taken three times as long as usual and 400 ms. An append that arrived before its turn is repeated after 25 ms instead of 60 ms. A single fast answer no longer makes a slow store count as fast: the usual time of an append falls by half at most with each answer.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -14,10 +14,12 @@
 	// commitInterval is the minimum time between two appends; the records of that time are
 	// batched into one append.
 	commitInterval = 25 * time.Millisecond
-	// commitRetryPause is the pause before a failed append is retried.
+	// commitRetryPause is the pause before a failed append is retried, commitTurnPause that before one is which
+	// arrived before its turn: the append before it is under way.
 	commitRetryPause = 60 * time.Millisecond
+	commitTurnPause  = 25 * time.Millisecond
 	// storeOutageThreshold is how long an append may be in flight before submissions are
-	// refused. While the store is slow, it is slowStoreFactor times the duration of the last
+	// refused. While the store is slow, it is slowStoreFactor times the usual duration of an
 	// append, up to maxStoreOutageThreshold.
 	storeOutageThreshold    = 700 * time.Millisecond
 	slowStoreFactor         = 2
@@ -41,25 +43,28 @@
 			continue
 		}
 		l.wg.Go(func() { l.appendBatch(b) })
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-time.After(l.appends.batchInterval()):
-		}
 	}
 }
 
 // awaitPipelineSlot waits until another batch may be appended. It returns false if the term
 // ends first.
 func (l *leaderTerm) awaitPipelineSlot() bool {
-	for !l.appends.canAdd(clock.Now()) {
+	for {
+		wait, ok := l.appends.nextAdd(clock.Now())
+		if ok && wait == 0 {
+			return true
+		}
+		var due <-chan time.Time
+		if ok {
+			due = time.After(wait)
+		}
 		select {
 		case <-l.ctx.Done():
 			return false
 		case <-l.appends.changed:
+		case <-due:
 		}
 	}
-	return true
 }
 
 // nextBatch collects the changes that are not in a batch yet and adds them to the pipeline as
@@ -115,9 +120,13 @@
 		if !outcomeUnknown && now.Sub(p.createdAt) >= storeOutageThreshold {
 			l.withdrawSubmissions(p.batch)
 		}
+		pause := commitRetryPause
+		if structs.CodeOf(err) == structs.CodeBehind {
+			pause = commitTurnPause
+		}
 		select {
 		case <-p.ctx.Done():
-		case <-time.After(commitRetryPause):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/cell/pipeline.go
+++ b/internal/cell/pipeline.go
@@ -11,25 +11,35 @@
 const (
 	// maxAppendsInFlight is the maximum number of appends in flight. The store remembers its
 	// answers to the last five appends of a producer, so that an append whose answer was lost
-	// can be retried whatever the outcome of the others.
-	maxAppendsInFlight = 3
-	// stuckAppendFactor: no batch is added while the oldest append has been in flight for
-	// this multiple of lastAppendTime. Submissions in an append without an answer can be
-	// neither accepted nor refused; therefore a store that does not answer gets no more.
-	stuckAppendFactor = 3
+	// can be retried whatever the outcome of the four after it.
+	maxAppendsInFlight = 5
+	// stuckAppendFactor and minStuckAppendTime: no batch is added while the oldest append has been in flight
+	// for this multiple of the usual time, and for minStuckAppendTime. Submissions in an append without an
+	// answer can be neither accepted nor refused; therefore a store that does not answer gets no more.
+	// minStuckAppendTime is a little more than the 368 ms that a slow store takes.
+	stuckAppendFactor  = 3
+	minStuckAppendTime = 400 * time.Millisecond
+	// lateAppendFactor: an append that has been in flight for this multiple of the usual time is late. The
+	// store may have become slow. Until it answers, batches are added lateAppendInterval apart, so that
+	// maxAppendsInFlight of them last for minStuckAppendTime.
+	lateAppendFactor   = 2
+	lateAppendInterval = 90 * time.Millisecond
 )
 
 // appendPipeline is the queue of batches whose appends are in flight, ordered by sequence
 // number. The store appends them in this order only: once a batch is stored, all batches before
-// it are. While the store is fast, appends follow one another; when it is slow, they overlap,
-// so that a record waits for little more than its own append.
+// it are. While the store is fast, appends follow one another; when it is slow or becomes slow, they
+// overlap, so that a record waits for little more than its own append.
 type appendPipeline struct {
 	mu      sync.Mutex
 	pending []*pendingBatch
-	// lastAppendTime is how long the last confirmed append took, zero before the first. Zero
-	// keeps other appends from being sent along with the first one of an epoch, for which the
-	// store accepts any sequence number.
-	lastAppendTime time.Duration
+	// appendTime is how long appends usually take: the last confirmed one, or half of the former value if that
+	// is longer, since the repetition of an append may be answered at once while the store is slow. It is
+	// zero before the first. Zero keeps other appends from being sent along with the first one of an epoch,
+	// for which the store accepts any sequence number.
+	appendTime time.Duration
+	// lastAdded is when the latest batch was added.
+	lastAdded time.Time
 	// changed receives a value when a batch has been confirmed.
 	changed chan struct{}
 }
@@ -50,25 +60,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending = append(p.pending, b)
+	p.lastAdded = b.createdAt
 }
 
-// canAdd reports whether another batch may be appended now.
-func (p *appendPipeline) canAdd(now time.Time) bool {
+// nextAdd returns how long to wait until another batch may be added, zero if it may be added now. It returns false if
+// that takes a confirmation.
+func (p *appendPipeline) nextAdd(now time.Time) (wait time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.pending)
-	if n == 0 {
-		return true
+	interval := commitInterval
+	if n := len(p.pending); n > 0 {
+		age := now.Sub(p.pending[0].createdAt)
+		stuck := max(minStuckAppendTime, stuckAppendFactor*p.appendTime)
+		if n >= maxAppendsInFlight || p.appendTime == 0 || age >= stuck {
+			return 0, false
+		}
+		interval = max(interval, p.appendTime/maxAppendsInFlight)
+		if age >= lateAppendFactor*p.appendTime {
+			interval = max(interval, lateAppendInterval)
+		}
 	}
-	return n < maxAppendsInFlight && now.Sub(p.pending[0].createdAt) < stuckAppendFactor*p.lastAppendTime
-}
-
-// batchInterval returns the pause between two batches. It spreads maxAppendsInFlight batches
-// evenly over the duration of an append.
-func (p *appendPipeline) batchInterval() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(commitInterval, p.lastAppendTime/maxAppendsInFlight)
+	return max(p.lastAdded.Add(interval).Sub(now), 0), true
 }
 
 // confirm records that the batch with a sequence number is stored. It removes that batch and all
@@ -76,7 +88,7 @@
 func (p *appendPipeline) confirm(sequence int64, took time.Duration) []*pendingBatch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastAppendTime = took
+	p.appendTime = max(took, p.appendTime/2)
 	n := 0
 	for n < len(p.pending) && p.pending[n].sequence <= sequence {
 		p.pending[n].cancel()
@@ -100,7 +112,7 @@
 		return 0
 	}
 	age := now.Sub(p.pending[0].createdAt)
-	threshold := min(max(storeOutageThreshold, slowStoreFactor*p.lastAppendTime), maxStoreOutageThreshold)
+	threshold := min(max(storeOutageThreshold, slowStoreFactor*p.appendTime), maxStoreOutageThreshold)
 	if age < threshold {
 		return 0
 	}
