Store: overlapping calls fail over to other members together

A call that waits for its direct answer is now made through others as soon as another call has shown that direct calls fail. A call that began while they failed is not, since it has tried the others already.

--- a/internal/cell/hedge.go
+++ b/internal/cell/hedge.go
@@ -54,7 +54,9 @@
 	relayed func(Member) (T, error),
 ) (T, error) {
 	var relayErr error
+	failed := r.path.failure()
 	if r.directFailing() {
+		failed = nil
 		out, err := callRelays(r, idempotent, relayed)
 		if isFinal(err, idempotent) {
 			return out, err
@@ -73,7 +75,7 @@
 		}
 		return callRelays(r, idempotent, relayed)
 	}
-	out, err := hedge(r, directDone, relayed)
+	out, err := hedge(r, directDone, failed, relayed)
 	return out, combineErrors(err, relayErr)
 }
 
@@ -97,9 +99,9 @@
 }
 
 // hedge waits for a direct call, and makes the call through other members too if the direct one
-// fails or takes longer than hedgeDelay. The first result that is no path failure counts. Both are
+// fails or takes longer than hedgeDelay, or as soon as failed is closed: another call has shown that direct calls fail. The first result that is no path failure counts. Both are
 // awaited, since the outcome is unknown while one of them may still be done.
-func hedge[T any](r *relayLog, directDone <-chan result[T], relayed func(Member) (T, error)) (T, error) {
+func hedge[T any](r *relayLog, directDone <-chan result[T], failed <-chan struct{}, relayed func(Member) (T, error)) (T, error) {
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
 	select {
@@ -109,6 +111,7 @@
 		}
 		out, err := callRelays(r, true, relayed)
 		return out, combineErrors(err, got.err)
+	case <-failed:
 	case <-timer.C:
 	}
 	relayDone := startRelays(r, relayed)
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"dotterelhitch/internal/structs"
@@ -43,6 +45,37 @@
 	}
 }
 
+// TestOverlappingAppendsFailOverTogether has the direct path go silent under several appends: once the first of them was
+// answered through another member, the others are made there at once instead of after a hedgeDelay of their own.
+func TestOverlappingAppendsFailOverTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{Self: Member{Node: "self"}})
+		n.view.recordMember(Member{Node: "relay", Cores: 1, ReachesStore: true}, true, time.Now())
+		const relayTime = 5 * time.Millisecond
+		began := time.Now()
+		var calls sync.WaitGroup
+		for range 4 {
+			calls.Go(func() {
+				_, err := writeStore(t.Context(), n.log, true,
+					func() (struct{}, error) {
+						time.Sleep(cutPathTimeout)
+						return struct{}{}, structs.NewError(structs.CodeUnknown, "no answer")
+					},
+					func(Member) (struct{}, error) {
+						time.Sleep(relayTime)
+						return struct{}{}, nil
+					})
+				if took := time.Since(began); err != nil || took > hedgeDelay+2*relayTime {
+					t.Errorf("answer %v %v after the first call", err, took)
+				}
+			})
+			time.Sleep(lateAppendInterval)
+		}
+		calls.Wait()
+		time.Sleep(cutPathTimeout)
+	})
+}
+
 // TestStrongestRelaysComeFirst checks that among the members that reach the store those with the
 // most processor time are chosen as relays.
 func TestStrongestRelaysComeFirst(t *testing.T) {
--- a/internal/cell/storepath.go
+++ b/internal/cell/storepath.go
@@ -26,11 +26,16 @@
 	failingSince time.Time
 	// recovered is closed when direct calls succeed again, nil while they do.
 	recovered chan struct{}
+	// failed is closed while direct calls fail.
+	failed chan struct{}
 	// probeDue has a value once direct calls begin to fail.
 	probeDue chan struct{}
 }
 
-func (s *pathState) init() { s.probeDue = make(chan struct{}, 1) }
+func (s *pathState) init() {
+	s.probeDue = make(chan struct{}, 1)
+	s.failed = make(chan struct{})
+}
 
 // fail records that direct calls fail. It returns false if they did before.
 func (s *pathState) fail(now time.Time) bool {
@@ -41,6 +46,7 @@
 	}
 	s.failingSince = now
 	s.recovered = make(chan struct{})
+	close(s.failed)
 	select {
 	case s.probeDue <- struct{}{}:
 	default:
@@ -60,6 +66,7 @@
 	s.failingSince = time.Time{}
 	close(s.recovered)
 	s.recovered = nil
+	s.failed = make(chan struct{})
 	return since
 }
 
@@ -70,6 +77,13 @@
 	return s.recovered
 }
 
+// failure returns a channel that is closed once direct calls fail.
+func (s *pathState) failure() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
 // directFailing reports whether direct calls currently fail.
 func (r *relayLog) directFailing() bool { return r.path.recovery() != nil }
 
