Teams: the quota counts jobs cancelled between two takeovers

A job that was accepted under an earlier epoch and cancelled before the takeover was complete had its record deleted as soon as no run of it was known. If another controller followed while a worker was still silent, that one knew neither the team nor the size of what might run there, and started the team's tasks up to the whole quota beside it: 16 of 10 cores in TestQuotaAcrossTakeovers, "the job was cancelled under another controller", which fails without the change.

The records of such jobs stay until every worker is accounted for, as those of jobs that had ended before the takeover do.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -122,7 +122,7 @@
 	orderDelay time.Duration
 	// tokensUsedUp says that a worker has got the last fencing token of the epoch.
 	tokensUsedUp bool
-	// unretiredJobs are jobs that ended under earlier epochs. Their task sizes are needed
+	// unretiredJobs are jobs of earlier epochs that have ended. Their teams and task sizes are needed
 	// until all workers are accounted for.
 	unretiredJobs []*job
 	// inheritedJobs are the jobs that were accepted under earlier epochs, until all workers are accounted for.
--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -329,8 +329,12 @@
 		// during is what the team has running on all workers until the leases there have ended.
 		during int64
 	}{
-		"the job goes on":                 {func(*simulation) {}, 10000},
-		"the job was cancelled":           {func(sim *simulation) { sim.cancel("j1") }, 10000},
+		"the job goes on":       {func(*simulation) {}, 10000},
+		"the job was cancelled": {func(sim *simulation) { sim.cancel("j1") }, 10000},
+		"the job was cancelled under another controller": {func(sim *simulation) {
+			sim.replaceControllers(1, false, 300*time.Millisecond)
+			sim.cancel("j1")
+		}, 10000},
 		"the silent worker left the list": {func(sim *simulation) { sim.workers["i-aa"].listed = false }, 10000},
 		"several takeovers": {func(sim *simulation) {
 			sim.replaceControllers(3, true, 400*time.Millisecond)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -50,7 +50,7 @@
 	s.job().runCount--
 	c.updateStepSets(s)
 	if s.job().ended() && s.job().runCount == 0 {
-		c.dirty.retire(s.job())
+		c.retire(s.job())
 	}
 }
 
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -313,10 +313,20 @@
 	c.ended = append(c.ended, j)
 	c.stopRuns(j, now)
 	if j.runCount == 0 {
-		c.dirty.retire(j)
+		c.retire(j)
 	}
 }
 
+// retire has the record of an ended job deleted. While runs of it that are not known may go on, its team and the size
+// of its tasks are needed.
+func (c *Controller) retire(j *job) {
+	if !c.takeoverComplete && j.runNumberBase > 0 {
+		c.unretiredJobs = append(c.unretiredJobs, j)
+		return
+	}
+	c.dirty.retire(j)
+}
+
 // progress returns the job's progress as it is stored.
 func (j *job) progress(elapsed *elapsedTime) *workload.Progress {
 	p := &workload.Progress{State: j.state, DoneBelow: j.doneBelow}
