--- a/internal/controller/passcost_test.go
+++ b/internal/controller/passcost_test.go
@@ -127,7 +127,7 @@
 // pass of a few milliseconds, urgent work is then decided within 50 ms.
 func TestUrgentWorkIsDecidedSoon(t *testing.T) {
 	sim := newWaitingCell(t)
-	if interval := sim.ctl.placementInterval(); interval > 40*time.Millisecond {
+	if interval := sim.ctl.placementInterval(); interval > 33*time.Millisecond {
 		t.Errorf("%v between two passes", interval)
 	}
 	sim.ctl.readySteps = nil
@@ -136,26 +136,38 @@
 	}
 }
 
-// BenchmarkPlacementPass measures a pass over the load of newWaitingCell, in which nothing fits, with all
-// entries of the advisor busy and with all of them idle.
-func BenchmarkPlacementPass(b *testing.B) {
-	for _, idle := range []bool{false, true} {
-		name := "busy advisor"
-		if idle {
-			name = "idle advisor"
+// makeRoomElsewhere frees a third of each worker, and has the advisor forbid all workers that it was asked about.
+func (sim *simulation) makeRoomElsewhere() {
+	for _, w := range sim.ctl.workers {
+		w.used = w.used.Sub(structs.Resources{CPUMilli: 12000, MemoryMiB: 12000})
+	}
+	for s := range sim.ctl.readySteps {
+		for w, v := range s.advice.verdicts {
+			v.allowed = false
+			s.advice.verdicts[w] = v
 		}
+	}
+}
+
+// BenchmarkPlacementPass measures a pass over the load of newWaitingCell, in which nothing can be started: with all
+// entries of the advisor busy, with all of them idle, and idle with room on all workers but those that are allowed.
+func BenchmarkPlacementPass(b *testing.B) {
+	for _, name := range []string{"busy advisor", "idle advisor", "room elsewhere"} {
 		b.Run(name, func(b *testing.B) {
 			sim := newWaitingCell(b)
 			now := sim.nowOf(sim.ctl)
 			sim.ctl.runPlacementPass(now)
-			if !idle {
+			switch name {
+			case "busy advisor":
 				for _, entry := range sim.ctl.advisorEntries {
 					entry.busy, entry.call = true, &AdvisorCall{}
 				}
+			case "room elsewhere":
+				sim.makeRoomElsewhere()
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if idle {
+				if name != "busy advisor" {
 					sim.ctl.freeAdvisorEntries()
 				}
 				sim.ctl.runPlacementPass(now)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -24,8 +24,8 @@
 	clear(c.releaseSchedules)
 	pool := c.usableWorkers(now)
 	c.room.rebuild(pool)
-	for _, w := range pool {
-		w.lastPass = c.passes
+	for i, w := range pool {
+		w.lastPass, w.order = c.passes, i
 	}
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
 	c.stepBuffer = sortedSteps(c.stepBuffer[:0], c.readySteps, now)
@@ -151,15 +151,15 @@
 // candidate is a worker on which tasks of a step can be started.
 type candidate struct {
 	w      *worker
-	order  int // place in the pool
+	order  int // worker.order, in the same pass
 	fit    int
 	score  float64
 	ticket string
 }
 
 // candidates returns the workers on which tasks of a step fit now, the best first. With
-// ticketed, workers without a valid ticket of the advisor are left out. The result is valid until
-// the next call.
+// ticketed, workers without a valid ticket of the advisor are left out, else only those that it has
+// forbidden. The result is valid until the next call.
 func (c *Controller) candidates(s *step, ticketed bool, now time.Time) []candidate {
 	out := c.unsortedCandidates(s, ticketed, now)
 	slices.SortFunc(out, compareCandidates)
@@ -173,26 +173,45 @@
 	}
 	out := c.candidateBuffer[:0]
 	rooms := c.room.withRoom(s.job().class.Service, s.size)
-	for i := range rooms {
-		room := &rooms[i]
-		w := room.w
-		if !room.fits(s.size) || w.avoided || w.suspectRuns > 0 || !s.matchesWorker(w) {
-			continue
-		}
-		ticket, ok := s.ticket(w, now)
-		if ticketed && !ok {
-			continue
+	if ticketed && s.advice != nil && len(s.advice.verdicts) < verdictsPerRoom*len(rooms) {
+		for w, v := range s.advice.verdicts {
+			if v.allowed && w.lastPass == c.passes && s.size.Fits(w.free()) {
+				out = c.appendCandidate(out, s, w, ticketed, now)
+			}
 		}
-		n := c.fitCount(s, w, now)
-		if n == 0 {
-			continue
+	} else {
+		for i := range rooms {
+			if rooms[i].fits(s.size) {
+				out = c.appendCandidate(out, s, rooms[i].w, ticketed, now)
+			}
 		}
-		out = append(out, candidate{w: w, order: room.order, fit: n, score: c.score(s, w, now), ticket: ticket})
 	}
 	c.candidateBuffer = out
 	return out
 }
 
+// verdictsPerRoom is how many verdicts take about as long to go through as it takes to look up that of one worker.
+const verdictsPerRoom = 2
+
+// appendCandidate appends a worker on which one task of a step fits to out, unless none may be started there now.
+func (c *Controller) appendCandidate(out []candidate, s *step, w *worker, ticketed bool, now time.Time) []candidate {
+	if w.avoided || w.suspectRuns > 0 || !s.matchesWorker(w) {
+		return out
+	}
+	if v, known := s.verdict(w); known && !v.allowed {
+		return out
+	}
+	ticket, ok := s.ticket(w, now)
+	if ticketed && !ok {
+		return out
+	}
+	n := c.fitCount(s, w, now)
+	if n == 0 {
+		return out
+	}
+	return append(out, candidate{w: w, order: w.order, fit: n, score: c.score(s, w, now), ticket: ticket})
+}
+
 // compareCandidates orders candidates by score, equally good ones by their place in the pool.
 func compareCandidates(a, b candidate) int {
 	if n := cmp.Compare(a.score, b.score); n != 0 {
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -160,6 +160,9 @@
 // the times at which it is expected to become free. It returns nil if these workers do not hold the
 // gang even when empty. The result is valid until the next call.
 func (c *Controller) futureSlots(s *step, pool []*worker, now time.Time) []futureSlot {
+	if s.job().class.Advisor != nil && (s.advice == nil || c.allowedSlots(s) < float64(len(s.tasks))) {
+		return nil
+	}
 	usable := c.workerBuffer[:0]
 	total := 0
 	for _, w := range pool {
--- a/internal/controller/room.go
+++ b/internal/controller/room.go
@@ -17,8 +17,6 @@
 // workerRoom is the free capacity of one worker, as it was when it was last looked at.
 type workerRoom struct {
 	w *worker
-	// order is the worker's place in the pool, by which equally good workers are ordered.
-	order int
 	// cpuMilli is the free processor time at the beginning of the pass, by which workers are sorted.
 	cpuMilli int64
 	free     structs.Resources
@@ -33,18 +31,16 @@
 		clear(rooms)
 		x.byService[service] = rooms[:0]
 	}
-	for i, w := range pool {
+	for _, w := range pool {
 		free := w.free()
-		x.byService[w.info.Service] = append(x.byService[w.info.Service], workerRoom{w: w, order: i, cpuMilli: free.CPUMilli, free: free})
+		x.byService[w.info.Service] = append(x.byService[w.info.Service], workerRoom{w: w, cpuMilli: free.CPUMilli, free: free})
 	}
 	for service, rooms := range x.byService {
 		if len(rooms) == 0 {
 			delete(x.byService, service)
 			continue
 		}
-		slices.SortFunc(rooms, func(a, b workerRoom) int {
-			return cmp.Or(cmp.Compare(b.cpuMilli, a.cpuMilli), cmp.Compare(a.order, b.order))
-		})
+		slices.SortFunc(rooms, func(a, b workerRoom) int { return cmp.Compare(b.cpuMilli, a.cpuMilli) })
 	}
 }
 
--- a/internal/controller/room_test.go
+++ b/internal/controller/room_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -49,3 +50,49 @@
 		}
 	}
 }
+
+// TestCandidatesAreThoseOfAScan compares the candidates of each waiting step, with few and with many verdicts, with a
+// scan of all workers. A step with a ticket for a worker with room would otherwise wait.
+func TestCandidatesAreThoseOfAScan(t *testing.T) {
+	sim := newWaitingCell(t)
+	c, now := sim.ctl, sim.nowOf(sim.ctl)
+	rng := rand.New(rand.NewPCG(3, 4))
+	for _, id := range sim.workerIDs() {
+		w := c.workers[id]
+		w.used = structs.Resources{CPUMilli: rng.Int64N(32000), MemoryMiB: rng.Int64N(64000)}
+		w.suspectRuns = rng.IntN(8) / 7
+	}
+	pool := c.usableWorkers(now)
+	c.passes++
+	for i, w := range pool {
+		w.lastPass, w.order = c.passes, i
+		w.avoided = rng.IntN(8) == 0
+	}
+	c.room.rebuild(pool)
+	found := 0
+	for s := range c.readySteps {
+		s.advice.verdicts = map[*worker]verdict{}
+		for i, share := 0, rng.IntN(100); i < len(pool); i++ {
+			if w := pool[i]; rng.IntN(100) < share {
+				s.advice.verdicts[w] = verdict{boot: w.boot - int64(rng.IntN(8)/7), allowed: rng.IntN(2) == 0, ticket: "t", expiresAt: now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)}
+			}
+		}
+		var want, got []string
+		for _, w := range pool {
+			if _, ok := s.ticket(w, now); ok && !w.avoided && w.suspectRuns == 0 && s.matchesWorker(w) && c.fitCount(s, w, now) > 0 {
+				want = append(want, w.info.ID)
+			}
+		}
+		for _, cand := range c.candidates(s, true, now) {
+			got = append(got, cand.w.info.ID)
+		}
+		found += len(want)
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Fatalf("%v: candidates %v, want %v", s.id(), got, want)
+		}
+	}
+	if found == 0 {
+		t.Error("no step has a candidate")
+	}
+}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -92,8 +92,9 @@
 	health healthRecord
 	// avoided says that the current placement pass starts nothing on the worker.
 	avoided bool
-	// lastPass is the latest placement pass that might start runs on the worker.
-	lastPass int
+	// lastPass is the latest placement pass that might start runs on the worker, order the worker's place among
+	// those of that pass, by which equally good workers are ordered.
+	lastPass, order int
 	// suspectRuns counts the runs of suspects of which the worker has not outlived the start.
 	// Nothing else is started on it meanwhile.
 	suspectRuns int
