Stand-in store: a package of its own, for more than the soak

The simulated log store was a test file of platform/soak, so no other test could start the system's own processes with it. Cause: it was written for one test. It is internal/standin/platformstore now; names are exported, and the unreadable record of TestSoakOddRecords is written by WriteRaw. Nothing that it does, and no check of the soak, has changed.

--- a/platform/soak/store_test.go
+++ b/internal/standin/platformstore/store.go
@@ -1,4 +1,6 @@
-package soak
+// Package platformstore simulates the platform's log store for tests that start the system's own
+// processes: appends under conditions and fences, reads and the newest records by key, with faults.
+package platformstore
 
 import (
 	"encoding/base64"
@@ -14,17 +16,18 @@
 	"time"
 )
 
-// storeFault is a fault of the simulated store.
-type storeFault string
+// Fault is a fault of the simulated store.
+type Fault string
 
+// The faults.
 const (
-	noFault           storeFault = ""
-	unavailable       storeFault = "busy"   // answers with 503
-	resetsConnections storeFault = "reset"  // resets the connection
-	unresponsive      storeFault = "silent" // does not answer
-	slowResponses     storeFault = "slow"   // answers after slowResponseTime
-	losesAnswers      storeFault = "lossy"  // does appends, loses a third of their answers
-	delaysAppends     storeFault = "late"   // does a third of the appends after appendDelay, without an answer
+	NoFault           Fault = ""
+	Unavailable       Fault = "busy"   // answers with 503
+	ResetsConnections Fault = "reset"  // resets the connection
+	Unresponsive      Fault = "silent" // does not answer
+	SlowResponses     Fault = "slow"   // answers after slowResponseTime
+	LosesAnswers      Fault = "lossy"  // does appends, loses a third of their answers
+	DelaysAppends     Fault = "late"   // does a third of the appends after appendDelay, without an answer
 )
 
 const (
@@ -37,12 +40,12 @@
 	newestPage = 500
 )
 
-// store simulates the platform's log store with one partition for each topic.
-type store struct {
+// Store simulates the platform's log store with one partition for each topic.
+type Store struct {
 	mu       sync.Mutex
 	topics   map[string]*topic
 	appended chan struct{} // closed at the next append
-	fault    storeFault
+	fault    Fault
 }
 
 type topic struct {
@@ -71,13 +74,14 @@
 	status   int
 }
 
-func newStore() *store {
-	return &store{topics: map[string]*topic{}, appended: make(chan struct{})}
+// New returns an empty store.
+func New() *Store {
+	return &Store{topics: map[string]*topic{}, appended: make(chan struct{})}
 }
 
 func (t *topic) end() int64 { return t.firstOffset + int64(len(t.records)) }
 
-func (s *store) topic(name string) *topic {
+func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
 		t = &topic{newest: map[string]keyedRecord{}, producers: map[string]*producer{}}
@@ -86,15 +90,16 @@
 	return t
 }
 
-func (s *store) setFault(fault storeFault) {
+// SetFault sets the fault of the store.
+func (s *Store) SetFault(fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
 }
 
-// dropHistory drops all records from the history of each topic but keeps the newest record of each
+// DropHistory drops all records from the history of each topic but keeps the newest record of each
 // key.
-func (s *store) dropHistory() {
+func (s *Store) DropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.topics {
@@ -103,16 +108,16 @@
 	}
 }
 
-// writeRecord appends a record on behalf of the platform, whatever the store's fault. A record
+// WriteRecord appends a record on behalf of the platform, whatever the store's fault. A record
 // without a value removes its key.
-func (s *store) writeRecord(name, key string, value []byte) {
+func (s *Store) WriteRecord(name, key string, value []byte) {
 	record := append([]byte{byte(len(key))}, key...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appendRecords(s.topic(name), [][]byte{append(record, value...)})
 }
 
-func (s *store) appendRecords(t *topic, records [][]byte) {
+func (s *Store) appendRecords(t *topic, records [][]byte) {
 	for _, r := range records {
 		key := string(r[1 : 1+int(r[0])])
 		value := r[1+len(key):]
@@ -126,20 +131,31 @@
 	s.appended = make(chan struct{})
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// WriteRaw appends an encoded record, which need not be readable.
+func (s *Store) WriteRaw(name string, record []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, record)
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
 	switch fault {
-	case unavailable:
+	case Unavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case resetsConnections:
+	case ResetsConnections:
 		panic(http.ErrAbortHandler)
-	case unresponsive:
+	case Unresponsive:
 		<-r.Context().Done()
 		return
-	case slowResponses:
+	case SlowResponses:
 		time.Sleep(slowResponseTime)
 	}
 	switch r.URL.Path {
@@ -154,13 +170,13 @@
 	}
 }
 
-func (s *store) serveAppend(w http.ResponseWriter, r *http.Request, fault storeFault) {
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, fault Fault) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	lost := (fault == losesAnswers || fault == delaysAppends) && rand.IntN(3) == 0
-	if lost && fault == delaysAppends {
+	lost := (fault == LosesAnswers || fault == DelaysAppends) && rand.IntN(3) == 0
+	if lost && fault == DelaysAppends {
 		time.AfterFunc(appendDelay, func() { s.append(r, body) })
 		panic(http.ErrAbortHandler)
 	}
@@ -172,7 +188,7 @@
 }
 
 // append performs an append.
-func (s *store) append(r *http.Request, body []byte) appendResponse {
+func (s *Store) append(r *http.Request, body []byte) appendResponse {
 	q := r.URL.Query()
 	records := decodeRecords(body)
 	s.mu.Lock()
@@ -222,7 +238,7 @@
 	return out, false
 }
 
-func (s *store) serveRead(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from := parseInt(q.Get("from"))
 	wait := time.After(time.Duration(parseInt(q.Get("wait_ms"))) * time.Millisecond)
@@ -259,7 +275,7 @@
 	}
 }
 
-func (s *store) serveNewest(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
