Hostile clients: bounds on memory of requests, connections, headers and time

What callers saw: a process ran out of memory among clients that send large bodies, whole, in pieces or in chunks, and stop short of their end, or headers that do not end; with 400 such clients it took up 165 to 5,027 MB where its settings allow 96.

Cause: bodies were read whole with no bound on what they hold together and no time limit, headers had the library's limit of 1 MB, connections had none. Complete bodies of many steps were worst: all were decoded at once, and a step of three bytes takes up about 200 when it is decoded.

Change: internal/intake accounts for connections and for the memory of requests, and decides who is refused or ended (pure); internal/httpintake applies it to the listener and the handler of an interface; platform/intake.go derives the limits for all four interfaces from memory_mb, file_descriptors and the configuration's limits. What arrives counts as it arrives, chunk framing and header lines included. A request that stands still makes room for those that go on; a refusal is a 503 with Retry-After 1 and a closed connection, and what was passed on is not cut off. Steps beyond 256 are not decoded.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -38,8 +38,10 @@
 	Self Member
 	// Listener accepts the connections of other members.
 	Listener net.Listener
-	Log      Log
-	Workers  Workers
+	// ProtectServer, if not nil, sets up the limits of the server of the interface between members.
+	ProtectServer func(*http.Server)
+	Log           Log
+	Workers       Workers
 	// Advisor is nil if the platform has no placement advisor.
 	Advisor  Advisor
 	Topics   PlatformTopics
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -27,7 +27,11 @@
 		connect.WithReadMaxBytes(peer.MaxMessageBytes),
 		connect.WithCompressMinBytes(peer.CompressMinBytes),
 	))
-	return peer.NewHTTP2Server(n.opts.Clock.Middleware(mux))
+	server := peer.NewHTTP2Server(n.opts.Clock.Middleware(mux))
+	if n.opts.ProtectServer != nil {
+		n.opts.ProtectServer(server)
+	}
+	return server
 }
 
 // Hello answers a heartbeat or a probe of another member.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -94,6 +94,7 @@
 	SettingsReloaded    Type = "settings_taken"   // the settings were read again
 	SettingsRejected    Type = "settings_refused" // Detail: what is wrong with them
 	RequestRefused      Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since the controller's last message), Version (configuration), ConfigAgeMs, Count (ms the entry held the request), Detail
+	ClientsRefused      Type = "clients_refused"  // clients were refused or cut off for the limits of a process since the last such line: Count, Bytes (memory taken up by requests), Detail (how many, by interface and reason)
 	TaskEndObserved     Type = "task_noted"       // the controller observed a run's end: Task, Attempt, Worker, State
 	LinesDropped        Type = "lines_dropped"    // lines dropped because the output was blocked or the rate limit was exceeded: Count
 	FaultInjected       Type = "fault"            // a test injected a fault: Detail
