Learned run times in the controller, with a switch and metrics

What callers saw: tasks were moved off workers that are as fast as any, and room for gangs was reckoned from stated run times that are off by a factor of two or three.

Cause: the controller took stated run times for true. The speed of a worker was what its runs' stated times were wrong by, relative to a mean over the last five samples of all workers. In addition, nothing ever set run.resumed, so that runs resumed from a checkpoint counted as if they had done all their work since their start, as did adopted ones.

Change: the controller learns from certain and undisturbed ends (internal/runtimes). Expected ends use the median, backfill the 90th percentile, stragglers and stalled runs the median. Speeds of workers compare a run with what its siblings and its class lead to expect, and are relative to the median worker. Runs are marked as resumed. A new controller learns anew.

Tests: the simulations of internal/controller and the test cells run with learning on, as the product does.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -153,6 +153,8 @@
 		Election: election.Timing{LeaderTimeout: time.Second, IsolatedTimeout: 4 * time.Second, ClaimDelay: c.claimDelay},
 		Events:   event.NewRecorder(name, clock, nil),
 		Clock:    clock,
+
+		LearnRunTimes: true,
 	})
 	n.speed.sample = n.speedSample
 	ahead := c.clockAhead
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -45,7 +45,9 @@
 	Topics   PlatformTopics
 	Timing   controller.Timing
 	Election election.Timing
-	Events   *event.Recorder
+	// LearnRunTimes has the controller learn run times from finished runs instead of using the stated ones alone.
+	LearnRunTimes bool
+	Events        *event.Recorder
 	// Clock timestamps the events so that those of all members can be ordered. Calls between
 	// members synchronize it.
 	Clock   *event.Clock
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -14,6 +14,7 @@
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/jobstore"
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -57,6 +58,8 @@
 	commitSignal chan struct{}
 	// waitingJobs counts the jobs of which no task has started, nil until they are counted.
 	waitingJobs atomic.Pointer[cellv1.WaitingJobs]
+	// runTimes is what was learned of run times, by class; nil until it is published.
+	runTimes atomic.Pointer[map[string]runtimes.Summary]
 
 	// The fields below are used by the control goroutine only.
 	acceptWaiters  map[string][]chan error // by job ID: calls that wait until its acceptance is stored
@@ -76,6 +79,7 @@
 	timeOfDayAhead  time.Duration
 	awaitsTimeOfDay bool
 	timeOfDayDueAt  time.Time // when the clocks are compared next
+	runTimesDueAt   time.Time // when runTimes is published next
 }
 
 // predecessor is the previous controller, whose leader lease may not have expired yet.
@@ -110,6 +114,9 @@
 		wrongClocks:    map[string]bool{},
 		predecessor:    predecessorOf(v.Newest),
 	}
+	if n.opts.LearnRunTimes {
+		l.ctl.LearnRunTimes()
+	}
 	l.agents = newAgentPool(l)
 	l.ctx, l.cancelCtx = context.WithCancel(n.ctx)
 	l.confirmedAt.Store(sent.UnixNano())
@@ -278,6 +285,7 @@
 		}
 	}
 	l.publishWaitingJobs()
+	l.publishRunTimes(now)
 }
 
 // maxPassTime is the longest time for which a pass of the controller may take before its orders count as decided at
--- a/internal/command/entry/platform.go
+++ b/internal/command/entry/platform.go
@@ -12,7 +12,8 @@
 
 // newPlatform returns the command that runs an entry on the users' platform.
 func newPlatform() *cobra.Command {
-	return &cobra.Command{
+	var opts platform.Options
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run an entry on the users' platform, with the settings that it hands out",
 		Long: `Runs one member of a cell whose store, workers and settings are those of the users'
@@ -23,7 +24,10 @@
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
 			defer signal.Stop(reload)
-			return platform.Main(cmd.Context(), cmd.OutOrStdout(), reload)
+			return platform.Main(cmd.Context(), cmd.OutOrStdout(), reload, opts)
 		},
 	}
+	cmd.Flags().BoolVar(&opts.LearnRunTimes, "learn-run-times", true,
+		"expect run times by those of finished runs instead of the stated ones alone; has to be the same for all members")
+	return cmd
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,6 +5,7 @@
 
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/leaderlease"
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -156,6 +157,8 @@
 	advisorEntries map[string]*advisorEntry
 	allowedShares  map[string]*allowedShare
 	speeds         speedEstimator
+	// runTimes is what was learned of run times, nil if the stated ones are used.
+	runTimes *runtimes.Estimator
 	// The fields below are valid during one placement pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
 	reservedAhead    structs.Resources
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -179,6 +179,9 @@
 	}
 	delete(f.runs, id)
 	f.highestEndedRun[id] = max(f.highestEndedRun[id], r.id.Number)
+	if reason == workload.EndStopped && !r.waitsForGang {
+		f.sim.stoppedWork += f.sim.now.Sub(r.startedAt).Seconds() * float64(r.step.Size.CPUMilli) / 1000
+	}
 	f.seq++
 	f.ends = append(f.ends, workload.EndedTask{Seq: f.seq, Run: r.id, Reason: reason})
 	if r.step.Gang {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -98,6 +99,12 @@
 	// lastVictimSearch when such runs were last searched for.
 	lastPreemption   time.Time
 	lastVictimSearch time.Time
+	// runTimes predicts the run times of the tasks, nil if the stated ones are used. expected is its latest prediction, which is
+	// due again at expectedDue; expectedVersion counts the predictions.
+	runTimes        *runtimes.Step
+	expected        runtimes.Expectation
+	expectedDue     time.Time
+	expectedVersion int
 }
 
 // gang is the state of a step whose tasks must all run at the same time.
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -321,6 +321,7 @@
 		confirmedAt:  now,
 		// The earlier controller may have sent other copies of its start.
 		copyMayArrive: true,
+		resumed:       true,
 	}
 	c.addRun(r)
 	c.markStarted(t.step.job(), now)
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 )
 
@@ -36,7 +37,7 @@
 	if len(reservations) == 0 {
 		return free
 	}
-	end := now.Add(c.expectedRunTime(s, w))
+	end := now.Add(c.expectedRunTime(s, w, now).P90)
 	for _, reserved := range reservations {
 		if reserved.step == s || s.job().class.Priority < reserved.step.job().class.Priority || !end.After(reserved.startAt) {
 			continue
@@ -68,8 +69,8 @@
 }
 
 // expectedRunTime returns the expected run time of a task of a step on a worker.
-func (c *Controller) expectedRunTime(s *step, w *worker) time.Duration {
-	return time.Duration(float64(s.def.Estimate()) / c.speeds.relativeSpeed(w))
+func (c *Controller) expectedRunTime(s *step, w *worker, now time.Time) runtimes.Expectation {
+	return c.expectation(s, now).AtSpeed(c.speeds.relativeSpeed(w))
 }
 
 // reserve reserves capacity for a gang that does not fit yet on the workers where it is
@@ -199,8 +200,14 @@
 	if startedAt.IsZero() {
 		startedAt = now
 	}
-	end := startedAt.Add(c.expectedRunTime(r.task.step, r.worker))
-	if r.percent >= minPercentForEstimate && !r.resumed && r.percentAt.After(startedAt) {
+	expected := c.expectedRunTime(r.task.step, r.worker, now)
+	end := startedAt.Add(expected.After(now.Sub(startedAt)).Median)
+	switch {
+	case r.percent < minPercentForEstimate || !r.percentAt.After(startedAt):
+	case r.resumed:
+		// Its progress includes that of earlier runs.
+		end = r.percentAt.Add(expected.Median * time.Duration(100-r.percent) / 100)
+	default:
 		end = startedAt.Add(r.percentAt.Sub(startedAt) * 100 / time.Duration(r.percent))
 	}
 	if extended := now.Add(overdueExtension); end.Before(now) {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -522,6 +522,7 @@
 	if t.step.gang != nil {
 		checkpoint = t.step.gang.attemptCheckpoint
 	}
+	r.resumed = checkpoint != ""
 	c.orders.Starts = append(c.orders.Starts, Start{
 		Worker:          r.worker.info.ID,
 		Addr:            r.worker.info.Addr,
--- a/internal/controller/straggle.go
+++ b/internal/controller/straggle.go
@@ -22,7 +22,7 @@
 	// straggleFactor, and by straggleSlack in addition.
 	straggleFactor = 1.6
 	straggleSlack  = 500 * time.Millisecond
-	// slowWorkerSpeed is the speed relative to the mean up to which a worker counts as slow.
+	// slowWorkerSpeed is the speed relative to the median up to which a worker counts as slow.
 	// A slow run on a faster worker is not moved, since its estimate is more likely wrong.
 	slowWorkerSpeed = 0.55
 	// expectedPlacementTime is the time that starting a task on another worker takes.
@@ -40,8 +40,8 @@
 	if r.percentAt.IsZero() || r.percent <= 0 || percent <= r.percent || elapsed < minSpeedSampleTime {
 		return
 	}
-	done := time.Duration(percent-r.percent) * r.task.step.def.Estimate() / 100
-	c.speeds.add(r.worker, done, elapsed)
+	done := time.Duration(percent-r.percent) * c.runTimeForSpeed(r, now) / 100
+	c.speeds.add(r.worker, c.workers, done, elapsed)
 }
 
 // isStalled reports whether a run has made no progress for longer than is normal for its run
@@ -53,7 +53,7 @@
 	if g := r.task.step.gang; g != nil && !g.allRunning {
 		return false
 	}
-	limit := max(minStallTime, time.Duration(stallTimeShare*float64(c.expectedRunTime(r.task.step, r.worker))))
+	limit := max(minStallTime, time.Duration(stallTimeShare*float64(c.expectedRunTime(r.task.step, r.worker, now).Median)))
 	return r.percentAt.Sub(r.progressedAt) > limit
 }
 
@@ -92,7 +92,7 @@
 	if r.state != runRunning || r.stopping || r.confirmedAt.IsZero() || s.def.LongRunning || s.def.EstimateMs == 0 {
 		return false
 	}
-	remaining, rerunTime := expectedStallTime, s.def.Estimate()
+	remaining, rerunTime := expectedStallTime, c.expectation(s, now).Median
 	if !c.isStalled(r, now) {
 		speed := c.speeds.relativeSpeed(r.worker)
 		if r.percent < minPercentForEstimate || speed > slowWorkerSpeed {
@@ -100,7 +100,9 @@
 		}
 		end := c.expectedEnd(r, now)
 		remaining = end.Sub(now)
-		rerunTime = time.Duration(speed * float64(end.Sub(r.confirmedAt)))
+		if !r.resumed {
+			rerunTime = time.Duration(speed * float64(end.Sub(r.confirmedAt)))
+		}
 	}
 	if s.def.SavesCheckpoints && t.checkpoint != "" {
 		rerunTime = rerunTime*time.Duration(100-r.percent)/100 + c.timing.RestoreTime
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -169,7 +170,10 @@
 	percent      int
 	percentAt    time.Time
 	progressedAt time.Time // when percent last rose
-	resumed      bool
+	resumed      bool      // the progress may include work that was done before confirmedAt
+	// counted is how the run counts in the expected run time of its step with the version countedIn.
+	counted   runtimes.Running
+	countedIn int
 }
 
 // onlyOnKnownBoot reports whether no later boot of the worker can have the run: the known boot lists it, and no
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -73,7 +73,13 @@
 	crashesUnder       map[workload.TaskID]int
 	startsAfterCrashes map[workload.TaskID]int
 	drawResult         func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason)
-	record             func(event.Event)
+	// observe is called with each event if it is not nil. stoppedWork is the work of the runs that were stopped, in
+	// core-seconds.
+	observe     func(event.Event)
+	stoppedWork float64
+	// statedRunTimes has controllers use the stated run times only.
+	statedRunTimes bool
+	record         func(event.Event)
 }
 
 // simulationStart is the start of the virtual time.
@@ -158,6 +164,9 @@
 		if e.Type == event.TaskPlaced {
 			sim.startsSent++
 		}
+		if sim.observe != nil {
+			sim.observe(e)
+		}
 		trace(e)
 	}
 	return sim
@@ -268,6 +277,9 @@
 		}
 		return 1
 	})
+	if !sim.statedRunTimes {
+		ctl.LearnRunTimes()
+	}
 	sim.clocks[ctl] = sim.clockAhead
 	now := sim.nowOf(ctl)
 	ctl.SetConfig(sim.config, now)
