--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/fairshare"
 	"dotterelhitch/internal/leaderlease"
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -165,6 +166,8 @@
 	allowedShares   map[string]*allowedShare
 	stillFreeShares map[string]*allowedShare
 	speeds          speedEstimator
+	// runTimes is what was learned of run times, nil if the stated ones are used.
+	runTimes *runtimes.Estimator
 	// The fields below are valid during one placement pass. room finds the workers with free capacity,
 	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -79,7 +79,13 @@
 	crashesUnder       map[workload.TaskID]int
 	startsAfterCrashes map[workload.TaskID]int
 	drawResult         func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason)
-	record             func(event.Event)
+	// observe is called with each event if it is not nil. stoppedWork is the work of the runs that were stopped, in
+	// core-seconds.
+	observe     func(event.Event)
+	stoppedWork float64
+	// statedRunTimes has controllers use the stated run times only.
+	statedRunTimes bool
+	record         func(event.Event)
 	// quotaWhenPlaced is the quota of a run's team when the run was placed. toleratesOverrun says that a team may
 	// exceed its quota by what a controller can't know. quotaChecks counts the starts that were checked.
 	quotaWhenPlaced  map[string]structs.Resources
@@ -171,6 +177,9 @@
 			sim.startsSent++
 			sim.noteQuota(e)
 		}
+		if sim.observe != nil {
+			sim.observe(e)
+		}
 		trace(e)
 	}
 	return sim
@@ -281,6 +290,9 @@
 		}
 		return 1
 	})
+	if !sim.statedRunTimes {
+		ctl.LearnRunTimes()
+	}
 	sim.clocks[ctl] = sim.clockAhead
 	now := sim.nowOf(ctl)
 	ctl.SetConfig(sim.config, now)
