Expected ends of runs with earlier progress, and figures of learned run times

What callers saw: room that a resumed or adopted run holds was reckoned to be free far too soon. A run that was resumed half done was expected to end as soon as it had started.

Cause: the progress of such a run includes work from before its known start. It was extrapolated as if all of it had been done since.

Change: what is left of it is the rest of the expected run time, from its latest progress on. Expected run times are bounded, so that absurd stated ones do not overflow.

Result: TestEndOfRunsWithEarlierProgress fails without the change (500 ms in place of 5 s) and passes with it.

--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -203,11 +203,11 @@
 	expected := c.expectedRunTime(r.task.step, r.worker, now)
 	end := startedAt.Add(expected.After(now.Sub(startedAt)).Median)
 	switch {
-	case r.percent < minPercentForEstimate || !r.percentAt.After(startedAt):
+	case r.percent < minPercentForEstimate:
 	case r.resumed:
 		// Its progress includes that of earlier runs.
 		end = r.percentAt.Add(expected.Median * time.Duration(100-r.percent) / 100)
-	default:
+	case r.percentAt.After(startedAt):
 		end = startedAt.Add(r.percentAt.Sub(startedAt) * 100 / time.Duration(r.percent))
 	}
 	if extended := now.Add(overdueExtension); end.Before(now) {
--- a/internal/controller/runtimes_test.go
+++ b/internal/controller/runtimes_test.go
@@ -126,6 +126,38 @@
 	}
 }
 
+// TestEndOfRunsWithEarlierProgress guards against ends that are expected far too soon: the progress of a run that was resumed from a
+// checkpoint, or adopted from an earlier controller, was taken for the work of the time since its start was known.
+func TestEndOfRunsWithEarlierProgress(t *testing.T) {
+	for _, adopted := range []bool{false, true} {
+		sim := newSimulationWithController(t, 1, 4000)
+		sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+			return 10 * time.Second, workload.EndDone
+		}
+		sim.submit(simpleJob("j1", "batch", 1, 1000, func(s *workload.Step) { s.SavesCheckpoints = true; s.EstimateMs = 10000 }))
+		if !adopted {
+			sim.ctl.jobs["j1"].open[0].steps[0].tasks[0].checkpoint = "half"
+		}
+		sim.advance(5 * time.Second)
+		if adopted {
+			sim.startController(true)
+			sim.advance(time.Second)
+		}
+		runs := sim.ctl.jobs["j1"].open[0].steps[0].tasks[0].runs
+		if len(runs) != 1 {
+			t.Fatalf("adopted %v: %d runs, want 1", adopted, len(runs))
+		}
+		r := runs[0]
+		if !adopted {
+			r.percent, r.percentAt = 50, r.confirmedAt.Add(500*time.Millisecond)
+		}
+		want := time.Duration(100-r.percent) * 100 * time.Millisecond
+		if got := sim.ctl.expectedEnd(r, r.percentAt).Sub(r.percentAt); got < want*9/10 || got > want*11/10 {
+			t.Errorf("adopted %v: expected to take %v more at %d%%, want %v", adopted, got, r.percent, want)
+		}
+	}
+}
+
 // TestWrongEstimatesMakeNoWorkerSlow guards against moves of tasks off workers that are as fast as the others, because their
 // tasks take longer than stated.
 func TestWrongEstimatesMakeNoWorkerSlow(t *testing.T) {
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -61,7 +61,7 @@
 	memory = 150.0
 	// maxDistributions bounds the memory to about 0.25 MB. The least recently used one is dropped.
 	maxDistributions = 512
-	// maxWidthSpreads bounds the number of classes with a spread within steps.
+	// maxClassSpreads bounds the number of classes with a spread within steps.
 	maxClassSpreads = 128
 )
 
@@ -219,10 +219,15 @@
 	return Expectation{Median: scale(stated, p.quantile(0.5)), P90: scale(stated, p.quantile(0.9)), Samples: d.runs}
 }
 
+// maxRunTime bounds expected run times, about 9 years, so that sums with them do not overflow.
+const maxRunTime = time.Duration(1) << 58
+
 func scale(d time.Duration, logRatio float64) time.Duration {
-	return time.Duration(float64(d) * math.Exp(logRatio))
+	return bounded(float64(d) * math.Exp(logRatio))
 }
 
+func bounded(d float64) time.Duration { return time.Duration(min(d, float64(maxRunTime))) }
+
 // Summary says what was learned of a class: the ratios of actual to stated run time.
 type Summary struct {
 	Class       string
--- a/internal/runtimes/step.go
+++ b/internal/runtimes/step.go
@@ -248,7 +248,7 @@
 
 // AtSpeed returns the expected run time on a worker of a speed, 1 for an average one.
 func (x Expectation) AtSpeed(speed float64) Expectation {
-	x.Median = time.Duration(float64(x.Median) / speed)
-	x.P90 = time.Duration(float64(x.P90) / speed)
+	x.Median = bounded(float64(x.Median) / speed)
+	x.P90 = bounded(float64(x.P90) / speed)
 	return x
 }
