--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -173,6 +173,7 @@
 	candidateBuffer  candidateHeap
 	workerBuffer     []*worker
 	slotBuffer       []futureSlot
+	passAt           time.Time
 	reservedAhead    structs.Resources
 	poolCapacity     structs.Resources
 	reservations     map[*worker][]*reservation
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -20,6 +20,7 @@
 	if !c.HasLeaderLease(now) || len(c.readySteps)+len(c.stepsAwaitingStore) == 0 {
 		return
 	}
+	c.passAt = now
 	clear(c.reservations)
 	clear(c.releaseSchedules)
 	clear(c.quotaHolds)
