--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -38,14 +38,18 @@
 	Self Member
 	// Listener accepts the connections of other members.
 	Listener net.Listener
-	Log      Log
-	Workers  Workers
+	// ProtectServer, if not nil, sets up the limits of the server of the interface between members.
+	ProtectServer func(*http.Server)
+	Log           Log
+	Workers       Workers
 	// Advisor is nil if the platform has no placement advisor.
 	Advisor  Advisor
 	Topics   PlatformTopics
 	Timing   controller.Timing
 	Election election.Timing
-	Events   *event.Recorder
+	// LearnRunTimes has the controller learn run times from finished runs instead of using the stated ones alone.
+	LearnRunTimes bool
+	Events        *event.Recorder
 	// Clock timestamps the events so that those of all members can be ordered. Calls between
 	// members synchronize it.
 	Clock   *event.Clock
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -14,6 +14,7 @@
 	"dotterelhitch/internal/election"
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/jobstore"
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/stream"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
@@ -59,6 +60,8 @@
 	waitingJobs atomic.Pointer[cellv1.WaitingJobs]
 	// advisorCalls is the number of calls to the advisor in flight, advisorLimit the largest number that may be.
 	advisorCalls, advisorLimit atomic.Int64
+	// runTimes is what was learned of run times, by class; nil until it is published.
+	runTimes atomic.Pointer[map[string]runtimes.Summary]
 
 	// The fields below are used by the control goroutine only.
 	acceptWaiters  map[string][]chan error // by job ID: calls that wait until its acceptance is stored
@@ -79,6 +82,7 @@
 	awaitsTimeOfDay bool
 	timeOfDayDueAt  time.Time // when the clocks are compared next
 	passes          int       // the placement passes that ctl has made
+	runTimesDueAt   time.Time // when runTimes is published next
 }
 
 // predecessor is the previous controller, whose leader lease may not have expired yet.
@@ -113,6 +117,9 @@
 		wrongClocks:    map[string]bool{},
 		predecessor:    predecessorOf(v.Newest),
 	}
+	if n.opts.LearnRunTimes {
+		l.ctl.LearnRunTimes()
+	}
 	l.agents = newAgentPool(l)
 	l.ctx, l.cancelCtx = context.WithCancel(n.ctx)
 	l.confirmedAt.Store(sent.UnixNano())
@@ -285,6 +292,7 @@
 	inFlight, limit := l.ctl.AdvisorCalls()
 	l.advisorCalls.Store(int64(inFlight))
 	l.advisorLimit.Store(int64(limit))
+	l.publishRunTimes(now)
 }
 
 // observePass records the cost of a call of NextOrders that took some time, if it made a placement pass.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/fairshare"
 	"dotterelhitch/internal/leaderlease"
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -125,7 +126,7 @@
 	orderDelay time.Duration
 	// tokensUsedUp says that a worker has got the last fencing token of the epoch.
 	tokensUsedUp bool
-	// unretiredJobs are jobs that ended under earlier epochs. Their task sizes are needed
+	// unretiredJobs are jobs of earlier epochs that have ended. Their teams and task sizes are needed
 	// until all workers are accounted for.
 	unretiredJobs []*job
 	// inheritedJobs are the jobs that were accepted under earlier epochs, until all workers are accounted for.
@@ -165,6 +166,8 @@
 	allowedShares   map[string]*allowedShare
 	stillFreeShares map[string]*allowedShare
 	speeds          speedEstimator
+	// runTimes is what was learned of run times, nil if the stated ones are used.
+	runTimes *runtimes.Estimator
 	// The fields below are valid during one placement pass. room finds the workers with free capacity,
 	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
 	// gangs have reserved before it is free, poolCapacity that of all usable workers.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -50,7 +50,7 @@
 	s.job().runCount--
 	c.updateStepSets(s)
 	if s.job().ended() && s.job().runCount == 0 {
-		c.dirty.retire(s.job())
+		c.retire(s.job())
 	}
 }
 
@@ -522,6 +522,7 @@
 	if t.step.gang != nil {
 		checkpoint = t.step.gang.attemptCheckpoint
 	}
+	r.resumed = checkpoint != ""
 	c.orders.Starts = append(c.orders.Starts, Start{
 		Worker:          r.worker.info.ID,
 		Addr:            r.worker.info.Addr,
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelhitch/internal/runtimes"
 	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
@@ -94,8 +95,9 @@
 	health healthRecord
 	// avoided says that the current placement pass starts nothing on the worker.
 	avoided bool
-	// lastPass is the latest placement pass that might start runs on the worker.
-	lastPass int
+	// lastPass is the latest placement pass that might start runs on the worker, order the worker's place among
+	// those of that pass, by which equally good workers are ordered.
+	lastPass, order int
 	// suspectRuns counts the runs of suspects of which the worker has not outlived the start.
 	// Nothing else is started on it meanwhile.
 	suspectRuns int
@@ -181,7 +183,10 @@
 	percent      int
 	percentAt    time.Time
 	progressedAt time.Time // when percent last rose
-	resumed      bool
+	resumed      bool      // the progress may include work that was done before confirmedAt
+	// counted is how the run counts in the expected run time of its step with the version countedIn.
+	counted   runtimes.Running
+	countedIn int
 }
 
 // onlyOnKnownBoot reports whether no later boot of the worker can have the run: the known boot lists it, and no
