--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -6,8 +6,7 @@
 )
 
 // headroom returns how many of n tasks of a step may start now beside what is left free for urgent classes. Steps
-// that can't wait, gangs, which wait for capacity anyway, and tasks that are missed while they do not run leave
-// nothing free.
+// without slack, gangs, which are hard enough to place as it is, and long-running tasks leave nothing free.
 func (c *Controller) headroom(s *step, n int) int {
 	class := s.job().class
 	if class.Target <= headroom.ShortTarget || s.gang != nil || s.def.LongRunning || s.latestStartAt.Sub(c.passAt) < headroom.MinSlack {
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -72,8 +72,8 @@
 	return c.shares.Fill(team, c.usage.Team(team))
 }
 
-// startRoom returns how many of n tasks of a step may start now under the quota of its team, and within the share of
-// the team at the turn that the pass is at. Gangs are not divided.
+// startRoom returns how many of n tasks of a step may start now under the quota of its team, beside what is left free for
+// urgent classes, and within the share of the team at the turn that the pass is at. Gangs are not divided.
 func (c *Controller) startRoom(s *step, n int) int {
 	n = c.headroom(s, c.quotaRoom(s, n))
 	if c.shares == nil || s.gang != nil {
