--- a/internal/httpintake/gate_test.go
+++ b/internal/httpintake/gate_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,6 +35,8 @@
 	sawHTTP2 atomic.Int64
 	// received counts the bytes of bodies that the handler has read.
 	received atomic.Int64
+	// hold is how many whole requests must have arrived before the first is answered.
+	hold atomic.Int64
 }
 
 // serveTest starts a protected server. The bounds may be zero for ones that no test reaches.
@@ -87,6 +90,9 @@
 		s.received.Add(int64(n))
 		if err == io.EOF {
 			s.whole.Add(1)
+			for s.whole.Load() < s.hold.Load() && r.Context().Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
 			return
 		}
 		if err != nil {
@@ -264,6 +270,48 @@
 	}
 }
 
+// TestOrdinaryBurstMeetsNoLimit guards against limits that ordinary callers meet: some hundred connections that stay
+// open, each with a request that waits for its answer, again and again, on the smallest machine.
+func TestOrdinaryBurstMeetsNoLimit(t *testing.T) {
+	const connections, rounds, body = 400, 5, 5000
+	plan := intake.PlanLimits(184, 4100)
+	s := serveTest(t, plan.CallerMemory, plan.Callers, Limits{})
+	s.hold.Store(connections)
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() {
+			c, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for range rounds {
+				if _, err := io.WriteString(c, fmt.Sprintf(post, body)+strings.Repeat("x", body)); err != nil {
+					t.Error(err)
+					return
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("%v, %v", resp, err)
+					return
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	for reason, counter := range s.iface.refused {
+		if n := counter.Get(); n > 0 {
+			t.Errorf("%d refused: %s", n, reason)
+		}
+	}
+	if n := s.whole.Load(); n != connections*rounds {
+		t.Errorf("%d whole requests of %d", n, connections*rounds)
+	}
+}
+
 // TestOldestConnectionMakesRoom guards against connections that keep out ordinary callers.
 func TestOldestConnectionMakesRoom(t *testing.T) {
 	s := serveTest(t, 1<<20, 3, Limits{})
