--- a/internal/advisorqueue/load_test.go
+++ b/internal/advisorqueue/load_test.go
@@ -17,7 +17,7 @@
 	now     time.Time
 	seq     int
 	events  events
-	way     time.Duration
+	transit time.Duration
 	backlog map[string][]*request // by class
 	// requests are those for which calls were made, by the calls' IDs.
 	requests map[int64]*request
@@ -75,7 +75,7 @@
 
 func newBench(entries int) *bench {
 	b := &bench{
-		q: New(), now: benchStart, way: 48 * time.Millisecond, backlog: map[string][]*request{}, requests: map[int64]*request{},
+		q: New(), now: benchStart, transit: 48 * time.Millisecond, backlog: map[string][]*request{}, requests: map[int64]*request{},
 		busyUntil: map[string]time.Time{}, waiting: map[string]int{}, down: map[string]bool{}, refusing: map[string]bool{},
 		latencies: map[string][]time.Duration{}, sentThrough: map[string]int{},
 	}
@@ -144,9 +144,9 @@
 		b.at(b.now.Add(r.work+1500*time.Millisecond), func() { b.done(r, c, Failed) })
 		return
 	}
-	b.at(b.now.Add(b.way/2), func() {
+	b.at(b.now.Add(b.transit/2), func() {
 		if b.refusing[c.Entry] || b.waiting[c.Entry] > 32 {
-			b.at(b.now.Add(b.way/2), func() { b.done(r, c, Overloaded) })
+			b.at(b.now.Add(b.transit/2), func() { b.done(r, c, Overloaded) })
 			return
 		}
 		begin := b.now
@@ -158,7 +158,7 @@
 		b.waiting[c.Entry]++
 		b.maxWaiting = max(b.maxWaiting, b.waiting[c.Entry])
 		b.at(served, func() { b.waiting[c.Entry]-- })
-		b.at(served.Add(b.way/2), func() { b.answered(r, c) })
+		b.at(served.Add(b.transit/2), func() { b.answered(r, c) })
 	})
 }
 
--- a/internal/advisorqueue/queue.go
+++ b/internal/advisorqueue/queue.go
@@ -16,7 +16,7 @@
 // when 32 calls of that machine wait.
 const (
 	// MaxInFlight is the largest number of short calls in flight through one entry. A call spends several
-	// times its work on the way, so that three keep the advisor busy. Further ones would only wait.
+	// times its work in transit, so that three calls keep the advisor busy. Further ones would only wait.
 	MaxInFlight = 3
 	// shortWork is the largest work of a short call, which may wait behind other short calls.
 	shortWork = 40 * time.Millisecond
@@ -78,9 +78,9 @@
 
 // entry is the model of one entry.
 type entry struct {
-	name  string
-	calls []*Call // in the order of their sending
-	way   wayTime
+	name    string
+	calls   []*Call // in the order of their sending
+	transit transitTime
 	// listed is false once the entry is gone. It is kept until its calls have ended.
 	listed bool
 	// failures counts the refused and failed calls since the last answer.
@@ -112,7 +112,7 @@
 	for _, name := range names {
 		i, found := q.find(name)
 		if !found {
-			q.entries = slices.Insert(q.entries, i, &entry{name: name, way: newWayTime()})
+			q.entries = slices.Insert(q.entries, i, &entry{name: name, transit: newTransitTime()})
 		}
 		q.entries[i].listed = true
 	}
@@ -127,10 +127,12 @@
 	q.dropGone()
 }
 
+// find returns the index of an entry, or where to insert it.
 func (q *Queue) find(name string) (int, bool) {
 	return slices.BinarySearchFunc(q.entries, name, func(e *entry, name string) int { return cmp.Compare(e.name, name) })
 }
 
+// dropGone drops the entries that are not listed and have no calls.
 func (q *Queue) dropGone() {
 	q.entries = slices.DeleteFunc(q.entries, func(e *entry) bool { return !e.listed && len(e.calls) == 0 })
 }
@@ -253,8 +255,8 @@
 	q.lastID++
 	served := best.servedAt(work, now)
 	c := &Call{
-		ID: q.lastID, Entry: best.name, Step: step, Class: class, EndsAt: served.Add(best.way.back()),
-		length: length, Sent: now, servedAt: served, atAdvisor: served.Sub(now.Add(best.way.there())),
+		ID: q.lastID, Entry: best.name, Step: step, Class: class, EndsAt: served.Add(best.transit.fromAdvisor()),
+		length: length, Sent: now, servedAt: served, atAdvisor: served.Sub(now.Add(best.transit.toAdvisor())),
 	}
 	c.overdueAt = c.EndsAt.Add(minOverdue + overdueDelays*q.window.delay + time.Duration(overdueShare*float64(c.atAdvisor)))
 	if q.overdueAt.IsZero() || c.overdueAt.Before(q.overdueAt) {
@@ -268,7 +270,7 @@
 
 // servedAt returns when the advisor has done the work of a call that is sent through the entry now.
 func (e *entry) servedAt(work time.Duration, now time.Time) time.Time {
-	begin := now.Add(e.way.there())
+	begin := now.Add(e.transit.toAdvisor())
 	for _, c := range e.calls {
 		if c.servedAt.After(begin) {
 			begin = c.servedAt
@@ -298,7 +300,7 @@
 		if !e.usable(now) || !e.takesShort() {
 			continue
 		}
-		end := e.servedAt(work, now).Add(e.way.back())
+		end := e.servedAt(work, now).Add(e.transit.fromAdvisor())
 		if len(e.calls) == 0 && 2*empty <= listed {
 			end = end.Add(emptyEntryReserve)
 		}
@@ -309,34 +311,34 @@
 	return best
 }
 
-// longWayTolerance is how much longer the way through an entry may be for a long call to use it, so that the entries
-// with a short way are left to short calls.
-const longWayTolerance = 50 * time.Millisecond
+// longTransitTolerance is how much longer than the shortest the transit time of an entry may be for a long call to use
+// it, so that the entries with a short transit time are left to short calls.
+const longTransitTolerance = 50 * time.Millisecond
 
 // entryForLong returns an entry for a call that uses it alone: of the empty entries in which it ends almost first, the
-// one with the longest way.
+// one with the longest transit time.
 func (q *Queue) entryForLong(now time.Time) *entry {
 	shortest := time.Duration(-1)
 	for _, e := range q.entries {
-		if way := e.way.total(); e.usable(now) && len(e.calls) == 0 && (shortest < 0 || way < shortest) {
-			shortest = way
+		if transit := e.transit.total(); e.usable(now) && len(e.calls) == 0 && (shortest < 0 || transit < shortest) {
+			shortest = transit
 		}
 	}
 	var best *entry
 	for _, e := range q.entries {
-		if !e.usable(now) || len(e.calls) > 0 || e.way.total() > shortest+longWayTolerance {
+		if !e.usable(now) || len(e.calls) > 0 || e.transit.total() > shortest+longTransitTolerance {
 			continue
 		}
-		if best == nil || e.way.total() > best.way.total() {
+		if best == nil || e.transit.total() > best.transit.total() {
 			best = e
 		}
 	}
 	return best
 }
 
-// A call is overdue this long after its expected end: minOverdue, overdueDelays times the mean time that calls spend
-// outside the advisor, which is long while the controller is, and overdueShare of the time at the advisor, since work
-// and waiting are only estimates.
+// A call is overdue once its answer is later than expected by the sum of minOverdue, overdueDelays times the mean time
+// that calls spend outside the advisor, which grows while the controller lacks processor time, and overdueShare of the
+// expected time at the advisor, since work and waiting are only estimates.
 const (
 	minOverdue    = 100 * time.Millisecond
 	overdueDelays = 2
@@ -373,6 +375,7 @@
 	return out
 }
 
+// releaseUnits no longer counts a call among those in flight of its class.
 func (q *Queue) releaseUnits(c *Call) {
 	if q.units[c.Class] -= c.length.Units(); q.units[c.Class] <= 0 {
 		delete(q.units, c.Class)
@@ -419,7 +422,7 @@
 		e.failures = 0
 		e.backoffUntil = time.Time{}
 		outside := now.Sub(c.Sent) - c.atAdvisor
-		e.way.add(outside)
+		e.transit.add(outside)
 		q.window.answered(outside, inFlight, now)
 		return !c.overdue, time.Time{}
 	}
@@ -444,5 +447,5 @@
 	e.backoffUntil = now.Add(backoff)
 }
 
-// Way returns the mean time that calls spend outside the advisor.
-func (q *Queue) Way() time.Duration { return q.window.delay }
+// Transit returns the mean time that calls spend outside the advisor.
+func (q *Queue) Transit() time.Duration { return q.window.delay }
--- a/internal/advisorqueue/window.go
+++ b/internal/advisorqueue/window.go
@@ -17,9 +17,8 @@
 	initialWindow = 64
 	// minWindow is enough for the urgent calls of a cell whose controller is overloaded.
 	minWindow = 16
-	// longDelay is the mean time outside the advisor from which the window shrinks. With room at the controller a
-	// call takes about 50 ms beside the advisor's work, more where members get their processor time in slices of
-	// 100 ms.
+	// longDelay is the mean time outside the advisor beyond which the window shrinks. It allows for members that get
+	// their processor time in slices of 100 ms, and so delay a call although the controller is not overloaded.
 	longDelay = 200 * time.Millisecond
 	// delayWeight is the part of the difference by which an answer moves the mean delay.
 	delayWeight = 0.05
@@ -29,7 +28,7 @@
 	decreaseInterval = 300 * time.Millisecond
 )
 
-func newWindow() window { return window{size: initialWindow, slowStart: true, delay: assumedWay} }
+func newWindow() window { return window{size: initialWindow, slowStart: true, delay: assumedTransit} }
 
 // limit returns the largest number of calls in flight for a number of entries.
 func (w *window) limit(entries int) int { return min(int(w.size), MaxInFlight*entries) }
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -361,7 +361,7 @@
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(b.fit, a.fit) })
 	out := firstWithRoom(found, renewalSurplus*float64(len(s.tasks)))
-	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + c.advisorQueue.Way() + ticketLead
+	lead := s.job().class.Advisor.CallTime(min(len(out), maxWorkersPerCall)) + c.advisorQueue.Transit() + ticketLead
 	if s.startAt.Sub(now) > lead {
 		return nil
 	}
@@ -388,8 +388,8 @@
 	class := s.job().class
 	share := c.allowedShareOf(class.Name).value()
 	stillFree := c.stillFreeShareOf(class.Name).value()
-	anotherCall := c.advisorQueue.Way() + class.Advisor.DecisionTime + c.placementInterval()
-	naming := advisorqueue.NewNaming(need, class.Advisor.TimePerWorker, anotherCall)
+	anotherCall := c.advisorQueue.Transit() + class.Advisor.DecisionTime + c.placementInterval()
+	selection := advisorqueue.NewSelection(need, class.Advisor.TimePerWorker, anotherCall)
 	var out []*worker
 	if len(c.unsortedCandidates(s, false, now)) == 0 {
 		return nil
@@ -403,17 +403,17 @@
 			continue
 		}
 		if known && now.Before(v.expiresAt.Add(-ticketMargin)) {
-			naming.Add(cand.fit, 1)
+			selection.Add(cand.fit, 1)
 			continue
 		}
 		probability := stillFree
 		if !known {
 			probability *= share
 		}
-		if len(out) >= maxWorkersAsked || !naming.Worth(cand.fit, probability) {
+		if len(out) >= maxWorkersAsked || !selection.WorthAdding(cand.fit, probability) {
 			break
 		}
-		naming.Add(cand.fit, probability)
+		selection.Add(cand.fit, probability)
 		out = append(out, cand.w)
 	}
 	return out
