--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -84,8 +84,8 @@
 // SetAdvisorEntries sets the entries through which the advisor may be called.
 func (c *Controller) SetAdvisorEntries(names []string) { c.advisorQueue.SetEntries(names) }
 
-// allowedShare estimates the share of workers that the advisor allows for a class, or of those that
-// have some other property.
+// allowedShare estimates the share of workers that the advisor allows for a class, or the share that still has room
+// when it answers.
 type allowedShare struct{ asked, allowed float64 }
 
 const (
@@ -146,7 +146,8 @@
 	}
 }
 
-// giveUpOverdueCalls lets the steps be asked about again whose calls are overdue. Answers that come nevertheless are used.
+// giveUpOverdueCalls stops waiting for overdue calls, so that the advisor is asked about their steps again. Answers that
+// arrive nevertheless are used.
 func (c *Controller) giveUpOverdueCalls(now time.Time) {
 	for _, overdue := range c.advisorQueue.TakeOverdue(now) {
 		if s := c.findStep(overdue.Step); s != nil && s.advice != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -168,15 +168,16 @@
 	speeds          speedEstimator
 	// runTimes is what was learned of run times, nil if the stated ones are used.
 	runTimes *runtimes.Estimator
-	// The fields below are valid during one placement pass. room finds the workers with free capacity,
-	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
-	// gangs have reserved before it is free, poolCapacity that of all usable workers.
-	room             roomIndex
-	stepBuffer       []*step
-	candidateBuffer  candidateHeap
-	workerBuffer     []*worker
-	slotBuffer       []futureSlot
+	// The buffers are reused by every placement pass, to save allocations.
+	stepBuffer      []*step
+	candidateBuffer candidateHeap
+	workerBuffer    []*worker
+	slotBuffer      []futureSlot
+	// The fields below are valid during one placement pass, which began at passAt. room finds the workers with free
+	// capacity. reservedAhead is the capacity that gangs have reserved before it is free, poolCapacity that of all
+	// usable workers.
 	passAt           time.Time
+	room             roomIndex
 	reservedAhead    structs.Resources
 	poolCapacity     structs.Resources
 	reservations     map[*worker][]*reservation
@@ -187,8 +188,8 @@
 	heldByTeam map[string]structs.Resources
 	// shares is how the teams share the capacity, nil while it suffices and without teams.
 	shares *fairshare.Division
-	// shareTurn is the fill of their shares up to which teams may start tasks at the turn of the pass.
-	shareTurn float64
+	// shareLimit is the utilization of their shares up to which teams may start tasks in the current round of the pass.
+	shareLimit float64
 }
 
 // New returns a controller for an epoch, without any state. The recorder may be nil.
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -164,8 +164,7 @@
 	// and between the step's becoming ready and the first such event.
 	minWaitEventInterval = 2 * time.Second
 	// maxWaitEventsPerPass bounds the events of one placement pass. With many waiting steps,
-	// the most urgent ones suffice. Each event takes a scan of all
-	// workers.
+	// the most urgent ones suffice. Each event takes a scan of all workers.
 	maxWaitEventsPerPass = 5
 )
 
@@ -210,7 +209,7 @@
 	if cause.reason == WaitQuota {
 		e.Detail += ": " + c.quotaDetail(s)
 	}
-	if cause.reason == WaitCapacity && c.shareFill(s) >= 1 {
+	if cause.reason == WaitCapacity && c.shareUtilization(s) >= 1 {
 		e.Detail += "; " + c.shareDetail(s)
 	}
 	if s.late {
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -87,8 +87,8 @@
 	// job is on time, and whether that time has passed.
 	latestStartAt time.Time
 	late          bool
-	// fill is how much the team has of its share, as of the last turn of a pass.
-	fill float64
+	// shareUtilization is the part of its share that the team used at the beginning of the last round of a pass.
+	shareUtilization float64
 	// startAt is when a gang is expected to have enough capacity, zero if that is not known.
 	startAt time.Time
 	// waitingSince is when a gang without enough free capacity first found enough workers to
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -179,10 +179,9 @@
 	// maxWakeInterval is the longest time between two calls of NextOrders.
 	maxWakeInterval = 100 * time.Millisecond
 	// minPlacementInterval is the least time between two placement passes. All results that arrive meanwhile
-	// are processed by one pass. placementTimePerWorker and placementTimePerStep lengthen it in large cells. They
-	// are several times what a worker and a waiting step cost on a fifth of a core by BenchmarkPlacementPass, so that
-	// passes leave most of a slow machine to other work, and short enough that urgent work is decided within 50 ms
-	// at 350 workers and 1,000 waiting steps.
+	// are processed by one pass. placementTimePerWorker and placementTimePerStep lengthen it in large cells, so that
+	// passes leave most of a slow machine to other work. They are small enough that urgent work is decided within
+	// 50 ms at 350 workers and 1,000 waiting steps.
 	minPlacementInterval   = 8 * time.Millisecond
 	placementTimePerWorker = 15 * time.Microsecond
 	placementTimePerStep   = 25 * time.Microsecond
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -9,10 +9,8 @@
 	"dotterelhitch/internal/workload"
 )
 
-// The functions below tell internal/quota what a team may have running, and apply its answers to steps.
-
-// quotaRoom returns how many of n tasks of a step may start now under the quota of the step's team: for a gang all
-// or none.
+// quotaRoom returns how many of n tasks of a step may start now under the quota of the step's team. For a gang it is
+// all or none.
 func (c *Controller) quotaRoom(s *step, n int) int {
 	team := s.job().team
 	if team == nil || team.Quota.IsZero() {
@@ -30,8 +28,8 @@
 	return room
 }
 
-// mayHold returns what runs of earlier controllers that are not known may hold of a team's quota, on the workers
-// that are not accounted for.
+// mayHold returns what unknown runs of earlier controllers may hold of a team's quota on the workers that are not
+// accounted for.
 func (c *Controller) mayHold(team string) structs.Resources {
 	if c.takeoverComplete {
 		return structs.Resources{}
@@ -99,8 +97,8 @@
 	return total
 }
 
-// mayBeRunningCount returns how many runs that are not known the tasks of a step may have. A task may have a copy
-// beside the run that has ended or is known.
+// mayBeRunningCount returns how many unknown runs the tasks of a step may have. A task may have a copy beside a run that
+// is known or has ended.
 func (s *step) mayBeRunningCount() int64 {
 	var n int64
 	for _, t := range s.tasks {
@@ -120,12 +118,13 @@
 	size structs.Resources
 }
 
-// precedes reports whether a step leaves the part of the quota to the gang that waits for it.
+// precedes reports whether a step has to leave the held part of the quota to the gang. It is false for a nil hold.
 func (h *quotaHold) precedes(s *step) bool { return h != nil && compareSteps(h.step, s) < 0 }
 
-// gangQuotaPatience is how long a gang waits for its quota before steps of the same team that come after it leave it
-// that part of the quota. Without it, tasks that are started one by one take whatever the ends of others free.
-const gangQuotaPatience = time.Second
+// gangQuotaHoldDelay is how long a gang waits for its quota before steps of the same team that come after it leave it
+// that part of the quota. Without such a hold, tasks that are started one by one would take whatever the ends of others
+// free.
+const gangQuotaHoldDelay = time.Second
 
 // holdQuota keeps the part of the quota that a gang needs from the steps of its team that come after it in this
 // pass, once the gang has waited for long enough. No capacity of workers is kept.
@@ -136,7 +135,7 @@
 	}
 	name := s.job().spec.Team
 	possible := quota.Room(team.Quota, structs.Resources{}, s.size, len(s.tasks)) == len(s.tasks)
-	if c.quotaHolds[name] != nil || !possible || s.quotaWaitSince.IsZero() || now.Sub(s.quotaWaitSince) < gangQuotaPatience {
+	if c.quotaHolds[name] != nil || !possible || s.quotaWaitSince.IsZero() || now.Sub(s.quotaWaitSince) < gangQuotaHoldDelay {
 		return
 	}
 	c.quotaHolds[name] = &quotaHold{step: s, size: s.size.Times(int64(len(s.tasks)))}
@@ -148,12 +147,12 @@
 	s.waitingSince = time.Time{}
 	if s.quotaWaitSince.IsZero() {
 		s.quotaWaitSince = now
-		c.wakeups.add(now.Add(gangQuotaPatience))
+		c.wakeups.add(now.Add(gangQuotaHoldDelay))
 	}
 	c.holdQuota(s, now)
 }
 
-// quotaDetail names the quota for which a step waits, and what counts towards it, for events.
+// quotaDetail describes the quota for which a step waits, and what counts towards it, for events.
 func (c *Controller) quotaDetail(s *step) string {
 	j := s.job()
 	running := c.usage.Team(j.spec.Team)
--- a/internal/controller/room.go
+++ b/internal/controller/room.go
@@ -9,7 +9,7 @@
 
 // roomIndex finds the workers with room for a task without a scan of all workers. It is built at the beginning of a
 // placement pass. During a pass the free capacity of a worker only shrinks: a run that is stopped holds its capacity
-// until its end is listed. What the index says is therefore an upper bound.
+// until its end is listed. The free capacity in the index is therefore an upper bound.
 type roomIndex struct {
 	byService map[string][]workerRoom
 }
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -13,11 +13,8 @@
 	"dotterelhitch/internal/workload"
 )
 
-// The functions below tell internal/fairshare what the teams have running and what waits, and order steps by its
-// answers.
-
 // divideCapacity returns how the teams share the capacity of the usable workers in this pass. It returns nil if the
-// configuration has no teams, or while the capacity suffices for what runs and for some steps that wait.
+// configuration has no teams, or while the capacity suffices for what runs and what waits.
 func (c *Controller) divideCapacity(steps []*step, now time.Time) *fairshare.Division {
 	if c.config.Teams == nil || len(steps) == 0 {
 		return nil
@@ -26,7 +23,7 @@
 	teams := map[string]*teamDemand{}
 	demandOf := func(name string) *teamDemand {
 		if teams[name] == nil {
-			teams[name] = &teamDemand{running: c.usage.Team(name), terms: c.config.Teams.ByName(name)}
+			teams[name] = &teamDemand{running: c.usage.Team(name), team: c.config.Teams.ByName(name)}
 		}
 		return teams[name]
 	}
@@ -37,8 +34,8 @@
 		}
 		d := demandOf(s.job().spec.Team)
 		d.waiting = d.waiting.Add(s.size.Times(int64(s.pending + s.copiesWanted)))
-		if d.terms == nil {
-			d.terms = s.job().team
+		if d.team == nil {
+			d.team = s.job().team
 		}
 	}
 	out := make([]fairshare.Team, 0, len(teams))
@@ -48,45 +45,46 @@
 	return fairshare.Divide(c.poolCapacity, out)
 }
 
-// teamDemand is what a team has running, and what its steps that wait need. The terms are nil for jobs without a
-// team.
+// teamDemand is what a team has running, and what its waiting steps need. The team is nil for jobs without one.
 type teamDemand struct {
-	terms            *workload.Team
+	team             *workload.Team
 	running, waiting structs.Resources
 }
 
+// forDivision returns the team as input of a division. What its quota forbids is not part of the demand.
 func (d *teamDemand) forDivision(name string) fairshare.Team {
-	if d.terms == nil {
+	if d.team == nil {
 		return fairshare.Team{Name: name, Demand: d.running.Add(d.waiting)}
 	}
-	wanted := quota.Wanted(d.terms.Quota, d.running, d.waiting)
-	return fairshare.Team{Name: name, Weight: d.terms.Weight, Demand: d.running.Add(wanted)}
+	wanted := quota.Wanted(d.team.Quota, d.running, d.waiting)
+	return fairshare.Team{Name: name, Weight: d.team.Weight, Demand: d.running.Add(wanted)}
 }
 
-// shareFill returns how much the team of a step has in proportion to its share, zero while the capacity suffices.
-func (c *Controller) shareFill(s *step) float64 {
+// shareUtilization returns the part of its share that the team of a step uses, zero while the capacity suffices.
+func (c *Controller) shareUtilization(s *step) float64 {
 	if c.shares == nil {
 		return 0
 	}
 	team := s.job().spec.Team
-	return c.shares.Fill(team, c.usage.Team(team))
+	return c.shares.Utilization(team, c.usage.Team(team))
 }
 
-// startRoom returns how many of n tasks of a step may start now under the quota of its team, beside what is left free for
-// urgent classes, and within the share of the team at the turn that the pass is at. Gangs are not divided.
+// startRoom returns how many of n tasks of a step may start now under the quota of its team, beside the capacity that is
+// left free for urgent classes, and within the limit on its team's share in the current round. The limit does not split
+// gangs.
 func (c *Controller) startRoom(s *step, n int) int {
 	n = c.headroom(s, c.quotaRoom(s, n))
 	if c.shares == nil || s.gang != nil {
 		return n
 	}
 	team := s.job().spec.Team
-	return c.shares.Room(team, c.usage.Team(team), s.size, c.shareTurn, n)
+	return c.shares.Room(team, c.usage.Team(team), s.size, c.shareLimit, n)
 }
 
 // inShareOrder calls a function with each of the steps and returns them in the order of the calls. While the
-// capacity is short, the teams take turns: a step whose team has reached the fill of a turn, or reaches it with some
-// of the tasks, goes on in the next one. The last turn begins with the team that has the least of its share. Inside
-// a team the order is always the same.
+// capacity is short, it makes one round for each of fairshare.RoundLimits: a step whose team has reached the limit, or
+// reaches it with some of the tasks, is left to the next round. The last round begins with the team that uses the
+// smallest part of its share. The order of the steps of one team never changes.
 func (c *Controller) inShareOrder(steps []*step, place func(*step)) []*step {
 	if c.shares == nil {
 		for _, s := range steps {
@@ -95,19 +93,19 @@
 		return steps
 	}
 	out := make([]*step, 0, len(steps))
-	for _, turn := range fairshare.Levels {
-		c.shareTurn = turn
-		if math.IsInf(turn, 1) {
-			c.sortByFill(steps)
+	for _, limit := range fairshare.RoundLimits {
+		c.shareLimit = limit
+		if math.IsInf(limit, 1) {
+			c.sortByUtilization(steps)
 		}
 		var later []*step
 		for _, s := range steps {
-			if c.shareFill(s) >= turn {
+			if c.shareUtilization(s) >= limit {
 				later = append(later, s)
 				continue
 			}
 			place(s)
-			if s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareFill(s) >= turn {
+			if s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareUtilization(s) >= limit {
 				later = append(later, s)
 				continue
 			}
@@ -118,15 +116,15 @@
 	return out
 }
 
-// sortByFill sorts steps by how much their teams have of their shares. Steps of one team stay in order.
-func (c *Controller) sortByFill(steps []*step) {
+// sortByUtilization sorts steps by the parts of their shares that their teams use. Steps of one team stay in order.
+func (c *Controller) sortByUtilization(steps []*step) {
 	for _, s := range steps {
-		s.fill = c.shareFill(s)
+		s.shareUtilization = c.shareUtilization(s)
 	}
-	slices.SortStableFunc(steps, func(a, b *step) int { return cmp.Compare(a.fill, b.fill) })
+	slices.SortStableFunc(steps, func(a, b *step) int { return cmp.Compare(a.shareUtilization, b.shareUtilization) })
 }
 
-// shareDetail names the share that the team of a step has reached, for events.
+// shareDetail describes the share that the team of a step has reached, for events.
 func (c *Controller) shareDetail(s *step) string {
 	team := s.job().spec.Team
 	return fmt.Sprintf("team %s has its share, %.1f%% of the capacity", team, 100*c.shares.Share(team))
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -14,7 +14,7 @@
 	"dotterelhitch/internal/structs"
 )
 
-// Team is what a division has to know of a team.
+// Team is the input of a division for one team.
 type Team struct {
 	Name string
 	// Weight is the team's part relative to the weights of the others. Zero counts as 1, since a configuration
@@ -30,7 +30,7 @@
 	shares   map[string]float64
 }
 
-// usablePercent is the part of the capacity that is divided. Tasks do not fill workers exactly: with tasks of a
+// usablePercent is the part of the capacity that is divided. Tasks do not utilization workers exactly: with tasks of a
 // sixth to a third of a worker, about half of the smaller ones' size stays free on each, so that capacity is short
 // before all of it is in use.
 const usablePercent = 90
@@ -73,9 +73,10 @@
 	weight, part float64
 }
 
-// level is the part per weight from which on the team has what it wants.
+// level is the part per weight at which the team's demand is met.
 func (w want) level() float64 { return w.part / w.weight }
 
+// weightOf returns the team's weight, 1 if it is not set.
 func weightOf(t *Team) float64 {
 	if t.Weight <= 0 {
 		return 1
@@ -86,7 +87,7 @@
 // levelAt returns the part per weight at which teams, sorted by their levels, use up an amount of one resource. The
 // result is at least the highest level of any team if the amount suffices for all.
 func levelAt(wants []want, amount float64, of func(structs.Resources) int64) float64 {
-	// rising is what all teams that do not have what they want yet use of the resource per level.
+	// rising is the amount of the resource that the teams with unmet demands use per unit of the level.
 	rising := 0.0
 	for _, w := range wants {
 		rising += float64(of(w.team.Demand)) / w.level()
@@ -123,26 +124,28 @@
 // Share returns the part of its dominant resource that a team may have, zero for a team without a demand.
 func (d *Division) Share(team string) float64 { return d.shares[team] }
 
-// Levels are the fills up to which teams take turns in one pass: first up to the shares of the part that is certainly
-// usable, then up to those of the whole capacity, then without a bound.
-var Levels = [...]float64{1, 100.0 / usablePercent, math.Inf(1)}
+// RoundLimits are the utilizations of their shares up to which teams may start tasks in the rounds of a pass. The first
+// round divides the part of the capacity that is certainly usable, the second the whole capacity, and the third has no
+// limit.
+var RoundLimits = [...]float64{1, 100.0 / usablePercent, math.Inf(1)}
 
-// Room returns how many tasks of a size, at most limit, bring a team that has some amount running to a fill.
-func (d *Division) Room(team string, running, size structs.Resources, fill float64, limit int) int {
+// Room returns how many tasks of a size, at most limit, a team that has some amount running may start until it reaches a
+// utilization of its share. The last of these tasks may exceed it.
+func (d *Division) Room(team string, running, size structs.Resources, utilization float64, limit int) int {
 	each := dominantPart(size, d.capacity)
-	if math.IsInf(fill, 1) || each == 0 {
+	if math.IsInf(utilization, 1) || each == 0 {
 		return limit
 	}
-	left := d.shares[team]*fill - dominantPart(running, d.capacity)
+	left := d.shares[team]*utilization - dominantPart(running, d.capacity)
 	return int(min(max(math.Ceil(left/each), 0), float64(limit)))
 }
 
-// Fill returns how much a team that has some amount running has in proportion to its share: 1 and more if it has
-// reached its share.
-func (d *Division) Fill(team string, running structs.Resources) float64 {
+// Utilization returns the part of its share that a team with some amount running uses: 1 or more if it has reached its
+// share, infinite if it has no share.
+func (d *Division) Utilization(team string, running structs.Resources) float64 {
 	part := dominantPart(running, d.capacity)
 	if part == 0 {
 		return 0
 	}
-	return part / d.shares[team] // infinite for a team that wants only what no worker has
+	return part / d.shares[team]
 }
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -69,15 +69,15 @@
 	}
 }
 
-// TestFill guards against teams that count as having their share while they could have more.
-func TestFill(t *testing.T) {
+// TestUtilization guards against teams that count as having their share while they could have more.
+func TestUtilization(t *testing.T) {
 	d := Divide(capacity, []Team{{Name: "a", Demand: amount(90_000)}, {Name: "b", Demand: amount(60_000)}})
 	for running, want := range map[int64]float64{0: 0, 25_000: 0.5, 50_000: 1, 75_000: 1.5} {
-		if got := d.Fill("a", amount(running)); math.Abs(got-want) > 1e-3 {
+		if got := d.Utilization("a", amount(running)); math.Abs(got-want) > 1e-3 {
 			t.Errorf("with %d millicores running: %v, want %v", running, got, want)
 		}
 	}
-	if got := d.Fill("unknown", amount(1)); got < 1 {
+	if got := d.Utilization("unknown", amount(1)); got < 1 {
 		t.Errorf("a team without a share: %v", got)
 	}
 }
@@ -87,7 +87,7 @@
 	d := Divide(capacity, []Team{{Name: "a", Demand: amount(90_000)}, {Name: "b", Demand: amount(60_000)}})
 	for _, c := range []struct {
 		running     int64
-		fill        float64
+		utilization float64
 		limit, want int
 	}{
 		{0, 1, 90, 50},
@@ -97,7 +97,7 @@
 		{60_000, 1.5, 90, 15},
 		{60_000, math.Inf(1), 90, 90},
 	} {
-		if got := d.Room("a", amount(c.running), amount(1_000), c.fill, c.limit); got != c.want {
+		if got := d.Room("a", amount(c.running), amount(1_000), c.utilization, c.limit); got != c.want {
 			t.Errorf("%+v: %d", c, got)
 		}
 	}
@@ -146,7 +146,7 @@
 // TestResourceThatNobodyHas guards against a division by zero where a demand is for what no worker has.
 func TestResourceThatNobodyHas(t *testing.T) {
 	d := Divide(capacity, []Team{{Name: "a", Demand: structs.Resources{Accelerators: 3}}, {Name: "b", Demand: amount(200_000)}})
-	if d.Share("a") != 0 || d.Share("b") <= 0 || d.Fill("a", structs.Resources{Accelerators: 1}) != 0 {
+	if d.Share("a") != 0 || d.Share("b") <= 0 || d.Utilization("a", structs.Resources{Accelerators: 1}) != 0 {
 		t.Errorf("shares %v, %v", d.Share("a"), d.Share("b"))
 	}
 }
--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -12,19 +12,19 @@
 )
 
 const (
-	// ShortTarget is the longest target of a class that counts as urgent. To stop a run and to start another in its
-	// place takes about that long.
+	// ShortTarget is the longest target of a class that counts as urgent. Stopping a run and starting another one in
+	// its place takes about that long.
 	ShortTarget = 500 * time.Millisecond
-	// MinSlack is the least time until its latest start with which a step can wait for others.
+	// MinSlack is the least time until its latest start at which a step leaves capacity free.
 	MinSlack = 2 * time.Second
-	// maxPercent bounds the part of the capacity that is left free, since what is kept for a burst that does not come
-	// is idle.
-	maxPercent = 15
+	// maxReservePercent bounds the part of the capacity that is left free, since it is idle while no burst comes.
+	maxReservePercent = 15
 )
 
-// Reserve returns the capacity to leave free, from what urgent classes have running. A burst may double that.
+// Reserve returns the capacity to leave free: as much as urgent classes have running, so that twice their present load
+// finds room, up to maxReservePercent of the capacity.
 func Reserve(capacity, urgent structs.Resources) structs.Resources {
-	return urgent.Min(capacity.Times(maxPercent).DividedBy(100))
+	return urgent.Min(capacity.Times(maxReservePercent).DividedBy(100))
 }
 
 // Room returns how many tasks of a size, at most limit, may start while a reserve is left free.
