--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: accepted, intf: l.iface}
+		c := &conn{Conn: accepted, iface: l.iface}
 		c.client.Owner = c
 		g := l.iface.gate
 		g.mu.Lock()
@@ -66,14 +66,14 @@
 // conn is an accounted connection. Of a connection of HTTP/2, the requests are accounted for by stream.
 type conn struct {
 	net.Conn
-	intf   *Interface
+	iface  *Interface
 	client intake.Client // guarded by the gate's mutex
 
-	// Of the goroutine that reads.
-	preface     int  // how much of http2Preface has arrived, -1 after anything else
-	http2       bool // the whole preface has arrived
-	headerBytes int64
-	draining    bool // what arrives is thrown away
+	// The fields below are used by the goroutine that reads.
+	preface     int   // how much of http2Preface has arrived, -1 after anything else
+	http2       bool  // the whole preface has arrived
+	headerBytes int64 // how much of the current header has arrived
+	draining    bool  // what arrives is not accounted for, since the request was refused
 	body        connBody
 
 	// writingSince is when the write under way began, in Unix nanoseconds; zero while there is none.
@@ -81,7 +81,7 @@
 	closed       atomic.Bool
 }
 
-func (c *conn) of() *Interface { return c.intf }
+func (c *conn) parent() *Interface { return c.iface }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
@@ -92,7 +92,7 @@
 	if c.http2 || c.draining {
 		return n, err
 	}
-	if c.preface >= 0 && c.intf.http2 {
+	if c.preface >= 0 && c.iface.http2 {
 		c.matchPreface(b[:n])
 	}
 	if refusal := c.receive(b[:n]); refusal != nil {
@@ -111,14 +111,14 @@
 	c.preface += len(b)
 	if c.preface == len(http2Preface) {
 		c.http2 = true
-		c.intf.locked(func() { c.client.HeaderRead(c.intf.gate.now()) })
+		c.iface.locked(func() { c.client.HeaderRead(c.iface.gate.now()) })
 	}
 }
 
 // receive accounts for bytes that have arrived. The error is io.EOF in a header: the server then closes the connection
 // without a response of its own.
 func (c *conn) receive(arrived []byte) error {
-	g := c.intf.gate
+	g := c.iface.gate
 	g.mu.Lock()
 	before := c.client.Phase()
 	victims, ok := c.client.Receive(arrived, g.now())
@@ -127,7 +127,7 @@
 	cutOff(victims)
 	if !ok {
 		if before != intake.Ended {
-			c.intf.refused[reason].Inc()
+			c.iface.refused[reason].Inc()
 		}
 		if !c.body.open.Load() {
 			if before != intake.Ended {
@@ -147,7 +147,7 @@
 		c.headerBytes = 0
 	}
 	if c.headerBytes += int64(len(arrived)); c.headerBytes-headerSlack > g.headerBytes.Load() {
-		c.intf.refused[oversizedHeader].Inc()
+		c.iface.refused[oversizedHeader].Inc()
 		c.respond(headerTooLarge)
 		return io.EOF
 	}
@@ -189,7 +189,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
-		c.intf.locked(c.client.Close)
+		c.iface.locked(c.client.Close)
 	}
 	return c.Conn.Close()
 }
@@ -228,6 +228,7 @@
 	}
 }
 
+// locked calls a function with the gate's mutex locked.
 func (i *Interface) locked(f func()) {
 	i.gate.mu.Lock()
 	defer i.gate.mu.Unlock()
--- a/internal/httpintake/gate.go
+++ b/internal/httpintake/gate.go
@@ -1,4 +1,4 @@
-// Package httpintake bounds what clients of HTTP servers take up before their requests are whole: memory, connections
+// Package httpintake bounds what clients of HTTP servers take up before their requests are complete: memory, connections
 // and time. The decisions are those of package intake; this package applies them to connections and handlers.
 package httpintake
 
@@ -35,7 +35,7 @@
 	// refusedReadTime is how long the server reads on from a client that it has refused. A connection that is closed
 	// with unread data is reset, and the client may lose the response.
 	refusedReadTime = 250 * time.Millisecond
-	// retryAfter is when a refused client is asked to come back.
+	// retryAfter is the time after which a refused client is asked to try again.
 	retryAfter = time.Second
 )
 
@@ -47,11 +47,11 @@
 type Gate struct {
 	events  *event.Recorder
 	metrics *metrics.Set
-	// now reads the clock of the account.
+	// now is the clock of the account.
 	now func() time.Time
 
 	headerBytes atomic.Int64
-	reported    map[string]uint64 // by interface and reason, what report has told; for the sweeper only
+	reported    map[string]uint64 // refusals in the events so far, by interface and reason; used by Run only
 
 	mu         sync.Mutex
 	account    *intake.Account
@@ -117,6 +117,7 @@
 	}
 }
 
+// sweep cuts off the clients that have exceeded the bounds, and those that do not read their answers.
 func (g *Gate) sweep(b intake.Bounds) {
 	now := g.now()
 	g.mu.Lock()
@@ -130,7 +131,7 @@
 	g.mu.Unlock()
 	cutOff(victims)
 	for _, c := range blocked {
-		c.intf.refused[intake.TooSlow].Inc()
+		c.iface.refused[intake.TooSlow].Inc()
 		_ = c.Conn.Close() // the client has gone, or does not read
 	}
 }
@@ -160,17 +161,18 @@
 	g.events.Record(event.Event{Type: event.ClientsRefused, Count: count, Bytes: int(cost), Detail: strings.Join(parts, ", ")})
 }
 
-// owner is what is cut off: a connection or a stream.
+// owner is a connection or a stream, as the Owner of its client in the account.
 type owner interface {
+	// cutOff makes reading from the client fail, or closes the connection.
 	cutOff()
-	of() *Interface
+	parent() *Interface
 }
 
 // cutOff cuts off clients that the account has ended.
 func cutOff(victims []*intake.Client) {
 	for _, c := range victims {
 		o := c.Owner.(owner)
-		o.of().refused[c.Reason()].Inc()
+		o.parent().refused[c.Reason()].Inc()
 		o.cutOff()
 	}
 }
--- a/internal/httpintake/handler.go
+++ b/internal/httpintake/handler.go
@@ -29,6 +29,7 @@
 	s.ReadHeaderTimeout = 0
 }
 
+// handler returns a handler that accounts for the bodies of the requests that next serves.
 func (i *Interface) handler(next http.Handler, refuse Refuse) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -79,7 +80,7 @@
 
 // serveRequest serves a request of HTTP/1.
 func (c *conn) serveRequest(next http.Handler, refuse Refuse, w http.ResponseWriter, r *http.Request) {
-	if err := c.intf.begin(&c.client, r); err != nil {
+	if err := c.iface.begin(&c.client, r); err != nil {
 		w.Header().Set("Connection", "close")
 		c.drain()
 		refuse(w, r, err)
@@ -89,7 +90,7 @@
 	c.body.open.Store(true)
 	defer func() {
 		c.body.open.Store(false)
-		c.intf.locked(c.client.Discard)
+		c.iface.locked(c.client.Discard)
 	}()
 	// The server goes by the type of the body in its own request.
 	withBody := *r
@@ -117,7 +118,7 @@
 		return n, nil
 	}
 	c := b.conn
-	if refusal := c.intf.bodyEnded(&c.client, err); refusal != nil {
+	if refusal := c.iface.bodyEnded(&c.client, err); refusal != nil {
 		b.response.Header().Set("Connection", "close")
 		b.err = refusal
 		return 0, refusal
@@ -144,7 +145,7 @@
 // stream is a request of HTTP/2.
 type stream struct {
 	io.ReadCloser
-	intf      *Interface
+	iface     *Interface
 	client    intake.Client // guarded by the gate's mutex
 	messages  envelope
 	enveloped bool // the body is a series of messages
@@ -156,6 +157,7 @@
 // headerEntryBytes is what an entry of a header takes up beside its name and value.
 const headerEntryBytes = 32
 
+// headerSize returns the approximate size of a request's header in bytes.
 func headerSize(r *http.Request) int64 {
 	size := len(r.URL.Path) + len(r.Host)
 	for name, values := range r.Header {
@@ -169,7 +171,7 @@
 
 // serveStream serves a request of HTTP/2.
 func (i *Interface) serveStream(next http.Handler, refuse Refuse, w http.ResponseWriter, r *http.Request) {
-	s := &stream{ReadCloser: r.Body, intf: i, controller: http.NewResponseController(w)}
+	s := &stream{ReadCloser: r.Body, iface: i, controller: http.NewResponseController(w)}
 	s.client.Owner = s
 	contentType := r.Header.Get("Content-Type")
 	s.enveloped = strings.HasPrefix(contentType, "application/connect+") || strings.HasPrefix(contentType, "application/grpc")
@@ -197,14 +199,15 @@
 	next.ServeHTTP(w, &withBody)
 }
 
+// close removes the stream from the account, once its handler has returned.
 func (s *stream) close() {
 	s.mu.Lock()
 	s.controller = nil
 	s.mu.Unlock()
-	s.intf.locked(s.client.Close)
+	s.iface.locked(s.client.Close)
 }
 
-func (s *stream) of() *Interface { return s.intf }
+func (s *stream) parent() *Interface { return s.iface }
 
 // cutOff implements owner.
 func (s *stream) cutOff() {
@@ -224,7 +227,7 @@
 		}
 	}
 	if err != nil {
-		if refusal := s.intf.bodyEnded(&s.client, err); refusal != nil {
+		if refusal := s.iface.bodyEnded(&s.client, err); refusal != nil {
 			return 0, refusal
 		}
 	}
@@ -233,7 +236,7 @@
 
 // receive accounts for a part of the body that has arrived.
 func (s *stream) receive(b []byte) error {
-	g := s.intf.gate
+	g := s.iface.gate
 	now := g.now()
 	g.mu.Lock()
 	before := s.client.Phase()
@@ -256,7 +259,7 @@
 		return nil
 	}
 	if before != intake.Ended {
-		s.intf.refused[reason].Inc()
+		s.iface.refused[reason].Inc()
 	}
 	return errRefused(reason)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake accounts for what clients take up in a process before their requests are whole: connections, and the
-// memory of requests that are being read. It decides who is refused or cut off when that reaches a limit.
+// Package intake accounts for what clients take up in a process before their requests are complete: connections, and
+// the memory of requests that are being read. It decides which clients are refused or cut off when a limit is reached.
 //
 // The package does no I/O and reads no clock. Its types are not safe for concurrent use.
 package intake
@@ -9,25 +9,27 @@
 	"time"
 )
 
-// byteCost is the memory that a byte which has arrived takes up, in bytes: buffers grow by copying, so that two of their
-// versions exist at a time. headerLineCost is what a line of a header takes up besides, however short it is: entries of a
-// map, a list of values and two strings.
+// Costs in bytes of memory.
 const (
-	byteCost       = 2
+	// byteCost is the cost of a byte that has arrived: buffers grow by copying, so that two versions of them exist at a
+	// time.
+	byteCost = 2
+	// headerLineCost is the cost of a header line, however short, in addition to its bytes: entries of a map, a list of
+	// values and two strings.
 	headerLineCost = 128
+	// smallRequestCost is the cost up to which a request counts as small. It is twice the cost of a body of 5 KB with an
+	// ordinary header.
+	smallRequestCost = 32 << 10
 )
 
-// reserveShare is the share of the memory, one part in so many, that only small requests may use, so that they are
-// read beside large ones.
-const reserveShare = 4
-
-// freedShare bounds the memory of clients that were cut off and whose handlers have not returned, as a part of the limit,
-// one in so many. That memory counts as free up to this bound, so that others get room at once.
-const freedShare = 2
-
-// smallRequest is the cost up to which a request counts as small: a body of 5 KB with an ordinary header costs half
-// of it.
-const smallRequest = 32 << 10
+// Parts of the memory limit, as divisors of it.
+const (
+	// smallReserveDivisor gives the part that only small requests may use, so that they are read beside large ones.
+	smallReserveDivisor = 4
+	// freedDivisor gives the part up to which the memory of clients that were cut off counts as free although their
+	// handlers have not returned, so that others get room at once.
+	freedDivisor = 2
+)
 
 const (
 	// minStall is how long a client must have made no progress before it is cut off for another one.
@@ -44,9 +46,11 @@
 const (
 	// Waiting: nothing of a request has arrived since the last one was answered.
 	Waiting Phase = iota
+	// ReadingHeader: a part of a header has arrived.
 	ReadingHeader
+	// ReadingBody: the body of the request is being read.
 	ReadingBody
-	// Handling: the header, and the body unless it is in ReadingBody, has been read.
+	// Handling: the header has been read, and the reading of the body has not begun or has ended.
 	Handling
 	// Ended: the client was refused or cut off. What it sends is not accepted.
 	Ended
@@ -73,10 +77,10 @@
 	account *Account
 	pool    *Pool // nil for a stream
 	phase   Phase
-	reason  Reason // why it has Ended
-	used    bool   // a request was answered on the connection
-	discard bool   // what arrives is not kept
-	cost    int64
+	reason  Reason    // why it has Ended
+	used    bool      // a request was answered on the connection
+	discard bool      // what arrives is not kept
+	cost    int64     // in bytes of memory
 	began   time.Time // when the phase began
 	// progress is when something of the request last arrived.
 	progress time.Time
@@ -114,6 +118,7 @@
 	c.account.freed += c.cost
 }
 
+// release no longer counts the client's cost.
 func (c *Client) release() {
 	if c.phase == Ended {
 		c.account.freed -= c.cost
@@ -124,8 +129,8 @@
 
 // Account is the memory that requests take up, at all interfaces that share it.
 type Account struct {
-	limit int64
-	cost  int64
+	limit int64 // in bytes
+	cost  int64 // in bytes
 	freed int64 // the part of cost of clients that have Ended
 	// reading are the clients that may be cut off for memory, those first that have made no progress for the longest
 	// time.
@@ -160,8 +165,8 @@
 // Open returns the number of connections.
 func (p *Pool) Open() int { return p.open }
 
-// Connect adds a connection. If there are as many as there may be, it cuts off one and returns it: one that has been idle
-// for long, or else the one that has stood still for the longest time in or before its first request, or else the one
+// Connect adds a connection. At the limit of connections it cuts off one and returns it: one that has been idle for
+// minIdle, or else the one that has made no progress for the longest time in or before its first request, or else the one
 // that has been idle for the longest time. It reports false if there is none: the new connection is refused.
 func (p *Pool) Connect(c *Client, now time.Time) (victim *Client, ok bool) {
 	if p.open >= p.max {
@@ -209,7 +214,8 @@
 	}
 }
 
-// OpenStream adds a stream of a connection. Its request's header has arrived and has a number of bytes.
+// OpenStream adds a stream of a connection, whose request's header has arrived. It returns the clients that were cut off
+// to make room, and false if the stream is refused.
 func (a *Account) OpenStream(c *Client, headerBytes int64, now time.Time) (victims []*Client, ok bool) {
 	c.account = a
 	c.enter(Handling, now)
@@ -229,8 +235,8 @@
 	}
 }
 
-// Receive accounts for what has arrived on a connection, or of a stream's body. It returns the clients that were cut off
-// to make room, and false if the client is refused or was cut off before.
+// Receive accounts for what has arrived on a connection, or of a stream's body. It returns the clients that were cut
+// off to make room, and false if the client is refused or was cut off before.
 func (c *Client) Receive(arrived []byte, now time.Time) (victims []*Client, ok bool) {
 	cost := int64(len(arrived)) * byteCost
 	switch c.phase {
@@ -264,22 +270,22 @@
 	return c.charge(bytes, now)
 }
 
-// charge adds to the client's cost. If that exceeds the limit, it cuts off clients that stand still, and refuses this
-// one if that is not enough. A request that is alone is never refused.
+// charge adds to the client's cost. If that exceeds the limit, it cuts off clients without recent progress, and refuses
+// this one if that is not enough. A request that is alone is never refused.
 func (c *Client) charge(cost int64, now time.Time) (victims []*Client, ok bool) {
 	a := c.account
 	c.cost += cost
 	a.cost += cost
 	limit := a.limit
-	if c.cost > smallRequest {
-		limit -= limit / reserveShare
+	if c.cost > smallRequestCost {
+		limit -= limit / smallReserveDivisor
 	}
-	for a.cost-min(a.freed, limit/freedShare) > limit && a.cost > c.cost {
+	for a.cost-min(a.freed, limit/freedDivisor) > limit && a.cost > c.cost {
 		victim := a.reading.front
 		if victim == c {
 			victim = c.next
 		}
-		if victim == nil || now.Sub(victim.progress) < minStall || a.freed > limit/freedShare {
+		if victim == nil || now.Sub(victim.progress) < minStall || a.freed > limit/freedDivisor {
 			// What has arrived is not kept.
 			c.cost -= cost
 			a.cost -= cost
@@ -318,7 +324,7 @@
 		return false
 	case ReadingBody:
 		c.enter(Handling, now)
-		if c.pool == nil && c.cost <= smallRequest {
+		if c.pool == nil && c.cost <= smallRequestCost {
 			c.release()
 		}
 	case Waiting, ReadingHeader, Handling:
@@ -395,6 +401,7 @@
 // queue is a list of clients. A client is in one queue at most.
 type queue struct{ front, back *Client }
 
+// push appends a client that is in no queue.
 func (q *queue) push(c *Client) {
 	c.queue, c.prev, c.next = q, q.back, nil
 	if q.back == nil {
@@ -423,6 +430,7 @@
 	c.queue, c.prev, c.next = nil, nil, nil
 }
 
+// each yields the clients in order. The client that was yielded may be removed meanwhile.
 func (q *queue) each(yield func(*Client) bool) {
 	for c := q.front; c != nil; {
 		next := c.next
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,7 +9,7 @@
 const (
 	testLimit = 1 << 20
 	// largeBody costs a quarter of testLimit.
-	largeBody = testLimit / reserveShare / byteCost
+	largeBody = testLimit / smallReserveDivisor / byteCost
 )
 
 // clock is the time of a test.
@@ -45,7 +45,7 @@
 func fill(t *testing.T, p *Pool, at *clock) []*Client {
 	t.Helper()
 	var out []*Client
-	for range reserveShare - 1 {
+	for range smallReserveDivisor - 1 {
 		c := connect(t, p, at.pass(time.Millisecond))
 		if victims, ok := readBody(c, largeBody, at.now); !ok || len(victims) > 0 {
 			t.Fatalf("a body that fits was refused (%v) or cut off %d others", !ok, len(victims))
@@ -381,7 +381,7 @@
 			freed += c.cost
 		}
 	}
-	if most := int64(testLimit + testLimit/freedShare); sum != a.Cost() || (a.Cost() > most && !alone) {
+	if most := int64(testLimit + testLimit/freedDivisor); sum != a.Cost() || (a.Cost() > most && !alone) {
 		t.Fatalf("seed %d: the clients' costs are %d, the account has %d of %d", seed, sum, a.Cost(), testLimit)
 	}
 	if freed != a.freed {
--- a/internal/intake/plan.go
+++ b/internal/intake/plan.go
@@ -3,8 +3,8 @@
 // Limits are the limits of a process that serves callers, other members, and the platform's readiness check and
 // metrics.
 type Limits struct {
-	// CallerMemory is for requests at all interfaces but the one between members, MemberMemory for those at that, so
-	// that callers do not hold up members. In bytes.
+	// CallerMemory, in bytes, is for requests at all interfaces but the one between members. MemberMemory is for that
+	// one, so that callers do not hold up members.
 	CallerMemory, MemberMemory int64
 	// Numbers of connections of each interface.
 	Callers, Members, Readiness, Metrics int
@@ -16,25 +16,25 @@
 	defaultDescriptors = 4096
 	// reservedDescriptors are for files.
 	reservedDescriptors = 200
-	// outgoingShare is the share of the other descriptors, one in so many, that stays free for connections to
-	// workers, members and the store.
-	outgoingShare = 2
-	// memoryShare is the part of the memory, one in so many, for requests of each kind of client; it may be exceeded by
-	// half, see freedShare. The heap may grow to 0.6 of the memory, and the controller's state takes up most of that.
-	memoryShare = 12
-	// connectionShare is the part of the memory, one in so many, for connections.
-	connectionShare = 4
+	// outgoingDivisor gives the part of the other descriptors that stays free for connections to workers, members and
+	// the store.
+	outgoingDivisor = 2
+	// memoryDivisor gives the part of the memory for requests of each kind of client. It may be exceeded by half; see
+	// freedDivisor. The heap may grow to 0.6 of the memory, and the controller's state takes up most of that.
+	memoryDivisor = 12
+	// connectionDivisor gives the part of the memory for connections.
+	connectionDivisor = 4
 	// connectionBytes is what a connection takes up: 16 KB of buffers and stacks, and twice ReceiveBuffer in the
 	// kernel, which counts the overhead of packets.
 	connectionBytes = 16<<10 + 2*ReceiveBuffer
-	// memberShare and plainShare are the parts of the connections, one in so many, for members, and for each of
-	// readiness check and metrics. Callers have the others.
-	memberShare = 8
-	plainShare  = 16
+	// memberDivisor and plainDivisor give the parts of the connections for members, and for each of the readiness check
+	// and metrics. Callers have the others.
+	memberDivisor = 8
+	plainDivisor  = 16
 )
 
-// Receive buffers of connections, in bytes: they bound what has arrived and was not read. Messages of members are
-// larger, and links between regions longer.
+// Receive buffers of connections, in bytes. They bound what has arrived and was not read. Members have larger ones, since
+// their messages are larger and their links may cross regions.
 const (
 	ReceiveBuffer       = 16 << 10
 	MemberReceiveBuffer = 64 << 10
@@ -49,12 +49,12 @@
 		descriptors = defaultDescriptors
 	}
 	memory := memoryMB << 20
-	connections := min(int(memory/connectionShare/connectionBytes), (descriptors-reservedDescriptors)/outgoingShare)
-	plain := max(connections/plainShare, 1)
-	members := max(connections/memberShare, 1)
+	connections := min(int(memory/connectionDivisor/connectionBytes), (descriptors-reservedDescriptors)/outgoingDivisor)
+	plain := max(connections/plainDivisor, 1)
+	members := max(connections/memberDivisor, 1)
 	return Limits{
-		CallerMemory: memory / memoryShare,
-		MemberMemory: memory / memoryShare,
+		CallerMemory: memory / memoryDivisor,
+		MemberMemory: memory / memoryDivisor,
 		Members:      members,
 		Readiness:    plain,
 		Metrics:      plain,
