--- a/internal/cell/advise_test.go
+++ b/internal/cell/advise_test.go
@@ -17,8 +17,8 @@
 	return nil, 0, a.err
 }
 
-// TestAdvisorRefusalPassesThroughMember checks that the controller can tell a call that the advisor has refused from one
-// that failed, if it was made through another member. It puts the entry off for different times.
+// TestAdvisorRefusalPassesThroughMember checks that the controller can tell a call that the advisor has refused from
+// one that failed, if it was made through another member. It puts the entry off for different times.
 func TestAdvisorRefusalPassesThroughMember(t *testing.T) {
 	for _, code := range []structs.Code{structs.CodeOverload, structs.CodeUnavailable, structs.CodeUnknown} {
 		server := &peerServer{node: &Node{opts: Options{Advisor: failingAdvisor{structs.NewError(code, "refused")}}}}
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestOverlappingAppendsFailOverTogether has the direct path go silent under several appends: once the first of them was
-// answered through another member, the others are made there at once instead of after a hedgeDelay of their own.
+// TestOverlappingAppendsFailOverTogether has the direct path go silent under several appends: once the first of them
+// was answered through another member, the others are made there at once instead of after a hedgeDelay of their own.
 func TestOverlappingAppendsFailOverTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New(Options{Self: Member{Node: "self"}})
--- a/internal/cell/runtimes.go
+++ b/internal/cell/runtimes.go
@@ -9,8 +9,8 @@
 // runTimesPeriod is the period at which what the controller has learned of run times is published.
 const runTimesPeriod = 2 * time.Second
 
-// publishRunTimes publishes what was learned of run times to the other goroutines, and adds metrics for each new class. The
-// controller bounds the number of classes.
+// publishRunTimes publishes what was learned of run times to the other goroutines, and adds metrics for each new class.
+// The controller bounds the number of classes.
 func (l *leaderTerm) publishRunTimes(now time.Time) {
 	if now.Before(l.runTimesDueAt) {
 		return
--- a/internal/cell/slowstore_test.go
+++ b/internal/cell/slowstore_test.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// longestAcceptance returns the longest time that the acceptance of some submissions took, all of which must be accepted.
+// longestAcceptance returns the longest time that the acceptance of some submissions took, all of which must be
+// accepted.
 func longestAcceptance(t *testing.T, tries []*submission) time.Duration {
 	t.Helper()
 	var longest time.Duration
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// giveUpOverdueCalls stops waiting for overdue calls, so that the advisor is asked about their steps again. Answers that
-// arrive nevertheless are used.
+// giveUpOverdueCalls stops waiting for overdue calls, so that the advisor is asked about their steps again. Answers
+// that arrive nevertheless are used.
 func (c *Controller) giveUpOverdueCalls(now time.Time) {
 	for _, overdue := range c.advisorQueue.TakeOverdue(now) {
 		if s := c.findStep(overdue.Step); s != nil && s.advice != nil {
--- a/internal/controller/headroom_test.go
+++ b/internal/controller/headroom_test.go
@@ -42,8 +42,8 @@
 	return n
 }
 
-// TestUrgentBurstAfterABatchBurst guards against urgent jobs that wait for batch runs to end: a burst of batch jobs fills
-// the cell just before the urgent load doubles.
+// TestUrgentBurstAfterABatchBurst guards against urgent jobs that wait for batch runs to end: a burst of batch jobs
+// fills the cell just before the urgent load doubles.
 func TestUrgentBurstAfterABatchBurst(t *testing.T) {
 	sim := newMixedCell(t)
 	sim.submit(urgentJob("usual", 16))
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -105,8 +105,8 @@
 	// lastVictimSearch when such runs were last searched for.
 	lastPreemption   time.Time
 	lastVictimSearch time.Time
-	// runTimes predicts the run times of the tasks, nil if the stated ones are used. expected is its latest prediction, which is
-	// due again at expectedDue; expectedVersion counts the predictions.
+	// runTimes predicts the run times of the tasks, nil if the stated ones are used. expected is its latest prediction,
+	// which is due again at expectedDue; expectedVersion counts the predictions.
 	runTimes        *runtimes.Step
 	expected        runtimes.Expectation
 	expectedDue     time.Time
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -181,7 +181,8 @@
 }
 
 const (
-	// expectationPeriod is how long the expected run time of a step is used before it is computed again from the runs that go on.
+	// expectationPeriod is how long the expected run time of a step is used before it is computed again from the runs
+	// that go on.
 	expectationPeriod = 250 * time.Millisecond
 	// maxStartUncertainty and maxEndUncertainty bound how far the start and the end of a run may be from when the
 	// controller learned of them, beyond the time that a poll waits, for the run time to count.
@@ -189,8 +190,8 @@
 	maxEndUncertainty   = 300 * time.Millisecond
 )
 
-// learnRunTime adds the run time of a task that is done, if its start and its end are certain and nothing has slowed the run
-// down. r is no longer among the task's runs.
+// learnRunTime adds the run time of a task that is done, if its start and its end are certain and nothing has slowed
+// the run down. r is no longer among the task's runs.
 func (c *Controller) learnRunTime(t *task, r *run, now time.Time) {
 	s := t.step
 	if c.runTimes == nil || t.done || s.def.LongRunning || s.def.EstimateMs == 0 || !c.undisturbed(r, now) {
@@ -287,8 +288,8 @@
 	return out
 }
 
-// runTimeForSpeed returns the run time of a task with which that of a run is compared for the speed of its worker: the expected
-// one without the run itself, since errors of the stated ones would count as speed.
+// runTimeForSpeed returns the run time of a task with which that of a run is compared for the speed of its worker: the
+// expected one without the run itself, since errors of the stated ones would count as speed.
 func (c *Controller) runTimeForSpeed(r *run, now time.Time) time.Duration {
 	s := r.task.step
 	if c.runTimes == nil || s.def.EstimateMs == 0 {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -194,7 +194,8 @@
 	return out
 }
 
-// verdictsPerRoom is the number of verdicts that can be iterated over in the time of looking up the verdict on one worker.
+// verdictsPerRoom is the number of verdicts that can be iterated over in the time of looking up the verdict on one
+// worker.
 const verdictsPerRoom = 2
 
 // appendCandidate appends a worker on which one task of a step fits to out, unless none may be started there now.
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -97,8 +97,8 @@
 	return total
 }
 
-// mayBeRunningCount returns how many unknown runs the tasks of a step may have. A task may have a copy beside a run that
-// is known or has ended.
+// mayBeRunningCount returns how many unknown runs the tasks of a step may have. A task may have a copy beside a run
+// that is known or has ended.
 func (s *step) mayBeRunningCount() int64 {
 	var n int64
 	for _, t := range s.tasks {
--- a/internal/controller/runtimes_test.go
+++ b/internal/controller/runtimes_test.go
@@ -11,8 +11,8 @@
 	"dotterelhitch/internal/workload"
 )
 
-// TestUndisturbedRunsAreLearned guards against learning from runs that do not tell how long a task takes, such as those that
-// were resumed from a checkpoint, and against learning where it is switched off.
+// TestUndisturbedRunsAreLearned guards against learning from runs that do not tell how long a task takes, such as those
+// that were resumed from a checkpoint, and against learning where it is switched off.
 func TestUndisturbedRunsAreLearned(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -96,8 +96,9 @@
 	}
 }
 
-// TestLearnedTimesAreExpected has tasks of one kind take four times as long as stated. Once that is learned, reservations must reckon
-// with it. The job's deadline and latest start must stay those of the stated times, since the target belongs to the operator.
+// TestLearnedTimesAreExpected has tasks of one kind take four times as long as stated. Once that is learned,
+// reservations must reckon with it. The job's deadline and latest start must stay those of the stated times, since the
+// target belongs to the operator.
 func TestLearnedTimesAreExpected(t *testing.T) {
 	sim := newSimulationWithController(t, 8, 4000)
 	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
@@ -126,8 +127,9 @@
 	}
 }
 
-// TestEndOfRunsWithEarlierProgress guards against ends that are expected far too soon: the progress of a run that was resumed from a
-// checkpoint, or adopted from an earlier controller, was taken for the work of the time since its start was known.
+// TestEndOfRunsWithEarlierProgress guards against ends that are expected far too soon: the progress of a run that was
+// resumed from a checkpoint, or adopted from an earlier controller, was taken for the work of the time since its start
+// was known.
 func TestEndOfRunsWithEarlierProgress(t *testing.T) {
 	for _, adopted := range []bool{false, true} {
 		sim := newSimulationWithController(t, 1, 4000)
@@ -158,8 +160,8 @@
 	}
 }
 
-// TestWrongEstimatesMakeNoWorkerSlow guards against moves of tasks off workers that are as fast as the others, because their
-// tasks take longer than stated.
+// TestWrongEstimatesMakeNoWorkerSlow guards against moves of tasks off workers that are as fast as the others, because
+// their tasks take longer than stated.
 func TestWrongEstimatesMakeNoWorkerSlow(t *testing.T) {
 	sim := newSimulationWithController(t, 12, 4000)
 	sim.drawResult = func(id workload.TaskID, _ *fakeWorker) (time.Duration, workload.EndReason) {
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -69,9 +69,9 @@
 	return c.shares.Utilization(team, c.usage.Team(team))
 }
 
-// startRoom returns how many of n tasks of a step may start now under the quota of its team, beside the capacity that is
-// left free for urgent classes, and within the limit on its team's share in the current round. The limit does not split
-// gangs.
+// startRoom returns how many of n tasks of a step may start now under the quota of its team, beside the capacity that
+// is left free for urgent classes, and within the limit on its team's share in the current round. The limit does not
+// split gangs.
 func (c *Controller) startRoom(s *step, n int) int {
 	n = c.headroom(s, c.quotaRoom(s, n))
 	if c.shares == nil || s.gang != nil {
--- a/internal/controller/shares_test.go
+++ b/internal/controller/shares_test.go
@@ -171,9 +171,9 @@
 	}
 }
 
-// playTeamBurst runs the mix of all classes for twenty teams, the largest of which sends seven times its usual rate for a
-// while. It returns the part of the jobs submitted during and after the burst that were on time: for the
-// worst-served tenth of the other teams, for all of them, and for the team itself.
+// playTeamBurst runs the mix of all classes for twenty teams, the largest of which sends seven times its usual rate for
+// a while. It returns the part of the jobs submitted during and after the burst that were on time: for the worst-served
+// tenth of the other teams, for all of them, and for the team itself.
 func playTeamBurst(t *testing.T, seed uint64, shares bool) (worst, others, burst float64) {
 	// The others have a weight of 1 each and send as much.
 	const teamCount, usual, burstRate = 20, 5.0, 7 * 5.0
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -302,8 +302,8 @@
 // The entry of another boot says nothing of its service, labels and capacity.
 func (w *worker) describesBoot() bool { return w.info.BootMs == w.boot }
 
-// takesStarts reports whether starts may be sent: the boot that is known has answered a poll, no answer shows another one
-// since, and leases may be granted.
+// takesStarts reports whether starts may be sent: the boot that is known has answered a poll, no answer shows another
+// one since, and leases may be granted.
 func (w *worker) takesStarts() bool { return w.bootAnswered && !w.otherBootAnswered && w.takesLeases() }
 
 // usable reports whether tasks may be started on the worker.
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -129,8 +129,8 @@
 // limit.
 var RoundLimits = [...]float64{1, 100.0 / usablePercent, math.Inf(1)}
 
-// Room returns how many tasks of a size, at most limit, a team that has some amount running may start until it reaches a
-// utilization of its share. The last of these tasks may exceed it.
+// Room returns how many tasks of a size, at most limit, a team that has some amount running may start until it reaches
+// a utilization of its share. The last of these tasks may exceed it.
 func (d *Division) Room(team string, running, size structs.Resources, utilization float64, limit int) int {
 	each := dominantPart(size, d.capacity)
 	if math.IsInf(utilization, 1) || each == 0 {
--- a/internal/httpintake/gate.go
+++ b/internal/httpintake/gate.go
@@ -1,5 +1,6 @@
-// Package httpintake bounds what clients of HTTP servers take up before their requests are complete: memory, connections
-// and time. The decisions are those of package intake; this package applies them to connections and handlers.
+// Package httpintake bounds what clients of HTTP servers take up before their requests are complete: memory,
+// connections and time. The decisions are those of package intake; this package applies them to connections and
+// handlers.
 package httpintake
 
 import (
--- a/internal/httpintake/gate_test.go
+++ b/internal/httpintake/gate_test.go
@@ -241,8 +241,8 @@
 	await(t, "a refusal", func() bool { return s.refused(oversizedHeader) == 1 })
 }
 
-// TestBodyIsRefusedWhileOthersMakeProgress guards against memory beyond the limit, and a refusal that the client doesn't
-// get to see.
+// TestBodyIsRefusedWhileOthersMakeProgress guards against memory beyond the limit, and a refusal that the client
+// doesn't get to see.
 func TestBodyIsRefusedWhileOthersMakeProgress(t *testing.T) {
 	const memory, body = 1 << 20, 300 << 10
 	// The clock stands still, so that no body does.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,8 +17,8 @@
 	// headerLineCost is the cost of a header line, however short, in addition to its bytes: entries of a map, a list of
 	// values and two strings.
 	headerLineCost = 128
-	// smallRequestCost is the cost up to which a request counts as small. It is twice the cost of a body of 5 KB with an
-	// ordinary header.
+	// smallRequestCost is the cost up to which a request counts as small. It is twice the cost of a body of 5 KB with
+	// an ordinary header.
 	smallRequestCost = 32 << 10
 )
 
@@ -166,8 +166,8 @@
 func (p *Pool) Open() int { return p.open }
 
 // Connect adds a connection. At the limit of connections it cuts off one and returns it: one that has been idle for
-// minIdle, or else the one that has made no progress for the longest time in or before its first request, or else the one
-// that has been idle for the longest time. It reports false if there is none: the new connection is refused.
+// minIdle, or else the one that has made no progress for the longest time in or before its first request, or else the
+// one that has been idle for the longest time. It reports false if there is none: the new connection is refused.
 func (p *Pool) Connect(c *Client, now time.Time) (victim *Client, ok bool) {
 	if p.open >= p.max {
 		victim = p.stalled(now)
@@ -214,8 +214,8 @@
 	}
 }
 
-// OpenStream adds a stream of a connection, whose request's header has arrived. It returns the clients that were cut off
-// to make room, and false if the stream is refused.
+// OpenStream adds a stream of a connection, whose request's header has arrived. It returns the clients that were cut
+// off to make room, and false if the stream is refused.
 func (a *Account) OpenStream(c *Client, headerBytes int64, now time.Time) (victims []*Client, ok bool) {
 	c.account = a
 	c.enter(Handling, now)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestConnectionsBeyondTheLimit guards against connections that keep out others: the one that has waited for the longest
-// time makes room, then one whose body stands still, and new ones are refused if neither is there.
+// TestConnectionsBeyondTheLimit guards against connections that keep out others: the one that has waited for the
+// longest time makes room, then one whose body stands still, and new ones are refused if neither is there.
 func TestConnectionsBeyondTheLimit(t *testing.T) {
 	a, at := NewAccount(testLimit), newClock()
 	p := a.NewPool(2)
--- a/internal/intake/plan.go
+++ b/internal/intake/plan.go
@@ -33,8 +33,8 @@
 	plainDivisor  = 16
 )
 
-// Receive buffers of connections, in bytes. They bound what has arrived and was not read. Members have larger ones, since
-// their messages are larger and their links may cross regions.
+// Receive buffers of connections, in bytes. They bound what has arrived and was not read. Members have larger ones,
+// since their messages are larger and their links may cross regions.
 const (
 	ReceiveBuffer       = 16 << 10
 	MemberReceiveBuffer = 64 << 10
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -1,7 +1,7 @@
-// Package runtimes learns from finished runs how long tasks take compared with their stated run times. It
-// keeps the distribution of the ratio of actual to stated run time for each class and shape of a step, and
-// uses the runs of a step to predict the others of the same step, since most of the error of a stated run time is common to them.
-// It has no I/O and no clock, and its memory is bounded.
+// Package runtimes learns from finished runs how long tasks take compared with their stated run times. It keeps the
+// distribution of the ratio of actual to stated run time for each class and shape of a step, and uses the runs of a
+// step to predict the others of the same step, since most of the error of a stated run time is common to them. It has
+// no I/O and no clock, and its memory is bounded.
 package runtimes
 
 import (
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// Key identifies the steps whose run times are learned together. The zero value of a field other than Class and Gang stands for
-// any value.
+// Key identifies the steps whose run times are learned together. The zero value of a field other than Class and Gang
+// stands for any value.
 type Key struct {
 	Class string
 	Gang  bool
@@ -44,7 +44,8 @@
 // Expectation is the expected run time of a task.
 type Expectation struct {
 	Median, P90 time.Duration
-	// Samples is the number of runs on which it is based: those of the class, or with Step those of the step in addition.
+	// Samples is the number of runs on which it is based: those of the class, or with Step those of the step in
+	// addition.
 	Samples int
 }
 
@@ -170,7 +171,8 @@
 	}
 }
 
-// distribution returns the distribution of a key for an update. It drops the least recently used one if there are too many.
+// distribution returns the distribution of a key for an update. It drops the least recently used one if there are too
+// many.
 func (e *Estimator) distribution(key Key) *distribution {
 	e.uses++
 	d := e.distributions[key]
@@ -208,8 +210,8 @@
 	return p
 }
 
-// Expect returns the expected run time of a task of a step of which nothing has run yet. Without any sample of the class it is
-// the stated one.
+// Expect returns the expected run time of a task of a step of which nothing has run yet. Without any sample of the
+// class it is the stated one.
 func (e *Estimator) Expect(key Key, stated time.Duration) Expectation {
 	d := e.distributions[Key{Class: key.Class}]
 	if d == nil {
--- a/internal/runtimes/runtimes_test.go
+++ b/internal/runtimes/runtimes_test.go
@@ -17,8 +17,8 @@
 	return float64(got) <= float64(want)*factor && float64(got) >= float64(want)/factor
 }
 
-// TestStatedTimeWithoutSamples guards against decisions on a guess: a class of which nothing is known has the stated run
-// time, without any spread.
+// TestStatedTimeWithoutSamples guards against decisions on a guess: a class of which nothing is known has the stated
+// run time, without any spread.
 func TestStatedTimeWithoutSamples(t *testing.T) {
 	e := NewEstimator()
 	e.Add(KeyOf("other", false, second, 1000, 1), second, 5*second, false)
@@ -50,8 +50,8 @@
 	}
 }
 
-// TestSpreadIsLearned draws run times that are off by a log-normal factor. The median and the 90th percentile have to be those of
-// the factor.
+// TestSpreadIsLearned draws run times that are off by a log-normal factor. The median and the 90th percentile have to
+// be those of the factor.
 func TestSpreadIsLearned(t *testing.T) {
 	const sigma = 0.77 // of a factor whose spread is 0.9
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -69,8 +69,8 @@
 	}
 }
 
-// TestShapesDiffer guards against one factor for all steps of a class: long stated times that are too long and short ones that are
-// too short must be told apart.
+// TestShapesDiffer guards against one factor for all steps of a class: long stated times that are too long and short
+// ones that are too short must be told apart.
 func TestShapesDiffer(t *testing.T) {
 	e := NewEstimator()
 	for range 100 {
@@ -123,7 +123,8 @@
 	}
 }
 
-// TestCensoredRunsAreLowerBounds guards against short guesses: without the runs that were stopped only the short ones would count.
+// TestCensoredRunsAreLowerBounds guards against short guesses: without the runs that were stopped only the short ones
+// would count.
 func TestCensoredRunsAreLowerBounds(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	e, short := NewEstimator(), NewEstimator()
@@ -144,8 +145,8 @@
 	}
 }
 
-// TestStepLearnsFromItsOwnRuns: the stated time is off by the same factor for all tasks of a step, so that the first ones tell of the
-// others.
+// TestStepLearnsFromItsOwnRuns: the stated time is off by the same factor for all tasks of a step, so that the first
+// ones tell of the others.
 func TestStepLearnsFromItsOwnRuns(t *testing.T) {
 	e := roughEstimator(10)
 	key := keyFor(2 * second)
@@ -166,7 +167,8 @@
 	}
 }
 
-// roughEstimator returns an estimator that knows steps off by a wide factor, and tasks that differ little within a step.
+// roughEstimator returns an estimator that knows steps off by a wide factor, and tasks that differ little within a
+// step.
 func roughEstimator(seed uint64) *Estimator {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	e := NewEstimator()
@@ -180,8 +182,8 @@
 	return e
 }
 
-// TestRunningTasksCount guards against ignoring the runs that go on: their progress tells how long they take, and without progress a run
-// that lasts longer than expected is a lower bound.
+// TestRunningTasksCount guards against ignoring the runs that go on: their progress tells how long they take, and
+// without progress a run that lasts longer than expected is a lower bound.
 func TestRunningTasksCount(t *testing.T) {
 	e := roughEstimator(11)
 	s := e.NewStep(keyFor(2*second), 2*second, 8)
--- a/internal/runtimes/step.go
+++ b/internal/runtimes/step.go
@@ -7,16 +7,16 @@
 
 // Step predicts the run times of the tasks of one step from the runs of that step and from what was learned of others.
 //
-// The logarithm of a task's ratio of actual to stated run time is modelled as the sum of an error that is common to the step and
-// one of the task, both normally distributed. The spread of the first comes from the learned distribution, that of the
-// second from the completed steps of the class.
+// The logarithm of a task's ratio of actual to stated run time is modelled as the sum of an error that is common to the
+// step and one of the task, both normally distributed. The spread of the first comes from the learned distribution,
+// that of the second from the completed steps of the class.
 type Step struct {
 	estimator *Estimator
 	key       Key
 	stated    time.Duration
 	width     int
-	// finished, mean and squares describe the logarithms of the ratios of the finished runs: their number, their mean, and the sum of
-	// their squared deviations from it.
+	// finished, mean and squares describe the logarithms of the ratios of the finished runs: their number, their mean,
+	// and the sum of their squared deviations from it.
 	finished      int
 	mean, squares float64
 	fit           fit // of the latest call of Expect
@@ -46,8 +46,8 @@
 	minDone = 0.15
 	// normalP90 is the 90th percentile of the standard normal distribution.
 	normalP90 = 1.2816
-	// refinements is the number of rounds in which the runs that have not ended are given their expected run times; more of
-	// them change the result by less than a bucket.
+	// refinements is the number of rounds in which the runs that have not ended are given their expected run times;
+	// more of them change the result by less than a bucket.
 	refinements = 4
 )
 
@@ -101,8 +101,8 @@
 	return defaultSpread
 }
 
-// fit is what is known of the common error of a step: its distribution without the step's own runs, the spread of the tasks,
-// and the sum and the number of the logarithms of the ratios of its runs.
+// fit is what is known of the common error of a step: its distribution without the step's own runs, the spread of the
+// tasks, and the sum and the number of the logarithms of the ratios of its runs.
 type fit struct {
 	stated                    time.Duration
 	priorMean, common, within float64
@@ -216,8 +216,8 @@
 	return mean + deviation*density/upperTail(z)
 }
 
-// largeDeviation is the number of standard deviations beyond which the tail of the normal distribution is approximated by an
-// exponential one, since its own value loses precision.
+// largeDeviation is the number of standard deviations beyond which the tail of the normal distribution is approximated
+// by an exponential one, since its own value loses precision.
 const largeDeviation = 5.0
 
 // upperTail returns the share of the standard normal distribution above z.
