--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -14,8 +14,8 @@
 	// commitInterval is the minimum time between two appends; the records of that time are
 	// batched into one append.
 	commitInterval = 25 * time.Millisecond
-	// commitRetryPause is the pause before a failed append is retried, commitTurnPause that before one is which
-	// arrived before its turn: the append before it is under way.
+	// commitRetryPause is the pause before a failed append is retried. commitTurnPause is the pause if the append
+	// reached the store before its turn, since the preceding append is under way then.
 	commitRetryPause = 60 * time.Millisecond
 	commitTurnPause  = 25 * time.Millisecond
 	// storeOutageThreshold is how long an append may be in flight before submissions are
--- a/internal/cell/pipeline.go
+++ b/internal/cell/pipeline.go
@@ -13,15 +13,15 @@
 	// answers to the last five appends of a producer, so that an append whose answer was lost
 	// can be retried whatever the outcome of the four after it.
 	maxAppendsInFlight = 5
-	// stuckAppendFactor and minStuckAppendTime: no batch is added while the oldest append has been in flight
-	// for this multiple of the usual time, and for minStuckAppendTime. Submissions in an append without an
-	// answer can be neither accepted nor refused; therefore a store that does not answer gets no more.
-	// minStuckAppendTime is a little more than the 368 ms that a slow store takes.
+	// No batch is added once the oldest append has been in flight for stuckAppendFactor times the usual time, and
+	// for at least minStuckAppendTime. Submissions in an append without an answer can be neither accepted nor
+	// refused; therefore a store that does not answer gets no more. minStuckAppendTime exceeds the time that an
+	// append takes at a slow store.
 	stuckAppendFactor  = 3
 	minStuckAppendTime = 400 * time.Millisecond
-	// lateAppendFactor: an append that has been in flight for this multiple of the usual time is late. The
-	// store may have become slow. Until it answers, batches are added lateAppendInterval apart, so that
-	// maxAppendsInFlight of them last for minStuckAppendTime.
+	// An append that has been in flight for lateAppendFactor times the usual time is late. The store may have
+	// become slow. Until it answers, batches are added lateAppendInterval apart, so that maxAppendsInFlight of
+	// them span minStuckAppendTime.
 	lateAppendFactor   = 2
 	lateAppendInterval = 90 * time.Millisecond
 )
@@ -33,10 +33,10 @@
 type appendPipeline struct {
 	mu      sync.Mutex
 	pending []*pendingBatch
-	// appendTime is how long appends usually take: the last confirmed one, or half of the former value if that
-	// is longer, since the repetition of an append may be answered at once while the store is slow. It is
-	// zero before the first. Zero keeps other appends from being sent along with the first one of an epoch,
-	// for which the store accepts any sequence number.
+	// appendTime is how long appends usually take: the time of the last confirmed one, or half of the former
+	// value if that is longer, since a repeated append may be answered at once while the store is slow. It is
+	// zero before the first confirmation. Zero keeps other appends from being sent along with the first one of
+	// an epoch, for which the store accepts any sequence number.
 	appendTime time.Duration
 	// lastAdded is when the latest batch was added.
 	lastAdded time.Time
@@ -64,7 +64,7 @@
 }
 
 // nextAdd returns how long to wait until another batch may be added, zero if it may be added now. It returns false if
-// that takes a confirmation.
+// no batch may be added before a confirmation.
 func (p *appendPipeline) nextAdd(now time.Time) (wait time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -103,7 +103,7 @@
 	s.set.GetOrCreateCounter(`hitch_cell_appends{outcome="` + outcomeOf(err) + `"}`).Inc()
 }
 
-// observePass observes a placement pass over a number of waiting steps.
+// observePass adds a placement pass, and the number of steps that waited at its beginning, to the metrics.
 func (s *nodeStats) observePass(took time.Duration, steps int) {
 	s.passSeconds.Update(took.Seconds())
 	s.passSteps.Update(float64(steps))
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -337,7 +337,7 @@
 	l.waitingJobs.Store(out)
 }
 
-// termMetric returns a metric of the controller, zero on the other members.
+// termMetric returns a metric that only the controller has. It is zero on other members.
 func (n *Node) termMetric(read func(*leaderTerm) int64) func() float64 {
 	return func() float64 {
 		l := n.term.Load()
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -39,12 +39,13 @@
 	w.speed.add(float64(expected) / float64(actual))
 	e.samples++
 	e.sinceMedian++
-	// One sample for each worker in between keeps the cost of a sample low.
+	// With about one sample per worker between two updates, the cost of a sample stays low.
 	if e.sinceMedian >= min(len(workers), e.samples/2) {
 		e.updateMedian(workers)
 	}
 }
 
+// updateMedian computes the median speed of the workers with enough samples.
 func (e *speedEstimator) updateMedian(workers map[string]*worker) {
 	e.sinceMedian = 0
 	ratios := make([]float64, 0, len(workers))
@@ -168,8 +169,8 @@
 	}
 }
 
-// LearnRunTimes has the controller expect run times by those of finished runs instead of the stated ones alone. It is
-// called before the first job is known.
+// LearnRunTimes makes the controller predict run times from finished runs instead of using the stated ones alone. It has
+// to be called before the first job is added.
 func (c *Controller) LearnRunTimes() { c.runTimes = runtimes.NewEstimator() }
 
 // LearnedRunTimes returns what was learned of each class.
@@ -260,8 +261,8 @@
 	return s.expected
 }
 
-// runningTimes returns how long the runs of a step have lasted, by the time of a worker of average speed. It leaves out
-// those that seem stalled, which say nothing of the others.
+// runningTimes returns how long the runs of a step have lasted, converted to a worker of average speed. It leaves out runs
+// that seem stalled, which say nothing about the others.
 func (c *Controller) runningTimes(s *step, now time.Time) []runtimes.Running {
 	if s.gang != nil {
 		return nil
@@ -288,8 +289,8 @@
 	return out
 }
 
-// runTimeForSpeed returns the run time of a task with which that of a run is compared for the speed of its worker: the
-// expected one without the run itself, since errors of the stated ones would count as speed.
+// runTimeForSpeed returns the run time with which the actual one of a run is compared to estimate the speed of its
+// worker. It is the expected one, without the run itself, since an error of the stated one would count as speed.
 func (c *Controller) runTimeForSpeed(r *run, now time.Time) time.Duration {
 	s := r.task.step
 	if c.runTimes == nil || s.def.EstimateMs == 0 {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -95,8 +95,8 @@
 	health healthRecord
 	// avoided says that the current placement pass starts nothing on the worker.
 	avoided bool
-	// lastPass is the latest placement pass that might start runs on the worker, order the worker's place among
-	// those of that pass, by which equally good workers are ordered.
+	// lastPass is the latest placement pass in which the worker was usable. order is its place among the usable
+	// workers of that pass; it orders equally good candidates.
 	lastPass, order int
 	// suspectRuns counts the runs of suspects of which the worker has not outlived the start.
 	// Nothing else is started on it meanwhile.
@@ -120,8 +120,8 @@
 	Capacity structs.Resources `json:"capacity,omitzero"`
 }
 
-// describedBy reports whether a record has the worker's address and bounds what can run there. The records of earlier
-// programs do not say.
+// describedBy reports whether a record has the worker's address, and a capacity of at least the worker's. A record of an
+// earlier program has no capacity, which is accepted.
 func (w *worker) describedBy(r *workerRecord) bool {
 	return r.Addr == w.info.Addr && (r.Capacity.IsZero() || w.info.Capacity.Fits(r.Capacity))
 }
@@ -184,7 +184,7 @@
 	percentAt    time.Time
 	progressedAt time.Time // when percent last rose
 	resumed      bool      // the progress may include work that was done before confirmedAt
-	// counted is how the run counts in the expected run time of its step with the version countedIn.
+	// counted is how the run counted in the prediction of its step's run times with the version countedIn.
 	counted   runtimes.Running
 	countedIn int
 }
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -58,9 +58,10 @@
 	// parentWeight is the weight of the coarser distribution in a finer one, as a number of steps. At the
 	// coarsest level it is the weight of the stated run time.
 	parentWeight = 4.0
-	// memory is the number of steps after which the weight of a step has fallen to 1/e.
-	memory = 150.0
-	// maxDistributions bounds the memory to about 0.25 MB. The least recently used one is dropped.
+	// decaySteps is the number of later steps after which the weight of a step has fallen to 1/e.
+	decaySteps = 150.0
+	// maxDistributions bounds the memory that distributions take up to about 0.25 MB. Beyond it the least recently used
+	// one is dropped.
 	maxDistributions = 512
 	// maxClassSpreads bounds the number of classes with a spread within steps.
 	maxClassSpreads = 128
@@ -74,24 +75,26 @@
 	usedAt  uint64
 }
 
+// bucketOf returns the bucket of a ratio that is given as its logarithm.
 func bucketOf(logRatio float64) int {
 	return min(max(int(math.Round(logRatio/logStep)), -halfBuckets), halfBuckets) + halfBuckets
 }
 
-// decay makes room for a sample of a weight.
+// decay reduces the weights of all samples before one of the given weight is added.
 func (d *distribution) decay(weight float64) {
-	keep := float32(1 - weight/memory)
+	keep := float32(1 - weight/decaySteps)
 	for i := range d.weights {
 		d.weights[i] *= keep
 	}
 	d.total *= float64(keep)
 }
 
-// shares is a distribution over the buckets with sum 1.
-type shares [bucketCount]float64
+// probabilities are the probabilities of the buckets, with sum 1.
+type probabilities [bucketCount]float64
 
-// blend replaces the shares of a coarser distribution by those of a finer one.
-func (p *shares) blend(d *distribution) {
+// blend turns the probabilities of a coarser distribution into those of a finer one, in which the coarser one has the
+// weight parentWeight.
+func (p *probabilities) blend(d *distribution) {
 	sum := d.total + parentWeight
 	for i := range p {
 		p[i] = (float64(d.weights[i]) + parentWeight*p[i]) / sum
@@ -99,7 +102,7 @@
 }
 
 // quantile returns the logarithm of the ratio below which a share of the runs lies.
-func (p *shares) quantile(q float64) float64 {
+func (p *probabilities) quantile(q float64) float64 {
 	below := 0.0
 	for i, share := range p {
 		if below+share >= q && share > 0 {
@@ -110,10 +113,10 @@
 	return halfBuckets * logStep
 }
 
-// spread holds the spread of run times within the steps of a class.
+// spread holds the mean variance of the logarithm of the ratios within the steps of a class.
 type spread struct {
 	variance float64
-	steps    float64
+	steps    float64 // that the mean is based on, at most decaySteps
 }
 
 // Estimator learns run times. It is not safe for concurrent use.
@@ -139,9 +142,9 @@
 		return
 	}
 	bucket := bucketOf(math.Log(float64(actual) / float64(stated)))
-	var p shares
+	var p probabilities
 	if censored {
-		p = e.shares(key)
+		p = e.probabilities(key)
 	}
 	for _, k := range key.levels() {
 		d := e.distribution(k)
@@ -156,11 +159,11 @@
 	}
 }
 
-// addAbove distributes a weight over the buckets from one on, in proportion to the shares that are expected there.
-func (d *distribution) addAbove(p *shares, from int, weight float64) {
+// addAbove distributes a weight over the buckets from one on, in proportion to their expected probabilities.
+func (d *distribution) addAbove(p *probabilities, from int, weight float64) {
 	sum := 0.0
-	for _, share := range p[from:] {
-		sum += share
+	for _, probability := range p[from:] {
+		sum += probability
 	}
 	if sum <= 0 {
 		d.weights[from] += float32(weight)
@@ -187,6 +190,7 @@
 	return d
 }
 
+// dropOldest drops the least recently used distribution.
 func (e *Estimator) dropOldest() {
 	var oldest Key
 	usedAt := uint64(math.MaxUint64)
@@ -198,9 +202,9 @@
 	delete(e.distributions, oldest)
 }
 
-// shares returns the distribution of a key's ratios, blended with those of the coarser keys.
-func (e *Estimator) shares(key Key) shares {
-	var p shares
+// probabilities returns the distribution of a key's ratios, blended with those of the coarser keys.
+func (e *Estimator) probabilities(key Key) probabilities {
+	var p probabilities
 	p[halfBuckets] = 1
 	for _, k := range key.levels() {
 		if d := e.distributions[k]; d != nil {
@@ -210,31 +214,35 @@
 	return p
 }
 
-// Expect returns the expected run time of a task of a step of which nothing has run yet. Without any sample of the
-// class it is the stated one.
+// Expect returns the expected run time of a task of a step that has no finished or running tasks. Without any sample of
+// the class it is the stated one.
 func (e *Estimator) Expect(key Key, stated time.Duration) Expectation {
 	d := e.distributions[Key{Class: key.Class}]
 	if d == nil {
 		return Expectation{Median: stated, P90: stated}
 	}
-	p := e.shares(key)
+	p := e.probabilities(key)
 	return Expectation{Median: scale(stated, p.quantile(0.5)), P90: scale(stated, p.quantile(0.9)), Samples: d.runs}
 }
 
 // maxRunTime bounds expected run times, about 9 years, so that sums with them do not overflow.
 const maxRunTime = time.Duration(1) << 58
 
+// scale multiplies a duration by a ratio that is given as its logarithm.
 func scale(d time.Duration, logRatio float64) time.Duration {
 	return bounded(float64(d) * math.Exp(logRatio))
 }
 
+// bounded converts a number of nanoseconds to a duration of at most maxRunTime.
 func bounded(d float64) time.Duration { return time.Duration(min(d, float64(maxRunTime))) }
 
-// Summary says what was learned of a class: the ratios of actual to stated run time.
+// Summary says what was learned of a class.
 type Summary struct {
-	Class       string
+	Class string
+	// Median and P90 are quantiles of the ratio of actual to stated run time.
 	Median, P90 float64
-	Samples     int
+	// Samples is the number of runs on which they are based.
+	Samples int
 }
 
 // Summaries returns what was learned of each class, by name.
@@ -242,7 +250,7 @@
 	var out []Summary
 	for k, d := range e.distributions {
 		if k == (Key{Class: k.Class}) {
-			var p shares
+			var p probabilities
 			p[halfBuckets] = 1
 			p.blend(d)
 			out = append(out, Summary{Class: k.Class, Median: math.Exp(p.quantile(0.5)), P90: math.Exp(p.quantile(0.9)), Samples: d.runs})
--- a/internal/runtimes/runtimes_test.go
+++ b/internal/runtimes/runtimes_test.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// TestStepLearnsFromItsOwnRuns: the stated time is off by the same factor for all tasks of a step, so that the first
-// ones tell of the others.
+// TestStepLearnsFromItsOwnRuns guards against ignoring the finished runs of a step: the stated time is off by the same
+// factor for all its tasks, so that the first ones tell of the others.
 func TestStepLearnsFromItsOwnRuns(t *testing.T) {
 	e := roughEstimator(10)
 	key := keyFor(2 * second)
--- a/internal/runtimes/step.go
+++ b/internal/runtimes/step.go
@@ -19,18 +19,21 @@
 	// and the sum of their squared deviations from it.
 	finished      int
 	mean, squares float64
-	fit           fit // of the latest call of Expect
+	// fit is that of the latest call of Expect.
+	fit fit
 }
 
 // Running is a run of a step that has not ended.
 type Running struct {
+	// Elapsed is how long the run had lasted when Done was reported, or has lasted until now if Done is zero.
 	Elapsed time.Duration
 	// Done is the share of the work that is done, zero if that is not known.
 	Done float64
 }
 
 const (
-	// defaultSpread is the assumed spread within steps until spreadWeight steps of a class have completed.
+	// defaultSpread is the assumed spread within the steps of a class. It weighs as much as spreadWeight completed
+	// steps. Spreads are standard deviations of the natural logarithm of ratios.
 	defaultSpread = 0.3
 	spreadWeight  = 3.0
 	// minSpread and maxVariance bound the spread within steps, so that neither a few equal runs nor an outlier
@@ -46,8 +49,8 @@
 	minDone = 0.15
 	// normalP90 is the 90th percentile of the standard normal distribution.
 	normalP90 = 1.2816
-	// refinements is the number of rounds in which the runs that have not ended are given their expected run times;
-	// more of them change the result by less than a bucket.
+	// refinements is the number of iterations in which the runs that have not ended are given their expected run times.
+	// More of them change the result by less than a bucket.
 	refinements = 4
 )
 
@@ -68,6 +71,8 @@
 	}
 }
 
+// observe adds the logarithm of the ratio of a finished run to the mean and the squares (Welford's algorithm). Outliers
+// are clipped.
 func (s *Step) observe(x float64) {
 	if s.finished >= 2 {
 		limit := outlierLimit * s.estimator.spread(s.key.Class) * math.Sqrt(1+1/float64(s.finished))
@@ -89,7 +94,7 @@
 		sp = &spread{variance: defaultSpread * defaultSpread, steps: spreadWeight}
 		e.spreads[class] = sp
 	}
-	sp.steps = min(sp.steps+1, memory)
+	sp.steps = min(sp.steps+1, decaySteps)
 	sp.variance += (min(variance, maxVariance) - sp.variance) / sp.steps
 }
 
@@ -157,8 +162,8 @@
 	return f.expectation(mean, variance)
 }
 
-// ExpectWithout returns the expected run time of a task by all that the latest call of Expect counted but one run, with
-// which the actual one of that run can be compared.
+// ExpectWithout returns the expected run time of a task from all runs that the latest call of Expect counted except one,
+// so that the run time of that one can be compared with it.
 func (s *Step) ExpectWithout(r Running) Expectation {
 	f := s.fit
 	if f.stated <= 0 {
