--- a/internal/runtimes/step.go
+++ b/internal/runtimes/step.go
@@ -115,28 +115,19 @@
 	samples                   int
 }
 
-// Expect returns the expected run time of a task of the step that is not running yet, from the runs that go on.
+// Expect returns the expected run time of a task of the step that is not running yet, from the finished runs and those
+// that go on.
 func (s *Step) Expect(running []Running) Expectation {
 	s.fit = fit{}
 	prior := s.estimator.Expect(s.key, s.stated)
 	if s.stated <= 0 {
 		return prior
 	}
-	within := s.estimator.spread(s.key.Class)
-	total := math.Log(float64(prior.P90)/float64(prior.Median)) / normalP90
-	f := &s.fit
-	*f = fit{
-		stated:    s.stated,
-		priorMean: math.Log(float64(prior.Median) / float64(s.stated)),
-		common:    math.Sqrt(max(total*total-within*within, minCommonSpread*minCommonSpread)),
-		within:    within,
-		sum:       s.mean * float64(s.finished),
-		n:         float64(s.finished),
-		samples:   prior.Samples,
-	}
+	s.fit = s.fitFinished(prior)
 	if s.finished == 0 && len(running) == 0 {
 		return prior
 	}
+	f := &s.fit
 	var bounds []float64
 	for _, r := range running {
 		switch {
@@ -148,18 +139,40 @@
 			bounds = append(bounds, math.Log(float64(r.Elapsed)/float64(s.stated)))
 		}
 	}
-	mean, variance := f.posterior(f.sum, f.n)
-	if informative(bounds, mean, math.Sqrt(variance+within*within)) {
-		for range refinements {
-			sum := f.sum
-			for _, bound := range bounds {
-				sum += meanAbove(mean, within, bound)
-			}
-			// The bounds move the mean. They make it no more certain than it is without them.
-			mean, _ = f.posterior(sum, f.n+float64(len(bounds)))
+	return f.expectation(f.posteriorWithBounds(bounds))
+}
+
+// fitFinished returns the fit to the finished runs of the step, for the expectation without them.
+func (s *Step) fitFinished(prior Expectation) fit {
+	within := s.estimator.spread(s.key.Class)
+	total := math.Log(float64(prior.P90)/float64(prior.Median)) / normalP90
+	return fit{
+		stated:    s.stated,
+		priorMean: math.Log(float64(prior.Median) / float64(s.stated)),
+		common:    math.Sqrt(max(total*total-within*within, minCommonSpread*minCommonSpread)),
+		within:    within,
+		sum:       s.mean * float64(s.finished),
+		n:         float64(s.finished),
+		samples:   prior.Samples,
+	}
+}
+
+// posteriorWithBounds returns the mean and the variance of the common error of a step, given its runs and lower bounds of
+// the logarithms of the ratios of others.
+func (f *fit) posteriorWithBounds(bounds []float64) (mean, variance float64) {
+	mean, variance = f.posterior(f.sum, f.n)
+	if !informative(bounds, mean, math.Sqrt(variance+f.within*f.within)) {
+		return mean, variance
+	}
+	for range refinements {
+		sum := f.sum
+		for _, bound := range bounds {
+			sum += meanAbove(mean, f.within, bound)
 		}
+		// The bounds move the mean. They make it no more certain than it is without them.
+		mean, _ = f.posterior(sum, f.n+float64(len(bounds)))
 	}
-	return f.expectation(mean, variance)
+	return mean, variance
 }
 
 // ExpectWithout returns the expected run time of a task from all runs that the latest call of Expect counted except one,
