--- a/internal/advisorqueue/load_test.go
+++ b/internal/advisorqueue/load_test.go
@@ -10,9 +10,9 @@
 	"dotterelhitch/internal/workload"
 )
 
-// bench plays calls against a stand-in of the advisor, in simulated time. The advisor serves one call at a time for
+// simulation makes calls to a stand-in of the advisor, in simulated time. The advisor serves one call at a time for
 // each entry, in order of arrival, and refuses a call when 32 calls wait there.
-type bench struct {
+type simulation struct {
 	q       *Queue
 	now     time.Time
 	seq     int
@@ -63,7 +63,7 @@
 	return x
 }
 
-var benchStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var simulationStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func entryNames(n int) []string {
 	var names []string
@@ -73,9 +73,9 @@
 	return names
 }
 
-func newBench(entries int) *bench {
-	b := &bench{
-		q: New(), now: benchStart, transit: 48 * time.Millisecond, backlog: map[string][]*request{}, requests: map[int64]*request{},
+func newSimulation(entries int) *simulation {
+	b := &simulation{
+		q: New(), now: simulationStart, transit: 48 * time.Millisecond, backlog: map[string][]*request{}, requests: map[int64]*request{},
 		busyUntil: map[string]time.Time{}, waiting: map[string]int{}, down: map[string]bool{}, refusing: map[string]bool{},
 		latencies: map[string][]time.Duration{}, sentThrough: map[string]int{},
 	}
@@ -83,13 +83,13 @@
 	return b
 }
 
-func (b *bench) at(t time.Time, f func()) {
+func (b *simulation) at(t time.Time, f func()) {
 	b.seq++
 	heap.Push(&b.events, timedEvent{at: t, seq: b.seq, f: f})
 }
 
-// run plays the events of a time.
-func (b *bench) run(d time.Duration) {
+// run processes the events of a time.
+func (b *simulation) run(d time.Duration) {
 	end := b.now.Add(d)
 	for len(b.events) > 0 && !b.events[0].at.After(end) {
 		e := heap.Pop(&b.events).(timedEvent)
@@ -101,7 +101,7 @@
 }
 
 // arrivals requests calls of a class at equal distances.
-func (b *bench) arrivals(class string, perSecond float64, work, d time.Duration) {
+func (b *simulation) arrivals(class string, perSecond float64, work, d time.Duration) {
 	for i := range int(perSecond * d.Seconds()) {
 		at := b.now.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))
 		b.at(at, func() { b.backlog[class] = append(b.backlog[class], &request{class: class, work: work, since: b.now}) })
@@ -109,7 +109,7 @@
 }
 
 // renewals keeps a number of calls of a class wanted: each that is answered is wanted again.
-func (b *bench) renewals(class string, n int, work time.Duration) {
+func (b *simulation) renewals(class string, n int, work time.Duration) {
 	for range n {
 		b.backlog[class] = append(b.backlog[class], &request{class: class, work: work, since: b.now})
 	}
@@ -117,7 +117,7 @@
 
 var benchClasses = []string{"urgent", "gangs", "batch", "renewals"} // in the order of their urgency
 
-func (b *bench) send() {
+func (b *simulation) send() {
 	for _, c := range b.q.TakeOverdue(b.now) {
 		r := b.requests[c.ID]
 		b.backlog[r.class] = slices.Insert(b.backlog[r.class], 0, r)
@@ -139,7 +139,7 @@
 }
 
 // carry brings a call to the advisor, and its answer back.
-func (b *bench) carry(r *request, c *Call) {
+func (b *simulation) carry(r *request, c *Call) {
 	if b.down[c.Entry] {
 		b.at(b.now.Add(r.work+1500*time.Millisecond), func() { b.done(r, c, Failed) })
 		return
@@ -163,7 +163,7 @@
 }
 
 // answered has the controller process an answer once it has processed those before it.
-func (b *bench) answered(r *request, c *Call) {
+func (b *simulation) answered(r *request, c *Call) {
 	if b.controllerBusy.Before(b.now) {
 		b.controllerBusy = b.now
 	}
@@ -171,7 +171,7 @@
 	b.at(b.controllerBusy, func() { b.done(r, c, Answered) })
 }
 
-func (b *bench) done(r *request, c *Call, outcome Outcome) {
+func (b *simulation) done(r *request, c *Call, outcome Outcome) {
 	awaited, at := b.q.Done(c.ID, outcome, b.now)
 	if !at.IsZero() {
 		b.at(at, func() {})
@@ -189,7 +189,7 @@
 }
 
 // quantile returns the time within which a share of a class's calls were answered.
-func (b *bench) quantile(class string, share float64) time.Duration {
+func (b *simulation) quantile(class string, share float64) time.Duration {
 	l := slices.Sorted(slices.Values(b.latencies[class]))
 	if len(l) == 0 {
 		return 0
@@ -204,11 +204,11 @@
 	batchWork  = 210 * time.Millisecond
 )
 
-// TestUrgentBurstAmongGangs plays a burst of urgent calls while gangs and batch steps ask for more than the entries
+// TestUrgentBurstAmongGangs simulates a burst of urgent calls while gangs and batch steps ask for more than the entries
 // can serve. It guards against urgent calls that wait behind long ones, or for an entry without one.
 func TestUrgentBurstAmongGangs(t *testing.T) {
 	for _, entries := range []int{6, 9, 36} {
-		b := newBench(entries)
+		b := newSimulation(entries)
 		b.renewals("renewals", 2*entries, gangWork)
 		b.arrivals("batch", 10, batchWork, 12*time.Second)
 		b.arrivals("urgent", 2*float64(entries), urgentWork, 4*time.Second)
@@ -234,7 +234,7 @@
 // TestManyGangsThatRenew has 200 gangs renew their tickets without a pause. It guards against long calls that share
 // an entry, and against their taking all entries.
 func TestManyGangsThatRenew(t *testing.T) {
-	b := newBench(36)
+	b := newSimulation(36)
 	b.renewals("renewals", 200, gangWork)
 	b.run(time.Millisecond)
 	b.at(b.now, func() {})
@@ -255,7 +255,7 @@
 // TestHalfOfTheEntriesGone loses half of the entries without notice, later the list of members says so. The calls
 // must go through the other half, and the lost ones must not be tried again and again.
 func TestHalfOfTheEntriesGone(t *testing.T) {
-	b := newBench(36)
+	b := newSimulation(36)
 	names := entryNames(36)
 	b.arrivals("urgent", 100, urgentWork, 10*time.Second)
 	b.arrivals("gangs", 4, gangWork, 10*time.Second)
@@ -292,7 +292,7 @@
 // TestOneEntryAnswers429 has one entry refuse its calls. It must be left alone for growing times, the others must
 // serve, and it must be used again once it answers.
 func TestOneEntryAnswers429(t *testing.T) {
-	b := newBench(6)
+	b := newSimulation(6)
 	b.refusing["entry-000"] = true
 	b.arrivals("urgent", 60, urgentWork, 10*time.Second)
 	b.run(10 * time.Second)
@@ -315,7 +315,7 @@
 // TestMoreThanTheControllerCanTake has 300 entries and a controller that processes 200 answers a second, where 700 a
 // second are wanted. The calls in flight must stay near what it can use, so that an answer does not wait long.
 func TestMoreThanTheControllerCanTake(t *testing.T) {
-	b := newBench(300)
+	b := newSimulation(300)
 	b.answerCost = 5 * time.Millisecond
 	b.renewals("renewals", 700, batchWork)
 	b.arrivals("urgent", 100, urgentWork, 20*time.Second)
--- a/internal/controller/learn.go
+++ b/internal/controller/learn.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// LearnRunTimes makes the controller predict run times from finished runs instead of using the stated ones alone. It has
-// to be called before the first job is added.
+// LearnRunTimes makes the controller predict run times from finished runs instead of using the stated ones alone. It
+// has to be called before the first job is added.
 func (c *Controller) LearnRunTimes() { c.runTimes = runtimes.NewEstimator() }
 
 // LearnedRunTimes returns what was learned of each class.
@@ -261,8 +261,8 @@
 	return s.expected
 }
 
-// runningTimes returns how long the runs of a step have lasted, converted to a worker of average speed. It leaves out runs
-// that seem stalled, which say nothing about the others.
+// runningTimes returns how long the runs of a step have lasted, converted to a worker of average speed. It leaves out
+// runs that seem stalled, which say nothing about the others.
 func (c *Controller) runningTimes(s *step, now time.Time) []runtimes.Running {
 	if s.gang != nil {
 		return nil
--- a/internal/runtimes/step.go
+++ b/internal/runtimes/step.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// posteriorWithBounds returns the mean and the variance of the common error of a step, given its runs and lower bounds of
-// the logarithms of the ratios of others.
+// posteriorWithBounds returns the mean and the variance of the common error of a step, given its runs and lower bounds
+// of the logarithms of the ratios of others.
 func (f *fit) posteriorWithBounds(bounds []float64) (mean, variance float64) {
 	mean, variance = f.posterior(f.sum, f.n)
 	if !informative(bounds, mean, math.Sqrt(variance+f.within*f.within)) {
@@ -175,8 +175,8 @@
 	return mean, variance
 }
 
-// ExpectWithout returns the expected run time of a task from all runs that the latest call of Expect counted except one,
-// so that the run time of that one can be compared with it.
+// ExpectWithout returns the expected run time of a task from all runs that the latest call of Expect counted except
+// one, so that the run time of that one can be compared with it.
 func (s *Step) ExpectWithout(r Running) Expectation {
 	f := s.fit
 	if f.stated <= 0 {
