--- a/internal/cell/hedge.go
+++ b/internal/cell/hedge.go
@@ -100,7 +100,8 @@
 
 // hedge waits for a direct call, and makes the call through other members too if the direct one fails or takes longer
 // than hedgeDelay, or as soon as failed is closed because another call has shown that direct calls fail. The first
-// result that is no path failure counts. Both are awaited, since the outcome is unknown while one of them may still be done.
+// result that is no path failure counts. Both are awaited, since the outcome is unknown while one of them may still be
+// done.
 func hedge[T any](r *relayLog, directDone <-chan result[T], failed <-chan struct{}, relayed func(Member) (T, error)) (T, error) {
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
--- a/internal/controller/advisorload_test.go
+++ b/internal/controller/advisorload_test.go
@@ -44,7 +44,7 @@
 // watchAdvisor has calls to the advisor of a mix spend 40 ms outside it, and records first starts and calls.
 func watchAdvisor(inner *mix) *contendedMix {
 	m := &contendedMix{mix: inner, firstStarts: map[string][]time.Duration{}}
-	m.advisorWay = 40 * time.Millisecond
+	m.advisorTransit = 40 * time.Millisecond
 	record := m.ctl.record
 	m.ctl.record = func(e event.Event) {
 		switch e.Type {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,7 +76,7 @@
 	config  *workload.Config
 	jobs    map[string]*job
 	workers map[string]*worker
-	// usage is what may be running on the workers, beside the used capacity of each of them.
+	// usage is what may be running on all workers, by team and class. It changes together with worker.used.
 	usage *usage.Account
 	// retiredTokens are the latest fencing tokens of the workers that were dropped, by worker.
 	retiredTokens map[string]int64
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -188,7 +188,7 @@
 	}
 }
 
-// owner returns on whose account the runs of the job are.
+// owner returns the owner of the job's runs in the usage account.
 func (j *job) owner() usage.Owner { return usage.Owner{Team: j.spec.Team, Class: j.spec.Class} }
 
 // assumedWorkersPerCall is the number of workers per advisor call that deadlines allow for.
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -75,8 +75,7 @@
 	return total, true
 }
 
-// mayHold returns what the tasks of a job that an earlier controller accepted may hold beside the runs that are
-// known.
+// mayHold returns what the tasks of a job that an earlier controller accepted may hold in addition to the known runs.
 func (j *job) mayHold() structs.Resources {
 	var total structs.Resources
 	if j.endedEarlier {
--- a/internal/controller/reserve.go
+++ b/internal/controller/reserve.go
@@ -121,8 +121,8 @@
 	return share < maxReservedShare
 }
 
-// fitsWithoutTickets reports whether a number of tasks of a gang fit now on workers that it may use, beside the
-// reservations of others, whether or not it has tickets.
+// fitsWithoutTickets reports whether a number of tasks of a gang fit now on workers that it may use, in capacity that
+// is not reserved for other steps. Tickets are not needed.
 func (c *Controller) fitsWithoutTickets(s *step, need int) bool {
 	rooms := c.room.withRoom(s.job().class.Service, s.size)
 	for i := range rooms {
@@ -146,7 +146,7 @@
 	return n
 }
 
-// freeForReservation returns the free capacity of a worker beside the reservations of other steps.
+// freeForReservation returns the free capacity of a worker that is not reserved for other steps.
 func (c *Controller) freeForReservation(s *step, w *worker) structs.Resources {
 	free := w.free()
 	for _, reserved := range c.reservations[w] {
@@ -185,7 +185,7 @@
 	return out
 }
 
-// workerSlots appends the slots of one worker to out, beside the reservations of other steps.
+// workerSlots appends the slots of one worker to out. Capacity that is reserved for other steps has none.
 func (c *Controller) workerSlots(out []futureSlot, s *step, w *worker, maxSlots int, now time.Time) []futureSlot {
 	free := c.freeForReservation(s, w)
 	count := 0
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -120,8 +120,8 @@
 	Capacity structs.Resources `json:"capacity,omitzero"`
 }
 
-// describedBy reports whether a record has the worker's address, and a capacity of at least the worker's. A record of an
-// earlier program has no capacity, which is accepted.
+// describedBy reports whether a record has the worker's address, and a capacity of at least the worker's. A record of
+// an earlier program has no capacity, which is accepted.
 func (w *worker) describedBy(r *workerRecord) bool {
 	return r.Addr == w.info.Addr && (r.Capacity.IsZero() || w.info.Capacity.Fits(r.Capacity))
 }
@@ -222,7 +222,7 @@
 	return Stop{Worker: w.info.ID, Addr: w.info.Addr, Run: run, Route: w.route}
 }
 
-// occupy counts a run on a worker, and on its owner's account.
+// occupy adds a run to the used capacity of a worker and to the usage of its owner.
 func (c *Controller) occupy(w *worker, o usage.Owner, size structs.Resources) {
 	w.used = w.used.Add(size)
 	c.usage.Add(o, size)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -39,8 +39,8 @@
 	// timeKnownAfter is when controllers learn how far their clocks are ahead, negative for never.
 	timeKnownAfter time.Duration
 	advisorEntries []string
-	// advisorWay is the mean time that a call to the advisor spends outside it, beside the network delay.
-	advisorWay time.Duration
+	// advisorTransit is the mean time that a call to the advisor spends outside it, beside the network delay.
+	advisorTransit time.Duration
 	// advisorRefuses has the advisor answer a call through an entry with an error, advisorLoses with nothing until
 	// the call times out. Both may be nil.
 	advisorRefuses    func(entry string) error
@@ -428,9 +428,9 @@
 		}
 	}
 	there, back := time.Duration(0), time.Duration(0)
-	if sim.advisorWay > 0 {
-		there = sim.advisorWay/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorWay/2)))
-		back = sim.advisorWay/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorWay/2)))
+	if sim.advisorTransit > 0 {
+		there = sim.advisorTransit/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorTransit/2)))
+		back = sim.advisorTransit/4 + time.Duration(sim.rng.Int64N(int64(sim.advisorTransit/2)))
 	}
 	arrive := func() {
 		from := sim.advisorBusyUntil[call.Entry]
--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -101,7 +101,7 @@
 	return n, err
 }
 
-// matchPreface compares the first bytes of a connection with the preface. Until it is whole, they count as a header.
+// matchPreface compares the first bytes of a connection with the preface. Until it is complete, they count as a header.
 func (c *conn) matchPreface(b []byte) {
 	b = b[:min(len(b), len(http2Preface)-c.preface)]
 	if string(b) != http2Preface[c.preface:c.preface+len(b)] {
--- a/internal/httpintake/gate.go
+++ b/internal/httpintake/gate.go
@@ -40,8 +40,8 @@
 	retryAfter = time.Second
 )
 
-// headerSlack is what a connection may receive beside a header of the largest size: the server reads ahead by up to
-// 4 KB, and its own limit has another 4 KB.
+// headerSlack is what a connection may receive in addition to a header of the largest size, in bytes: the server reads
+// ahead by up to 4 KB, and its own limit has another 4 KB.
 const headerSlack = 8 << 10
 
 // Gate accounts for the clients of some interfaces that share memory.
--- a/internal/httpintake/handler.go
+++ b/internal/httpintake/handler.go
@@ -44,7 +44,7 @@
 	})
 }
 
-// begin accounts for a request whose body is about to be read.
+// begin accounts for a request whose body is about to be read. The error says that the request is refused.
 func (i *Interface) begin(c *intake.Client, r *http.Request) error {
 	g := i.gate
 	now := g.now()
@@ -103,7 +103,7 @@
 	io.ReadCloser
 	conn     *conn
 	response http.ResponseWriter
-	// open is true until the body has been read whole or the handler has returned.
+	// open is true until the body has been read completely or the handler has returned.
 	open atomic.Bool
 	err  error // of the refusal
 }
@@ -154,7 +154,7 @@
 	controller *http.ResponseController // nil once the handler has returned
 }
 
-// headerEntryBytes is what an entry of a header takes up beside its name and value.
+// headerEntryBytes is what an entry of a header takes up in addition to its name and value.
 const headerEntryBytes = 32
 
 // headerSize returns the approximate size of a request's header in bytes.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -262,7 +262,8 @@
 
 var newline = []byte{'\n'}
 
-// Charge accounts for memory that the client's request takes up beside what has arrived.
+// Charge accounts for memory, in bytes, that the client's request takes up in addition to what has arrived. It returns
+// the clients that were cut off to make room, and false if the client is refused or was cut off before.
 func (c *Client) Charge(bytes int64, now time.Time) (victims []*Client, ok bool) {
 	if c.phase == Ended {
 		return nil, false
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,12 +1,12 @@
-// Package quota decides how many tasks of a team may start beside what the team may have running. It has no state.
+// Package quota decides how many tasks of a team may start under the team's quota, given what the team may have
+// running. It has no state.
 package quota
 
 import "dotterelhitch/internal/structs"
 
-// Room returns how many tasks of a size, at most limit, a team may start beside what it may have running. A
-// component of zero in the quota means no limit. Components of which the tasks need nothing do not count. A team
-// that has nothing running may start one task that is larger than its quota, since that task would never run
-// otherwise.
+// Room returns how many tasks of a size, at most limit, a team may start in addition to what it may have running. A
+// component of zero in the quota means no limit. Components of which the tasks need nothing do not count. A team that
+// has nothing running may start one task that is larger than its quota, since that task would never run otherwise.
 func Room(quota, running, size structs.Resources, limit int) int {
 	if limit <= 0 {
 		return 0
@@ -27,7 +27,7 @@
 	return int(n)
 }
 
-// Wanted returns how much of what a team wants beside what it has running it may have under its quota.
+// Wanted returns the part of a team's waiting demand that its quota allows in addition to what it has running.
 func Wanted(quota, running, waiting structs.Resources) structs.Resources {
 	part := func(quota, running, waiting int64) int64 {
 		if quota == 0 {
@@ -42,6 +42,6 @@
 	}
 }
 
-// MayHold returns the most that a team's tasks may hold on workers of which it is not known what runs there: no
-// more than these tasks together, and no more than these workers have.
+// MayHold returns an upper bound of what a team's tasks hold on workers whose runs are not known: no more than the size
+// of all these tasks, and no more than the capacity of these workers.
 func MayHold(tasks, workers structs.Resources) structs.Resources { return tasks.Min(workers) }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,17 +1,17 @@
-// Package usage accounts for the resources that runs hold on workers, by team and class. Quotas, fair
-// shares, reservations and preemption are decided from this one account.
+// Package usage accounts for the resources that runs hold on workers, by team and class. Quotas, fair shares and
+// headroom are decided from this one account.
 package usage
 
 import "dotterelhitch/internal/structs"
 
-// Owner is on whose account a run is. The team is empty for a job that was submitted on behalf of none.
+// Owner identifies the team and the class whose usage a run adds to. The team is empty for a job without a team.
 type Owner struct {
 	Team  string
 	Class string
 }
 
-// Account holds what may be running. A run counts from the moment it is placed until it has certainly ended. The
-// zero value is not usable.
+// Account holds what may be running. A run counts from the moment it is placed until it has certainly ended. New
+// returns an account; the zero value is not usable.
 type Account struct {
 	total   structs.Resources
 	byOwner map[Owner]structs.Resources
@@ -31,9 +31,10 @@
 // Add counts a run.
 func (a *Account) Add(o Owner, size structs.Resources) { a.change(o, size) }
 
-// Remove undoes Add.
+// Remove undoes Add for a run that has ended.
 func (a *Account) Remove(o Owner, size structs.Resources) { a.change(o, structs.Resources{}.Sub(size)) }
 
+// change adds an amount, which may be negative, to the entries of an owner.
 func (a *Account) change(o Owner, by structs.Resources) {
 	a.total = a.total.Add(by)
 	changeEntry(a.byOwner, o, by)
--- a/internal/workload/class.go
+++ b/internal/workload/class.go
@@ -69,8 +69,8 @@
 	// MaxBodyBytes is the largest size of a caller's request body. Zero means that the
 	// configuration sets no limit.
 	MaxBodyBytes int64
-	// MaxHeaderBytes, HeaderTimeout and IdleTimeout are what callers may rely on for the headers of their
-	// requests and their idle connections. Zero means that the configuration says nothing.
+	// MaxHeaderBytes and HeaderTimeout are the limits of the headers of callers' requests. IdleTimeout is how
+	// long the body of a request may make no progress. Zero means that the configuration sets no limit.
 	MaxHeaderBytes int64
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
--- a/internal/workload/team.go
+++ b/internal/workload/team.go
@@ -18,7 +18,7 @@
 	Quota structs.Resources `json:"quota,omitzero"`
 }
 
-// maxTeamWeight is the largest weight of a team. The sum of the weights of all teams stays finite.
+// maxTeamWeight is the largest weight of a team, so that the sum of the weights of all teams stays finite.
 const maxTeamWeight = 1e12
 
 // Teams are the teams of a configuration, with the keys that their callers present.
@@ -27,8 +27,8 @@
 	byKey  map[string]*Team
 }
 
-// Add adds a team and its keys. The error has CodeInvalid if the team can't be told from another one, or
-// if its weight or quota has no meaning.
+// Add adds a team and its keys. The error has CodeInvalid if the name or a key is empty or belongs to another
+// team, or if the weight or the quota is out of range.
 func (t *Teams) Add(team *Team, keys []string) error {
 	if err := team.validate(); err != nil {
 		return err
