--- a/internal/advisorqueue/selection_test.go
+++ b/internal/advisorqueue/selection_test.go
@@ -17,8 +17,8 @@
 	return 400
 }
 
-// TestSelection checks that a call asks about more workers where each costs little time, is seldom free or seldom allowed.
-// It guards against urgent calls about so few workers that a second one is needed.
+// TestSelection checks that a call asks about more workers where each costs little time, is seldom free or seldom
+// allowed. It guards against urgent calls about so few workers that a second one is needed.
 func TestSelection(t *testing.T) {
 	const perUrgent, perBatch = 160 * time.Microsecond, 1800 * time.Microsecond
 	urgent := selected(3, perUrgent, 80*time.Millisecond, 2, 0.6)
