Fair shares: a resource that no worker has takes no team's share

Cause: the division stops at the first resource that is used up. A demand for a resource of which the usable workers have nothing used it up at once, so that every team's share was zero. A team without anything running was given no task at any turn of a pass, and one with something running had an infinite fill, which even the last turn put off. Change: a resource without capacity bounds no level, and the last turn of a pass puts no step off. Result: TestResourceThatNoWorkerHas and TestDemandThatNoWorkerMeetsHoldsNobodyUp pass; without the change all shares are zero and a team has 0 instead of 11 tasks running on nearly empty workers.

--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -97,17 +97,18 @@
 	out := make([]*step, 0, len(steps))
 	for _, turn := range fairshare.Levels {
 		c.shareTurn = turn
-		if math.IsInf(turn, 1) {
+		last := math.IsInf(turn, 1)
+		if last {
 			c.sortByFill(steps)
 		}
 		var later []*step
 		for _, s := range steps {
-			if c.shareFill(s) >= turn {
+			if !last && c.shareFill(s) >= turn {
 				later = append(later, s)
 				continue
 			}
 			place(s)
-			if s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareFill(s) >= turn {
+			if !last && s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareFill(s) >= turn {
 				later = append(later, s)
 				continue
 			}
--- a/internal/controller/shares_test.go
+++ b/internal/controller/shares_test.go
@@ -304,3 +304,18 @@
 		ctl.inShareOrder(slices.Clone(steps), func(*step) {})
 	}
 }
+
+// TestDemandThatNoWorkerMeetsHoldsNobodyUp guards against teams that start nothing while they have something running,
+// since a step waits for a resource that no worker has.
+func TestDemandThatNoWorkerMeetsHoldsNobodyUp(t *testing.T) {
+	sim := newSimulationWithTeams(t, 1, 1)
+	sim.lasting(4 * time.Second)
+	sim.submitFor("south", simpleJob("impossible", "batch", 1, 1000, func(s *workload.Step) { s.Size.Accelerators = 1 }))
+	sim.submitFor("north", simpleJob("first", "batch", 1, 1000, nil))
+	sim.advance(500 * time.Millisecond)
+	sim.submitFor("north", simpleJob("second", "batch", 10, 1000, nil))
+	sim.advance(time.Second)
+	if got := sim.usedBy("north").CPUMilli; got != 11000 {
+		t.Errorf("north has %d millicores running, want 11000: the workers are nearly empty", got)
+	}
+}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -84,8 +84,12 @@
 }
 
 // levelAt returns the part per weight at which teams, sorted by their levels, use up an amount of one resource. The
-// result is at least the highest level of any team if the amount suffices for all.
+// result is at least the highest level of any team if the amount suffices for all. A resource of which there is none
+// bounds no level: a demand for it can't be met whatever the shares are.
 func levelAt(wants []want, amount float64, of func(structs.Resources) int64) float64 {
+	if amount <= 0 {
+		return math.Inf(1)
+	}
 	// rising is what all teams that do not have what they want yet use of the resource per level.
 	rising := 0.0
 	for _, w := range wants {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -162,3 +162,10 @@
 		Divide(capacity, teams)
 	}
 }
+
+// TestResourceThatNoWorkerHas guards against a demand for a resource of which there is none: it can't be met whatever the
+// shares are, and must not leave all teams without a share.
+func TestResourceThatNoWorkerHas(t *testing.T) {
+	impossible := Team{Name: "c", Demand: structs.Resources{CPUMilli: 1000, Accelerators: 1}}
+	wantShares(t, []Team{{Name: "a", Demand: amount(90_000)}, {Name: "b", Demand: amount(60_000)}, impossible}, 49_500, 49_500, 1000)
+}
