Quota: keep none for a gang that the workers can't hold

Cause: a gang that has once waited for the quota of its team for a second keeps that part of the quota from then on, also while no workers could hold it, for instance after the workers with its label are gone. The team's later steps then wait for ever. Change: quota is kept only for gangs that fit on the usable workers when these are empty, beside those that the advisor has forbidden. Result: TestGangThatFitsNowhereKeepsNoQuota passes; without the change the job after the gang is still queued 10 s later.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -419,12 +419,12 @@
 	}
 	tasks := s.tasks
 	if c.quotaRoom(s, len(tasks)) == 0 {
-		c.waitForQuota(s, now)
+		c.waitForQuota(s, pool, now)
 		return
 	}
 	found := preferOneRack(s, c.candidates(s, true, now), len(tasks))
 	if totalFit(found) < len(tasks) {
-		c.holdQuota(s, now)
+		c.holdQuota(s, pool, now)
 		c.reserve(s, pool, now)
 		c.preempt(s, pool, now)
 		return
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -128,8 +128,9 @@
 const gangQuotaPatience = time.Second
 
 // holdQuota keeps the part of the quota that a gang needs from the steps of its team that come after it in this
-// pass, once the gang has waited for long enough. No capacity of workers is kept.
-func (c *Controller) holdQuota(s *step, now time.Time) {
+// pass, once the gang has waited for long enough. Nothing is kept for a gang that the workers do not hold even when
+// empty, since its turn would never come. No capacity of workers is kept.
+func (c *Controller) holdQuota(s *step, pool []*worker, now time.Time) {
 	team := s.job().team
 	if team == nil || team.Quota.IsZero() {
 		return
@@ -139,18 +140,39 @@
 	if c.quotaHolds[name] != nil || !possible || s.quotaWaitSince.IsZero() || now.Sub(s.quotaWaitSince) < gangQuotaPatience {
 		return
 	}
+	if !s.fitsOnEmptyWorkers(pool) {
+		return
+	}
 	c.quotaHolds[name] = &quotaHold{step: s, size: s.size.Times(int64(len(s.tasks)))}
 }
 
+// fitsOnEmptyWorkers reports whether the workers of a pool hold all tasks of a step at the same time when they are
+// empty, beside those that the advisor has forbidden.
+func (s *step) fitsOnEmptyWorkers(pool []*worker) bool {
+	need := len(s.tasks)
+	for _, w := range pool {
+		if !s.matchesWorker(w) {
+			continue
+		}
+		if v, known := s.verdict(w); known && !v.allowed {
+			continue
+		}
+		if need -= s.maxSlots(w); need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // waitForQuota notes that a gang waits for the quota of its team. It reserves no capacity.
-func (c *Controller) waitForQuota(s *step, now time.Time) {
+func (c *Controller) waitForQuota(s *step, pool []*worker, now time.Time) {
 	s.startAt = time.Time{}
 	s.waitingSince = time.Time{}
 	if s.quotaWaitSince.IsZero() {
 		s.quotaWaitSince = now
 		c.wakeups.add(now.Add(gangQuotaPatience))
 	}
-	c.holdQuota(s, now)
+	c.holdQuota(s, pool, now)
 }
 
 // quotaDetail names the quota for which a step waits, and what counts towards it, for events.
--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -530,3 +530,22 @@
 		t.Errorf("only %d starts were checked against a quota", sim.quotaChecks)
 	}
 }
+
+// TestGangThatFitsNowhereKeepsNoQuota guards against a team that starts nothing for ever: a gang that no workers hold
+// waited for the quota once, and keeps it since.
+func TestGangThatFitsNowhereKeepsNoQuota(t *testing.T) {
+	sim := newSimulationWithQuota(t, 4, 8000)
+	sim.lasting(3 * time.Second)
+	sim.submitFor("north", simpleJob("first", "batch", 8, 1000, nil))
+	sim.advance(500 * time.Millisecond)
+	sim.submitFor("north", simpleJob("gang", "gang", 8, 1000, func(s *workload.Step) {
+		s.Gang = true
+		s.Label = "none"
+	}))
+	sim.advance(2 * time.Second)
+	sim.submitFor("north", simpleJob("later", "batch", 8, 1000, nil))
+	sim.advance(10 * time.Second)
+	if got := sim.state("later"); got != workload.JobCompleted {
+		t.Errorf("the job after the gang is %q 10 s later", got)
+	}
+}
