Headroom: count by service, and only workers that can be used

Cause: the headroom compared what runs on all workers of all services with the capacity of the usable ones of all services. Runs on draining or silent workers, and an urgent load in another service, made batch steps with slack wait beside idle workers. Change: a placement pass sums up capacity and use of the usable workers of each service, and only urgent classes of the same service count.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -170,7 +170,8 @@
 	runTimes *runtimes.Estimator
 	// The fields below are valid during one placement pass. room finds the workers with free capacity,
 	// stepBuffer, candidateBuffer, workerBuffer and slotBuffer are reused by every pass. reservedAhead is the capacity that
-	// gangs have reserved before it is free, poolCapacity that of all usable workers.
+	// gangs have reserved before it is free, poolCapacity that of all usable workers, servicePools that of the usable
+	// workers of each service.
 	room             roomIndex
 	stepBuffer       []*step
 	candidateBuffer  candidateHeap
@@ -179,6 +180,7 @@
 	passAt           time.Time
 	reservedAhead    structs.Resources
 	poolCapacity     structs.Resources
+	servicePools     map[string]*servicePool
 	reservations     map[*worker][]*reservation
 	releaseSchedules map[*worker][]expectedRelease
 	// quotaHolds are the gangs for which quota is kept, by team. heldByTeam is what unknown runs of earlier
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -13,6 +13,7 @@
 type fakeWorker struct {
 	sim         *simulation
 	id          string
+	service     string
 	capacity    structs.Resources
 	rack        string
 	listed      bool
@@ -61,6 +62,7 @@
 		f := &fakeWorker{
 			sim:      sim,
 			id:       "i-" + string(rune('a'+len(sim.workers)/26)) + string(rune('a'+len(sim.workers)%26)),
+			service:  "svc",
 			capacity: structs.Resources{CPUMilli: cpu, MemoryMiB: 64000},
 			rack:     "r-" + string(rune('0'+len(sim.workers)/8)),
 			listed:   true,
@@ -120,7 +122,7 @@
 
 func (f *fakeWorker) info() workload.Worker {
 	return workload.Worker{
-		ID: f.id, Service: "svc", Addr: f.id, Capacity: f.capacity, Rack: f.rack,
+		ID: f.id, Service: f.service, Addr: f.id, Capacity: f.capacity, Rack: f.rack,
 		Labels: []string{"a", f.rack}, BootMs: f.boot, Draining: f.draining,
 	}
 }
--- a/internal/controller/headroom_test.go
+++ b/internal/controller/headroom_test.go
@@ -82,3 +82,47 @@
 		t.Errorf("%d tasks run, want 160", got)
 	}
 }
+
+// TestHeadroomIsThatOfTheService guards against batch tasks that wait beside idle workers, since the urgent load of
+// another service fills the workers of that one.
+func TestHeadroomIsThatOfTheService(t *testing.T) {
+	sim := newMixedCell(t)
+	sim.config.Classes["urgent"].Service = "other"
+	for _, id := range sim.workerIDs()[4:] {
+		f := sim.workers[id]
+		f.service = "other"
+		sim.ctl.SetWorker(f.info(), sim.nowOf(sim.ctl))
+	}
+	sim.advance(500 * time.Millisecond)
+	sim.submit(urgentJob("usual", 36*4))
+	sim.advance(500 * time.Millisecond)
+	if got := sim.startedTasks("usual"); got != 36*4 {
+		t.Fatalf("%d urgent tasks run, want %d", got, 36*4)
+	}
+	sim.submit(simpleJob("batch", "batch", 4, 1000, func(s *workload.Step) { s.EstimateMs = 4000 }))
+	sim.advance(500 * time.Millisecond)
+	if got := sim.startedTasks("batch"); got != 4 {
+		t.Errorf("%d of 4 batch tasks run on idle workers", got)
+	}
+}
+
+// TestRunsOnDrainingWorkersLeaveNoRoomIdle guards against batch tasks that wait beside idle workers, since runs on workers
+// that can't be used count against the capacity of those that can.
+func TestRunsOnDrainingWorkersLeaveNoRoomIdle(t *testing.T) {
+	sim := newMixedCell(t)
+	sim.submit(urgentJob("usual", 4))
+	sim.submit(simpleJob("batch", "batch", 76, 1000, func(s *workload.Step) { s.EstimateMs = 100 }))
+	sim.advance(500 * time.Millisecond)
+	for _, f := range sim.workers {
+		if len(f.runs) > 0 {
+			f.draining = true
+			sim.ctl.SetWorker(f.info(), sim.nowOf(sim.ctl))
+		}
+	}
+	sim.advance(300 * time.Millisecond)
+	sim.submit(simpleJob("later", "batch", 20, 1000, func(s *workload.Step) { s.EstimateMs = 4000 }))
+	sim.advance(500 * time.Millisecond)
+	if got := sim.startedTasks("later"); got != 20 {
+		t.Errorf("%d of 20 batch tasks run on idle workers", got)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -31,6 +31,7 @@
 		w.lastPass, w.order = c.passes, i
 	}
 	c.reservedAhead, c.poolCapacity = structs.Resources{}, totalCapacity(pool)
+	c.servicePools = poolServices(pool)
 	c.stepBuffer = sortedSteps(c.stepBuffer[:0], c.readySteps, now)
 	c.shares = c.divideCapacity(c.stepBuffer, now)
 	steps := c.inShareOrder(c.stepBuffer, func(s *step) {
@@ -404,6 +405,9 @@
 func (c *Controller) startRun(t *task, w *worker, ticket string, number int64, now time.Time) {
 	r := &run{task: t, number: number, worker: w, size: t.step.size, state: runStarting, progressedAt: now}
 	c.addRun(r)
+	if p := c.servicePools[w.info.Service]; p != nil {
+		p.used = p.used.Add(r.size)
+	}
 	c.sendStart(r, ticket, now)
 	c.recordRun(event.TaskPlaced, r, "")
 }
