Store: hold back the progress of a job whose acceptance is in flight

Cause: a job that is cancelled while its acceptance is in flight has its final state in a later batch. If the acceptance is withdrawn, that batch is stored nevertheless. A later submission of the same ID is accepted, and the next controller finds it cancelled: the accepted job is lost. If it is submitted before that batch is stored, this controller takes it for cancelled as well and deletes its record. Change: progress of a job whose acceptance is in a batch in flight is put into a batch only once the acceptance is stored. It costs such a cancellation one more append. Result: TestCancelledSubmissionIsWithdrawn passes; without the change the job is cancelled under the next controller.

--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -120,9 +120,14 @@
 	return n == 0 && !d.predecessorsEnded && !d.leaseRecord && d.elapsedMs == 0
 }
 
-// markProgressDirty records that the progress of a job has changed.
+// markProgressDirty records that the progress of a job has changed. While the acceptance of the job is in a batch that is
+// in flight, the progress waits until that is stored: the acceptance may still be withdrawn, and the progress would then
+// count for a later submission of the same ID.
 func (c *Controller) markProgressDirty(j *job) {
 	j.progressVersion++
+	if _, unbatched := c.dirty.accepted[j]; !j.stored && !unbatched {
+		return
+	}
 	c.dirty.change(j)
 }
 
@@ -266,6 +271,8 @@
 func (c *Controller) BatchStored(b *Batch, now time.Time) {
 	for _, bj := range b.jobs {
 		bj.job.storedProgressVersion = max(bj.job.storedProgressVersion, bj.progressVersion)
+	}
+	for _, bj := range b.jobs {
 		c.jobStored(bj.job, now)
 	}
 	for _, id := range b.Ended {
@@ -296,6 +303,9 @@
 		return
 	}
 	j.stored = true
+	if j.hasUnstoredProgress() {
+		c.dirty.change(j)
+	}
 	c.waiting.update(j)
 	c.recordAccepted(j, now)
 	for _, occ := range j.open {
