Fair shares: a team's demand is no more than the workers hold

Cause: all tasks that wait counted as demand. A team's backlog for a scarce resource, such as the few accelerators, used that resource up at a tiny share of the other ones, so that processors were not shared by weight any more. A step of absurd size overflowed the sum, and nothing was divided. Change: the waiting steps of a team count, the most urgent first, up to what the usable workers hold.

--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -36,7 +36,10 @@
 			continue
 		}
 		d := demandOf(s.job().spec.Team)
-		d.waiting = d.waiting.Add(s.size.Times(int64(s.pending + s.copiesWanted)))
+		// No more counts than the workers hold when they are empty, the most urgent steps first: a backlog for a
+		// scarce resource would bound the shares of all resources, and sums with absurd sizes would overflow.
+		tasks := s.size.FitCount(c.poolCapacity.Sub(d.waiting), int64(s.pending+s.copiesWanted))
+		d.waiting = d.waiting.Add(s.size.Times(tasks))
 		if d.terms == nil {
 			d.terms = s.job().team
 		}
--- a/internal/controller/shares_test.go
+++ b/internal/controller/shares_test.go
@@ -319,3 +319,19 @@
 		t.Errorf("north has %d millicores running, want 11000: the workers are nearly empty", got)
 	}
 }
+
+// TestShareBesideAScarceResource guards against teams that do not share the processors by their weights, since one of
+// them has a backlog for the few accelerators.
+func TestShareBesideAScarceResource(t *testing.T) {
+	sim := newSimulationWithTeams(t, 1, 1)
+	f := sim.workers[sim.workerIDs()[0]]
+	f.capacity.Accelerators = 1
+	sim.ctl.SetWorker(f.info(), sim.nowOf(sim.ctl))
+	for i := range 20 {
+		sim.submitFor("south", simpleJob(fmt.Sprintf("scarce%d", i), "batch", 5, 100, func(s *workload.Step) { s.Size.Accelerators = 1 }))
+	}
+	sim.submitFor("north", simpleJob("n", "batch", 600, 1000, nil))
+	sim.submitFor("south", simpleJob("s", "batch", 600, 1000, nil))
+	sim.advance(3500 * time.Millisecond)
+	sim.wantShareOfNorth("beside the backlog", 0.5)
+}
