Advisor queue: entries that fail do not keep long calls from the others

Cause: long calls leave entries to short ones, and their number was that of all listed entries. With one of two entries failing, the other one was always left to short calls, and long calls went only through the failing one after each of its backoffs: gangs never got tickets. Change: only entries that have not failed last count.

--- a/internal/advisorqueue/queue.go
+++ b/internal/advisorqueue/queue.go
@@ -184,13 +184,16 @@
 func (q *Queue) Room(now time.Time) Room {
 	var r Room
 	withoutLong := 0
-	inFlight, listed := 0, 0
+	inFlight, listed, working := 0, 0, 0
 	for _, e := range q.entries {
 		if !e.listed {
 			continue
 		}
 		listed++
 		inFlight += e.awaited()
+		if e.failures == 0 {
+			working++
+		}
 		if !e.usable(now) {
 			continue
 		}
@@ -202,7 +205,7 @@
 			r[Short] += e.maxInFlight() - len(e.calls)
 		}
 	}
-	r[Long] = min(r[Medium], withoutLong-keptForShort(listed))
+	r[Long] = min(r[Medium], withoutLong-keptForShort(working))
 	left := q.window.limit(listed) - inFlight
 	for i := range r {
 		r[i] = max(0, min(r[i], left))
@@ -210,7 +213,8 @@
 	return r
 }
 
-// keptForShort returns the number of entries that long calls must leave to short ones.
+// keptForShort returns the number of entries that long calls must leave to short ones, of those that have not failed
+// last. Entries that fail would else leave no others to long calls.
 func keptForShort(entries int) int {
 	if entries <= 1 {
 		return 0
