--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -175,11 +175,12 @@
 	slotBuffer      []futureSlot
 	// The fields below are valid during one placement pass, which began at passAt. room finds the workers with free
 	// capacity. reservedAhead is the capacity that gangs have reserved before it is free, poolCapacity that of all
-	// usable workers.
+	// usable workers, servicePools that of the usable workers of each service.
 	passAt           time.Time
 	room             roomIndex
 	reservedAhead    structs.Resources
 	poolCapacity     structs.Resources
+	servicePools     map[string]*servicePool
 	reservations     map[*worker][]*reservation
 	releaseSchedules map[*worker][]expectedRelease
 	// quotaHolds are the gangs for which quota is kept, by team. heldByTeam is what unknown runs of earlier
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -33,7 +33,10 @@
 			continue
 		}
 		d := demandOf(s.job().spec.Team)
-		d.waiting = d.waiting.Add(s.size.Times(int64(s.pending + s.copiesWanted)))
+		// No more counts than the workers hold when they are empty, the most urgent steps first: a backlog for a
+		// scarce resource would bound the shares of all resources, and sums with absurd sizes would overflow.
+		tasks := s.size.FitCount(c.poolCapacity.Sub(d.waiting), int64(s.pending+s.copiesWanted))
+		d.waiting = d.waiting.Add(s.size.Times(tasks))
 		if d.team == nil {
 			d.team = s.job().team
 		}
@@ -95,17 +98,18 @@
 	out := make([]*step, 0, len(steps))
 	for _, limit := range fairshare.RoundLimits {
 		c.shareLimit = limit
-		if math.IsInf(limit, 1) {
+		last := math.IsInf(limit, 1)
+		if last {
 			c.sortByUtilization(steps)
 		}
 		var later []*step
 		for _, s := range steps {
-			if c.shareUtilization(s) >= limit {
+			if !last && c.shareUtilization(s) >= limit {
 				later = append(later, s)
 				continue
 			}
 			place(s)
-			if s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareUtilization(s) >= limit {
+			if !last && s.gang == nil && s.pending+s.copiesWanted > 0 && c.shareUtilization(s) >= limit {
 				later = append(later, s)
 				continue
 			}
