Test that the account of what runs stays in step with the runs

TestQuotaAmongFaults compares the account with the runs and orphans of all workers after each fault, and checks that it is empty at the end.

--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"dotterelhitch/internal/event"
 	"dotterelhitch/internal/structs"
+	"dotterelhitch/internal/usage"
 	"dotterelhitch/internal/workload"
 )
 
@@ -518,6 +520,7 @@
 			drawTeams()
 		}
 		sim.advance(time.Duration(100+rng.IntN(1200)) * time.Millisecond)
+		sim.checkAccount()
 	}
 	sim.endFaults()
 	for _, f := range sim.workers {
@@ -526,6 +529,10 @@
 	// What is left when a small quota was drawn last runs almost one task after another.
 	sim.advance(240 * time.Second)
 	sim.checkAllJobsEnded()
+	sim.checkAccount()
+	if got := sim.ctl.usage.Total(); !got.IsZero() {
+		t.Errorf("%v count as running at the end", got)
+	}
 	if sim.quotaChecks < 50 {
 		t.Errorf("only %d starts were checked against a quota", sim.quotaChecks)
 	}
@@ -549,3 +556,30 @@
 		t.Errorf("the job after the gang is %q 10 s later", got)
 	}
 }
+
+// checkAccount checks that the account of what runs is that of the runs known on the workers, by team and class. A
+// difference would keep a team below its quota, or let it exceed it, for as long as the controller lasts.
+func (sim *simulation) checkAccount() {
+	sim.t.Helper()
+	if sim.ctl == nil {
+		return
+	}
+	want := usage.New()
+	for _, w := range sim.ctl.workers {
+		var used structs.Resources
+		for _, r := range w.runs {
+			want.Add(r.task.step.job().owner(), r.size)
+			used = used.Add(r.size)
+		}
+		for _, o := range w.orphans {
+			want.Add(o.owner, o.size)
+			used = used.Add(o.size)
+		}
+		if used != w.used {
+			sim.t.Errorf("%v count as used on %s, its runs hold %v", w.used, w.info.ID, used)
+		}
+	}
+	if !reflect.DeepEqual(want, sim.ctl.usage) {
+		sim.t.Errorf("the account is %+v, that of the known runs is %+v", sim.ctl.usage, want)
+	}
+}
