Ended jobs: delete the record at the latest with the final state

Cause: the final state of an ended job is dropped after its retention, while the record of the job stays as long as a run of it is left, for instance on a worker that refuses orders. The next controller then finds a job without a final state and runs it again. Change: a job that is dropped has its record deleted too, and no record is deleted twice, since another job may have the ID by then. Result: TestExpiredJobDoesNotRunAgain passes; without the change the cancelled job runs under the next controller.

--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -21,6 +21,8 @@
 	// stored says that the job itself is in the store, endStored that its final state is.
 	stored    bool
 	endStored bool
+	// retired says that the deletion of the job's record is under way or done. Another job may have the ID then.
+	retired bool
 	// endedEarlier says that the job ended under an earlier epoch, so that its tasks are not known.
 	endedEarlier bool
 	// runNumberBase is the number above which runs are numbered. For a job accepted under an
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -192,10 +192,8 @@
 		j := c.ended[0]
 		c.ended = c.ended[1:]
 		delete(c.jobs, j.spec.ID)
-		if !c.takeoverComplete {
-			// Without its final state, the record of a job that is not retired yet would have it run again.
-			c.dirty.retire(j)
-		}
+		// Without its final state, the record of a job that is not retired yet would have it run again.
+		c.deleteRecord(j)
 		c.dirty.drop(j.spec.ID)
 	}
 }
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -336,7 +336,15 @@
 		c.unretiredJobs = append(c.unretiredJobs, j)
 		return
 	}
-	c.dirty.retire(j)
+	c.deleteRecord(j)
+}
+
+// deleteRecord has the record of an ended job deleted, unless that was done before.
+func (c *Controller) deleteRecord(j *job) {
+	if !j.retired {
+		j.retired = true
+		c.dirty.retire(j)
+	}
 }
 
 // progress returns the job's progress as it is stored.
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -235,7 +235,7 @@
 		}
 	}
 	for _, j := range c.unretiredJobs {
-		c.dirty.retire(j)
+		c.deleteRecord(j)
 	}
 	c.unretiredJobs = nil
 	c.inheritedJobs = nil
