Fair shares: no negative shares with weights that differ by many orders of magnitude

Cause: the use per level of the teams that still rise was kept by subtraction. With weights of 1e9 and 1e-9, which a configuration may hold, the difference is lost to rounding and may become negative, and with it shares and fills. Change: the sums are made once, from the last team on. Result: TestOddWeightsAndDemands passes; without the change a fill is -Inf.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -90,21 +90,20 @@
 	if amount <= 0 {
 		return math.Inf(1)
 	}
-	// rising is what all teams that do not have what they want yet use of the resource per level.
-	rising := 0.0
-	for _, w := range wants {
-		rising += float64(of(w.team.Demand)) / w.level()
+	// rising[i] is what the teams from the i-th one on use of the resource per level. It is summed up from the end,
+	// since the difference of two sums is lost to rounding where weights differ by many orders of magnitude.
+	rising := make([]float64, len(wants)+1)
+	for i := len(wants) - 1; i >= 0; i-- {
+		rising[i] = rising[i+1] + float64(of(wants[i].team.Demand))/wants[i].level()
 	}
 	satisfied := 0.0
 	highest := 0.0
-	for _, w := range wants {
+	for i, w := range wants {
 		highest = w.level()
-		if satisfied+rising*highest > amount {
-			return max(amount-satisfied, 0) / rising
+		if rising[i] > 0 && satisfied+rising[i]*highest > amount {
+			return max(amount-satisfied, 0) / rising[i]
 		}
-		demand := float64(of(w.team.Demand))
-		satisfied += demand
-		rising -= demand / highest
+		satisfied += float64(of(w.team.Demand))
 	}
 	return highest
 }
