Ended jobs: keep the record of a later job of the same ID

Cause: an ended job that is dropped while runs of it are left has its record deleted in the next batch. If the same ID is submitted again before that, the deletion follows the new record in one batch, and the accepted job is lost with the controller. Change: the record is not deleted if another job has the ID by then. Jobs of which only the final state was loaded have no record to delete.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -119,7 +119,7 @@
 
 // loadEnded restores a job of which only the final state is stored.
 func (c *Controller) loadEnded(id string, p *workload.Progress) {
-	j := &job{spec: &workload.Job{ID: id}, state: p.State, stored: true, endStored: true}
+	j := &job{spec: &workload.Job{ID: id}, state: p.State, stored: true, endStored: true, retired: true}
 	if !j.ended() {
 		// Progress of a job that has not ended is useless without the job's own record.
 		c.dirty.drop(id)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -252,6 +252,10 @@
 			continue
 		}
 		delete(c.dirty.retired, j)
+		if later := c.jobs[j.spec.ID]; later != nil && later != j {
+			// The record is that of a job which was accepted since.
+			continue
+		}
 		add(jobPrefix+j.spec.ID, nil)
 	}
 	for id := range c.dirty.dropped {
