--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -252,6 +252,10 @@
 			continue
 		}
 		delete(c.dirty.retired, j)
+		if later := c.jobs[j.spec.ID]; later != nil && later != j {
+			// The record is that of a job which was accepted since.
+			continue
+		}
 		add(jobPrefix+j.spec.ID, nil)
 	}
 	for id := range c.dirty.dropped {
@@ -336,7 +340,15 @@
 		c.unretiredJobs = append(c.unretiredJobs, j)
 		return
 	}
-	c.dirty.retire(j)
+	c.deleteRecord(j)
+}
+
+// deleteRecord has the record of an ended job deleted, unless that was done before.
+func (c *Controller) deleteRecord(j *job) {
+	if !j.retired {
+		j.retired = true
+		c.dirty.retire(j)
+	}
 }
 
 // progress returns the job's progress as it is stored.
