--- a/internal/fairshare/odd_test.go
+++ b/internal/fairshare/odd_test.go
@@ -35,7 +35,7 @@
 			if fill := d.Utilization(team.Name, running); math.IsNaN(fill) || fill < 0 {
 				t.Fatalf("capacity %v, teams %+v: fill %v", capacity, teams, fill)
 			}
-			for _, level := range Levels {
+			for _, level := range RoundLimits {
 				if n := d.Room(team.Name, running, size, level, 9); n < 0 || n > 9 {
 					t.Fatalf("capacity %v, teams %+v: room %d", capacity, teams, n)
 				}
