Quota: absurd task sizes hide no runs of an earlier controller

Cause: a caller may submit a task of any size. During a takeover the sum of what waiting tasks may hold overflowed and became negative, so that runs of the same team on silent workers did not count. Change: tasks that are larger than any worker can be hold nothing, and the sums are bounded.

--- a/internal/controller/huge_test.go
+++ b/internal/controller/huge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
@@ -35,3 +36,31 @@
 		}
 	}
 }
+
+// TestHugeTaskHidesNoRuns guards against a team that exceeds its quota after a takeover: the sum of what may run on silent
+// workers overflows with a waiting task of absurd size.
+func TestHugeTaskHidesNoRuns(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.toleratesOverrun = true
+	sim.addWorkers(2, 8000)
+	sim.setTeams(workload.Team{Name: "north", Quota: structs.Resources{CPUMilli: 8000}})
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.lasting(20 * time.Second)
+	sim.submitFor("north", simpleJob("huge", "batch", 1, 1<<62, func(s *workload.Step) { s.AllowCopies = true }))
+	sim.submitFor("north", simpleJob("run", "batch", 8, 1000, nil))
+	sim.advance(time.Second)
+	if got := sim.usedBy("north").CPUMilli; got != 8000 {
+		t.Fatalf("%d millicores run", got)
+	}
+	for _, f := range sim.workers {
+		f.partitioned = len(f.runs) > 0
+	}
+	sim.startController(true)
+	sim.submitFor("north", simpleJob("more", "batch", 8, 1000, nil))
+	sim.advance(time.Second)
+	if got := sim.usedBy("north").CPUMilli; got > 9800 {
+		t.Errorf("%d millicores run", got)
+	}
+}
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -39,7 +39,7 @@
 	if c.heldByTeam == nil {
 		c.heldByTeam = map[string]structs.Resources{}
 		for _, j := range c.inheritedJobs {
-			c.heldByTeam[j.spec.Team] = c.heldByTeam[j.spec.Team].Add(j.mayHold())
+			c.heldByTeam[j.spec.Team] = c.heldByTeam[j.spec.Team].Add(j.mayHold()).Min(maxHeld)
 		}
 		if workers, known := c.unaccountedCapacity(); known {
 			for name, tasks := range c.heldByTeam {
@@ -77,23 +77,29 @@
 	return total, true
 }
 
+// maxHeld bounds sums of what may be held, so that they do not overflow with the largest possible tasks.
+var maxHeld = structs.Resources{CPUMilli: 1 << 61, MemoryMiB: 1 << 61, Accelerators: 1 << 61}
+
 // mayHold returns what the tasks of a job that an earlier controller accepted may hold beside the runs that are
-// known.
+// known. Tasks that are larger than any worker can be hold nothing.
 func (j *job) mayHold() structs.Resources {
 	var total structs.Resources
 	if j.endedEarlier {
 		// Its runs are being stopped. Of a completed job only speculative copies are left.
 		occurrences := int64(min(j.spec.OccurrenceCount(), maxOpenOccurrences))
 		for i := range j.spec.Steps {
-			if def := &j.spec.Steps[i]; j.state != workload.JobCompleted || def.AllowCopies {
-				total = total.Add(def.ReservedSize().Times(int64(def.Count) * occurrences))
+			def := &j.spec.Steps[i]
+			if size := def.ReservedSize(); size.Possible() && (j.state != workload.JobCompleted || def.AllowCopies) {
+				total = total.Add(size.Times(int64(def.Count) * occurrences)).Min(maxHeld)
 			}
 		}
 		return total
 	}
 	for _, occ := range j.open {
 		for _, s := range occ.steps {
-			total = total.Add(s.size.Times(s.mayBeRunningCount()))
+			if s.size.Possible() {
+				total = total.Add(s.size.Times(s.mayBeRunningCount())).Min(maxHeld)
+			}
 		}
 	}
 	return total
