--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -75,15 +75,11 @@
 	return total, true
 }
 
-<<<<<<< HEAD
-// mayHold returns what the tasks of a job that an earlier controller accepted may hold in addition to the known runs.
-=======
 // maxHeld bounds sums of what may be held, so that they do not overflow with the largest possible tasks.
 var maxHeld = structs.Resources{CPUMilli: 1 << 61, MemoryMiB: 1 << 61, Accelerators: 1 << 61}
 
 // mayHold returns what the tasks of a job that an earlier controller accepted may hold beside the runs that are
-// known. Tasks that are larger than any worker can be hold nothing.
->>>>>>> 968d7cf
+// known. Tasks larger than any worker can be hold nothing.
 func (j *job) mayHold() structs.Resources {
 	var total structs.Resources
 	if j.endedEarlier {
