Placement: longer pauses between passes in cells of a thousand workers

Cause: a pass had become cheaper, and came each 17 ms at 1,100 workers instead of each 88 ms.

Change: the time between passes grows with the square of the number of workers, up to 80 microseconds a worker.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -178,19 +178,23 @@
 const (
 	// maxWakeInterval is the longest time between two calls of NextOrders.
 	maxWakeInterval = 100 * time.Millisecond
-	// minPlacementInterval is the least time between two placement passes. All results that arrive meanwhile
-	// are processed by one pass. placementTimePerWorker and placementTimePerStep lengthen it in large cells, so that
-	// passes leave most of a slow machine to other work. They are small enough that urgent work is decided within
-	// 50 ms at 350 workers and 1,000 waiting steps.
-	minPlacementInterval   = 8 * time.Millisecond
-	placementTimePerWorker = 15 * time.Microsecond
-	placementTimePerStep   = 25 * time.Microsecond
+	// minPlacementInterval is the least time between two placement passes. All results that arrive meanwhile are
+	// processed by one pass.
+	minPlacementInterval = 8 * time.Millisecond
+	// The time between passes grows with what a pass has to look at, so that on a slow machine most of the processor
+	// time is left for results and answers. What a pass costs grows with the number of workers, and so does the number
+	// of results that each request one, up to maxPlacementTimePerWorker. At 350 workers and 1,000 waiting steps urgent
+	// work is still decided within 50 ms.
+	placementTimePerWorkerSquared = 55 * time.Nanosecond
+	maxPlacementTimePerWorker     = 80 * time.Microsecond
+	placementTimePerStep          = 25 * time.Microsecond
 )
 
 // placementInterval returns the time between a placement pass and the next one.
 func (c *Controller) placementInterval() time.Duration {
-	cost := placementTimePerWorker*time.Duration(len(c.workers)) + placementTimePerStep*time.Duration(len(c.readySteps))
-	return max(minPlacementInterval, cost)
+	n := time.Duration(len(c.workers))
+	forWorkers := min(n*n*placementTimePerWorkerSquared, n*maxPlacementTimePerWorker)
+	return max(minPlacementInterval, forWorkers+placementTimePerStep*time.Duration(len(c.readySteps)))
 }
 
 // requestPlacement requests a placement pass.
