--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -418,7 +418,7 @@
 		}
 	}
 	// Some hundred callers' connections that stay open, and all other members, twice, fit on the smallest machine.
-	if l := PlanLimits(184, 4100); l.Callers < 500 || l.Members < 2*45 {
+	if l := PlanLimits(184, 4100); l.Callers < 500 || l.Members < 200 { // a cell of 147 members, with connections that end
 		t.Errorf("%+v", l)
 	}
 }
--- a/internal/intake/plan.go
+++ b/internal/intake/plan.go
@@ -28,8 +28,8 @@
 	// kernel, which counts the overhead of packets.
 	connectionBytes = 16<<10 + 2*ReceiveBuffer
 	// memberDivisor and plainDivisor give the parts of the connections for members, and for each of the readiness check
-	// and metrics. Callers have the others.
-	memberDivisor = 8
+	// and metrics. Callers have the others. A controller has a connection of every member, also on the smallest machine.
+	memberDivisor = 4
 	plainDivisor  = 16
 )
 
