intake: clients that send requests ahead make room for others

Cause: every connection that callers may have is in use, none is idle or in its first request, so none makes room. The rule that closes a connection after 10 s of a blocked write does not apply, since no write blocks. Evidence, one sample a second of that case on (284 MB): 948 connections, all of them with unread requests, at most 6 KB in the send queue of any, 53 to 648 of them with nothing in it, 2.7 cores in use all the time. The answers, some 150 bytes each, fit into the client's receive buffer and the process's send buffer, both of which grow by themselves to megabytes.

Change: a client that has sent a request, or a part of one, before the answer to the one before it makes room at the limit of connections, before any other connection; of several, the one whose request has been handled for the longest time. Two signs show it: a header is read although nothing has arrived since the last answer, or something arrives while a request is handled and nothing of its answer is written. A caller that waits for each answer shows neither, also if net/http's background read takes the first byte of its next request before the connection counts as idle: a byte is no header. The connection is closed without an answer, so that nobody is told that a request has not run which was passed on. No new limit, no new reason in the metrics: it counts as `connections`. The end of a body and the flag by which cutOff decides whether to close the connection now change in one step of the account, since a connection may be cut off right after the end of its body.

--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -87,6 +87,8 @@
 	draining    bool  // what arrives is not accounted for, since the request was refused
 	body        connBody
 
+	// answering is true once something of the answer to the request under way was written.
+	answering atomic.Bool
 	// writingSince is when the write under way began, in Unix nanoseconds; zero while there is none.
 	writingSince atomic.Int64
 	closed       atomic.Bool
@@ -132,6 +134,9 @@
 	g := c.iface.gate
 	g.mu.Lock()
 	before := c.client.Phase()
+	if before == intake.Handling && !c.http2 && !c.answering.Load() {
+		c.client.SentAhead()
+	}
 	victims, ok := c.client.Receive(arrived, g.now())
 	phase, reason := c.client.Phase(), c.client.Reason()
 	g.mu.Unlock()
@@ -185,6 +190,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	c.answering.Store(true)
 	c.writingSince.Store(time.Now().UnixNano())
 	n, err := c.Conn.Write(b)
 	c.writingSince.Store(0)
@@ -232,13 +238,23 @@
 	}
 	switch s {
 	case http.StateActive:
-		i.locked(func() { c.client.HeaderRead(i.gate.now()) })
+		i.locked(c.headerRead)
 	case http.StateIdle:
 		i.locked(func() { c.client.Answered(i.gate.now()) })
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
+// headerRead accounts for a header that was read. The gate's mutex is locked. A header of HTTP/1 of which nothing has
+// arrived since the last answer has arrived with the request before it.
+func (c *conn) headerRead() {
+	if !c.http2 && c.client.Phase() == intake.Waiting {
+		c.client.SentAhead()
+	}
+	c.client.HeaderRead(c.iface.gate.now())
+	c.answering.Store(false)
+}
+
 // locked calls a function with the gate's mutex locked.
 func (i *Interface) locked(f func()) {
 	i.gate.mu.Lock()
--- a/internal/httpintake/gate_test.go
+++ b/internal/httpintake/gate_test.go
@@ -148,6 +148,8 @@
 	t.Fatalf("not seen in time: %s", what)
 }
 
+const get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
 const post = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
 
 // TestStalledBodyIsCutOff guards against a body that holds memory for ever, and against an answer that leaves open
@@ -340,6 +342,157 @@
 	}
 }
 
+// serveInStoppedTime starts a protected server on whose clock no time passes, so that no client is cut off for having
+// made no progress.
+func serveInStoppedTime(t *testing.T, connections int) *testServer {
+	start := time.Now()
+	return serveTestAt(t, 1<<20, connections, Limits{}, func() time.Time { return start })
+}
+
+// connectAnew connects and sends a request until one is answered with 200.
+func (s *testServer) connectAnew(t *testing.T) {
+	t.Helper()
+	await(t, "an answer on a new connection", func() bool {
+		c := s.dial(t)
+		_, _ = io.WriteString(c, get) // it may be refused at once
+		return status(t, c) == http.StatusOK
+	})
+}
+
+// TestClientsThatSendAheadMakeRoom guards against an interface that is full of clients that send requests without
+// waiting for the answers, and against a request of theirs of which the client is told that it has not run.
+func TestClientsThatSendAheadMakeRoom(t *testing.T) {
+	const submission = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nxyz"
+	large := strings.Replace(get, "Host", "X-Long: "+strings.Repeat("x", 6<<10)+"\r\nHost", 1)
+	tests := []struct {
+		name string
+		text string
+		// more is sent once the first request is handled, whose answer then waits.
+		more string
+	}{
+		{"requests", get + get, ""},
+		{"submissions", submission + submission, ""},
+		{"a submission and a request", submission + get, ""},
+		{"requests larger than what is read ahead", large + large, "G"},
+		{"a part of a request", get, "G"},
+		{"a part of a request behind a submission", submission, "G"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := serveInStoppedTime(t, 2)
+			caller, ahead := s.dial(t), s.dial(t)
+			send(t, caller, get)
+			if got := status(t, caller); got != http.StatusOK {
+				t.Fatalf("status %d", got)
+			}
+			if tt.more != "" {
+				s.hold.Store(s.whole.Load() + 2) // until the request on the new connection
+			}
+			send(t, ahead, tt.text)
+			if tt.more != "" {
+				await(t, "the first request", func() bool { return s.whole.Load() == 2 })
+				send(t, ahead, tt.more)
+			}
+			s.connectAnew(t)
+			rest, _ := io.ReadAll(ahead) // the connection may be reset
+			if bytes.Contains(rest, []byte(" 503 ")) || (tt.more != "" && len(rest) > 0) {
+				t.Errorf("the client that sent ahead was told: %.300s", rest)
+			}
+			send(t, caller, get)
+			if got := status(t, caller); got != http.StatusOK {
+				t.Errorf("status %d on the connection that stays open", got)
+			}
+		})
+	}
+}
+
+// TestKeepAliveCallerKeepsItsConnection guards against a caller that waits for each answer and is cut off for clients
+// that send requests ahead: at the limit of connections all the time, with its next request as soon as it has the answer.
+func TestKeepAliveCallerKeepsItsConnection(t *testing.T) {
+	const connections, others, rounds = 4, 8, 500
+	s := serveInStoppedTime(t, connections)
+	caller := s.dial(t)
+	r := bufio.NewReader(caller)
+	ask := func(text string) {
+		t.Helper()
+		send(t, caller, text)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%v, %v", resp, err)
+		}
+		_ = resp.Body.Close()
+	}
+	ask(get)
+	var group sync.WaitGroup
+	ctx, stop := context.WithCancel(context.Background())
+	defer group.Wait()
+	defer stop()
+	for range others {
+		group.Go(func() { sendAheadAnew(ctx, s.addr) })
+	}
+	await(t, "the limit of connections", func() bool { return s.refused(intake.OutOfConnections) > 0 })
+	for range rounds {
+		ask(get)
+		ask(fmt.Sprintf(post, 3000) + strings.Repeat("x", 3000))
+	}
+	stop()
+	group.Wait()
+	// It is not among the clients that make room either.
+	await(t, "the others' end", func() bool { return s.open() == 1 })
+	for range connections - 1 {
+		s.connectAnew(t)
+	}
+	other := s.dial(t)
+	_, _ = io.WriteString(other, get) // it may be refused at once
+	if got := status(t, other); got != 0 {
+		t.Errorf("status %d of a connection beyond the limit", got)
+	}
+	ask(get)
+}
+
+// TestHTTP2ConnectionIsNotSentAhead guards against a connection of HTTP/2 whose requests, of which several are under way
+// at a time, are taken for ones that were sent ahead.
+func TestHTTP2ConnectionIsNotSentAhead(t *testing.T) {
+	s := serveInStoppedTime(t, 1)
+	transport := peer.NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	for range 3 {
+		req, err := http.NewRequest(http.MethodGet, "http://"+s.addr, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		other := s.dial(t)
+		_, _ = io.WriteString(other, get) // it may be refused at once
+		if got := status(t, other); got != 0 {
+			t.Errorf("status %d of a connection beyond the limit", got)
+		}
+	}
+	if n := s.sawHTTP2.Load(); n != 3 || s.open() != 1 {
+		t.Errorf("%d requests of HTTP/2, %d connections", n, s.open())
+	}
+}
+
+// sendAheadAnew sends requests without reading the answers, and connects anew when it is cut off, until ctx ends.
+func sendAheadAnew(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+		for err == nil {
+			_, err = io.WriteString(c, strings.Repeat(get, 100))
+		}
+		stop()
+		_ = c.Close()
+	}
+}
+
 // TestHTTP2RequestsAreAccountedByStream guards against streams that use up the memory, and against a connection of
 // HTTP/2 that is taken for an endless header.
 func TestHTTP2RequestsAreAccountedByStream(t *testing.T) {
--- a/internal/httpintake/handler.go
+++ b/internal/httpintake/handler.go
@@ -118,20 +118,21 @@
 		return n, nil
 	}
 	c := b.conn
-	if refusal := c.iface.bodyEnded(&c.client, err); refusal != nil {
+	c.iface.locked(func() {
+		if b.err = c.iface.bodyEnded(&c.client, err); b.err == nil {
+			b.open.Store(false) // with the mutex locked, since cutOff closes the connection only if it is false
+		}
+	})
+	if b.err != nil {
 		b.response.Header().Set("Connection", "close")
-		b.err = refusal
-		return 0, refusal
+		return 0, b.err
 	}
-	b.open.Store(false)
 	return n, err
 }
 
 // bodyEnded accounts for the end of a body, at which reading it returned err. It returns an error if the request was
-// refused or cut off before.
+// refused or cut off before. The gate's mutex is locked.
 func (i *Interface) bodyEnded(c *intake.Client, err error) error {
-	i.gate.mu.Lock()
-	defer i.gate.mu.Unlock()
 	if err == io.EOF {
 		if c.BodyRead(i.gate.now()) {
 			return nil
@@ -227,7 +228,9 @@
 		}
 	}
 	if err != nil {
-		if refusal := s.iface.bodyEnded(&s.client, err); refusal != nil {
+		var refusal error
+		s.iface.locked(func() { refusal = s.iface.bodyEnded(&s.client, err) })
+		if refusal != nil {
 			return 0, refusal
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -79,6 +79,7 @@
 	phase   Phase
 	reason  Reason    // why it has Ended
 	used    bool      // a request was answered on the connection
+	ahead   bool      // a request was sent on the connection before the answer to the one before it
 	discard bool      // what arrives is not kept
 	cost    int64     // in bytes of memory
 	began   time.Time // when the phase began
@@ -97,16 +98,23 @@
 
 // enter begins a phase.
 func (c *Client) enter(phase Phase, now time.Time) {
-	c.queue.remove(c)
 	c.phase, c.began, c.progress = phase, now, now
+	c.enqueue()
+}
+
+// enqueue moves the client to the end of the queue that it belongs to.
+func (c *Client) enqueue() {
+	c.queue.remove(c)
 	switch {
-	case phase == Waiting && c.used:
+	case c.phase == ReadingHeader, c.phase == ReadingBody:
+		c.account.reading.push(c)
+	case c.ahead:
+		c.pool.ahead.push(c)
+	case c.phase == Waiting && c.used:
 		c.pool.idle.push(c)
-	case phase == Waiting:
+	case c.phase == Waiting:
 		c.pool.waiting.push(c)
-	case phase == ReadingHeader, phase == ReadingBody:
-		c.account.reading.push(c)
-	case phase == Handling:
+	case c.phase == Handling:
 		c.account.handling.push(c)
 	}
 }
@@ -153,6 +161,9 @@
 	// waiting are the connections on which no request was answered, idle the others that wait for one; those first that
 	// have waited for the longest time.
 	waiting, idle queue
+	// ahead are the connections of clients that have sent requests ahead, of which no request is being read; those first
+	// whose request has been handled, or that have waited for one, for the longest time.
+	ahead queue
 }
 
 // NewPool returns the pool of an interface that may have a number of connections.
@@ -165,9 +176,10 @@
 // Open returns the number of connections.
 func (p *Pool) Open() int { return p.open }
 
-// Connect adds a connection. At the limit of connections it cuts off one and returns it: one that has been idle for
-// minIdle, or else the one that has made no progress for the longest time in or before its first request, or else the
-// one that has been idle for the longest time. It reports false if there is none: the new connection is refused.
+// Connect adds a connection. At the limit of connections it cuts off one and returns it: one whose client has sent
+// requests ahead, or else one that has been idle for minIdle, or else the one that has made no progress for the longest
+// time in or before its first request, or else the one that has been idle for the longest time. It reports false if
+// there is none: the new connection is refused.
 func (p *Pool) Connect(c *Client, now time.Time) (victim *Client, ok bool) {
 	if p.open >= p.max {
 		victim = p.stalled(now)
@@ -185,6 +197,11 @@
 
 // stalled returns the connection that may be cut off for another, nil if there is none.
 func (p *Pool) stalled(now time.Time) *Client {
+	// These are cut off even while they make progress, since their clients never have to pause. A caller that
+	// sends a request only after it has read the last answer is not among them.
+	if c := p.ahead.front; c != nil {
+		return c
+	}
 	if c := p.idle.front; c != nil && now.Sub(c.progress) >= minIdle {
 		return c
 	}
@@ -306,6 +323,16 @@
 	}
 }
 
+// SentAhead notes that a request, or a part of one, has arrived on the connection before the answer to the one before
+// it. At the limit of connections, the connection is cut off before others, even if a request was passed on: it has to
+// be closed without an answer then, since the request may have been carried out.
+func (c *Client) SentAhead() {
+	if c.phase != Ended && !c.ahead {
+		c.ahead = true
+		c.enqueue()
+	}
+}
+
 // BeginBody begins the reading of a request's body. It reports false if the client is refused, since there is no room,
 // or was cut off before.
 func (c *Client) BeginBody(now time.Time) (victims []*Client, ok bool) {
@@ -394,7 +421,16 @@
 }
 
 // Handling yields the clients whose requests are being handled.
-func (a *Account) Handling(yield func(*Client) bool) { a.handling.each(yield) }
+func (a *Account) Handling(yield func(*Client) bool) {
+	if !a.handling.each(yield) {
+		return
+	}
+	for _, p := range a.pools {
+		if !p.ahead.each(func(c *Client) bool { return c.phase != Handling || yield(c) }) {
+			return
+		}
+	}
+}
 
 // Reading yields the clients whose requests are being read.
 func (a *Account) Reading(yield func(*Client) bool) { a.reading.each(yield) }
@@ -431,15 +467,17 @@
 	c.queue, c.prev, c.next = nil, nil, nil
 }
 
-// each yields the clients in order. The client that was yielded may be removed meanwhile.
-func (q *queue) each(yield func(*Client) bool) {
+// each yields the clients in order, until yield returns false, and reports whether it has yielded all of them. The
+// client that was yielded may be removed meanwhile.
+func (q *queue) each(yield func(*Client) bool) bool {
 	for c := q.front; c != nil; {
 		next := c.next
 		if !yield(c) {
-			return
+			return false
 		}
 		c = next
 	}
+	return true
 }
 
 func (q *queue) moveToBack(c *Client) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -214,6 +214,112 @@
 	}
 }
 
+// TestClientsThatSendAheadMakeRoom guards against clients that send requests ahead and keep an interface full: the one
+// that was handled for the longest time makes room before any other, and no other client pays for them.
+func TestClientsThatSendAheadMakeRoom(t *testing.T) {
+	handled := func(c *Client, now time.Time) {
+		c.Receive(make([]byte, 100), now)
+		c.HeaderRead(now)
+	}
+	idle := func(c *Client, now time.Time) {
+		handled(c, now)
+		c.Answered(now)
+	}
+	handledAhead := func(c *Client, now time.Time) {
+		handled(c, now)
+		c.SentAhead()
+	}
+	idleAhead := func(c *Client, now time.Time) {
+		handledAhead(c, now)
+		c.Answered(now)
+	}
+	readAhead := func(c *Client, now time.Time) {
+		idleAhead(c, now)
+		c.Receive(make([]byte, 100), now)
+	}
+	const none = -1
+	tests := []struct {
+		name    string
+		clients []func(*Client, time.Time) // what each of them does, one after the other
+		pass    time.Duration              // before the next connection
+		want    int                        // the client that makes room
+	}{
+		{"handled, before one that is idle", []func(*Client, time.Time){idle, handledAhead}, time.Hour, 1},
+		{"handled since a moment ago", []func(*Client, time.Time){handled, handledAhead}, 0, 1},
+		{"idle, before one that is idle for longer", []func(*Client, time.Time){idle, idleAhead}, time.Hour, 1},
+		{"idle, before one that sends nothing", []func(*Client, time.Time){func(*Client, time.Time) {}, idleAhead}, time.Second, 1},
+		{"the first of two", []func(*Client, time.Time){handledAhead, handledAhead}, 0, 0},
+		{"one that goes on makes room after the other", []func(*Client, time.Time){handledAhead, handledAhead, handled}, 0, 0},
+		{"none while its next request is read", []func(*Client, time.Time){handled, readAhead}, 0, none},
+		{"none that waits for each answer", []func(*Client, time.Time){handled, idle, handled}, 0, none},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, at := NewAccount(testLimit), newClock()
+			p := a.NewPool(len(tt.clients))
+			var clients []*Client
+			for _, do := range tt.clients {
+				c := connect(t, p, at.pass(time.Millisecond))
+				do(c, at.now)
+				clients = append(clients, c)
+			}
+			victim, ok := p.Connect(&Client{}, at.pass(tt.pass))
+			if want := tt.want != none; ok != want {
+				t.Fatalf("ok %v, want %v", ok, want)
+			}
+			if ok && victim != clients[tt.want] {
+				t.Error("another client was cut off")
+			}
+			for i, c := range clients {
+				if ended := c.Phase() == Ended; ended != (i == tt.want) {
+					t.Errorf("client %d: cut off %v", i, ended)
+				}
+			}
+		})
+	}
+}
+
+// TestClientThatSentAheadStaysOne guards against a client that is taken for an ordinary one after its next answer, and
+// against one that is cut off twice or keeps its cost.
+func TestClientThatSentAheadStaysOne(t *testing.T) {
+	a, at := NewAccount(testLimit), newClock()
+	p := a.NewPool(2)
+	c, ordinary := connect(t, p, at.now), connect(t, p, at.now)
+	readBody(ordinary, 100, at.now)
+	c.Receive(make([]byte, 100), at.now)
+	c.SentAhead()
+	for range 3 {
+		if _, ok := readBody(c, 100, at.pass(time.Second)); !ok || !c.BodyRead(at.now) {
+			t.Fatal("refused")
+		}
+		handling := 0
+		for range a.Handling {
+			handling++
+		}
+		if handling != 1 {
+			t.Fatalf("%d clients are being handled", handling)
+		}
+		c.Discard()
+		c.Answered(at.now)
+	}
+	ordinary.Receive(make([]byte, 100), at.now)
+	if victim, ok := p.Connect(&Client{}, at.now); !ok || victim != c || c.Reason() != OutOfConnections {
+		t.Fatalf("ok %v, the client that sent ahead was cut off: %v", ok, victim == c)
+	}
+	c.SentAhead() // what it sends still arrives
+	if _, ok := c.Receive(make([]byte, 1), at.now); ok {
+		t.Error("it goes on")
+	}
+	if victim, ok := p.Connect(&Client{}, at.now); ok || victim != nil {
+		t.Error("it made room twice, or another one did")
+	}
+	c.Close()
+	ordinary.Close()
+	if a.Cost() != 0 || p.Open() != 1 {
+		t.Errorf("cost %d, %d connections open", a.Cost(), p.Open())
+	}
+}
+
 // TestTimeBounds guards against headers and bodies that hold memory for ever, also if a byte comes now and then.
 func TestTimeBounds(t *testing.T) {
 	b := Bounds{Header: 3 * time.Second, Stall: 15 * time.Second, Body: time.Minute}
@@ -354,7 +460,7 @@
 			c.Receive(make([]byte, 1+rng.IntN(64<<10)), now)
 		}
 	case Handling:
-		switch rng.IntN(4) {
+		switch rng.IntN(5) {
 		case 0:
 			c.BeginBody(now)
 		case 1:
@@ -363,6 +469,8 @@
 			c.Charge(rng.Int64N(1<<18), now)
 		case 3:
 			c.Answered(now)
+		case 4:
+			c.SentAhead()
 		}
 	case Ended:
 	}
