--- a/internal/httpintake/conn.go
+++ b/internal/httpintake/conn.go
@@ -13,13 +13,16 @@
 	"dotterelhitch/internal/intake"
 )
 
-// Listen opens a TCP listener whose connections have a receive buffer of the given size. The connections take over the
-// size from the listener.
-func Listen(addr string, receiveBuffer int) (net.Listener, error) {
+// Buffers are the sizes of a connection's buffers in the kernel, in bytes. The system decides about one that is zero.
+type Buffers struct{ Receive, Send int }
+
+// Listen opens a TCP listener whose connections have buffers of the given sizes. The connections take over the sizes
+// from the listener.
+func Listen(addr string, buffers Buffers) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		if controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			err = errors.Join(setBuffer(fd, syscall.SO_RCVBUF, buffers.Receive), setBuffer(fd, syscall.SO_SNDBUF, buffers.Send))
 		}); controlErr != nil {
 			return controlErr
 		}
@@ -28,6 +31,14 @@
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
+// setBuffer sets the size of a socket's buffer unless it is zero.
+func setBuffer(fd uintptr, option, size int) error {
+	if size == 0 {
+		return nil
+	}
+	return syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, size)
+}
+
 // Listener returns a listener that refuses connections beyond the interface's limit.
 func (i *Interface) Listener(l net.Listener) net.Listener { return &listener{Listener: l, iface: i} }
 
@@ -76,6 +87,8 @@
 	draining    bool  // what arrives is not accounted for, since the request was refused
 	body        connBody
 
+	// answering is true once something of the answer to the request under way was written.
+	answering atomic.Bool
 	// writingSince is when the write under way began, in Unix nanoseconds; zero while there is none.
 	writingSince atomic.Int64
 	closed       atomic.Bool
@@ -121,6 +134,9 @@
 	g := c.iface.gate
 	g.mu.Lock()
 	before := c.client.Phase()
+	if before == intake.Handling && !c.http2 && !c.answering.Load() {
+		c.client.SentAhead()
+	}
 	victims, ok := c.client.Receive(arrived, g.now())
 	phase, reason := c.client.Phase(), c.client.Reason()
 	g.mu.Unlock()
@@ -174,6 +190,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	c.answering.Store(true)
 	c.writingSince.Store(time.Now().UnixNano())
 	n, err := c.Conn.Write(b)
 	c.writingSince.Store(0)
@@ -221,13 +238,23 @@
 	}
 	switch s {
 	case http.StateActive:
-		i.locked(func() { c.client.HeaderRead(i.gate.now()) })
+		i.locked(c.headerRead)
 	case http.StateIdle:
 		i.locked(func() { c.client.Answered(i.gate.now()) })
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
+// headerRead accounts for a header that was read. The gate's mutex is locked. A header of HTTP/1 of which nothing has
+// arrived since the last answer has arrived with the request before it.
+func (c *conn) headerRead() {
+	if !c.http2 && c.client.Phase() == intake.Waiting {
+		c.client.SentAhead()
+	}
+	c.client.HeaderRead(c.iface.gate.now())
+	c.answering.Store(false)
+}
+
 // locked calls a function with the gate's mutex locked.
 func (i *Interface) locked(f func()) {
 	i.gate.mu.Lock()
