Simulation: workers check the ticket of a start

The simulation's workers carried out starts on classes with an advisor whatever ticket they bore. So the walks showed late starts at the next boot for classes for which they can't happen.

The advisor of the simulation now issues a ticket for the boot that is up when it answers, and a worker refuses a start on a class with an advisor unless it bears a ticket of its step that was issued for this boot and has not expired. No test needed a change for it.

Order of refusals: token, run that is there (200), ended run, lease deadline, ticket.

--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -44,8 +44,9 @@
 	ends             []workload.EndedTask
 	endsBeforeExpiry map[int64]bool // ends that were listed, but not acknowledged, when the lease expired
 	seq              int64
-	answerPoll       func()            // answers a poll that waits for an end
-	breakPoll        func(OrderResult) // ends that poll without a response
+	tickets          map[string]issuedTicket // those that the advisor has issued for this boot
+	answerPoll       func()                  // answers a poll that waits for an end
+	breakPoll        func(OrderResult)       // ends that poll without a response
 }
 
 type fakeRun struct {
@@ -57,6 +58,12 @@
 	reason       workload.EndReason
 }
 
+// issuedTicket is a ticket of the advisor for all tasks of a step on one boot of a worker.
+type issuedTicket struct {
+	step      workload.StepID
+	expiresAt time.Time
+}
+
 func (sim *simulation) addWorkers(n int, cpu int64) {
 	for range n {
 		f := &fakeWorker{
@@ -85,6 +92,7 @@
 	f.ends = nil
 	f.endsBeforeExpiry = map[int64]bool{}
 	f.seq = 0
+	f.tickets = map[string]issuedTicket{}
 	f.answerPoll = nil
 	f.takeHeldCalls()
 }
@@ -244,6 +252,12 @@
 	if s.LeaseDeadlineMs <= f.clock() {
 		return RefusedLeaseExpired
 	}
+	if !f.acceptsTicket(s) {
+		// The platform does not say whether such a start extends the lease, as those refused for want of room do. It
+		// does here: a lease that lasts longer than the controller believes is the worse case.
+		f.extendLease(s.LeaseDeadlineMs)
+		return RefusedTicket
+	}
 	sim.checkStart(f, s)
 	job := sim.jobs[s.Run.Task.Job]
 	step := &job.Steps[s.Run.Task.Step]
@@ -263,6 +277,16 @@
 	return CarriedOut
 }
 
+// acceptsTicket reports whether a start may be carried out as far as its ticket goes. On a class with an advisor, a
+// start needs a ticket for its step that was issued for this boot and has not expired.
+func (f *fakeWorker) acceptsTicket(s *Start) bool {
+	if f.sim.advisorOf(s.Run.Task.Job) == nil {
+		return true
+	}
+	ticket, issued := f.tickets[s.Ticket]
+	return issued && ticket.step == s.Run.Task.StepID && f.sim.now.Before(ticket.expiresAt)
+}
+
 func (f *fakeWorker) scheduleEnd(r *fakeRun) {
 	if r.step.LongRunning && r.reason != workload.EndFailed {
 		return
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -18,7 +18,9 @@
 	maxLease, requestedLease time.Duration
 	replaceControllers       bool
 	gangs                    bool
-	lateStartsEndWithBoot    bool
+	// ticketed says that all jobs are of a class with an advisor.
+	ticketed              bool
+	lateStartsEndWithBoot bool
 }
 
 // Restarts in a walk, how long a worker is down, when it is cut off after that, and for how long.
@@ -88,11 +90,12 @@
 
 // job returns a job of some tasks. If the walk has gangs, half of the jobs are gangs.
 func (walk restartWalk) job(id string, rng *rand.Rand) *workload.Job {
+	gang := walk.gangs && rng.IntN(2) == 0
 	class := "batch"
-	if walk.gangs && rng.IntN(2) == 0 {
+	if gang || walk.ticketed {
 		class = "gang"
 	}
-	return simpleJob(id, class, 1+rng.IntN(4), 1000, func(s *workload.Step) { s.Gang = class == "gang" })
+	return simpleJob(id, class, 1+rng.IntN(4), 1000, func(s *workload.Step) { s.Gang = gang })
 }
 
 // restartOne crashes a worker that can be reached, if the one that is drawn can. It is soon back under its ID, and in
@@ -159,6 +162,20 @@
 	restartWalk{heldCallShare: 0.5, delayedOrderShare: 0.1, gangs: true}.playSeeds(t)
 }
 
+// TestLateStartsWithTicketsReachNextBoot guards against two runs of one task on classes with an advisor, for which the
+// controller relies on tickets: the next boot refuses a late start, whose ticket is for the former one.
+func TestLateStartsWithTicketsReachNextBoot(t *testing.T) {
+	restartWalk{heldCallShare: 0.5, delayedOrderShare: 0.1, gangs: true, ticketed: true}.playSeeds(t)
+}
+
+// TestLateStartsWithTicketsAroundTakeovers guards against the same while controllers are replaced.
+func TestLateStartsWithTicketsAroundTakeovers(t *testing.T) {
+	restartWalk{
+		heldCallShare: 0.5, delayedOrderShare: 0.1, gangs: true, ticketed: true,
+		maxLease: 10 * time.Second, requestedLease: 5500 * time.Millisecond, replaceControllers: true,
+	}.playSeeds(t)
+}
+
 // TestLatePollsReachNextBoot guards against tasks that start again after their end: a late acknowledgment for the
 // former boot drops ends of the next one that nobody has seen, or a late lease outlasts what is reckoned with.
 func TestLatePollsReachNextBoot(t *testing.T) {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -439,14 +439,10 @@
 		}
 		end := from.Add(call.ExpectedDuration)
 		sim.advisorBusyUntil[call.Entry] = end
-		sim.at(end.Add(back+sim.networkDelay()), func() {
-			var allowed []workload.Ticket
-			for _, id := range call.Workers {
-				if sim.advisorAllows(call.Step, id) {
-					allowed = append(allowed, workload.Ticket{Worker: id, Ticket: fmt.Sprintf("%s@%d", call.Step, end.UnixMilli())})
-				}
-			}
-			done(allowed, nil)
+		wayBack := back + sim.networkDelay()
+		sim.at(end, func() {
+			allowed := sim.issueTickets(&call)
+			sim.after(wayBack, func() { done(allowed, nil) })
 		})
 	}
 	if there == 0 {
@@ -456,6 +452,34 @@
 	sim.after(there, arrive)
 }
 
+// issueTickets returns the advisor's answer to a call: a ticket for each worker that may run the step.
+func (sim *simulation) issueTickets(call *AdvisorCall) []workload.Ticket {
+	var allowed []workload.Ticket
+	for _, id := range call.Workers {
+		if sim.advisorAllows(call.Step, id) {
+			allowed = append(allowed, workload.Ticket{Worker: id, Ticket: sim.issueTicket(call.Step, id)})
+		}
+	}
+	return allowed
+}
+
+// issueTicket returns a new ticket for the tasks of a step on the present boot of a worker.
+func (sim *simulation) issueTicket(step workload.StepID, worker string) string {
+	ticket := fmt.Sprintf("%s@%d", step, sim.now.UnixMilli())
+	if f, advisor := sim.workers[worker], sim.advisorOf(step.Job); f != nil && advisor != nil {
+		f.tickets[ticket] = issuedTicket{step: step, expiresAt: sim.now.Add(advisor.TicketValidity)}
+	}
+	return ticket
+}
+
+// advisorOf returns the advisor's timing for the class of a job, nil if the class has no advisor.
+func (sim *simulation) advisorOf(job string) *workload.AdvisorTiming {
+	if j := sim.jobs[job]; j != nil {
+		return sim.config.Classes[j.Class].Advisor
+	}
+	return nil
+}
+
 // advisorTimeoutSlack is the time after which a call to the advisor without an answer fails, beside the time for which
 // the advisor works on it.
 const advisorTimeoutSlack = 1500 * time.Millisecond
