Controller: tasks wait for starts without answers that may still arrive

Without a ticket, a start that got no answer may be carried out seconds later by its worker's next boot, before that boot has answered the controller. Callers would see work done twice: the controller has given the run up meanwhile (its stop was in force at the former boot, it ended there, its leases have ended) and has started the task again, or has acknowledged its end as done. No order prevents that, since a new boot remembers no stop and no token.

Copies of starts without a ticket that got no answer are kept with their task (latestart.go) until Timing.LateStartTime after their sending; the platform sets 15 s. Until then the task is not started again, and ends as done or failed are not acknowledged; the job is shown as completed at once. After that the task waits for the worker's next list of its runs. A start whose connection broke is not waited for: it was sent to a process that was there. The wait is reported as late_start.

Starts with tickets stay as they are: a ticket is for one boot, which refuses what it has stopped or ended and what comes after its lease deadline.

--- a/internal/controller/byhand_test.go
+++ b/internal/controller/byhand_test.go
@@ -74,13 +74,13 @@
 	return f.pollResult()
 }
 
-// deliver has the boots that are there now carry out orders, and their answers arrive. A worker that is down answers
-// nothing.
+// deliver has the boots that are there now carry out orders, and their answers arrive. A worker that is down or cut
+// off answers nothing.
 func (h *handDelivery) deliver(o Orders) {
 	sent := h.sim.now
 	for _, s := range o.Starts {
 		f := h.sim.workers[s.Worker]
-		if !f.up {
+		if !f.up || f.partitioned {
 			h.ctl.StartDone(s.Worker, s.Run, NoResponse, 0, sent, h.sim.now)
 			continue
 		}
@@ -89,7 +89,7 @@
 	}
 	for _, s := range o.Stops {
 		f := h.sim.workers[s.Worker]
-		if !f.up {
+		if !f.up || f.partitioned {
 			h.ctl.StopDone(s.Worker, s.Run, NoResponse, 0, sent, h.sim.now)
 			continue
 		}
@@ -103,7 +103,7 @@
 	}
 	h.sim.advance(time.Millisecond)
 	for _, p := range o.Polls {
-		if !h.sim.workers[p.Worker].up {
+		if f := h.sim.workers[p.Worker]; !f.up || f.partitioned {
 			h.ctl.PollFailed(p.Worker, NoResponse, h.sim.now)
 		} else if result := h.carryOutPoll(p); result != nil {
 			h.ctl.PollDone(p.Worker, result, sent, h.sim.now)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,9 @@
 	RequestedLease time.Duration
 	// DeliveryTime is how long after its sending a start or a poll may still reach a worker.
 	DeliveryTime time.Duration
+	// LateStartTime is how long after its sending a start without an answer and without a ticket may still be carried
+	// out, by whichever boot of the worker is up then. Zero means that no start is carried out late.
+	LateStartTime time.Duration
 	// LeaderLease holds the durations of the controller's leader lease.
 	LeaderLease leaderlease.Timing
 	// GangTimeout is how long a member of a gang waits on its worker for the other members.
@@ -147,6 +150,10 @@
 	wakeups wakeupQueue
 	// retries are the runs with an order that got no response.
 	retries map[*run]struct{}
+	// startsInFlight are the start orders whose results are not known, as far as they are tracked. heldAcks are the
+	// ends whose acknowledgment waits for late starts.
+	startsInFlight map[workload.Run]*unansweredStart
+	heldAcks       []endAck
 
 	// nextWorkerScan is the earliest time of the next pass over all workers. workerScanDue
 	// says that no pass was made since the last event.
@@ -215,6 +222,7 @@
 		lease:              leaderlease.NewHolder(timing.LeaderLease),
 		dirty:              newDirtySet(),
 		retries:            map[*run]struct{}{},
+		startsInFlight:     map[workload.Run]*unansweredStart{},
 		readySteps:         map[*step]struct{}{},
 		stepsAwaitingStore: map[*step]struct{}{},
 		advisorQueue:       advisorqueue.New(),
--- a/internal/controller/explain.go
+++ b/internal/controller/explain.go
@@ -23,6 +23,8 @@
 	// WaitMayBeRunning means that an earlier controller may have started the tasks on a
 	// worker that does not answer.
 	WaitMayBeRunning
+	// WaitLateStart means that a start of the tasks got no answer and may still be carried out.
+	WaitLateStart
 	// WaitRetryBackoff means that tasks have failed and are retried after a pause.
 	WaitRetryBackoff
 	// WaitSuspicionStored means that workers crashed shortly after starting the tasks, and that this
@@ -47,6 +49,7 @@
 	WaitNoLabel:         "no listed worker bears the label",
 	WaitTooLarge:        "a task is larger than any worker",
 	WaitMayBeRunning:    "a former controller may have started it on a worker that is silent",
+	WaitLateStart:       "a start without an answer may still arrive",
 	WaitRetryBackoff:    "it failed and is tried again after a pause",
 	WaitSuspicionStored: "a worker crashed under it, and that is not stored yet",
 	WaitQuota:           "its team has used up its quota",
@@ -64,6 +67,7 @@
 	WaitNoLabel:         "no_label",
 	WaitTooLarge:        "too_large",
 	WaitMayBeRunning:    "may_be_running",
+	WaitLateStart:       "late_start",
 	WaitRetryBackoff:    "retry_backoff",
 	WaitSuspicionStored: "suspicion_stored",
 	WaitQuota:           "quota",
@@ -146,6 +150,9 @@
 		if !t.done && !t.suspicionStored() {
 			return WaitSuspicionStored
 		}
+		if !t.done && len(t.runs) == 0 && t.awaitsLateStart(now) {
+			return WaitLateStart
+		}
 	}
 	return WaitMayBeRunning
 }
--- a/internal/controller/fakenetwork_test.go
+++ b/internal/controller/fakenetwork_test.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// How long after its arrival a late order is carried out.
+const (
+	minOrderDelay = 2 * time.Second
+	maxOrderDelay = 12 * time.Second
+)
+
 // heldCall is a call to a worker that is down. A boot that comes up within the call's time-out carries it out.
 type heldCall struct {
 	call     *call
@@ -82,7 +88,7 @@
 			timeout()
 		case draw < sim.delayedOrderShare:
 			c.unheard, c.late = true, true
-			sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() {
+			sim.after(minOrderDelay+time.Duration(sim.rng.Int64N(int64(maxOrderDelay-minOrderDelay))), func() {
 				if f.up {
 					deliver(f, c)
 				}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -50,11 +50,12 @@
 }
 
 // endAck identifies an end in a worker's list, which the worker may drop once the end is
-// stored.
+// stored and no late start of heldFor can follow it.
 type endAck struct {
-	worker *worker
-	boot   int64
-	seq    int64
+	worker  *worker
+	boot    int64
+	seq     int64
+	heldFor *task // nil if the end waits for no late start
 }
 
 // occurrence is one execution of the steps of a job.
@@ -145,6 +146,8 @@
 	mayBeRunning bool
 	// orphanRuns counts the task's orphan runs, which are being stopped and are not in runs.
 	orphanRuns int
+	// unansweredStarts are the start orders without an answer that may still give the task a run.
+	unansweredStarts []*unansweredStart
 	// moves is how often the task was moved off a worker. avoidedWorker is the worker that it
 	// was last moved off or failed on, and is not used again before avoidUntil.
 	moves         int
--- a/internal/controller/latestart_test.go
+++ b/internal/controller/latestart_test.go
@@ -83,3 +83,109 @@
 	sim.advance(60 * time.Second)
 	sim.checkAllJobsEnded()
 }
+
+// newCellWithAnUnansweredStart returns a cell of two workers, and the first copy of a start that gets no answer. Its
+// second copy is carried out, and runs for a time.
+func newCellWithAnUnansweredStart(t *testing.T, result OrderResult, runTime time.Duration) (*handDelivery, Start) {
+	sim := newSimulation(t, 1)
+	sim.addWorkers(2, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return runTime, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	h := newHandDelivery(sim)
+	h.deliverFor(50 * time.Millisecond)
+	h.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	late, _ := h.awaitStart(true)
+	h.ctl.StartDone(late.Worker, late.Run, result, 0, sim.now, sim.now)
+	return h, late
+}
+
+// TestEndIsNotAcknowledgedWhileAStartMayArrive guards against a start after an acknowledged end: a task has ended as
+// done, and the worker's next boot carries out a copy of its start that got no answer.
+func TestEndIsNotAcknowledgedWhileAStartMayArrive(t *testing.T) {
+	h, late := newCellWithAnUnansweredStart(t, NoResponse, 100*time.Millisecond)
+	arrivesUntil := h.sim.now.Add(h.sim.timing.LateStartTime)
+	h.deliverFor(500 * time.Millisecond)
+	h.requireCompleted(t, "j1")
+	for h.sim.now.Before(arrivesUntil) {
+		if h.sim.ackedDone[late.Run.Task] {
+			t.Fatalf("the end is acknowledged %v before the start can't arrive any more", arrivesUntil.Sub(h.sim.now))
+		}
+		h.deliverFor(10 * time.Millisecond)
+	}
+	h.deliverFor(100 * time.Millisecond)
+	if !h.sim.ackedDone[late.Run.Task] {
+		t.Error("the end is not acknowledged after the start can't arrive any more")
+	}
+}
+
+// TestBrokenConnectionHoldsNoAcknowledgment guards against acknowledgments that wait without need: a start whose
+// connection broke was sent to a process that was there, and can't reach the worker's next boot.
+func TestBrokenConnectionHoldsNoAcknowledgment(t *testing.T) {
+	h, late := newCellWithAnUnansweredStart(t, ConnectionBroken, 100*time.Millisecond)
+	h.deliverFor(500 * time.Millisecond)
+	if !h.sim.ackedDone[late.Run.Task] {
+		t.Error("the end is not acknowledged")
+	}
+}
+
+// TestSilentWorkerMayHaveALateStart guards against two runs of a task: a start without an answer is carried out by the
+// next boot of a worker that is cut off, after the leases that the controller knows of have ended.
+func TestSilentWorkerMayHaveALateStart(t *testing.T) {
+	h, late := newCellWithAnUnansweredStart(t, NoResponse, 30*time.Second)
+	sent := h.sim.now
+	f := h.sim.workers[late.Worker]
+	f.crash()
+	h.deliverFor(sent.Add(h.sim.timing.LateStartTime - time.Second).Sub(h.sim.now))
+	task := h.ctl.jobs["j1"].open[0].steps[0].tasks[0]
+	if len(task.runs) > 0 {
+		t.Fatal("the run is not given up, or the task is started elsewhere")
+	}
+	if got := task.step.whyNotStartable(h.sim.now); got != WaitLateStart {
+		t.Errorf("the task waits since %q", got)
+	}
+	f.start()
+	f.firstReadingMs = 1 // the deadlines of the former boot lie far ahead
+	f.startRun(late.FencingToken, &late)
+	f.partitioned = true
+	for end := h.sim.now.Add(h.sim.timing.MaxLease); h.sim.now.Before(end); {
+		h.deliverFor(10 * time.Millisecond)
+	}
+	if len(task.runs) > 0 {
+		t.Error("the task is started elsewhere while the late start holds a lease")
+	}
+	h.deliverFor(10 * time.Second)
+	if len(task.runs) != 1 {
+		t.Errorf("the task has %d runs once the late start can't hold a lease any more, want 1", len(task.runs))
+	}
+}
+
+// TestTicketCausesNoWait guards against tasks that wait without need: a start with a ticket can't be carried out by
+// another boot than the one that the ticket is for.
+func TestTicketCausesNoWait(t *testing.T) {
+	sim := newSimulationWithController(t, 2, 4000)
+	sim.allowedShare = 1
+	sim.orderTimeout = platformOrderTimeout
+	sim.delayedOrderShare = 1
+	sim.submit(simpleJob("j1", "gang", 1, 1000, nil))
+	for range 1000 {
+		if sim.startsSent > 0 {
+			break
+		}
+		sim.advance(time.Millisecond)
+	}
+	sim.advance(30 * time.Millisecond)
+	sim.delayedOrderShare = 0
+	if sim.startsSent != 1 {
+		t.Fatalf("%d starts were sent, want 1", sim.startsSent)
+	}
+	if starts := sim.ctl.jobs["j1"].open[0].steps[0].tasks[0].unansweredStarts; len(starts) > 0 {
+		t.Errorf("%d starts with tickets are waited for", len(starts))
+	}
+	sim.advance(5 * time.Second)
+	if got := sim.state("j1"); got != workload.JobCompleted {
+		t.Errorf("state %q, want completed", got)
+	}
+}
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -440,9 +440,9 @@
 		c.markStarted(j, now)
 		stored = !c.handleRunEnd(t, r, e, now)
 	}
-	ack := endAck{worker: w, boot: w.boot, seq: e.Seq}
+	ack := endAck{worker: w, boot: w.boot, seq: e.Seq, heldFor: taskToHoldAckFor(t, e.Reason)}
 	if j == nil || stored && !j.hasUnstoredProgress() {
-		c.ackEnd(ack)
+		c.ackEnd(ack, now)
 		return
 	}
 	j.pendingAcks = append(j.pendingAcks, ack)
@@ -462,11 +462,16 @@
 	w.ackedSeq = max(w.ackedSeq, lowest-1)
 }
 
-// ackEnd marks an end as stored, so that the worker may drop it.
-func (c *Controller) ackEnd(ack endAck) {
+// ackEnd marks an end as stored, so that the worker may drop it, or holds the acknowledgment back while a late start
+// may follow the end.
+func (c *Controller) ackEnd(ack endAck, now time.Time) {
 	if ack.worker.boot != ack.boot || ack.seq <= ack.worker.ackedSeq {
 		return
 	}
+	if ack.heldFor != nil && ack.heldFor.startMayArrive(now) {
+		c.heldAcks = append(c.heldAcks, ack)
+		return
+	}
 	ack.worker.storedEnds[ack.seq] = true
 	for ack.worker.storedEnds[ack.worker.ackedSeq+1] {
 		ack.worker.ackedSeq++
@@ -481,6 +486,7 @@
 	if len(result.Ended) >= maxEndsListed {
 		return
 	}
+	w.runsListedAt = w.clockStart.Add(time.Duration(result.ClockMs) * time.Millisecond)
 	present := make(map[workload.Run]bool, len(result.Running))
 	for i := range result.Running {
 		present[result.Running[i].Run] = true
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -307,7 +307,8 @@
 
 // startable reports whether the task may be started now.
 func (t *task) startable(now time.Time) bool {
-	return !t.done && (len(t.runs) == 0 || t.copyWanted) && t.orphanRuns == 0 && !t.mayBeRunning && !now.Before(t.notBefore) && t.suspicionStored()
+	return !t.done && (len(t.runs) == 0 || t.copyWanted) && t.orphanRuns == 0 && !t.mayBeRunning && !now.Before(t.notBefore) &&
+		t.suspicionStored() && !t.awaitsLateStart(now)
 }
 
 // startableTasks returns the tasks of a step that may be started now.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -313,6 +313,8 @@
 // StartDone processes the result of a start order.
 func (c *Controller) StartDone(id string, run workload.Run, result OrderResult, clockMs int64, sent, now time.Time) {
 	w := c.workerForResult(id, run, result, clockMs, sent, now)
+	byKnownBoot := w != nil && result == CarriedOut && !sent.Before(w.bootSeenAt) && w.clockMatches(clockMs, sent, now)
+	c.startResult(run, result, byKnownBoot, now)
 	if w == nil {
 		return
 	}
@@ -321,7 +323,7 @@
 		return
 	}
 	r.inFlight = false
-	if result == CarriedOut && !sent.Before(w.bootSeenAt) && w.clockMatches(clockMs, sent, now) {
+	if byKnownBoot {
 		r.acceptedByBoot = true
 		if r.testsSuspect {
 			c.testRun(r)
@@ -493,15 +495,15 @@
 		c.abortGang(s, now)
 		return
 	}
-	if !ok || now.Sub(r.startSent) > maxStartRetryTime || !r.worker.describesBoot() || !s.matchesWorker(r.worker) || r.worker.free().HasNegative() {
+	if !ok || now.Sub(r.startSent) > r.task.startRetryTime(now) || !r.worker.describesBoot() || !s.matchesWorker(r.worker) || r.worker.free().HasNegative() {
 		c.stopRun(r, now)
 		return
 	}
 	c.sendStart(r, ticket, now)
 }
 
-// maxStartRetryTime is how long a start order without a response is resent before the run is
-// stopped instead.
+// maxStartRetryTime is how long a start order with a ticket and without a response is resent before the
+// run is stopped instead.
 const maxStartRetryTime = time.Second
 
 // sendStart sends the start order for a run.
@@ -517,6 +519,7 @@
 	if r.startSent.IsZero() {
 		r.startSent = now
 	}
+	c.trackStart(r, ticket, now)
 	t := r.task
 	checkpoint := t.checkpoint
 	if t.step.gang != nil {
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -285,7 +285,7 @@
 		}
 	}
 	for _, ack := range b.acks {
-		c.ackEnd(ack)
+		c.ackEnd(ack, now)
 	}
 	if b.leaseRecordVersion > 0 {
 		c.leaseRecordStored(b.leaseRecordVersion)
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -17,6 +17,7 @@
 	if c.advisorQueue.HasOverdue(now) {
 		c.requestPlacement(now)
 	}
+	c.ackHeldEnds(now)
 	c.storePredecessorsEnd(now)
 	c.refreshLeaseRecord(now)
 	c.refreshElapsedRecord(now)
@@ -77,7 +78,7 @@
 			if !w.takesLeases() {
 				break
 			}
-			poll.Wait = c.pollWait(w)
+			poll.Wait = c.pollWait(w, now)
 			poll.LeaseDeadlineMs = w.leaseDeadlineMs(now, c.timing.RequestedLease)
 			w.maxLeaseDeadlineMs = max(w.maxLeaseDeadlineMs, poll.LeaseDeadlineMs)
 		}
@@ -90,12 +91,16 @@
 }
 
 // pollWait returns how long a worker may delay its response to a poll. A worker that tests a suspect
-// is asked again soon.
-func (c *Controller) pollWait(w *worker) time.Duration {
+// is asked again soon, one whose late starts are waited for right after they can't arrive any more.
+func (c *Controller) pollWait(w *worker, now time.Time) time.Duration {
+	wait := c.timing.PollWait
 	if w.suspectRuns > 0 {
-		return min(c.timing.PollWait, crashWindow)
+		wait = min(wait, crashWindow)
 	}
-	return c.timing.PollWait
+	if w.runsListedAt.Before(w.lateStartsUntil) {
+		wait = min(wait, max(w.lateStartsUntil.Sub(now), 0))
+	}
+	return wait
 }
 
 // needsPolling reports whether a worker is listed, may have runs, or may show what became of them.
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -65,6 +65,10 @@
 	polledDeadlineMs, heldDeadlineMs int64
 	clockStart                       time.Time
 
+	// runsListedAt is a time after which the worker has read the latest list of all its runs. lateStartsUntil is until
+	// when starts without an answer may arrive.
+	runsListedAt     time.Time
+	lateStartsUntil  time.Time
 	lastAnsweredCall time.Time // start of the latest poll or order that got a response
 	polling          bool
 	pollSent         time.Time
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -133,6 +133,7 @@
 			MaxLease:           6 * time.Second,
 			RequestedLease:     5 * time.Second,
 			DeliveryTime:       1100 * time.Millisecond,
+			LateStartTime:      maxOrderDelay + 100*time.Millisecond,
 			LeaderLease:        leaderlease.Timing{Lease: 20 * time.Second, MaxLease: 20 * time.Second},
 			GangTimeout:        3 * time.Second,
 			PollWait:           time.Second,
