--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,7 +73,10 @@
 	timing Timing
 	record func(event.Event)
 
-	config  *workload.Config
+	config *workload.Config
+	// servicesWithoutAdvisor are the services on whose workers config lets tasks start without a ticket.
+	servicesWithoutAdvisor map[string]bool
+
 	jobs    map[string]*job
 	workers map[string]*worker
 	// usage is what may be running on all workers, by team and class. It changes together with worker.used.
@@ -244,6 +247,7 @@
 		return
 	}
 	c.config = cfg
+	c.servicesWithoutAdvisor = servicesWithoutAdvisor(cfg)
 	for _, j := range c.active {
 		if class := cfg.Classes[j.spec.Class]; class != nil {
 			j.setClass(class)
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -135,6 +135,7 @@
 		w.noteSilence(result, c.timing.PollWait, now)
 		c.testYoungRuns(w)
 	}
+	c.ackUnanswered(w, result, now)
 	w.pollFailures++
 	w.route++
 	if result == RefusedBoot && w.mustHaveEnded() {
@@ -189,6 +190,7 @@
 	w.polledDeadlineMs = 0
 	w.clockStart = time.Time{}
 	w.ackedSeq = 0
+	w.acks.lowestListedEnd = 0
 	clear(w.storedEnds)
 	clear(w.processedEnds)
 	for _, orphan := range w.orphans {
@@ -452,6 +454,7 @@
 // skipAckedEnds raises ackedSeq to just below the first end listed. The worker has dropped
 // earlier ends at the request of an earlier controller.
 func (w *worker) skipAckedEnds(result *workload.PollResult) {
+	w.acks.lowestListedEnd = 0
 	if len(result.Ended) == 0 {
 		return
 	}
@@ -459,6 +462,7 @@
 	for i := range result.Ended {
 		lowest = min(lowest, result.Ended[i].Seq)
 	}
+	w.acks.lowestListedEnd = lowest
 	w.ackedSeq = max(w.ackedSeq, lowest-1)
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -208,7 +208,7 @@
 		return out
 	}
 	ticket, ok := s.ticket(w, now)
-	if ticketed && !ok {
+	if ticketed && (!ok || ticket == "" && !w.takesStartWithoutTicket(now)) {
 		return out
 	}
 	n := c.fitCount(s, w, now)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -316,6 +316,7 @@
 	if w == nil {
 		return
 	}
+	c.startDone(w, run, result, sent)
 	r := w.runs[run]
 	if r == nil {
 		return
@@ -497,6 +498,10 @@
 		c.stopRun(r, now)
 		return
 	}
+	if ticket == "" && !r.worker.takesStartWithoutTicket(now) {
+		c.retryLater(r, orderRetryPause, now)
+		return
+	}
 	c.sendStart(r, ticket, now)
 }
 
@@ -512,6 +517,7 @@
 	}
 	r.worker.maxLeaseDeadlineMs = max(r.worker.maxLeaseDeadlineMs, deadline)
 	r.worker.lastGrant = now
+	r.worker.acks.startSent(r.id(), ticket)
 	r.fencingToken = r.worker.fencingToken
 	r.inFlight = true
 	if r.startSent.IsZero() {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -111,6 +111,7 @@
 	ackedSeq      int64
 	storedEnds    map[int64]bool
 	processedEnds map[int64]bool
+	acks          acknowledgments
 }
 
 // workerRecord is the stored record of a worker that may be in use.
