Simulation: a worker that replaces a crashed one serves the same service

Cause: since workers have a service, the fake worker that takes over the address of a crashed one had none, so no task could be started there; in these seeds all or nearly all workers are replaced. No check is changed.

--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -409,7 +409,7 @@
 	}
 	f.replaced = true
 	f.takeHeldCalls()
-	fresh := &fakeWorker{sim: sim, id: f.id + "+", capacity: f.capacity, rack: f.rack}
+	fresh := &fakeWorker{sim: sim, id: f.id + "+", service: f.service, capacity: f.capacity, rack: f.rack}
 	fresh.start()
 	sim.workers[fresh.id] = fresh
 	sim.listWorker(fresh)
