--- a/internal/controller/latestart.go
+++ b/internal/controller/latestart.go
@@ -61,8 +61,6 @@
 	}
 	delete(c.startsInFlight, run)
 	switch {
-	case result == ConnectionBroken:
-		// It was sent to a process that was there, so it can't reach a later boot.
 	case result.Effect() == EffectUnknown:
 		start.worker.lateStartsUntil = start.arrivesUntil
 		return
