httpintake: requests that are sent ahead behind unread bodies are seen

Cause: no handler reads such a body, so the request counts as one whose body is being read until it is answered, and what arrives behind the body is not taken for a request sent ahead. Change: a body that no handler reads is read to its end and dropped, as net/http would before it answers; before the handler if the method gives it no meaning.

--- a/internal/httpintake/handler.go
+++ b/internal/httpintake/handler.go
@@ -92,10 +92,33 @@
 		c.body.open.Store(false)
 		c.iface.locked(c.client.Discard)
 	}()
+	if !definesBody(r.Method) {
+		c.body.skip()
+	}
 	// The server goes by the type of the body in its own request.
 	withBody := *r
 	withBody.Body = &c.body
 	next.ServeHTTP(w, &withBody)
+	c.body.skip()
+}
+
+// definesBody reports whether a body has a meaning in requests with the method.
+func definesBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
+		return false
+	default:
+		return true
+	}
+}
+
+// maxSkippedBytes is how much of a body is skipped. Behind a larger one, the server closes the connection.
+const maxSkippedBytes = 256 << 10
+
+// skip reads the rest of a body that no handler reads, as the server would before it answers. Only behind the end of a
+// body can a request be seen that was sent ahead.
+func (b *connBody) skip() {
+	_, _ = io.CopyN(io.Discard, b, maxSkippedBytes) // the handler gets an error too if it reads on
 }
 
 // connBody is the body of a request of HTTP/1. Each connection has one at a time.
