intake: bound the handlers of connections that were cut off for others

Cause: a connection that is cut off for another one no longer counts, while its handler goes on. Change: while as many as half of an interface's connections have such a handler, none is cut off for another one.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,6 +29,9 @@
 	// freedDivisor gives the part up to which the memory of clients that were cut off counts as free although their
 	// handlers have not returned, so that others get room at once.
 	freedDivisor = 2
+	// closingDivisor gives the part of an interface's connections that may be cut off for others while their handlers
+	// have not returned.
+	closingDivisor = 2
 )
 
 const (
@@ -75,7 +78,8 @@
 	Owner any
 
 	account *Account
-	pool    *Pool // nil for a stream
+	pool    *Pool // nil for a stream, and once the connection was cut off for another one
+	closing *Pool // the pool of a connection that was cut off for another one
 	phase   Phase
 	reason  Reason    // why it has Ended
 	used    bool      // a request was answered on the connection
@@ -158,6 +162,8 @@
 	account *Account
 	max     int
 	open    int
+	// closing counts the connections that were cut off for others and whose handlers have not returned.
+	closing int
 	// waiting are the connections on which no request was answered, idle the others that wait for one; those first that
 	// have waited for the longest time.
 	waiting, idle queue
@@ -179,15 +185,20 @@
 // Connect adds a connection. At the limit of connections it cuts off one and returns it: one whose client has sent
 // requests ahead, or else one that has been idle for minIdle, or else the one that has made no progress for the longest
 // time in or before its first request, or else the one that has been idle for the longest time. It reports false if
-// there is none: the new connection is refused.
+// there is none, or if the handlers of too many that were cut off have not returned: the new connection is refused.
 func (p *Pool) Connect(c *Client, now time.Time) (victim *Client, ok bool) {
 	if p.open >= p.max {
+		if p.closing >= max(p.max/closingDivisor, 1) {
+			return nil, false
+		}
 		victim = p.stalled(now)
 		if victim == nil {
 			return nil, false
 		}
 		victim.end(OutOfConnections)
 		p.forget(victim)
+		victim.closing = p
+		p.closing++
 	}
 	c.account, c.pool = p.account, p
 	p.open++
@@ -250,6 +261,10 @@
 	if c.pool != nil {
 		c.pool.forget(c)
 	}
+	if c.closing != nil {
+		c.closing.closing--
+		c.closing = nil
+	}
 }
 
 // Receive accounts for what has arrived on a connection, or of a stream's body. It returns the clients that were cut
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -279,6 +279,39 @@
 	}
 }
 
+// TestHandlersOfCutOffConnectionsAreBounded guards against clients that connect anew all the time and leave more and
+// more handlers behind, each of a connection that was cut off for the next one.
+func TestHandlersOfCutOffConnectionsAreBounded(t *testing.T) {
+	const most = 4
+	a, at := NewAccount(testLimit), newClock()
+	p := a.NewPool(most)
+	handledAhead := func(c *Client) {
+		c.Receive(make([]byte, 100), at.now)
+		c.HeaderRead(at.now)
+		c.SentAhead()
+	}
+	for range most {
+		handledAhead(connect(t, p, at.now))
+	}
+	var cutOff []*Client
+	for range most / closingDivisor {
+		c := &Client{}
+		victim, ok := p.Connect(c, at.pass(time.Millisecond))
+		if !ok || victim == nil {
+			t.Fatalf("ok %v, nothing was cut off: %v", ok, victim == nil)
+		}
+		cutOff = append(cutOff, victim)
+		handledAhead(c)
+	}
+	if victim, ok := p.Connect(&Client{}, at.pass(time.Hour)); ok || victim != nil {
+		t.Fatalf("ok %v while %d handlers have not returned", ok, len(cutOff))
+	}
+	cutOff[0].Close()
+	if _, ok := p.Connect(&Client{}, at.now); !ok {
+		t.Error("refused although a handler has returned")
+	}
+}
+
 // TestClientThatSentAheadStaysOne guards against a client that is taken for an ordinary one after its next answer, and
 // against one that is cut off twice or keeps its cost.
 func TestClientThatSentAheadStaysOne(t *testing.T) {
