--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -8,7 +8,8 @@
 
 // A restarted worker numbers its ends from 1 again. If its new boot carries out a late start and then a late
 // acknowledgment for the former boot, it drops the end of that start before the controller has seen it, and the task
-// runs again. Only a start without a ticket can do so: a ticket is valid for one boot.
+// runs again. A start with a ticket for the former boot can't be carried out there. One with a ticket for the next boot,
+// sent before the controller knows of that boot, can, and is not kept apart (TestPollForFormerBootDropsNoEndOfATicketedStart).
 //
 // A poll that acknowledges ends and a start without a ticket are therefore never under way to one worker at once,
 // unless the start has the higher fencing token: the boot that has carried it out refuses the poll. On workers that
@@ -32,13 +33,14 @@
 	// delayedSince is when starts first put off an acknowledgment that is due, zero if they do not.
 	delayedSince time.Time
 	// starts are the starts without a ticket that are in flight. Those that got no response arrive by
-	// lateStartUntil.
-	starts         map[workload.Run]struct{}
-	lateStartUntil time.Time
+	// startArrivesUntil.
+	starts            map[workload.Run]struct{}
+	startArrivesUntil time.Time
 }
 
-// servicesWithoutAdvisor returns the services of the classes whose starts bear no ticket. A job whose class was removed
-// from the configuration may have others; its starts wait longer for acknowledgments.
+// servicesWithoutAdvisor returns the services of the classes whose starts bear no ticket. One such class changes the polls
+// of all workers of its service. A job whose class was removed from the configuration may have other services; its
+// starts wait longer for acknowledgments.
 func servicesWithoutAdvisor(cfg *workload.Config) map[string]bool {
 	services := map[string]bool{}
 	for _, class := range cfg.Classes {
@@ -55,7 +57,7 @@
 	a := &w.acks
 	delayed := false
 	if poll.AckedSeq > 0 && c.servicesWithoutAdvisor[w.info.Service] {
-		delayed = a.separate(poll, now)
+		delayed = a.deferAcknowledgment(poll, now)
 	}
 	switch {
 	case !delayed:
@@ -66,14 +68,14 @@
 	a.inPoll = poll.AckedSeq > 0
 }
 
-// separate has a poll acknowledge ends only if the worker still lists them and no start without a ticket may arrive.
+// deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no start without a ticket may arrive.
 // It reports whether an acknowledgment is due and such a start puts it off.
-func (a *acknowledgments) separate(poll *Poll, now time.Time) bool {
+func (a *acknowledgments) deferAcknowledgment(poll *Poll, now time.Time) bool {
 	due := a.lowestListedEnd > 0 && a.lowestListedEnd <= poll.AckedSeq
 	if due {
 		poll.Wait = 0
 	}
-	delayed := due && (len(a.starts) > 0 || now.Before(a.lateStartUntil))
+	delayed := due && (len(a.starts) > 0 || now.Before(a.startArrivesUntil))
 	if !due || delayed {
 		poll.AckedSeq = 0
 	}
@@ -114,8 +116,8 @@
 	}
 }
 
-// startSent records that a start order is sent.
-func (a *acknowledgments) startSent(run workload.Run, ticket string) {
+// noteStart records that a start order is sent.
+func (a *acknowledgments) noteStart(run workload.Run, ticket string) {
 	if ticket != "" {
 		return
 	}
@@ -125,14 +127,14 @@
 	a.starts[run] = struct{}{}
 }
 
-// startDone records the result of a start order that was sent at sent.
-func (c *Controller) startDone(w *worker, run workload.Run, result OrderResult, sent time.Time) {
+// noteStartResult records the result of a start order that was sent at sent.
+func (c *Controller) noteStartResult(w *worker, run workload.Run, result OrderResult, sent time.Time) {
 	a := &w.acks
 	if _, ok := a.starts[run]; !ok {
 		return
 	}
 	delete(a.starts, run)
-	if until := sent.Add(c.deliveryTime()); result.Effect() == EffectUnknown && until.After(a.lateStartUntil) {
-		a.lateStartUntil = until
+	if until := sent.Add(c.deliveryTime()); result.Effect() == EffectUnknown && until.After(a.startArrivesUntil) {
+		a.startArrivesUntil = until
 	}
 }
--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -227,3 +227,64 @@
 		}
 	}
 }
+
+// awaitTicketedStart has the advisor allow all workers until a start is sent.
+func (h *handDelivery) awaitTicketedStart() Start {
+	h.sim.t.Helper()
+	for range 200 {
+		o := h.next(5 * time.Millisecond)
+		for _, call := range o.AdvisorCalls {
+			h.allowAll(&call)
+		}
+		if len(o.Starts) > 0 {
+			return o.Starts[0]
+		}
+	}
+	h.sim.t.Fatal("no start is sent")
+	return Start{}
+}
+
+// TestPollForFormerBootDropsNoEndOfATicketedStart guards against a task that runs again after its end as done was
+// acknowledged: the advisor issues a ticket for a boot of which the controller does not know yet, whose run ends before
+// a poll arrives there that acknowledges an end of the former boot.
+func TestPollForFormerBootDropsNoEndOfATicketedStart(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	delete(sim.config.Classes, "batch")
+	sim.addWorkers(1, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 200 * time.Millisecond, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(simpleJob("j0", "gang", 1, 1000, nil))
+	sim.advance(4 * time.Second)
+	f := sim.workers["i-aa"]
+	h := newHandDelivery(sim)
+	polls := h.next(50 * time.Millisecond).Polls
+	if len(polls) != 1 || polls[0].AckedSeq == 0 {
+		t.Fatalf("polls %v, want one that acknowledges an end", polls)
+	}
+	pollSent := sim.now
+	f.restart() // before the poll arrives
+	sim.advance(50 * time.Millisecond)
+	h.submit(simpleJob("j1", "gang", 1, 1000, nil))
+	start := h.awaitTicketedStart()
+	sent := sim.now
+	result := f.startRun(start.FencingToken, &start)
+	if result != CarriedOut {
+		t.Fatalf("the start is answered with %q", result)
+	}
+	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, sim.now)
+	sim.advance(300 * time.Millisecond)
+	h.ctl.PollDone(f.id, h.carryOutPoll(polls[0]), pollSent, sim.now)
+	h.ctl.SetWorker(f.info(), sim.now)
+	for range 1000 {
+		o := h.next(5 * time.Millisecond)
+		for _, call := range o.AdvisorCalls {
+			h.allowAll(&call)
+		}
+		h.deliver(o)
+	}
+	h.requireCompleted(t, "j1")
+}
--- a/internal/controller/latestart.go
+++ b/internal/controller/latestart.go
@@ -52,9 +52,9 @@
 	c.startsInFlight[r.id()] = start
 }
 
-// startResult processes the result of the copy of a start order that is in flight. byKnownBoot says that the boot that
+// settleStart processes the result of the copy of a start order that is in flight. byKnownBoot says that the boot that
 // is known has carried it out.
-func (c *Controller) startResult(run workload.Run, result OrderResult, byKnownBoot bool, now time.Time) {
+func (c *Controller) settleStart(run workload.Run, result OrderResult, byKnownBoot bool, now time.Time) {
 	start := c.startsInFlight[run]
 	if start == nil {
 		return
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -314,11 +314,11 @@
 func (c *Controller) StartDone(id string, run workload.Run, result OrderResult, clockMs int64, sent, now time.Time) {
 	w := c.workerForResult(id, run, result, clockMs, sent, now)
 	byKnownBoot := w != nil && result == CarriedOut && !sent.Before(w.bootSeenAt) && w.clockMatches(clockMs, sent, now)
-	c.startResult(run, result, byKnownBoot, now)
+	c.settleStart(run, result, byKnownBoot, now)
 	if w == nil {
 		return
 	}
-	c.startDone(w, run, result, sent)
+	c.noteStartResult(w, run, result, sent)
 	r := w.runs[run]
 	if r == nil {
 		return
@@ -507,8 +507,8 @@
 	c.sendStart(r, ticket, now)
 }
 
-// maxStartRetryTime is how long a start order with a ticket and without a response is resent before the
-// run is stopped instead.
+// maxStartRetryTime is how long a start order without a response is resent before the run is stopped instead, if no
+// copy of it is waited for (maxLateStartRetryTime).
 const maxStartRetryTime = time.Second
 
 // sendStart sends the start order for a run.
@@ -519,7 +519,7 @@
 	}
 	r.worker.maxLeaseDeadlineMs = max(r.worker.maxLeaseDeadlineMs, deadline)
 	r.worker.lastGrant = now
-	r.worker.acks.startSent(r.id(), ticket)
+	r.worker.acks.noteStart(r.id(), ticket)
 	r.fencingToken = r.worker.fencingToken
 	r.inFlight = true
 	if r.startSent.IsZero() {
