--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -35,6 +35,7 @@
 	"crashes":    {48, 6, threeCrashes},
 	"many-large": {48, 6, manyLarge},
 	"full":       {16, 6, lastingFull},
+	"flap":       {16, 6, flappingWorker},
 }
 
 func main() { os.Exit(run()) }
