--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 }
 
 var plans = map[string]plan{
+	"overlap":    {48, 6, overlappingJob},
 	"large-job":  {48, 6, largeJob},
 	"crash-loop": {48, 6, crashLoop},
 	"crashes":    {48, 6, threeCrashes},
