--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -28,6 +28,9 @@
 	jobs     map[string]*job
 	breaches []string
 	starts   int
+	// holdTask is the task of which the first start order is left unanswered; heldBy then receives its worker.
+	holdTask *task
+	heldBy   chan *worker
 }
 
 // job is a job of a requester.
@@ -127,6 +130,21 @@
 	return s, nil
 }
 
+// awaitRun waits until the task runs, and returns the worker that has it, nil if it does not run in time.
+func (s *site) awaitRun(t *task, limit time.Duration) *worker {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, w := range s.workers {
+			w.mu.Lock()
+			has := w.runs[t.name] != nil
+			w.mu.Unlock()
+			if has {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
 // close ends all processes of the site.
 func (s *site) close() {
 	for _, e := range s.entries {
@@ -140,6 +158,19 @@
 	s.log.close()
 }
 
+// toHold reports whether a start order is to be left unanswered.
+func (s *site) toHold(w *worker, o *order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holdTask == nil || s.holdTask.name != o.Task {
+		return false
+	}
+	s.holdTask = nil
+	s.log.addf("worker %s leaves the start of %s run %d unanswered", w.id, o.Task, o.Run)
+	s.heldBy <- w
+	return true
+}
+
 func (s *site) breach(rule, text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,7 +213,7 @@
 		for i := range steps * st.Count {
 			j.tasks = append(j.tasks, &task{
 				job: j, due: due, name: fmt.Sprintf("%s.%d.%d.%d", j.id, k, i/st.Count, i%st.Count),
-				cpu: st.CPU, saves: st.Checkpointing, takes: takes(i),
+				cpu: st.CPU, saves: st.Checkpointing, lasts: st.LongRunning, takes: takes(i),
 			})
 		}
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -50,6 +50,7 @@
 	ended    chan struct{}
 	usedCPU  int64
 	server   *http.Server // nil while the worker is down
+	held     *order       // a start without an answer, which the next boot carries out
 }
 
 type taskRun struct {
@@ -128,9 +129,23 @@
 		defer w.mu.Unlock()
 		w.boot(l)
 		w.site.log.addf("worker %s starts again, born %d", w.id, w.born)
+		w.carryOutHeld()
 	})
 }
 
+// carryOutHeld has the boot carry out the start that an earlier one has left unanswered.
+func (w *worker) carryOutHeld() {
+	o := w.held
+	if o == nil {
+		return
+	}
+	w.held = nil
+	w.token = o.FencingToken
+	w.leaseEnd = min(o.DeadlineMs, w.clock()+maxHold.Milliseconds())
+	reason := w.start(o, w.clock())
+	w.site.log.addf("worker %s carries out the start of %s run %d late, refused: %q", w.id, o.Task, o.Run, reason)
+}
+
 func (w *worker) clock() int64 { return w.firstMs + time.Since(w.bootedAt).Milliseconds() }
 
 // report writes the worker's entry into the list of workers.
@@ -227,6 +242,13 @@
 		return
 	}
 	w.token = o.FencingToken
+	if req.URL.Path == "/run-start" && w.site.toHold(w, &o) {
+		w.held = &o
+		w.mu.Unlock()
+		<-req.Context().Done()
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	now := w.clock()
 	w.leaseEnd = max(w.leaseEnd, min(o.DeadlineMs, now+maxHold.Milliseconds()))
 	switch req.URL.Path {
