--- a/review/standin2/latestart.go
+++ b/review/standin2/latestart.go
@@ -18,10 +18,17 @@
 	if !s.submit(base, 0) {
 		return errors.New("the first job was not accepted")
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Second)
+	// A small task takes room on one worker, so that the task of the case fits on the others alone.
+	small := s.newJob(3, "range-batch", step{Count: 1, CPU: 2000, MemMB: 1024, EstimateMs: 60000}, length(60*time.Second))
+	if !s.submit(small, 0) {
+		return errors.New("the second job was not accepted")
+	}
+	first := s.awaitRun(small.tasks[0], 5*time.Second)
+	time.Sleep(time.Second)
 	controller := s.controller()
-	if controller == nil {
-		return errors.New("no entry says that it is the controller")
+	if controller == nil || first == nil {
+		return errors.New("no entry says that it is the controller, or the small task does not run")
 	}
 	j := s.newJob(2, "ledger-recon", step{Count: 1, CPU: 4500, MemMB: 1024, EstimateMs: 15000}, length(15*time.Second))
 	s.heldBy = make(chan *worker, 1)
@@ -40,9 +47,8 @@
 		}
 		s.log.addf("%s, the controller, is killed", controller.name)
 		controller.signal(syscall.SIGKILL)
-		// An urgent job takes the room of that worker, so that the task is started on another one.
-		urgent := s.newJob(3, "counter-check", step{Count: 1, CPU: 6000, MemMB: 1024, EstimateMs: 20000}, length(20*time.Second))
-		go s.submit(urgent, 2)
+		// The small task ends, so that the next controller has room on its worker for the task.
+		first.finish(small.tasks[0].name)
 		time.Sleep(time.Second)
 		if err := controller.start(); err != nil {
 			return err
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -229,6 +229,15 @@
 	w.ended = make(chan struct{})
 }
 
+// finish ends a run as done.
+func (w *worker) finish(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.runs[name] != nil {
+		w.endRun(name, "done")
+	}
+}
+
 func (w *worker) endAfter(name string, r *taskRun, after time.Duration, how string) {
 	time.AfterFunc(after, func() {
 		w.mu.Lock()
