--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -89,6 +89,7 @@
 	if !a.inPoll || result.Effect() != EffectUnknown {
 		return
 	}
+	c.recordAckUnanswered(w, result)
 	a.lateToken = w.fencingToken
 	a.lateUntil = w.pollSent.Add(c.deliveryTime())
 	if c.servicesWithoutAdvisor[w.info.Service] && w.fencingToken < c.lastTokenForAcks() {
--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -12,7 +12,7 @@
 // The functions below record the controller's decisions as events of the timeline.
 
 func (c *Controller) recordWorker(typ event.Type, w *worker, detail string) {
-	c.record(event.Event{Type: typ, Worker: w.info.ID, Epoch: c.epoch, Count: len(w.runs), Detail: detail})
+	c.record(event.Event{Type: typ, Worker: w.info.ID, Epoch: c.epoch, Boot: w.boot, Count: len(w.runs), Detail: detail})
 }
 
 func (c *Controller) recordRun(typ event.Type, r *run, detail string) {
@@ -23,6 +23,7 @@
 		Attempt: int(r.number),
 		Worker:  r.worker.info.ID,
 		Epoch:   c.epoch,
+		Boot:    r.worker.boot,
 		Detail:  detail,
 	})
 }
@@ -30,7 +31,7 @@
 // recordLeasesExpired records that all leases on a worker have expired, and how long ago this controller may
 // have granted the latest.
 func (c *Controller) recordLeasesExpired(w *worker, now time.Time) {
-	ev := event.Event{Type: event.WorkerLeasesExpired, Worker: w.info.ID, Epoch: c.epoch, Count: len(w.runs)}
+	ev := event.Event{Type: event.WorkerLeasesExpired, Worker: w.info.ID, Epoch: c.epoch, Boot: w.boot, Count: len(w.runs)}
 	if !w.lastGrant.IsZero() {
 		ev.AgeMs = now.Sub(w.lastGrant).Milliseconds()
 	}
@@ -43,6 +44,7 @@
 		Type:    event.OtherBootAnswered,
 		Worker:  w.info.ID,
 		Epoch:   c.epoch,
+		Boot:    w.boot,
 		Job:     run.Task.Job,
 		Task:    structs.TaskID(run.Task.String()),
 		Attempt: int(run.Number),
@@ -50,6 +52,61 @@
 	})
 }
 
+// Why a run that a worker lists does not count, in events.
+const (
+	uncountedUnknown  = "unknown"
+	uncountedJobEnded = "job_ended"
+	uncountedTaskDone = "task_done"
+	uncountedOtherRun = "other_run"
+	uncountedGang     = "gang"
+)
+
+// uncountedReason returns why a run of a task, nil if the task is not known, does not count.
+func uncountedReason(t *task) string {
+	switch {
+	case t == nil:
+		return uncountedUnknown
+	case t.step.job().ended():
+		return uncountedJobEnded
+	case t.done:
+		return uncountedTaskDone
+	case len(t.runs) > 0:
+		return uncountedOtherRun
+	default:
+		return uncountedGang
+	}
+}
+
+// recordUncounted records that a worker lists a run that is not counted as a run of its task, nil if that is not known.
+func (c *Controller) recordUncounted(w *worker, run workload.Run, t *task) {
+	ev := event.Event{
+		Type:    event.TaskUncounted,
+		Job:     run.Task.Job,
+		Task:    structs.TaskID(run.Task.String()),
+		Attempt: int(run.Number),
+		Worker:  w.info.ID,
+		Epoch:   c.epoch,
+		Boot:    w.boot,
+		State:   uncountedReason(t),
+	}
+	if t != nil {
+		ev.Candidates = len(t.runs)
+	}
+	c.record(ev)
+}
+
+// recordAckUnanswered records that a poll that acknowledges ends got no response.
+func (c *Controller) recordAckUnanswered(w *worker, result OrderResult) {
+	c.record(event.Event{
+		Type:   event.AckUnanswered,
+		Worker: w.info.ID,
+		Epoch:  c.epoch,
+		Boot:   w.boot,
+		Count:  int(w.ackedSeq),
+		Detail: result.String(),
+	})
+}
+
 // recordTaskCrash records that a crash is counted for a task, and its counts.
 func (c *Controller) recordTaskCrash(t *task, crash workload.TaskCrash, evidence string) {
 	c.record(event.Event{
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -351,6 +351,7 @@
 
 // addOrphan counts a run on its worker and stops the run.
 func (c *Controller) addOrphan(w *worker, id workload.Run, t *task, now time.Time) {
+	c.recordUncounted(w, id, t)
 	orphan := &orphanRun{run: id, fencingToken: w.fencingToken}
 	if t != nil {
 		orphan.task = t
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -96,6 +96,8 @@
 	SettingsRejected    Type = "settings_refused" // Detail: what is wrong with them
 	RequestRefused      Type = "request_refused"  // an entry answered a caller with an error: Request, Code, Member (controller), AgeMs (since the controller's last message), Version (configuration), ConfigAgeMs, Count (ms the entry held the request), Detail
 	ClientsRefused      Type = "clients_refused"  // clients were refused or cut off for the limits of a process since the last such line: Count, Bytes (memory taken up by requests), Detail (how many, by interface and reason)
+	TaskUncounted       Type = "task_uncounted"   // a worker lists a run that the controller does not count, which is stopped: Task, Attempt, Worker, State (why: unknown, job_ended, task_done, other_run, gang), Candidates (runs of the task that count)
+	AckUnanswered       Type = "ack_unanswered"   // a poll that acknowledges ends got no response, so that it may still arrive: Worker, Count (number of the last end), Detail (result)
 	TaskEndObserved     Type = "task_noted"       // the controller observed a run's end: Task, Attempt, Worker, State
 	LinesDropped        Type = "lines_dropped"    // lines dropped because the output was blocked or the rate limit was exceeded: Count
 	FaultInjected       Type = "fault"            // a test injected a fault: Detail
@@ -110,17 +112,19 @@
 	Proc string `json:"proc"`
 	Type Type   `json:"type"`
 
-	Request        string             `json:"request,omitempty"`
-	Key            string             `json:"key,omitempty"`
-	Idempotent     bool               `json:"idempotent,omitempty"`
-	Class          string             `json:"class,omitempty"`
-	Job            string             `json:"job,omitempty"`
-	Task           structs.TaskID     `json:"task,omitempty"`
-	Attempt        int                `json:"attempt,omitempty"`
-	Count          int                `json:"count,omitempty"`
-	Worker         string             `json:"worker,omitempty"`
-	Member         string             `json:"member,omitempty"`
-	Epoch          int64              `json:"epoch,omitempty"`
+	Request    string         `json:"request,omitempty"`
+	Key        string         `json:"key,omitempty"`
+	Idempotent bool           `json:"idempotent,omitempty"`
+	Class      string         `json:"class,omitempty"`
+	Job        string         `json:"job,omitempty"`
+	Task       structs.TaskID `json:"task,omitempty"`
+	Attempt    int            `json:"attempt,omitempty"`
+	Count      int            `json:"count,omitempty"`
+	Worker     string         `json:"worker,omitempty"`
+	Member     string         `json:"member,omitempty"`
+	Epoch      int64          `json:"epoch,omitempty"`
+	// Boot is the start of the Worker's process that the controller knows, in Unix milliseconds.
+	Boot           int64              `json:"boot,omitempty"`
 	Version        int64              `json:"version,omitempty"`
 	Size           *structs.Resources `json:"size,omitempty"`
 	State          string             `json:"state,omitempty"`
