--- a/internal/controller/byhand_test.go
+++ b/internal/controller/byhand_test.go
@@ -45,6 +45,7 @@
 		for _, id := range b.Accepted {
 			h.sim.accepted[id] = true
 		}
+		h.sim.applyBatch(b)
 		h.ctl.BatchStored(b, h.sim.now)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -157,6 +157,16 @@
 	// ends whose acknowledgment waits for late starts.
 	startsInFlight map[workload.Run]*unansweredStart
 	heldAcks       []endAck
+	// startRecords are the starts that the store has to name, by worker. recordedRuns are the runs to start that the
+	// store names.
+	startRecords map[string]*startRecord
+	recordedRuns []*run
+	// inheritedStarts are the starts of earlier controllers that the store names. closedTasks are their tasks that are
+	// not open any more.
+	inheritedStarts []*unansweredStart
+	closedTasks     map[workload.TaskID]*task
+	// tickedAt is the time of the latest tick.
+	tickedAt time.Time
 
 	// nextWorkerScan is the earliest time of the next pass over all workers. workerScanDue
 	// says that no pass was made since the last event.
@@ -226,6 +236,8 @@
 		dirty:              newDirtySet(),
 		retries:            map[*run]struct{}{},
 		startsInFlight:     map[workload.Run]*unansweredStart{},
+		startRecords:       map[string]*startRecord{},
+		closedTasks:        map[workload.TaskID]*task{},
 		readySteps:         map[*step]struct{}{},
 		stepsAwaitingStore: map[*step]struct{}{},
 		advisorQueue:       advisorqueue.New(),
--- a/internal/controller/latestart.go
+++ b/internal/controller/latestart.go
@@ -24,6 +24,11 @@
 	// lateTime is how long after its sending an order may arrive, lease how long after that a lease which it extends
 	// can last.
 	lateTime, lease time.Duration
+	// number is that of the run.
+	number int64
+	// inherited says that an earlier controller may have sent the start, until sentUntil.
+	inherited bool
+	sentUntil time.Time
 }
 
 // mayArrive reports whether the start may still be carried out after a time.
@@ -36,18 +41,24 @@
 		return true
 	}
 	listed := !s.worker.runsListedAt.Before(s.arrivesUntil)
-	return !listed && now.Before(s.worker.lastGrant.Add(s.lateTime+s.lease))
+	lastGrant := s.worker.lastGrant
+	if s.sentUntil.After(lastGrant) {
+		lastGrant = s.sentUntil
+	}
+	return !listed && now.Before(lastGrant.Add(s.lateTime+s.lease))
 }
 
 // trackStart records the copy of a start order that is being sent.
 func (c *Controller) trackStart(r *run, ticket string, now time.Time) {
 	t := r.task
-	if ticket != "" || t.step.def.AllowCopies || c.timing.LateStartTime == 0 {
+	if !c.tracksStart(t, ticket) {
 		return
 	}
 	t.unansweredStarts = slices.DeleteFunc(t.unansweredStarts, func(s *unansweredStart) bool { return !s.mayHaveUnseenRun(now) })
 	lateTime := c.timing.LateStartTime + c.orderDelay
-	start := &unansweredStart{task: t, worker: r.worker, arrivesUntil: now.Add(lateTime), lateTime: lateTime, lease: c.longestLease()}
+	start := &unansweredStart{
+		task: t, worker: r.worker, number: r.number, arrivesUntil: now.Add(lateTime), lateTime: lateTime, lease: c.longestLease(),
+	}
 	t.unansweredStarts = append(t.unansweredStarts, start)
 	c.startsInFlight[r.id()] = start
 }
@@ -97,9 +108,14 @@
 
 // taskToHoldAckFor returns the task whose late starts the acknowledgment of an end has to wait for, nil if there is
 // none: no start may follow the end of a done task, or the last failure that a task may have, once it is acknowledged.
-func taskToHoldAckFor(t *task, reason workload.EndReason) *task {
-	counts := reason == workload.EndDone || reason == workload.EndFailed
-	if t == nil || !counts || t.step.def.LongRunning {
+func (c *Controller) taskToHoldAckFor(t *task, e *workload.EndedTask) *task {
+	counts := e.Reason == workload.EndDone || e.Reason == workload.EndFailed
+	switch {
+	case !counts:
+		return nil
+	case t == nil:
+		return c.closedTasks[e.Run.Task]
+	case t.step.def.LongRunning:
 		return nil
 	}
 	return t
--- a/internal/controller/leaderlease.go
+++ b/internal/controller/leaderlease.go
@@ -81,6 +81,7 @@
 func (c *Controller) SetPredecessorsExpiry(at time.Time) {
 	if c.predecessorsExpiry.IsZero() || at.Before(c.predecessorsExpiry) {
 		c.predecessorsExpiry = at
+		c.boundInheritedStarts(at)
 	}
 }
 
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -20,6 +20,7 @@
 	specs := map[string]*workload.Job{}
 	progress := map[string]*workload.Progress{}
 	var elapsedMs int64
+	startRecords := map[string][]byte{}
 	for _, r := range records {
 		switch {
 		case strings.HasPrefix(r.Key, jobPrefix):
@@ -40,6 +41,8 @@
 			progress[id] = p
 		case strings.HasPrefix(r.Key, workerPrefix):
 			c.loadWorker(strings.TrimPrefix(r.Key, workerPrefix), r.Value, now)
+		case strings.HasPrefix(r.Key, startRecordPrefix):
+			startRecords[strings.TrimPrefix(r.Key, startRecordPrefix)] = r.Value
 		case r.Key == predecessorsEndedKey:
 			if err := json.Unmarshal(r.Value, &c.predecessorsEndedBefore); err != nil {
 				c.predecessorsEndedBefore = 0
@@ -71,6 +74,9 @@
 	for id, p := range progress {
 		c.loadEnded(id, p)
 	}
+	for worker, value := range startRecords {
+		c.loadStartRecord(worker, value, now)
+	}
 }
 
 // decodeJob decodes the stored record of a job.
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -132,6 +132,7 @@
 	}
 	if w.pollFailures == 0 {
 		c.recordWorker(event.WorkerUnresponsive, w, result.String())
+		c.withdrawStarts(w, now)
 		w.noteSilence(result, c.timing.PollWait, now)
 		c.testYoungRuns(w)
 	}
@@ -171,6 +172,7 @@
 // runs of that boot have ended. A run of which a start order may have reached the new boot is left to the
 // first answer of that boot under the next fencing token.
 func (c *Controller) workerRebooted(w *worker, boot int64, heard, now time.Time) {
+	c.withdrawStarts(w, now)
 	crash := w.crashNow(crashByNewBoot, heard, now)
 	if w.boot == 0 {
 		c.checkInheritedTests(w, boot, now)
@@ -245,6 +247,7 @@
 func (c *Controller) applyRunning(w *worker, result *workload.PollResult, now time.Time) {
 	for i := range result.Running {
 		status := &result.Running[i]
+		c.noteInheritedRun(w, status.Run)
 		r := w.runs[status.Run]
 		if r == nil {
 			r = c.adoptRun(w, status, now)
@@ -431,6 +434,7 @@
 	}
 	w.processedEnds[e.Seq] = true
 	c.removeOrphan(w, e.Run)
+	c.noteInheritedRun(w, e.Run)
 	j := c.jobs[e.Run.Task.Job]
 	r := w.runs[e.Run]
 	t := c.findShownTask(e.Run.Task, now)
@@ -443,7 +447,7 @@
 		c.markStarted(j, now)
 		stored = !c.handleRunEnd(t, r, e, now)
 	}
-	ack := endAck{worker: w, boot: w.boot, seq: e.Seq, heldFor: taskToHoldAckFor(t, e.Reason)}
+	ack := endAck{worker: w, boot: w.boot, seq: e.Seq, heldFor: c.taskToHoldAckFor(t, e)}
 	if j == nil || stored && !j.hasUnstoredProgress() {
 		c.ackEnd(ack, now)
 		return
@@ -498,7 +502,7 @@
 	}
 	for id, r := range w.runs {
 		switch {
-		case present[id]:
+		case present[id], r.awaitsRecord:
 		case r.fenced() && !sent.Before(w.tokenSince):
 			c.runLost(r, lostFenced, now)
 		case r.inFlight:
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -208,7 +208,7 @@
 		return out
 	}
 	ticket, ok := s.ticket(w, now)
-	if ticketed && (!ok || ticket == "" && !w.takesStartWithoutTicket(now)) {
+	if ticketed && (!ok || ticket == "" && (!w.takesStartWithoutTicket(now) || c.recordFull(w, now))) {
 		return out
 	}
 	n := c.fitCount(s, w, now)
@@ -410,7 +410,7 @@
 	if p := c.servicePools[w.info.Service]; p != nil {
 		p.used = p.used.Add(r.size)
 	}
-	c.sendStart(r, ticket, now)
+	c.requestStart(r, ticket, now)
 	c.recordRun(event.TaskPlaced, r, "")
 }
 
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -36,6 +36,7 @@
 func (c *Controller) removeRun(r *run) {
 	t := r.task
 	s := t.step
+	r.awaitsRecord = false
 	t.removeRun(r)
 	delete(r.worker.runs, r.id())
 	c.release(r.worker, s.job().owner(), r.size)
@@ -275,6 +276,10 @@
 	if r.stopping {
 		return
 	}
+	if r.awaitsRecord {
+		c.withdrawStart(r, now)
+		return
+	}
 	r.stopping = true
 	c.sendStop(r, now)
 }
@@ -500,7 +505,7 @@
 		c.stopRun(r, now)
 		return
 	}
-	if ticket == "" && !r.worker.takesStartWithoutTicket(now) {
+	if ticket == "" && (!c.repetitionRecorded(r) || !r.worker.takesStartWithoutTicket(now)) {
 		c.retryLater(r, orderRetryPause, now)
 		return
 	}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -41,6 +41,7 @@
 	jobs       []batchJob
 	acks       []endAck
 	registered []registration
+	starts     []batchedStart
 	// witnesses are those of the controller's leader lease, nil if the batch holds none.
 	witnesses *leaderlease.WitnessSet
 	// leaseRecordVersion is that of the lease record in the batch, zero if there is none.
@@ -81,6 +82,8 @@
 	leaseRecord bool
 	// elapsedMs is the reading of the elapsed time to store, zero if there is none.
 	elapsedMs int64
+	// startRecords says that a startRecord has a start to store.
+	startRecords bool
 }
 
 func newDirtySet() dirtySet {
@@ -117,7 +120,7 @@
 
 func (d *dirtySet) empty() bool {
 	n := len(d.accepted) + len(d.changed) + len(d.retired) + len(d.dropped) + len(d.registered) + len(d.unregistered)
-	return n == 0 && !d.predecessorsEnded && !d.leaseRecord && d.elapsedMs == 0
+	return n == 0 && !d.predecessorsEnded && !d.leaseRecord && d.elapsedMs == 0 && !d.startRecords
 }
 
 // markProgressDirty records that the progress of a job has changed. While the acceptance of the job is in a batch that is
@@ -265,6 +268,7 @@
 		delete(c.dirty.dropped, id)
 		add(progressPrefix+id, nil)
 	}
+	c.addStartRecords(b, add)
 	if len(b.Records) == 0 {
 		return nil
 	}
@@ -298,6 +302,7 @@
 		reg.worker.storedCapacity = reg.record.Capacity
 		reg.worker.registered = reg.worker.describedBy(&reg.record)
 	}
+	c.startsStored(b.starts)
 	c.requestPlacement(now)
 }
 
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -21,6 +21,8 @@
 	c.storePredecessorsEnd(now)
 	c.refreshLeaseRecord(now)
 	c.refreshElapsedRecord(now)
+	c.tickedAt = now
+	c.sendRecordedStarts(now)
 	if c.HasLeaderLease(now) {
 		c.sendRetries(now)
 	}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -176,6 +176,8 @@
 	stopSent        time.Time // when the stop order was last sent
 	stopAcked       time.Time // when the worker last said that the run is stopped or has ended
 	stopping        bool      // the stop was requested
+	awaitsRecord    bool      // the start order is sent once it is recorded in the store
+	recorded        bool      // the store has the start order
 	retryAt         time.Time
 	inFlight        bool // a start or stop order is in flight
 	copyMayArrive   bool // some start order got no response, so that a copy may still arrive
