--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -6,21 +6,21 @@
 	"dotterelhitch/internal/workload"
 )
 
-// A restarted worker numbers its ends from 1 again. If its new boot carries out a late start and then a late
-// acknowledgment for the former boot, it drops the end of that start before the controller has seen it, and the task
-// runs again. A start with a ticket for the former boot can't be carried out there. One with a ticket for the next boot,
-// sent before the controller knows of that boot, can, and is not kept apart (TestPollForFormerBootDropsNoEndOfATicketedStart).
+// A restarted worker numbers its ends from 1 again. If its new boot carries out a start and then an acknowledgment for
+// the former boot, it drops the end of that start before the controller has seen it, and the task runs again. The start
+// may be late and without a ticket, or bear a ticket for the new boot: the advisor may know of that boot before the
+// controller does. A start with a ticket for the former boot can't be carried out there.
 //
-// A poll that acknowledges ends and a start without a ticket are therefore never under way to one worker at once,
-// unless the start has the higher fencing token: the boot that has carried it out refuses the poll. On workers that
-// may get such starts, a poll that acknowledges does not wait for an end, since starts wait for its response. Other
-// polls acknowledge nothing there; the worker has dropped the ends already.
+// A poll that acknowledges ends and a start that a later boot than the known one may carry out are therefore never under
+// way to one worker at once, unless the start has the higher fencing token: the boot that has carried it out refuses the
+// poll. Polls that acknowledge do not wait for an end, since starts wait for their response. Polls that wait acknowledge
+// nothing; the worker has dropped the ends already.
 
-// maxAckDelay is how long starts without a ticket may put off an acknowledgment that is due. After it they wait for
-// the acknowledgment.
+// maxAckDelay is how long starts may put off an acknowledgment that is due. After it they wait for the acknowledgment.
 const maxAckDelay = 200 * time.Millisecond
 
-// acknowledgments is what may be under way to a worker of acknowledgments and of starts without a ticket.
+// acknowledgments is what may be under way to a worker of acknowledgments and of starts that a later boot than the known
+// one may carry out.
 type acknowledgments struct {
 	// lowestListedEnd is the number of the first end in the latest response to a poll, zero if there was none.
 	lowestListedEnd int64
@@ -32,33 +32,28 @@
 	lateUntil time.Time
 	// delayedSince is when starts first put off an acknowledgment that is due, zero if they do not.
 	delayedSince time.Time
-	// starts are the starts without a ticket that are in flight. Those that got no response arrive by
-	// startArrivesUntil.
-	starts            map[workload.Run]struct{}
+	// starts are the starts without a ticket that are in flight, and whether an earlier copy was sent. Those that got
+	// no response arrive by startArrivesUntil.
+	starts            map[workload.Run]bool
 	startArrivesUntil time.Time
+	// unconfirmed are the starts that a later boot may have carried out unseen, or may yet carry out by their ticket.
+	unconfirmed map[workload.Run]unconfirmedStart
 }
 
-// servicesWithoutAdvisor returns the services of the classes whose starts bear no ticket. One such class changes the polls
-// of all workers of its service. A job whose class was removed from the configuration may have other services; its
-// starts wait longer for acknowledgments.
-func servicesWithoutAdvisor(cfg *workload.Config) map[string]bool {
-	services := map[string]bool{}
-	for _, class := range cfg.Classes {
-		if class.Advisor == nil {
-			services[class.Service] = true
-		}
-	}
-	return services
+// unconfirmedStart is a start of which a later boot than the known one may have the run, unless the known boot has
+// answered a poll that was sent after a time: the advisor issues no ticket for a boot before it has begun, and a start
+// without a ticket that was answered before that time was carried out by the known boot or an earlier one.
+type unconfirmedStart struct {
+	since time.Time
+	// repeated says that the run has had other copies of its start. That the known boot lists the run shows by which
+	// boot a start was carried out only if there are none.
+	repeated bool
 }
 
-// setAcknowledgment sets the ends that a poll acknowledges, and that it does not wait if it does. It leaves the polls
-// of workers whose starts all bear tickets as they are.
-func (c *Controller) setAcknowledgment(w *worker, poll *Poll, now time.Time) {
+// setAcknowledgment sets the ends that a poll acknowledges, and that it does not wait if it does.
+func (w *worker) setAcknowledgment(poll *Poll, now time.Time) {
 	a := &w.acks
-	delayed := false
-	if poll.AckedSeq > 0 && c.servicesWithoutAdvisor[w.info.Service] {
-		delayed = a.deferAcknowledgment(poll, now)
-	}
+	delayed := poll.AckedSeq > 0 && a.deferAcknowledgment(poll, now)
 	switch {
 	case !delayed:
 		a.delayedSince = time.Time{}
@@ -68,22 +63,28 @@
 	a.inPoll = poll.AckedSeq > 0
 }
 
-// deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no start without a ticket may arrive.
-// It reports whether an acknowledgment is due and such a start puts it off.
+// deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no later boot may carry out a
+// start. It reports whether an acknowledgment is due and such a start puts it off.
 func (a *acknowledgments) deferAcknowledgment(poll *Poll, now time.Time) bool {
 	due := a.lowestListedEnd > 0 && a.lowestListedEnd <= poll.AckedSeq
 	if due {
 		poll.Wait = 0
 	}
-	delayed := due && (len(a.starts) > 0 || now.Before(a.startArrivesUntil))
+	delayed := due && a.startMayReachLaterBoot(now)
 	if !due || delayed {
 		poll.AckedSeq = 0
 	}
 	return delayed
 }
 
-// ackUnanswered records that the latest poll got no response. If it acknowledges ends, later starts without a ticket
-// get a higher fencing token.
+// startMayReachLaterBoot reports whether a later boot than the known one may carry out a start, or have carried it out
+// unseen.
+func (a *acknowledgments) startMayReachLaterBoot(now time.Time) bool {
+	return len(a.starts) > 0 || len(a.unconfirmed) > 0 || now.Before(a.startArrivesUntil)
+}
+
+// ackUnanswered records that the latest poll got no response. If it acknowledges ends, later starts get a higher fencing
+// token.
 func (c *Controller) ackUnanswered(w *worker, result OrderResult, now time.Time) {
 	a := &w.acks
 	if !a.inPoll || result.Effect() != EffectUnknown {
@@ -91,8 +92,8 @@
 	}
 	c.recordAckUnanswered(w, result)
 	a.lateToken = w.fencingToken
-	a.lateUntil = w.pollSent.Add(c.deliveryTime())
-	if c.servicesWithoutAdvisor[w.info.Service] && w.fencingToken < c.lastTokenForAcks() {
+	a.lateUntil = w.pollSent.Add(c.lateOrderTime())
+	if w.fencingToken < c.lastTokenForAcks() {
 		c.raiseToken(w, w.fencingToken, now)
 	}
 }
@@ -104,8 +105,13 @@
 // deliveryTime is Timing.DeliveryTime for orders that may be delayed.
 func (c *Controller) deliveryTime() time.Duration { return c.timing.DeliveryTime + c.orderDelay }
 
-// takesStartWithoutTicket reports whether a start without a ticket may be sent as far as acknowledgments go.
-func (w *worker) takesStartWithoutTicket(now time.Time) bool {
+// lateOrderTime is how long after its sending an order without a response may still be carried out.
+func (c *Controller) lateOrderTime() time.Duration {
+	return max(c.timing.DeliveryTime, c.timing.LateStartTime) + c.orderDelay
+}
+
+// acksAllowStart reports whether a start may be sent as far as acknowledgments go.
+func (w *worker) acksAllowStart(now time.Time) bool {
 	a := &w.acks
 	switch {
 	case w.polling && a.inPoll:
@@ -117,25 +123,68 @@
 	}
 }
 
-// noteStart records that a start order is sent.
-func (a *acknowledgments) noteStart(run workload.Run, ticket string) {
+// noteStart records that a start order is sent. repeated says that another copy of it was sent before.
+func (a *acknowledgments) noteStart(run workload.Run, ticket string, repeated bool, now time.Time) {
 	if ticket != "" {
+		a.addUnconfirmed(run, unconfirmedStart{since: now, repeated: repeated})
 		return
 	}
 	if a.starts == nil {
-		a.starts = map[workload.Run]struct{}{}
+		a.starts = map[workload.Run]bool{}
+	}
+	a.starts[run] = repeated
+}
+
+func (a *acknowledgments) addUnconfirmed(run workload.Run, start unconfirmedStart) {
+	if a.unconfirmed == nil {
+		a.unconfirmed = map[workload.Run]unconfirmedStart{}
 	}
-	a.starts[run] = struct{}{}
+	a.unconfirmed[run] = start
 }
 
 // noteStartResult records the result of a start order that was sent at sent.
-func (c *Controller) noteStartResult(w *worker, run workload.Run, result OrderResult, sent time.Time) {
+func (c *Controller) noteStartResult(w *worker, run workload.Run, result OrderResult, sent, now time.Time) {
 	a := &w.acks
-	if _, ok := a.starts[run]; !ok {
+	if start, ok := a.unconfirmed[run]; ok && !start.repeated && result.Effect() == EffectNone {
+		delete(a.unconfirmed, run)
+	}
+	repeated, ok := a.starts[run]
+	if !ok {
 		return
 	}
 	delete(a.starts, run)
-	if until := sent.Add(c.deliveryTime()); result.Effect() == EffectUnknown && until.After(a.startArrivesUntil) {
-		a.startArrivesUntil = until
+	switch result.Effect() {
+	case EffectDone:
+		a.addUnconfirmed(run, unconfirmedStart{since: now, repeated: repeated})
+	case EffectUnknown:
+		if until := sent.Add(c.deliveryTime()); until.After(a.startArrivesUntil) {
+			a.startArrivesUntil = until
+		}
+	}
+}
+
+// confirmStarts drops the starts that no later boot can carry out, or has carried out, by a response of the known boot to
+// a poll that was sent at sent.
+func (a *acknowledgments) confirmStarts(result *workload.PollResult, sent time.Time) {
+	if len(a.unconfirmed) == 0 {
+		return
+	}
+	for i := range result.Running {
+		a.confirmListed(result.Running[i].Run)
+	}
+	for i := range result.Ended {
+		a.confirmListed(result.Ended[i].Run)
+	}
+	for run, start := range a.unconfirmed {
+		if start.since.Before(sent) {
+			delete(a.unconfirmed, run)
+		}
+	}
+}
+
+// confirmListed drops the start of a run that the known boot lists: it has carried out the only copy.
+func (a *acknowledgments) confirmListed(run workload.Run) {
+	if start, ok := a.unconfirmed[run]; ok && !start.repeated {
+		delete(a.unconfirmed, run)
 	}
 }
--- a/internal/controller/acknowledgment_test.go
+++ b/internal/controller/acknowledgment_test.go
@@ -89,7 +89,7 @@
 	h.ctl.workers[f.id].fencingToken = h.ctl.lastTokenForAcks()
 	h.ctl.PollFailed(f.id, NoResponse, h.sim.now)
 	h.submit(simpleJob("j2", "batch", 1, 1000, nil))
-	h.requireNoStart(t, h.sim.timing.DeliveryTime-10*time.Millisecond)
+	h.requireNoStart(t, h.sim.timing.LateStartTime-10*time.Millisecond)
 	if start, _ := h.awaitStart(true); start.FencingToken != h.ctl.lastTokenForAcks() {
 		t.Errorf("the start has the fencing token %d, poll %d", start.FencingToken, poll.FencingToken)
 	}
@@ -128,37 +128,42 @@
 	h.nextAcknowledgingPoll()
 }
 
-// TestBusyWorkerGetsAcknowledgments guards against ends that pile up, up to the longest list, on a worker that gets
-// starts without a ticket all the time.
+// TestBusyWorkerGetsAcknowledgments guards against ends that pile up, up to the longest list, and against starts that come
+// to a standstill, on a worker that gets starts all the time, without tickets or with them.
 func TestBusyWorkerGetsAcknowledgments(t *testing.T) {
 	const (
 		tasks   = 4000
 		maxEnds = maxEndsListed / 2
 		latency = 20 * time.Millisecond // long, so that some start is nearly always in flight
 	)
-	sim := newSimulation(t, 1)
-	sim.meanLatency = latency
-	sim.addWorkers(1, 100_000)
-	n := 0
-	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
-		n++
-		return time.Duration(100+n%97) * time.Millisecond, workload.EndDone
-	}
-	sim.startController(true)
-	sim.advance(200 * time.Millisecond)
-	sim.submit(simpleJob("j1", "batch", tasks, 1000, nil))
-	f := sim.workers["i-aa"]
-	most := 0
-	begun := sim.now
-	for sim.state("j1") != workload.JobCompleted {
-		if sim.advance(10 * time.Millisecond); sim.now.Sub(begun) > time.Minute {
-			t.Fatal("the job is not completed after a minute")
-		}
-		most = max(most, len(f.ends))
-	}
-	t.Logf("%d tasks took %v, at most %d ends were listed", tasks, sim.now.Sub(begun), most)
-	if most > maxEnds {
-		t.Errorf("%d ends were listed at once, want at most %d", most, maxEnds)
+	for _, class := range []string{"batch", "gang"} {
+		t.Run(class, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.meanLatency = latency
+			sim.allowedShare = 1
+			sim.addWorkers(1, 100_000)
+			n := 0
+			sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+				n++
+				return time.Duration(100+n%97) * time.Millisecond, workload.EndDone
+			}
+			sim.startController(true)
+			sim.advance(200 * time.Millisecond)
+			sim.submit(simpleJob("j1", class, tasks, 1000, nil))
+			f := sim.workers["i-aa"]
+			most := 0
+			begun := sim.now
+			for sim.state("j1") != workload.JobCompleted {
+				if sim.advance(10 * time.Millisecond); sim.now.Sub(begun) > time.Minute {
+					t.Fatal("the job is not completed after a minute")
+				}
+				most = max(most, len(f.ends))
+			}
+			t.Logf("%d tasks took %v, at most %d ends were listed", tasks, sim.now.Sub(begun), most)
+			if most > maxEnds {
+				t.Errorf("%d ends were listed at once, want at most %d", most, maxEnds)
+			}
+		})
 	}
 }
 
@@ -167,9 +172,9 @@
 	h.ctl.AdvisorCallDone(call, h.sim.issueTickets(call), 0, nil, h.sim.now)
 }
 
-// TestPollsWithAdvisorsAcknowledgeAndWait guards against polls that are added or shortened where all starts bear
-// tickets, which no other boot carries out.
-func TestPollsWithAdvisorsAcknowledgeAndWait(t *testing.T) {
+// TestPollsWithAdvisorsAcknowledgeOrWait guards, where all starts bear tickets, against polls that acknowledge and wait,
+// since starts wait for their response, and against more polls that do not wait than one or two for each list of ends.
+func TestPollsWithAdvisorsAcknowledgeOrWait(t *testing.T) {
 	sim := newSimulation(t, 1)
 	delete(sim.config.Classes, "batch")
 	sim.allowedShare = 1
@@ -177,29 +182,39 @@
 	sim.startController(true)
 	sim.advance(100 * time.Millisecond)
 	h := newHandDelivery(sim)
-	polls := 0
+	acks, waiting, probes := 0, 0, 0
 	for i := range 400 {
 		if i%40 == 0 {
 			h.submit(simpleJob(fmt.Sprintf("j%d", i), "gang", 2, 1000, nil))
 		}
-		o := h.next(5 * time.Millisecond)
-		for _, call := range o.AdvisorCalls {
-			h.allowAll(&call)
-		}
+		o := h.nextAllowed(5 * time.Millisecond)
 		for _, poll := range o.Polls {
-			polls++
 			w := h.ctl.workers[poll.Worker]
-			if poll.AckedSeq != w.ackedSeq || poll.Wait != sim.timing.PollWait {
-				t.Fatalf("the poll acknowledges ends up to %d and waits %v, want %d and %v",
-					poll.AckedSeq, poll.Wait, w.ackedSeq, sim.timing.PollWait)
+			switch {
+			case poll.AckedSeq > 0:
+				acks++
+				if poll.AckedSeq != w.ackedSeq || poll.Wait != 0 {
+					t.Fatalf("a poll acknowledges ends up to %d of %d and waits %v", poll.AckedSeq, w.ackedSeq, poll.Wait)
+				}
+			case poll.Wait == 0:
+				probes++
+			case poll.Wait == sim.timing.PollWait:
+				waiting++
+			default:
+				t.Fatalf("a poll waits %v, want %v", poll.Wait, sim.timing.PollWait)
 			}
 		}
 		h.deliver(o)
 	}
-	t.Logf("%d polls", polls)
+	t.Logf("%d polls acknowledge, %d others do not wait, %d wait", acks, probes, waiting)
+	ends := int64(0)
 	for id, w := range h.ctl.workers {
-		if w.ackedSeq == 0 || polls == 0 {
-			t.Errorf("no end of %s was acknowledged in %d polls", id, polls)
+		ends += w.ackedSeq
+		if w.ackedSeq == 0 || len(sim.workers[id].ends) > 0 {
+			t.Errorf("%s: ends up to %d are acknowledged, %d are listed", id, w.ackedSeq, len(sim.workers[id].ends))
 		}
 	}
+	if int64(acks) > ends || int64(probes) > ends || waiting == 0 {
+		t.Errorf("%d polls acknowledge %d ends, %d others do not wait, %d wait", acks, ends, probes, waiting)
+	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -77,8 +77,6 @@
 	record func(event.Event)
 
 	config *workload.Config
-	// servicesWithoutAdvisor are the services on whose workers config lets tasks start without a ticket.
-	servicesWithoutAdvisor map[string]bool
 
 	jobs    map[string]*job
 	workers map[string]*worker
@@ -255,7 +253,6 @@
 		return
 	}
 	c.config = cfg
-	c.servicesWithoutAdvisor = servicesWithoutAdvisor(cfg)
 	for _, j := range c.active {
 		if class := cfg.Classes[j.spec.Class]; class != nil {
 			j.setClass(class)
--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -228,63 +228,109 @@
 	}
 }
 
-// awaitTicketedStart has the advisor allow all workers until a start is sent.
-func (h *handDelivery) awaitTicketedStart() Start {
-	h.sim.t.Helper()
-	for range 200 {
-		o := h.next(5 * time.Millisecond)
-		for _, call := range o.AdvisorCalls {
-			h.allowAll(&call)
-		}
-		if len(o.Starts) > 0 {
-			return o.Starts[0]
-		}
-	}
-	h.sim.t.Fatal("no start is sent")
-	return Start{}
-}
-
-// TestPollForFormerBootDropsNoEndOfATicketedStart guards against a task that runs again after its end as done was
-// acknowledged: the advisor issues a ticket for a boot of which the controller does not know yet, whose run ends before
-// a poll arrives there that acknowledges an end of the former boot.
-func TestPollForFormerBootDropsNoEndOfATicketedStart(t *testing.T) {
+// newHandDeliveryWithTicketedEnd returns a cell of one worker, all of whose starts bear tickets. The end of the job j0 is
+// listed, but not acknowledged. Other tasks run for a time.
+func newHandDeliveryWithTicketedEnd(t *testing.T, runTime time.Duration) (*handDelivery, *fakeWorker) {
 	sim := newSimulation(t, 1)
 	sim.allowedShare = 1
+	sim.timing.PollPause = 50 * time.Millisecond // long enough for a start between two polls
 	delete(sim.config.Classes, "batch")
 	sim.addWorkers(1, 4000)
 	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
-		return 200 * time.Millisecond, workload.EndDone
+		return runTime, workload.EndDone
 	}
 	sim.startController(true)
 	sim.advance(100 * time.Millisecond)
 	sim.submit(simpleJob("j0", "gang", 1, 1000, nil))
-	sim.advance(4 * time.Second)
 	f := sim.workers["i-aa"]
-	h := newHandDelivery(sim)
-	polls := h.next(50 * time.Millisecond).Polls
-	if len(polls) != 1 || polls[0].AckedSeq == 0 {
-		t.Fatalf("polls %v, want one that acknowledges an end", polls)
+	for len(f.ends) == 0 {
+		sim.advance(time.Millisecond)
 	}
-	pollSent := sim.now
-	f.restart() // before the poll arrives
-	sim.advance(50 * time.Millisecond)
-	h.submit(simpleJob("j1", "gang", 1, 1000, nil))
-	start := h.awaitTicketedStart()
-	sent := sim.now
-	result := f.startRun(start.FencingToken, &start)
-	if result != CarriedOut {
-		t.Fatalf("the start is answered with %q", result)
+	return newHandDelivery(sim), f
+}
+
+// nextAllowed returns the orders that are due after a time. The advisor answers at once, for the boots that are there.
+func (h *handDelivery) nextAllowed(d time.Duration) Orders {
+	o := h.next(d)
+	for _, call := range o.AdvisorCalls {
+		h.allowAll(&call)
 	}
-	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, sim.now)
-	sim.advance(300 * time.Millisecond)
-	h.ctl.PollDone(f.id, h.carryOutPoll(polls[0]), pollSent, sim.now)
-	h.ctl.SetWorker(f.info(), sim.now)
-	for range 1000 {
-		o := h.next(5 * time.Millisecond)
-		for _, call := range o.AdvisorCalls {
-			h.allowAll(&call)
-		}
-		h.deliver(o)
+	return o
+}
+
+// deliverAllowedFor delivers the orders of a time. The advisor allows all workers.
+func (h *handDelivery) deliverAllowedFor(d time.Duration) {
+	for end := h.sim.now.Add(d); h.sim.now.Before(end); {
+		h.deliver(h.nextAllowed(5 * time.Millisecond))
+	}
+}
+
+// TestPollForFormerBootDropsNoEndOfATicketedStart guards against a task that runs again after its end as done was
+// acknowledged: the advisor issues a ticket for a boot of which the controller does not know yet, whose run ends before
+// a poll arrives there that was sent earlier and acknowledges an end of the former boot. The poll is answered by the next
+// boot, or gets no response and is carried out later still.
+func TestPollForFormerBootDropsNoEndOfATicketedStart(t *testing.T) {
+	for name, answered := range map[string]bool{"the poll is answered": true, "the poll gets no response": false} {
+		t.Run(name, func(t *testing.T) {
+			h, f := newHandDeliveryWithTicketedEnd(t, 200*time.Millisecond)
+			polls := h.next(50 * time.Millisecond).Polls
+			if len(polls) != 1 || polls[0].AckedSeq == 0 {
+				t.Fatalf("polls %v, want one that acknowledges an end", polls)
+			}
+			pollSent := h.sim.now
+			f.restart() // before the poll arrives
+			h.sim.advance(50 * time.Millisecond)
+			h.submit(simpleJob("j1", "gang", 1, 1000, nil))
+			h.deliverAllowedFor(600 * time.Millisecond) // the run ends meanwhile if it is started
+			if answered {
+				h.ctl.PollDone(f.id, h.carryOutPoll(polls[0]), pollSent, h.sim.now)
+			} else {
+				h.ctl.PollFailed(f.id, NoResponse, h.sim.now)
+			}
+			h.ctl.SetWorker(f.info(), h.sim.now)
+			for range 2000 {
+				h.deliver(h.nextAllowed(time.Millisecond))
+				if !answered && len(f.ends) > 0 {
+					h.carryOutPoll(polls[0]) // late
+				}
+			}
+			h.requireCompleted(t, "j1")
+		})
+	}
+}
+
+// TestAcknowledgmentWaitsForTicketedStarts guards against the same in the other order: the start with a ticket for the
+// next boot is sent before the acknowledgment of an end of the former boot.
+func TestAcknowledgmentWaitsForTicketedStarts(t *testing.T) {
+	for _, result := range []OrderResult{CarriedOut, NoResponse} {
+		t.Run(result.String(), func(t *testing.T) {
+			const runTime = 3 * time.Millisecond
+			h, f := newHandDeliveryWithTicketedEnd(t, runTime)
+			f.restart()
+			h.submit(simpleJob("j1", "gang", 1, 1000, nil))
+			var o Orders
+			for range 40 {
+				if o = h.nextAllowed(time.Millisecond); len(o.Starts)+len(o.Polls) > 0 {
+					break
+				}
+			}
+			if len(o.Starts) != 1 || len(o.Polls) > 0 {
+				t.Fatalf("starts %v and polls %v are sent, want one start before the next poll", o.Starts, o.Polls)
+			}
+			start, sent := o.Starts[0], h.sim.now
+			if got := f.startRun(start.FencingToken, &start); got != CarriedOut {
+				t.Fatalf("the start is answered with %q", got)
+			}
+			clockMs := f.clock()
+			if result == NoResponse {
+				clockMs = 0
+			}
+			h.sim.advance(2 * runTime)
+			h.ctl.StartDone(f.id, start.Run, result, clockMs, sent, h.sim.now)
+			h.deliverAllowedFor(time.Second)
+			h.ctl.SetWorker(f.info(), h.sim.now)
+			h.deliverAllowedFor(5 * time.Second)
+			h.requireCompleted(t, "j1")
+		})
 	}
-	h.requireCompleted(t, "j1")
 }
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -93,6 +93,7 @@
 	w.lapsedRuns = nil
 	w.brokeOff = false
 	w.skipAckedEnds(result)
+	w.acks.confirmStarts(result, sent)
 	c.applyRunning(w, result, now)
 	c.noteOutlived(w, now)
 	for i := range result.Ended {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -208,7 +208,7 @@
 		return out
 	}
 	ticket, ok := s.ticket(w, now)
-	if ticketed && (!ok || ticket == "" && !w.takesStartWithoutTicket(now)) {
+	if ticketed && (!ok || !w.acksAllowStart(now)) {
 		return out
 	}
 	n := c.fitCount(s, w, now)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -318,7 +318,7 @@
 	if w == nil {
 		return
 	}
-	c.noteStartResult(w, run, result, sent)
+	c.noteStartResult(w, run, result, sent, now)
 	r := w.runs[run]
 	if r == nil {
 		return
@@ -500,7 +500,7 @@
 		c.stopRun(r, now)
 		return
 	}
-	if ticket == "" && !r.worker.takesStartWithoutTicket(now) {
+	if !r.worker.acksAllowStart(now) {
 		c.retryLater(r, orderRetryPause, now)
 		return
 	}
@@ -519,7 +519,7 @@
 	}
 	r.worker.maxLeaseDeadlineMs = max(r.worker.maxLeaseDeadlineMs, deadline)
 	r.worker.lastGrant = now
-	r.worker.acks.noteStart(r.id(), ticket)
+	r.worker.acks.noteStart(r.id(), ticket, !r.startSent.IsZero(), now)
 	r.fencingToken = r.worker.fencingToken
 	r.inFlight = true
 	if r.startSent.IsZero() {
