--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -323,7 +323,7 @@
 	if w == nil {
 		return
 	}
-	c.noteStartResult(w, run, result, sent)
+	c.noteStartResult(w, run, result, sent, now)
 	r := w.runs[run]
 	if r == nil {
 		return
@@ -505,7 +505,7 @@
 		c.stopRun(r, now)
 		return
 	}
-	if ticket == "" && (!c.repetitionRecorded(r) || !r.worker.takesStartWithoutTicket(now)) {
+	if ticket == "" && !c.repetitionRecorded(r) || !r.worker.acksAllowStart(now) {
 		c.retryLater(r, orderRetryPause, now)
 		return
 	}
@@ -524,7 +524,7 @@
 	}
 	r.worker.maxLeaseDeadlineMs = max(r.worker.maxLeaseDeadlineMs, deadline)
 	r.worker.lastGrant = now
-	r.worker.acks.noteStart(r.id(), ticket)
+	r.worker.acks.noteStart(r.id(), ticket, !r.startSent.IsZero(), now)
 	r.fencingToken = r.worker.fencingToken
 	r.inFlight = true
 	if r.startSent.IsZero() {
--- a/internal/controller/startrecord.go
+++ b/internal/controller/startrecord.go
@@ -124,7 +124,7 @@
 	for _, r := range runs {
 		switch {
 		case !r.awaitsRecord:
-		case !r.worker.takesStartWithoutTicket(now):
+		case !r.worker.acksAllowStart(now):
 			c.recordedRuns = append(c.recordedRuns, r)
 			c.wakeups.add(now.Add(orderRetryPause))
 		default:
