--- a/internal/controller/fakenetwork_test.go
+++ b/internal/controller/fakenetwork_test.go
@@ -41,6 +41,8 @@
 	// late says that the call is carried out seconds after its arrival, boot which boot the controller means.
 	late bool
 	boot int64
+	// deadline is when the sender gives up a call whose response is held.
+	deadline time.Time
 }
 
 // end ends the call with an outcome, unless it has ended.
@@ -59,7 +61,11 @@
 	if c.unheard {
 		return
 	}
-	c.sim.after(c.sim.networkDelay(), func() { c.end(outcome) })
+	hold := c.sim.answerHold()
+	if hold > 0 {
+		c.sim.after(max(0, c.deadline.Sub(c.sim.now)), func() { c.end(func() { c.fail(NoResponse) }) })
+	}
+	c.sim.after(c.sim.networkDelay()+hold, func() { c.end(outcome) })
 }
 
 // endAfter ends the call without a response after a time, unless it has ended.
@@ -71,7 +77,7 @@
 // carried out by whatever boot is up when it arrives, and one to a worker that is down may be held until the next
 // boot is up. Lost and late orders end with fail(NoResponse) after a time-out.
 func (sim *simulation) callWorker(ctl *Controller, id string, route Route, deliver func(f *fakeWorker, c *call) func(), fail func(OrderResult)) {
-	c := &call{sim: sim, ctl: ctl, fail: fail}
+	c := &call{sim: sim, ctl: ctl, fail: fail, deadline: sim.now.Add(sim.orderTimeout)}
 	if w := ctl.workers[id]; w != nil {
 		c.boot = w.boot
 	}
@@ -159,6 +165,7 @@
 // answer.
 func (sim *simulation) waitForEnd(f *fakeWorker, c *call, wait time.Duration, reply func() func()) {
 	boot := f.boot
+	c.deadline = c.deadline.Add(wait)
 	answered := false
 	answer := func() {
 		if answered || f.partitioned {
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -21,6 +21,7 @@
 	// ticketed says that all jobs are of a class with an advisor.
 	ticketed              bool
 	lateStartsEndWithBoot bool
+	faults                walkFaults
 }
 
 // Restarts in a walk, how long a worker is down, when it is cut off after that, and for how long.
@@ -73,6 +74,7 @@
 	sim.heldCallShare = walk.heldCallShare
 	sim.delayedOrderShare = walk.delayedOrderShare
 	sim.lateStartsEndWithBoot = walk.lateStartsEndWithBoot
+	sim.faults = walk.faults.withAdded(sim.t)
 	sim.timing.StatusRetention = 10 * time.Minute // longer than the walk
 	if walk.maxLease > 0 {
 		sim.timing.MaxLease = walk.maxLease
--- /dev/null
+++ b/internal/controller/walkfaults_test.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+)
+
+// walkFaults are faults that a walk has beside its own ones. They are off in the simulation unless a walk sets them,
+// and draw from a generator of their own, so that a seed has the same course of other faults with and without them.
+type walkFaults struct {
+	// heldAnswerShare is the share of answers that are held after the effect, for up to maxAnswerHold.
+	heldAnswerShare float64
+}
+
+// maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
+const maxAnswerHold = 900 * time.Millisecond
+
+// addedFaults names the faults that all restart walks have beside their own ones, to compare which walks break.
+var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
+
+// walkFaultNames are the values of -walkfaults.
+var walkFaultNames = []string{"answers"}
+
+// withAdded returns the faults with those that -walkfaults names.
+func (faults walkFaults) withAdded(t testing.TB) walkFaults {
+	t.Helper()
+	if *addedFaults == "" {
+		return faults
+	}
+	for name := range strings.SplitSeq(*addedFaults, ",") {
+		faults.add(t, name)
+	}
+	return faults
+}
+
+// add turns on the fault of a name.
+func (faults *walkFaults) add(t testing.TB, name string) {
+	t.Helper()
+	switch name {
+	case "answers":
+		faults.heldAnswerShare = 0.1
+	default:
+		t.Fatalf("-walkfaults: unknown fault %q", name)
+	}
+}
+
+// answerHold returns how long the next answer is held.
+func (sim *simulation) answerHold() time.Duration {
+	if sim.faults.heldAnswerShare == 0 || sim.faultRNG.Float64() >= sim.faults.heldAnswerShare {
+		return 0
+	}
+	return between(sim.faultRNG, 0, maxAnswerHold)
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -21,9 +21,12 @@
 	t       testing.TB
 	rng     *rand.Rand
 	bootRNG *rand.Rand // draws the clocks of boots and the calls that are held
-	now     time.Time
-	seq     int
-	pending actions
+	// faultRNG draws the faults that walks switch on.
+	faultRNG *rand.Rand
+	faults   walkFaults
+	now      time.Time
+	seq      int
+	pending  actions
 
 	timing     Timing
 	config     *workload.Config
@@ -128,6 +131,7 @@
 		now: simulationStart,
 
 		bootRNG:       rand.New(rand.NewPCG(seed, 40)),
+		faultRNG:      rand.New(rand.NewPCG(seed, 53)),
 		heldCallShare: 0.5,
 		timing: Timing{
 			MaxLease:           6 * time.Second,
