--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -247,7 +247,7 @@
 		}
 	case 1:
 		f.partitioned = true
-		sim.after(duration, func() { f.partitioned = false })
+		sim.after(duration, f.reconnect)
 	case 2:
 		sim.storeDown = true
 		sim.after(duration, func() { sim.storeDown = false })
@@ -296,7 +296,7 @@
 	sim.storeDown = false
 	for _, id := range sim.workerIDs() {
 		f := sim.workers[id]
-		f.partitioned = false
+		f.reconnect()
 		if f.replaced {
 			continue
 		}
--- a/internal/controller/cut_test.go
+++ b/internal/controller/cut_test.go
@@ -30,7 +30,7 @@
 		}
 	})
 	sim.after(d, func() {
-		f.partitioned = false
+		f.reconnect()
 		if !f.replaced {
 			sim.listWorker(f)
 		}
--- a/internal/controller/fakenetwork_test.go
+++ b/internal/controller/fakenetwork_test.go
@@ -91,6 +91,9 @@
 		case f != nil && !f.up && f.portClosed && !f.partitioned:
 			c.respond(func() { fail(NotDelivered) })
 		case f == nil || f.partitioned || f.firstWayCut && route == 0:
+			if f != nil && f.partitioned {
+				f.keepInCut(c, deliver)
+			}
 			timeout()
 		case draw < sim.delayedOrderShare:
 			c.unheard, c.late = true, true
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -36,6 +36,8 @@
 	firstReadingMs int64
 	// heldCalls wait in the network for the worker to come up.
 	heldCalls []*heldCall
+	// keptCalls were sent into the worker's cut, and arrive when it ends.
+	keptCalls []func()
 
 	fencingToken     int64
 	leaseDeadline    time.Time
--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -12,6 +12,8 @@
 type walkFaults struct {
 	// heldAnswerShare is the share of answers that are held after the effect, for up to maxAnswerHold.
 	heldAnswerShare float64
+	// keptCallShare is the share of calls into a cut that arrive when it ends, also after their callers' time-out.
+	keptCallShare float64
 }
 
 // maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
@@ -21,7 +23,7 @@
 var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
 
 // walkFaultNames are the values of -walkfaults.
-var walkFaultNames = []string{"answers"}
+var walkFaultNames = []string{"answers", "cuts"}
 
 // withAdded returns the faults with those that -walkfaults names.
 func (faults walkFaults) withAdded(t testing.TB) walkFaults {
@@ -41,6 +43,8 @@
 	switch name {
 	case "answers":
 		faults.heldAnswerShare = 0.1
+	case "cuts":
+		faults.keptCallShare = 0.5
 	default:
 		t.Fatalf("-walkfaults: unknown fault %q", name)
 	}
@@ -53,3 +57,41 @@
 	}
 	return between(sim.faultRNG, 0, maxAnswerHold)
 }
+
+// keepInCut has a call that was sent into a cut arrive when the cut ends, or drops it. Whatever boot is up then
+// carries it out. Its caller hears of that if it still waits.
+func (f *fakeWorker) keepInCut(c *call, deliver func(f *fakeWorker, c *call) func()) {
+	sim := f.sim
+	if sim.faults.keptCallShare == 0 || sim.faultRNG.Float64() >= sim.faults.keptCallShare {
+		return
+	}
+	f.keptCalls = append(f.keptCalls, func() { f.takeKeptCall(c, deliver) })
+}
+
+// takeKeptCall has the worker carry out a call that was sent into a cut, unless it is down.
+func (f *fakeWorker) takeKeptCall(c *call, deliver func(f *fakeWorker, c *call) func()) {
+	if !f.up {
+		return
+	}
+	if f.partitioned {
+		f.keptCalls = append(f.keptCalls, func() { f.takeKeptCall(c, deliver) })
+		return
+	}
+	c.late, c.unheard = c.ended, c.ended
+	if outcome := deliver(f, c); outcome != nil {
+		c.respond(outcome)
+	}
+}
+
+// reconnect ends the worker's cut.
+func (f *fakeWorker) reconnect() {
+	f.partitioned = false
+	kept := f.keptCalls
+	f.keptCalls = nil
+	for _, arrive := range kept {
+		f.sim.after(between(f.sim.faultRNG, 0, maxKeptCallDelay), arrive)
+	}
+}
+
+// maxKeptCallDelay is how long after the end of a cut the calls that were sent into it arrive at the latest.
+const maxKeptCallDelay = 200 * time.Millisecond
