--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -100,8 +100,8 @@
 	return simpleJob(id, class, 1+rng.IntN(4), 1000, func(s *workload.Step) { s.Gang = gang })
 }
 
-// restartOne crashes a worker that can be reached, if the one that is drawn can. It is soon back under its ID, and in
-// two of three cases it is cut off soon after that.
+// restartOne crashes a worker that can be reached, if the one that is drawn can, or also one that can't if the walk has
+// that. It is soon back under its ID, and in two of three cases it is cut off soon after that.
 func (sim *simulation) restartOne(rng *rand.Rand) {
 	ids := sim.workerIDs()
 	f := sim.workers[ids[rng.IntN(len(ids))]]
@@ -109,13 +109,15 @@
 	untilCut := between(rng, 0, maxTimeUntilCut)
 	cut := between(rng, minTimeCut, maxTimeCut)
 	isCut := rng.IntN(3) > 0
-	if !f.up || f.partitioned {
+	if !f.up || f.partitioned && !sim.faults.restartsInCuts {
 		return
 	}
 	f.crash()
 	sim.after(down, func() {
 		f.start()
-		sim.listWorker(f)
+		if !f.partitioned {
+			sim.listWorker(f)
+		}
 	})
 	if isCut {
 		sim.after(down+untilCut, func() { sim.cutOff(f, cut) })
--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -14,6 +14,8 @@
 	heldAnswerShare float64
 	// keptCallShare is the share of calls into a cut that arrive when it ends, also after their callers' time-out.
 	keptCallShare float64
+	// restartsInCuts has workers that are cut off restart as the others do.
+	restartsInCuts bool
 }
 
 // maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
@@ -23,7 +25,7 @@
 var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
 
 // walkFaultNames are the values of -walkfaults.
-var walkFaultNames = []string{"answers", "cuts"}
+var walkFaultNames = []string{"answers", "cuts", "restarts"}
 
 // withAdded returns the faults with those that -walkfaults names.
 func (faults walkFaults) withAdded(t testing.TB) walkFaults {
@@ -45,6 +47,8 @@
 		faults.heldAnswerShare = 0.1
 	case "cuts":
 		faults.keptCallShare = 0.5
+	case "restarts":
+		faults.restartsInCuts = true
 	default:
 		t.Fatalf("-walkfaults: unknown fault %q", name)
 	}
