--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -288,3 +288,47 @@
 	}
 	h.requireCompleted(t, "j1")
 }
+
+// TestFormerBootsAnswerHidesNoOtherBoot guards against a task that runs again after its end as done was acknowledged, and
+// against starts with deadlines by the clock of a former boot: the answer to a start shows that another boot is there,
+// and an answer of the former boot to a poll that was sent before arrives only then.
+func TestFormerBootsAnswerHidesNoOtherBoot(t *testing.T) {
+	h, f := newHandDeliveryAfterOneEnd(t)
+	h.submit(simpleJob("j2", "batch", 1, 1000, nil))
+	ending, _ := h.awaitStart(true)
+	h.deliver(Orders{Starts: []Start{ending}})
+	polls := h.next(50 * time.Millisecond).Polls
+	if len(polls) != 1 {
+		t.Fatalf("%d polls are under way, want 1", len(polls))
+	}
+	pollSent := h.sim.now
+	h.sim.advance(250 * time.Millisecond)
+	held := h.carryOutPoll(polls[0])
+	if len(held.Ended) != 1 {
+		t.Fatalf("%d ends are listed, want 1", len(held.Ended))
+	}
+	f.restart()
+	h.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	start, _ := h.awaitStart(false)
+	sent := h.sim.now
+	result := f.startRun(start.FencingToken, &start)
+	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, h.sim.now)
+	w := h.ctl.workers[f.id]
+	if !w.otherBootAnswered {
+		t.Fatal("the answer to the start has not shown the other boot")
+	}
+	h.sim.advance(300 * time.Millisecond) // the run ends
+	h.ctl.PollDone(f.id, held, pollSent, h.sim.now)
+	if w.takesStarts() {
+		t.Error("the worker takes starts for its former boot")
+	}
+	for _, p := range h.next(20 * time.Millisecond).Polls {
+		if p.AckedSeq > 0 || p.LeaseDeadlineMs > 0 {
+			t.Errorf("a poll for the former boot acknowledges %d ends and has the lease deadline %d", p.AckedSeq, p.LeaseDeadlineMs)
+		}
+		h.deliver(Orders{Polls: []Poll{p}})
+	}
+	h.ctl.SetWorker(f.info(), h.sim.now)
+	h.deliverFor(5 * time.Second)
+	h.requireCompleted(t, "j1")
+}
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -70,7 +70,9 @@
 	if w.overtaken(result, sent) {
 		return
 	}
-	w.otherBootAnswered = false
+	if !sent.Before(w.otherBootSeenAt) {
+		w.otherBootAnswered = false
+	}
 	if former := w.boot; result.BootMs != former {
 		c.workerRebooted(w, result.BootMs, heard, now)
 		if former != 0 {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -305,6 +305,7 @@
 		c.recordClock(w, clockMs, sent, now)
 	case clockMs > 0 && !w.clockAt.IsZero():
 		w.otherBootAnswered = true
+		w.otherBootSeenAt = now
 		c.recordOtherBoot(w, run, result)
 	}
 	return w
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -69,7 +69,7 @@
 		w.polledAddr = w.info.Addr
 		poll := Poll{Worker: w.info.ID, Addr: w.info.Addr, FencingToken: w.fencingToken, AckedSeq: w.ackedSeq, Route: w.route}
 		switch {
-		case w.pollFailures > 0:
+		case w.pollFailures > 0 || w.otherBootAnswered:
 			// The worker may run a new boot, whose ends are numbered from 1 again. Its lease
 			// is not renewed while the boot is unknown, so that it expires.
 			poll.AckedSeq = 0
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -32,9 +32,10 @@
 	leaving bool
 	// bootSeenAt is when the controller learned of this boot.
 	bootSeenAt time.Time
-	// otherBootAnswered says that by the clock in its response another boot has answered an order since the latest
-	// answer to a poll.
+	// otherBootAnswered says that by the clock in its response another boot has answered an order. No poll that was sent
+	// after otherBootSeenAt has been answered since.
 	otherBootAnswered bool
+	otherBootSeenAt   time.Time
 	// bootAnswered says that this boot has answered a poll under the current epoch.
 	bootAnswered bool
 	// accountedFor says that no run of an earlier controller can be there without being
