--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,6 +86,8 @@
 	usage *usage.Account
 	// retiredTokens are the latest fencing tokens of the workers that were dropped, by worker.
 	retiredTokens map[string]int64
+	// retiredUnreachedIn is worker.unreachedIn of the workers that were dropped, by worker, if it was not zero.
+	retiredUnreachedIn map[string]int
 
 	// unreadable are the IDs of stored jobs whose records can't be read.
 	unreadable map[string]struct{}
@@ -217,6 +219,7 @@
 		workers:            map[string]*worker{},
 		usage:              usage.New(),
 		retiredTokens:      map[string]int64{},
+		retiredUnreachedIn: map[string]int{},
 		unreadable:         map[string]struct{}{},
 		inheritedTests:     map[string][]*task{},
 		active:             map[string]*job{},
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -24,6 +24,8 @@
 		delete(c.retiredTokens, info.ID)
 		c.raiseToken(w, former, now)
 	}
+	w.unreachedIn = c.retiredUnreachedIn[info.ID]
+	delete(c.retiredUnreachedIn, info.ID)
 	return w
 }
 
@@ -67,9 +69,13 @@
 // of it can be used under this epoch.
 func (c *Controller) NeedsNewEpoch() bool { return c.tokensUsedUp }
 
-// retireWorker forgets a worker, but not its fencing token: late orders may still arrive there.
+// retireWorker forgets a worker, but not its fencing token, since late orders may still arrive there, nor that a record
+// in the store may say that it has no lease.
 func (c *Controller) retireWorker(w *worker) {
 	c.retiredTokens[w.info.ID] = w.fencingToken
+	if w.unreachedIn > 0 {
+		c.retiredUnreachedIn[w.info.ID] = w.unreachedIn
+	}
 	delete(c.workers, w.info.ID)
 }
 
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -241,3 +241,46 @@
 		t.Error("the lease is not renewed once the store has a record without the worker")
 	}
 }
+
+// TestReturningWorkerGetsNoLeaseBehindTheRecord guards against two runs of a task after a takeover: a worker is cut off
+// until it is forgotten, returns and gets runs while the stored lease record still says that its leases have ended, and is
+// cut off again before the controller is replaced.
+func TestReturningWorkerGetsNoLeaseBehindTheRecord(t *testing.T) {
+	sim := newSimulationWithController(t, 2, 4000)
+	f := sim.workers["i-aa"]
+	sim.drawResult = func(_ workload.TaskID, on *fakeWorker) (time.Duration, workload.EndReason) {
+		if on == f {
+			return 4500 * time.Millisecond, workload.EndDone
+		}
+		return 200 * time.Millisecond, workload.EndDone
+	}
+	sim.cutOff(f, time.Hour)
+	for range 600 {
+		if sim.ctl.workers[f.id] == nil {
+			break
+		}
+		sim.advance(100 * time.Millisecond)
+	}
+	if sim.ctl.workers[f.id] != nil {
+		t.Fatal("the worker is still known")
+	}
+	f.reconnect()
+	sim.listWorker(f)
+	sim.submit(simpleJob("j1", "batch", 2, 4000, nil))
+	for range 500 {
+		if len(f.runs) > 0 {
+			break
+		}
+		sim.advance(time.Millisecond)
+	}
+	if len(f.runs) == 0 {
+		t.Fatal("the worker gets no run")
+	}
+	f.partitioned = true
+	sim.ctl = nil
+	sim.startController(true)
+	sim.advance(20 * time.Second)
+	if got := sim.state("j1"); got != workload.JobCompleted {
+		t.Errorf("the job is %q, want completed", got)
+	}
+}
--- a/internal/controller/unreached.go
+++ b/internal/controller/unreached.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"time"
 
 	"dotterelhitch/internal/leaderlease"
@@ -86,6 +87,7 @@
 			w.unreachedIn = 0
 		}
 	}
+	maps.DeleteFunc(c.retiredUnreachedIn, func(_ string, in int) bool { return in < version })
 }
 
 // requestLeaseRecord has the lease record stored without a worker that is accounted for now.
