--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -297,6 +297,7 @@
 	for _, id := range sim.workerIDs() {
 		f := sim.workers[id]
 		f.reconnect()
+		f.mute = false
 		if f.replaced {
 			continue
 		}
--- a/internal/controller/cut_test.go
+++ b/internal/controller/cut_test.go
@@ -24,10 +24,7 @@
 		if !f.partitioned {
 			return
 		}
-		f.listed = false
-		if sim.ctl != nil {
-			sim.ctl.UnlistWorker(f.id, sim.now)
-		}
+		sim.unlistWorker(f)
 	})
 	sim.after(d, func() {
 		f.reconnect()
@@ -37,6 +34,14 @@
 	})
 }
 
+// unlistWorker removes a worker from the platform's list.
+func (sim *simulation) unlistWorker(f *fakeWorker) {
+	f.listed = false
+	if sim.ctl != nil {
+		sim.ctl.UnlistWorker(f.id, sim.nowOf(sim.ctl))
+	}
+}
+
 // workerOf returns the worker that runs the first task of a job, nil if none does.
 func (sim *simulation) workerOf(job string) *fakeWorker {
 	for _, f := range sim.workers {
--- a/internal/controller/fakenetwork_test.go
+++ b/internal/controller/fakenetwork_test.go
@@ -113,7 +113,7 @@
 					c.endAfter(sim.networkDelay())
 				}
 			})
-		case draw < sim.delayedOrderShare+sim.lostAnswerShare:
+		case draw < sim.delayedOrderShare+sim.lostAnswerShare || f.mute:
 			c.unheard = true
 			deliver(f, c)
 			timeout()
@@ -172,7 +172,7 @@
 	c.deadline = c.deadline.Add(wait)
 	answered := false
 	answer := func() {
-		if answered || f.partitioned {
+		if answered || f.partitioned || f.mute {
 			return
 		}
 		answered = true
@@ -187,7 +187,7 @@
 		c.respond(func() { c.fail(failure) })
 	}
 	sim.after(wait, func() {
-		if f.up && f.boot == boot && !f.partitioned {
+		if f.up && f.boot == boot && !f.partitioned && !f.mute {
 			answer()
 			return
 		}
--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -22,6 +22,7 @@
 	replaced    bool // another worker runs at its address
 	portClosed  bool // refuses connections while it is down
 	partitioned bool // runs, but can't be reached
+	mute        bool // runs and gets calls, but no answer of it arrives
 	unhealthy   bool // refuses starts and stops
 	// firstWayCut says that calls by way of the worker's first agent get no response. Polls go
 	// another way after a failure.
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -119,8 +119,12 @@
 			sim.listWorker(f)
 		}
 	})
+	cutOff := sim.cutOff
+	if sim.faults.oneWayCutShare > 0 && sim.faultRNG.Float64() < sim.faults.oneWayCutShare {
+		cutOff = sim.cutAnswers
+	}
 	if isCut {
-		sim.after(down+untilCut, func() { sim.cutOff(f, cut) })
+		sim.after(down+untilCut, func() { cutOff(f, cut) })
 	}
 }
 
--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -19,6 +19,9 @@
 	keptForLonger bool
 	// restartsInCuts has workers that are cut off restart as the others do.
 	restartsInCuts bool
+	// oneWayCutShare is the share of the cuts in which the worker gets calls, and renews its leases, while no answer
+	// comes back.
+	oneWayCutShare float64
 }
 
 // maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
@@ -28,7 +31,7 @@
 var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
 
 // walkFaultNames are the values of -walkfaults.
-var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts"}
+var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts", "oneway"}
 
 // withAdded returns the faults with those that -walkfaults names.
 func (faults walkFaults) withAdded(t testing.TB) walkFaults {
@@ -55,6 +58,8 @@
 		faults.keptForLonger = true
 	case "restarts":
 		faults.restartsInCuts = true
+	case "oneway":
+		faults.oneWayCutShare = 0.5
 	default:
 		t.Fatalf("-walkfaults: unknown fault %q", name)
 	}
@@ -106,3 +111,19 @@
 
 // maxKeptCallDelay is how long after the end of a cut the calls that were sent into it arrive at the latest.
 const maxKeptCallDelay = 200 * time.Millisecond
+
+// cutAnswers cuts a worker's answers off for a time, and its entry from the platform's list. Calls still reach it.
+func (sim *simulation) cutAnswers(f *fakeWorker, d time.Duration) {
+	f.mute = true
+	sim.after(entryTimeout, func() {
+		if f.mute && !f.partitioned {
+			sim.unlistWorker(f)
+		}
+	})
+	sim.after(d, func() {
+		f.mute = false
+		if !f.replaced && !f.partitioned {
+			sim.listWorker(f)
+		}
+	})
+}
