--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -35,6 +35,8 @@
 	startedAt      time.Time
 	// firstReadingMs is what the clock of the boot showed when it started.
 	firstReadingMs int64
+	// rate is that of the clock of the boot, 1 for a true one.
+	rate float64
 	// heldCalls wait in the network for the worker to come up.
 	heldCalls []*heldCall
 	// keptCalls were sent into the worker's cut, and arrive when it ends.
@@ -85,7 +87,8 @@
 // start starts a new boot of the worker, without any state.
 func (f *fakeWorker) start() {
 	f.up = true
-	f.boot = f.sim.now.UnixMilli() + 1
+	f.boot = f.sim.bornMs()
+	f.rate = f.sim.clockRate()
 	f.startedAt = f.sim.now
 	f.firstReadingMs = 1 + f.sim.bootRNG.Int64N(maxFirstReadingMs)
 	f.fencingToken = 0
@@ -140,13 +143,13 @@
 
 // clock returns what the clock of the boot shows, in milliseconds.
 func (f *fakeWorker) clock() int64 {
-	return f.firstReadingMs + f.sim.now.Sub(f.startedAt).Milliseconds()
+	return f.firstReadingMs + f.onClock(f.sim.now.Sub(f.startedAt)).Milliseconds()
 }
 
 // extendLease extends the lease to a time on the worker's clock, in milliseconds.
 func (f *fakeWorker) extendLease(deadlineMs int64) {
-	at := f.startedAt.Add(time.Duration(deadlineMs-f.firstReadingMs) * time.Millisecond)
-	if longest := f.sim.now.Add(f.sim.timing.MaxLease); at.After(longest) {
+	at := f.startedAt.Add(f.untilClock(time.Duration(deadlineMs-f.firstReadingMs) * time.Millisecond))
+	if longest := f.sim.now.Add(f.untilClock(f.sim.timing.MaxLease)); at.After(longest) {
 		at = longest
 	}
 	if !at.After(f.leaseDeadline) {
@@ -247,9 +250,11 @@
 	}
 	f.fencingToken = token
 	if r := f.runs[s.Run.Task]; r != nil && r.id.Number == s.Run.Number {
+		f.takeLeaseOfRefusedStart(s)
 		return CarriedOut
 	}
 	if s.Run.Number <= f.highestEndedRun[s.Run.Task] {
+		f.takeLeaseOfRefusedStart(s)
 		return RefusedEndedRun
 	}
 	if s.LeaseDeadlineMs <= f.clock() {
--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -22,6 +22,13 @@
 	// oneWayCutShare is the share of the cuts in which the worker gets calls, and renews its leases, while no answer
 	// comes back.
 	oneWayCutShare float64
+	// refusedStartsExtendLeases has a start that is refused as old, or whose run is there, extend the lease.
+	refusedStartsExtendLeases bool
+	// slowClocks has the clocks of boots run up to maxClockSlowness slow.
+	slowClocks bool
+	// bornStepsBack has the time of day of machines differ, so that a boot may seem to have started before the one that it
+	// follows.
+	bornStepsBack bool
 }
 
 // maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
@@ -31,7 +38,7 @@
 var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
 
 // walkFaultNames are the values of -walkfaults.
-var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts", "oneway"}
+var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts", "oneway", "refused", "slow", "born"}
 
 // withAdded returns the faults with those that -walkfaults names.
 func (faults walkFaults) withAdded(t testing.TB) walkFaults {
@@ -60,6 +67,12 @@
 		faults.restartsInCuts = true
 	case "oneway":
 		faults.oneWayCutShare = 0.5
+	case "refused":
+		faults.refusedStartsExtendLeases = true
+	case "slow":
+		faults.slowClocks = true
+	case "born":
+		faults.bornStepsBack = true
 	default:
 		t.Fatalf("-walkfaults: unknown fault %q", name)
 	}
@@ -127,3 +140,40 @@
 		}
 	})
 }
+
+// maxBornError is how far the time of day of a machine is ahead or behind at most.
+const maxBornError = time.Hour
+
+// bornMs returns the Unix millisecond that a boot which starts now reports as its start.
+func (sim *simulation) bornMs() int64 {
+	born := sim.now.UnixMilli() + 1
+	if sim.faults.bornStepsBack {
+		born += between(sim.faultRNG, -maxBornError, maxBornError).Milliseconds()
+	}
+	return born
+}
+
+// clockRate returns the rate of the clock of the next boot.
+func (sim *simulation) clockRate() float64 {
+	if !sim.faults.slowClocks {
+		return 1
+	}
+	return 1 - maxClockSlowness*sim.faultRNG.Float64()
+}
+
+// onClock returns how far the clock of the boot goes on in a time.
+func (f *fakeWorker) onClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * f.rate)
+}
+
+// untilClock returns the time that passes while the clock of the boot goes on by a duration.
+func (f *fakeWorker) untilClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / f.rate)
+}
+
+// takeLeaseOfRefusedStart extends the lease by the deadline of a start that is not carried out.
+func (f *fakeWorker) takeLeaseOfRefusedStart(s *Start) {
+	if f.sim.faults.refusedStartsExtendLeases {
+		f.extendLease(s.LeaseDeadlineMs)
+	}
+}
