--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -116,7 +116,7 @@
 	sim.after(down, func() {
 		f.start()
 		if !f.partitioned {
-			sim.listWorker(f)
+			sim.listBoot(f)
 		}
 	})
 	cutOff := sim.cutOff
--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -29,6 +29,8 @@
 	// bornStepsBack has the time of day of machines differ, so that a boot may seem to have started before the one that it
 	// follows.
 	bornStepsBack bool
+	// lateList has the list show a boot up to maxListDelay after its start. The advisor knows the boot at once.
+	lateList bool
 }
 
 // maxAnswerHold is the longest time for which an answer is held. One that is held past its caller's time-out is lost.
@@ -38,7 +40,7 @@
 var addedFaults = flag.String("walkfaults", "", "faults to add to the restart walks, by commas: "+strings.Join(walkFaultNames, ", "))
 
 // walkFaultNames are the values of -walkfaults.
-var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts", "oneway", "refused", "slow", "born"}
+var walkFaultNames = []string{"answers", "cuts", "longcuts", "restarts", "oneway", "refused", "slow", "born", "list"}
 
 // withAdded returns the faults with those that -walkfaults names.
 func (faults walkFaults) withAdded(t testing.TB) walkFaults {
@@ -73,6 +75,8 @@
 		faults.slowClocks = true
 	case "born":
 		faults.bornStepsBack = true
+	case "list":
+		faults.lateList = true
 	default:
 		t.Fatalf("-walkfaults: unknown fault %q", name)
 	}
@@ -177,3 +181,20 @@
 		f.extendLease(s.LeaseDeadlineMs)
 	}
 }
+
+// maxListDelay is how long after its start the platform's list shows a boot at the latest.
+const maxListDelay = 1500 * time.Millisecond
+
+// listBoot adds a boot that has just started to the platform's list, at once or late.
+func (sim *simulation) listBoot(f *fakeWorker) {
+	if !sim.faults.lateList {
+		sim.listWorker(f)
+		return
+	}
+	boot := f.boot
+	sim.after(between(sim.faultRNG, 0, maxListDelay), func() {
+		if f.boot == boot && !f.partitioned {
+			sim.listWorker(f)
+		}
+	})
+}
