--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -332,3 +332,50 @@
 	h.deliverFor(5 * time.Second)
 	h.requireCompleted(t, "j1")
 }
+
+// TestLatePollExtendsTheLeaseOfAnotherBoot guards against two runs of one task at once: a worker restarts, its next boot
+// carries out a start before the controller has polled it and is cut off, and a late poll for the former boot extends the
+// lease there.
+func TestLatePollExtendsTheLeaseOfAnotherBoot(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.addWorkers(2, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 10 * time.Second, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(time.Second)
+	h := newHandDelivery(sim)
+	late := h.next(50 * time.Millisecond).Polls
+	h.submit(simpleJob("j1", "gang", 1, 1000, nil))
+	for _, f := range sim.workers {
+		f.restart()
+		f.firstReadingMs = 1
+	}
+	start := h.awaitTicketedStart()
+	f := sim.workers[start.Worker]
+	sent := sim.now
+	result := f.startRun(start.FencingToken, &start)
+	if result != CarriedOut {
+		t.Fatalf("the start is answered with %q", result)
+	}
+	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, sim.now)
+	f.partitioned = true
+	for _, p := range late {
+		h.ctl.PollFailed(p.Worker, NoResponse, sim.now)
+		if p.Worker == f.id {
+			sim.after(5*time.Second, func() { h.carryOutPoll(p) })
+			continue
+		}
+		h.ctl.SetWorker(sim.workers[p.Worker].info(), sim.now)
+	}
+	h.ctl.UnlistWorker(f.id, sim.now)
+	for range 8000 {
+		o := h.next(5 * time.Millisecond)
+		for _, call := range o.AdvisorCalls {
+			h.allowAll(&call)
+		}
+		h.deliver(o)
+	}
+	h.requireCompleted(t, "j1")
+}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -151,7 +151,12 @@
 	if w.bootAnswered {
 		end = w.leaseEnd()
 	}
-	if laterBoot := w.lastGrant.Add(c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
+	late := time.Duration(0)
+	if w.otherBootAnswered {
+		// That boot has run a start. Polls for the former boot may reach it as late as starts, and extend its lease.
+		late = c.timing.LateStartTime
+	}
+	if laterBoot := w.lastGrant.Add(late + c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
 		return laterBoot
 	}
 	return end
