--- a/internal/controller/walkfaults_test.go
+++ b/internal/controller/walkfaults_test.go
@@ -198,3 +198,19 @@
 		}
 	})
 }
+
+// TestHeldCallsAmongOtherFaults guards against two runs of one task at once, and against starts after an acknowledged end:
+// calls and answers of a former boot arrive after the next one has begun, in each way that is not later than what the
+// controller reckons with.
+func TestHeldCallsAmongOtherFaults(t *testing.T) {
+	restartWalk{heldCallShare: 1, faults: walkFaults{
+		heldAnswerShare: 0.1, keptCallShare: 0.5, restartsInCuts: true, oneWayCutShare: 0.5,
+		refusedStartsExtendLeases: true, slowClocks: true, bornStepsBack: true, lateList: true,
+	}}.playSeeds(t)
+}
+
+// TestTicketsForABootThatIsNotListed guards against two runs of one task at once: the advisor issues tickets for a boot
+// before the list shows it, and late polls for the former boot extend the leases there.
+func TestTicketsForABootThatIsNotListed(t *testing.T) {
+	restartWalk{heldCallShare: 0.5, delayedOrderShare: 0.1, gangs: true, ticketed: true, faults: walkFaults{lateList: true}}.playSeeds(t)
+}
