--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -334,3 +334,94 @@
 		})
 	}
 }
+
+// TestFormerBootsAnswerHidesNoOtherBoot guards against a task that runs again after its end as done was acknowledged, and
+// against starts with deadlines by the clock of a former boot: the answer to a start shows that another boot is there,
+// and an answer of the former boot to a poll that was sent before arrives only then.
+func TestFormerBootsAnswerHidesNoOtherBoot(t *testing.T) {
+	h, f := newHandDeliveryAfterOneEnd(t)
+	h.submit(simpleJob("j2", "batch", 1, 1000, nil))
+	ending, _ := h.awaitStart(true)
+	h.deliver(Orders{Starts: []Start{ending}})
+	polls := h.next(50 * time.Millisecond).Polls
+	if len(polls) != 1 {
+		t.Fatalf("%d polls are under way, want 1", len(polls))
+	}
+	pollSent := h.sim.now
+	h.sim.advance(250 * time.Millisecond)
+	held := h.carryOutPoll(polls[0])
+	if len(held.Ended) != 1 {
+		t.Fatalf("%d ends are listed, want 1", len(held.Ended))
+	}
+	f.restart()
+	h.submit(simpleJob("j1", "batch", 1, 1000, nil))
+	start, _ := h.awaitStart(false)
+	sent := h.sim.now
+	result := f.startRun(start.FencingToken, &start)
+	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, h.sim.now)
+	w := h.ctl.workers[f.id]
+	if !w.otherBootAnswered {
+		t.Fatal("the answer to the start has not shown the other boot")
+	}
+	h.sim.advance(300 * time.Millisecond) // the run ends
+	h.ctl.PollDone(f.id, held, pollSent, h.sim.now)
+	if w.takesStarts() {
+		t.Error("the worker takes starts for its former boot")
+	}
+	for _, p := range h.next(20 * time.Millisecond).Polls {
+		if p.AckedSeq > 0 || p.LeaseDeadlineMs > 0 {
+			t.Errorf("a poll for the former boot acknowledges %d ends and has the lease deadline %d", p.AckedSeq, p.LeaseDeadlineMs)
+		}
+		h.deliver(Orders{Polls: []Poll{p}})
+	}
+	h.ctl.SetWorker(f.info(), h.sim.now)
+	h.deliverFor(5 * time.Second)
+	h.requireCompleted(t, "j1")
+}
+
+// TestLatePollExtendsTheLeaseOfAnotherBoot guards against two runs of one task at once: a worker restarts, its next boot
+// carries out a start before the controller has polled it and is cut off, and a late poll for the former boot extends the
+// lease there.
+func TestLatePollExtendsTheLeaseOfAnotherBoot(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.addWorkers(2, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 10 * time.Second, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(time.Second)
+	h := newHandDelivery(sim)
+	late := h.next(50 * time.Millisecond).Polls
+	h.submit(simpleJob("j1", "gang", 1, 1000, nil))
+	for _, f := range sim.workers {
+		f.restart()
+		f.firstReadingMs = 1
+	}
+	start := h.awaitTicketedStart()
+	f := sim.workers[start.Worker]
+	sent := sim.now
+	result := f.startRun(start.FencingToken, &start)
+	if result != CarriedOut {
+		t.Fatalf("the start is answered with %q", result)
+	}
+	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, sim.now)
+	f.partitioned = true
+	for _, p := range late {
+		h.ctl.PollFailed(p.Worker, NoResponse, sim.now)
+		if p.Worker == f.id {
+			sim.after(5*time.Second, func() { h.carryOutPoll(p) })
+			continue
+		}
+		h.ctl.SetWorker(sim.workers[p.Worker].info(), sim.now)
+	}
+	h.ctl.UnlistWorker(f.id, sim.now)
+	for range 8000 {
+		o := h.next(5 * time.Millisecond)
+		for _, call := range o.AdvisorCalls {
+			h.allowAll(&call)
+		}
+		h.deliver(o)
+	}
+	h.requireCompleted(t, "j1")
+}
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -21,6 +21,7 @@
 	// ticketed says that all jobs are of a class with an advisor.
 	ticketed              bool
 	lateStartsEndWithBoot bool
+	faults                walkFaults
 }
 
 // Restarts in a walk, how long a worker is down, when it is cut off after that, and for how long.
@@ -73,6 +74,7 @@
 	sim.heldCallShare = walk.heldCallShare
 	sim.delayedOrderShare = walk.delayedOrderShare
 	sim.lateStartsEndWithBoot = walk.lateStartsEndWithBoot
+	sim.faults = walk.faults.withAdded(sim.t)
 	sim.timing.StatusRetention = 10 * time.Minute // longer than the walk
 	if walk.maxLease > 0 {
 		sim.timing.MaxLease = walk.maxLease
@@ -98,8 +100,8 @@
 	return simpleJob(id, class, 1+rng.IntN(4), 1000, func(s *workload.Step) { s.Gang = gang })
 }
 
-// restartOne crashes a worker that can be reached, if the one that is drawn can. It is soon back under its ID, and in
-// two of three cases it is cut off soon after that.
+// restartOne crashes a worker that can be reached, if the one that is drawn can, or also one that can't if the walk has
+// that. It is soon back under its ID, and in two of three cases it is cut off soon after that.
 func (sim *simulation) restartOne(rng *rand.Rand) {
 	ids := sim.workerIDs()
 	f := sim.workers[ids[rng.IntN(len(ids))]]
@@ -107,16 +109,22 @@
 	untilCut := between(rng, 0, maxTimeUntilCut)
 	cut := between(rng, minTimeCut, maxTimeCut)
 	isCut := rng.IntN(3) > 0
-	if !f.up || f.partitioned {
+	if !f.up || f.partitioned && !sim.faults.restartsInCuts {
 		return
 	}
 	f.crash()
 	sim.after(down, func() {
 		f.start()
-		sim.listWorker(f)
+		if !f.partitioned {
+			sim.listBoot(f)
+		}
 	})
+	cutOff := sim.cutOff
+	if sim.faults.oneWayCutShare > 0 && sim.faultRNG.Float64() < sim.faults.oneWayCutShare {
+		cutOff = sim.cutAnswers
+	}
 	if isCut {
-		sim.after(down+untilCut, func() { sim.cutOff(f, cut) })
+		sim.after(down+untilCut, func() { cutOff(f, cut) })
 	}
 }
 
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -71,7 +71,7 @@
 		w.polledAddr = w.info.Addr
 		poll := Poll{Worker: w.info.ID, Addr: w.info.Addr, FencingToken: w.fencingToken, AckedSeq: w.ackedSeq, Route: w.route}
 		switch {
-		case w.pollFailures > 0:
+		case w.pollFailures > 0 || w.otherBootAnswered:
 			// The worker may run a new boot, whose ends are numbered from 1 again. Its lease
 			// is not renewed while the boot is unknown, so that it expires.
 			poll.AckedSeq = 0
@@ -153,7 +153,12 @@
 	if w.bootAnswered {
 		end = w.leaseEnd()
 	}
-	if laterBoot := w.lastGrant.Add(c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
+	late := time.Duration(0)
+	if w.otherBootAnswered {
+		// That boot has run a start. Polls for the former boot may reach it as late as starts, and extend its lease.
+		late = c.timing.LateStartTime
+	}
+	if laterBoot := w.lastGrant.Add(late + c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
 		return laterBoot
 	}
 	return end
