--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -379,6 +379,18 @@
 	h.requireCompleted(t, "j1")
 }
 
+// awaitTicketedStart has the advisor allow all workers until a start is sent.
+func (h *handDelivery) awaitTicketedStart() Start {
+	h.sim.t.Helper()
+	for range 200 {
+		if o := h.nextAllowed(5 * time.Millisecond); len(o.Starts) > 0 {
+			return o.Starts[0]
+		}
+	}
+	h.sim.t.Fatal("no start is sent")
+	return Start{}
+}
+
 // TestLatePollExtendsTheLeaseOfAnotherBoot guards against two runs of one task at once: a worker restarts, its next boot
 // carries out a start before the controller has polled it and is cut off, and a late poll for the former boot extends the
 // lease there.
