--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -19,18 +19,25 @@
 // maxAckDelay is how long starts may put off an acknowledgment that is due. After it they wait for the acknowledgment.
 const maxAckDelay = 200 * time.Millisecond
 
+// maxUnacknowledgedEnds is the number of listed ends above which starts wait for an acknowledgment that has to wait for
+// late starts. A worker lists maxEndsListed at most.
+const maxUnacknowledgedEnds = maxEndsListed / 2
+
 // acknowledgments is what may be under way to a worker of acknowledgments and of starts that a later boot than the known
 // one may carry out.
 type acknowledgments struct {
 	// lowestListedEnd is the number of the first end in the latest response to a poll, zero if there was none.
+	// listedEnds is the number of ends there.
 	lowestListedEnd int64
+	listedEnds      int
 	// inPoll says that the latest poll acknowledges ends.
 	inPoll bool
 	// lateToken is the highest fencing token of the polls without a response that acknowledge ends. The latest of
 	// them arrives by lateUntil.
 	lateToken int64
 	lateUntil time.Time
-	// delayedSince is when starts first put off an acknowledgment that is due, zero if they do not.
+	// delayedSince is when an acknowledgment that is due was first put off for which starts have to pause, zero if there is
+	// none.
 	delayedSince time.Time
 	// starts are the starts without a ticket that are in flight, and whether an earlier copy was sent. Those that got
 	// no response arrive by startArrivesUntil.
@@ -64,7 +71,7 @@
 }
 
 // deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no later boot may carry out a
-// start. It reports whether an acknowledgment is due and such a start puts it off.
+// start. It reports whether an acknowledgment is due and starts must not put it off for long.
 func (a *acknowledgments) deferAcknowledgment(poll *Poll, now time.Time) bool {
 	due := a.lowestListedEnd > 0 && a.lowestListedEnd <= poll.AckedSeq
 	if due {
@@ -74,7 +81,13 @@
 	if !due || delayed {
 		poll.AckedSeq = 0
 	}
-	return delayed
+	return delayed && a.startsMustPause(now)
+}
+
+// startsMustPause reports whether starts have to wait for an acknowledgment that they put off for long. One that waits for
+// a late start to arrive does not gain by that unless the ends are so many that the list may get too long for the worker.
+func (a *acknowledgments) startsMustPause(now time.Time) bool {
+	return !now.Before(a.startArrivesUntil) || a.listedEnds >= maxUnacknowledgedEnds
 }
 
 // startMayReachLaterBoot reports whether a later boot than the known one may carry out a start, or have carried it out
@@ -102,9 +115,6 @@
 // for later boots of the worker.
 func (c *Controller) lastTokenForAcks() int64 { return c.epoch + FencingTokensPerEpoch/2 }
 
-// deliveryTime is Timing.DeliveryTime for orders that may be delayed.
-func (c *Controller) deliveryTime() time.Duration { return c.timing.DeliveryTime + c.orderDelay }
-
 // lateOrderTime is how long after its sending an order without a response may still be carried out.
 func (c *Controller) lateOrderTime() time.Duration {
 	return max(c.timing.DeliveryTime, c.timing.LateStartTime) + c.orderDelay
@@ -157,7 +167,7 @@
 	case EffectDone:
 		a.addUnconfirmed(run, unconfirmedStart{since: now, repeated: repeated})
 	case EffectUnknown:
-		if until := sent.Add(c.deliveryTime()); until.After(a.startArrivesUntil) {
+		if until := sent.Add(c.lateOrderTime()); until.After(a.startArrivesUntil) {
 			a.startArrivesUntil = until
 		}
 	}
--- a/internal/controller/acknowledgment_test.go
+++ b/internal/controller/acknowledgment_test.go
@@ -113,14 +113,14 @@
 	for run := range unanswered {
 		h.sim.after(400*time.Millisecond, func() { h.ctl.StartDone(f.id, run, NoResponse, 0, sent, h.sim.now) })
 	}
-	for h.sim.now.Before(sent.Add(h.sim.timing.DeliveryTime)) {
+	for h.sim.now.Before(sent.Add(h.sim.timing.LateStartTime)) {
 		o := h.next(5 * time.Millisecond)
 		for _, poll := range o.Polls {
-			if poll.AckedSeq > 0 && h.sim.now.Before(sent.Add(h.sim.timing.DeliveryTime)) {
+			if poll.AckedSeq > 0 && h.sim.now.Before(sent.Add(h.sim.timing.LateStartTime)) {
 				t.Fatalf("%v after the start a poll acknowledges ends up to %d", h.sim.now.Sub(sent), poll.AckedSeq)
 			}
 		}
-		h.deliver(Orders{Polls: o.Polls})
+		h.deliver(o)
 	}
 	if len(f.ends) == 0 {
 		t.Fatal("no end is to be acknowledged")
@@ -128,6 +128,45 @@
 	h.nextAcknowledgingPoll()
 }
 
+// TestStartsGoOnBesideALateStart guards against a worker that takes no start for LateStartTime since one start without a
+// ticket got no response and acknowledgments wait for it, and against ends that pile up to the longest list meanwhile.
+func TestStartsGoOnBesideALateStart(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorkers(1, 100_000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 200 * time.Millisecond, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(200 * time.Millisecond)
+	f, w := sim.workers["i-aa"], sim.ctl.workers["i-aa"]
+	lateUntil := sim.now.Add(sim.timing.LateStartTime)
+	w.acks.startArrivesUntil = lateUntil
+	ended := 0
+	for i := range 20 {
+		sim.submit(simpleJob(fmt.Sprintf("j%d", i), "batch", 10, 1000, nil))
+		sim.advance(500 * time.Millisecond)
+		if sim.state(fmt.Sprintf("j%d", i)) == workload.JobCompleted {
+			ended++
+		}
+	}
+	if ended < 20 || len(f.ends) != 200 {
+		t.Errorf("%d jobs are completed and %d ends listed, want 20 and 200", ended, len(f.ends))
+	}
+	sim.submit(simpleJob("many", "batch", 1000, 1000, nil))
+	most := 0
+	for sim.now.Before(lateUntil) {
+		sim.advance(10 * time.Millisecond)
+		most = max(most, len(f.ends))
+	}
+	if most < maxUnacknowledgedEnds || most >= maxEndsListed {
+		t.Errorf("%d ends are listed at once, want %d to %d", most, maxUnacknowledgedEnds, maxEndsListed-1)
+	}
+	sim.advance(10 * time.Second)
+	if got := sim.state("many"); got != workload.JobCompleted || len(f.ends) > 0 {
+		t.Errorf("the job is %q and %d ends are listed, want completed and none", got, len(f.ends))
+	}
+}
+
 // TestBusyWorkerGetsAcknowledgments guards against ends that pile up, up to the longest list, and against starts that come
 // to a standstill, on a worker that gets starts all the time, without tickets or with them.
 func TestBusyWorkerGetsAcknowledgments(t *testing.T) {
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -457,6 +457,7 @@
 // earlier ends at the request of an earlier controller.
 func (w *worker) skipAckedEnds(result *workload.PollResult) {
 	w.acks.lowestListedEnd = 0
+	w.acks.listedEnds = len(result.Ended)
 	if len(result.Ended) == 0 {
 		return
 	}
