--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -82,3 +82,7 @@
 // fenced reports whether the boot that answers refuses the start orders of the run, so that it has no other run
 // of them than it lists.
 func (r *run) fenced() bool { return r.fencingToken < r.worker.fencingToken }
+
+// awaitsFence reports whether the boot that is known has not answered under a fencing token of its own, so that it takes
+// the orders that were meant for the former one.
+func (w *worker) awaitsFence() bool { return w.boot != 0 && !w.bootAnswered }
--- a/internal/controller/laterboot_test.go
+++ b/internal/controller/laterboot_test.go
@@ -393,18 +393,16 @@
 
 // TestLatePollExtendsTheLeaseOfAnotherBoot guards against two runs of one task at once: a worker restarts, its next boot
 // carries out a start before the controller has polled it and is cut off, and a late poll for the former boot extends the
-// lease there.
+// lease there. The boot answers no poll before the cut, or one that does not fence it yet.
 func TestLatePollExtendsTheLeaseOfAnotherBoot(t *testing.T) {
-	sim := newSimulation(t, 1)
-	sim.allowedShare = 1
-	sim.addWorkers(2, 4000)
-	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
-		return 10 * time.Second, workload.EndDone
+	for name, polled := range map[string]bool{"not polled": false, "polled once": true} {
+		t.Run(name, func(t *testing.T) { playLatePollAtAnotherBoot(t, polled) })
 	}
-	sim.startController(true)
-	sim.advance(time.Second)
-	h := newHandDelivery(sim)
-	late := h.next(50 * time.Millisecond).Polls
+}
+
+func playLatePollAtAnotherBoot(t *testing.T, polled bool) {
+	h, late := newHandDeliveryWithLongTasks(t)
+	sim := h.sim
 	h.submit(simpleJob("j1", "gang", 1, 1000, nil))
 	for _, f := range sim.workers {
 		f.restart()
@@ -418,7 +416,6 @@
 		t.Fatalf("the start is answered with %q", result)
 	}
 	h.ctl.StartDone(f.id, start.Run, result, f.clock(), sent, sim.now)
-	f.partitioned = true
 	for _, p := range late {
 		h.ctl.PollFailed(p.Worker, NoResponse, sim.now)
 		if p.Worker == f.id {
@@ -427,13 +424,37 @@
 		}
 		h.ctl.SetWorker(sim.workers[p.Worker].info(), sim.now)
 	}
+	if polled {
+		h.deliverUntilBootSeen(f)
+	}
+	f.partitioned = true
 	h.ctl.UnlistWorker(f.id, sim.now)
-	for range 8000 {
-		o := h.next(5 * time.Millisecond)
-		for _, call := range o.AdvisorCalls {
-			h.allowAll(&call)
+	h.deliverAllowedFor(40 * time.Second)
+	h.requireCompleted(t, "j1")
+}
+
+// newHandDeliveryWithLongTasks returns a cell with two workers whose tasks take 10 s, and a poll under way to each.
+func newHandDeliveryWithLongTasks(t *testing.T) (*handDelivery, []Poll) {
+	sim := newSimulation(t, 1)
+	sim.allowedShare = 1
+	sim.addWorkers(2, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return 10 * time.Second, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(time.Second)
+	h := newHandDelivery(sim)
+	return h, h.next(50 * time.Millisecond).Polls
+}
+
+// deliverUntilBootSeen delivers orders until the controller knows the boot of a worker.
+func (h *handDelivery) deliverUntilBootSeen(f *fakeWorker) {
+	h.sim.t.Helper()
+	for range 200 {
+		if h.ctl.workers[f.id].boot == f.boot {
+			return
 		}
-		h.deliver(o)
+		h.deliver(h.nextAllowed(5 * time.Millisecond))
 	}
-	h.requireCompleted(t, "j1")
+	h.sim.t.Fatal("the controller does not learn of the boot")
 }
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -154,8 +154,8 @@
 		end = w.leaseEnd()
 	}
 	late := time.Duration(0)
-	if w.otherBootAnswered {
-		// That boot has run a start. Polls for the former boot may reach it as late as starts, and extend its lease.
+	if w.otherBootAnswered || w.awaitsFence() {
+		// That boot may have run a start. Polls for the former boot may reach it as late as starts, and extend its lease.
 		late = c.timing.LateStartTime
 	}
 	if laterBoot := w.lastGrant.Add(late + c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
