--- a/internal/controller/startrecord_test.go
+++ b/internal/controller/startrecord_test.go
@@ -368,3 +368,28 @@
 	sim.advance(120 * time.Second)
 	sim.checkAllJobsEnded()
 }
+
+// TestStartRecordsStayWithinTheBatch guards against a batch that the store refuses, which ends the controller's term: the
+// records of starts do not count towards the size limit of a batch.
+func TestStartRecordsStayWithinTheBatch(t *testing.T) {
+	const (
+		workers   = 250
+		callBytes = 2 << 20 // the platform's limit for one append
+	)
+	c := New(FencingTokensPerEpoch, newSimulation(t, 1).timing, func(event.Event) {})
+	s := &step{def: &workload.Step{}, occ: &occurrence{job: &job{spec: &workload.Job{ID: "000000010006000c"}}}}
+	for i := range workers {
+		w := newWorker(workload.Worker{ID: fmt.Sprintf("i-%08x", i)}, c.epoch)
+		for k := range maxRecordedStarts {
+			c.recordStart(&run{task: &task{step: s, index: i*maxRecordedStarts + k}, number: 12289, worker: w, awaitsRecord: true})
+		}
+	}
+	b, size := c.NextBatch(), 0
+	for _, r := range b.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	t.Logf("%d records of %d bytes", len(b.Records), size)
+	if size > callBytes {
+		t.Errorf("a batch has %d bytes, the store takes %d", size, callBytes)
+	}
+}
