Tests: bound, repetition and silent workers of recorded starts

Each fails with a change that the tests in place let pass: recordFull that is never true, repetitionRecorded that is always true, and mayHaveUnseenRun without sentUntil. Command: go test -run 'TestStartRecordKeepsItsBound|TestRepetitionIsRecorded|TestSuccessorWaitsForALateStartOnASilentWorker' ./internal/controller

--- /dev/null
+++ b/internal/controller/recordbound_test.go
@@ -0,0 +1,80 @@
+package controller
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestStartRecordKeepsItsBound guards against records of more than maxRecordedStarts starts: one step of many small tasks
+// fits a worker at once, and no start gets an answer.
+func TestStartRecordKeepsItsBound(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.addWorkers(1, 1000*1000)
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.delayedOrderShare = 1
+	sim.submit(simpleJob("j1", "batch", 6*maxRecordedStarts, 10, nil))
+	longest, bytes := 0, 0
+	for range 200 {
+		sim.advance(10 * time.Millisecond)
+		for key, value := range sim.store {
+			var starts []storedStart
+			if strings.HasPrefix(key, startRecordPrefix) && json.Unmarshal(value, &starts) == nil && len(starts) > longest {
+				longest, bytes = len(starts), len(value)
+			}
+		}
+	}
+	t.Logf("the longest record has %d starts and %d bytes", longest, bytes)
+	if longest > maxRecordedStarts {
+		t.Errorf("a record has %d starts, want at most %d", longest, maxRecordedStarts)
+	}
+}
+
+// TestRepetitionIsRecordedBeforeItIsSent guards against a successor that takes a listed run for the only copy of its start: a
+// start without an answer is sent again once the store says that it may have been, and not before.
+func TestRepetitionIsRecordedBeforeItIsSent(t *testing.T) {
+	h, b := newCellWithJobToRecord(t, 2, simpleJob("j1", "batch", 1, 1000, nil))
+	h.ctl.BatchStored(b, h.sim.now)
+	starts := h.startsNow()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts are sent, want 1", len(starts))
+	}
+	h.ctl.StartDone(starts[0].Worker, starts[0].Run, NoResponse, 0, h.sim.now, h.sim.now)
+	for range 20 {
+		h.sim.advance(10 * time.Millisecond)
+		h.ctl.ConfirmEpoch(h.sim.now)
+		if n := len(h.startsNow()); n > 0 {
+			t.Fatalf("%d starts are sent again before that is stored", n)
+		}
+	}
+	h.store()
+	for range 20 {
+		h.sim.advance(10 * time.Millisecond)
+		h.ctl.ConfirmEpoch(h.sim.now)
+		if n := len(h.startsNow()); n > 0 {
+			return
+		}
+	}
+	t.Error("the start is not sent again once that is stored")
+}
+
+// TestSuccessorWaitsForALateStartOnASilentWorker guards against two runs of a task: the start of a former controller is
+// carried out late on a worker that never answers the successor, and its lease lasts from then on.
+func TestSuccessorWaitsForALateStartOnASilentWorker(t *testing.T) {
+	sim := newCellWithAStartInFlight(t, "batch")
+	late := sim.ctl.jobs["late"].open[0].steps[0].tasks[0].runs[0]
+	sim.workers[late.worker.info.ID].partitioned = true
+	sim.startController(true)
+	changed := sim.now
+	sim.advance(sim.timing.LateStartTime + sim.timing.MaxLease)
+	task := sim.ctl.jobs["late"].open[0].steps[0].tasks[0]
+	if n := len(task.runs); n > 0 || !task.awaitsLateStart(sim.now) {
+		t.Errorf("%d runs %v after the change, want none while a lease from the late start may last", n, sim.now.Sub(changed))
+	}
+	sim.advance(3 * time.Second)
+	if n := len(task.runs); n != 1 {
+		t.Errorf("%d runs after every lease has ended, want 1", n)
+	}
+}
