Tests: recorded and answered starts beside acknowledgments

They fail when sendRecordedStarts does not ask acksAllowStart, and when an answered start without a ticket is not kept as unconfirmed; the tests in place let both pass. Command: go test -run 'TestRecordedStartWaitsForAnAcknowledgment|TestAnsweredStartIsConfirmedByALaterPoll' ./internal/controller

--- a/internal/controller/recordbound_test.go
+++ b/internal/controller/recordbound_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dotterelhitch/internal/workload"
 )
 
 // TestStartRecordKeepsItsBound guards against records of more than maxRecordedStarts starts: one step of many small tasks
@@ -78,3 +80,45 @@
 		t.Errorf("%d runs after every lease has ended, want 1", n)
 	}
 }
+
+// TestRecordedStartWaitsForAnAcknowledgment guards against a start that was placed before a poll that acknowledges ends was
+// sent, and that is recorded while the poll is under way: the worker's next boot may carry out both.
+func TestRecordedStartWaitsForAnAcknowledgment(t *testing.T) {
+	h, b := newCellWithJobToRecord(t, 1, simpleJob("j1", "batch", 1, 1000, nil))
+	w := h.ctl.workers["i-aa"]
+	w.polling, w.pollSent, w.acks.inPoll = true, h.sim.now, true
+	h.ctl.BatchStored(b, h.sim.now)
+	if n := len(h.startsNow()); n > 0 {
+		t.Errorf("%d starts are sent while a poll that acknowledges is under way", n)
+	}
+	h.sim.advance(50 * time.Millisecond)
+	h.ctl.PollDone(w.info.ID, h.sim.workers[w.info.ID].pollResult(), w.pollSent, h.sim.now)
+	if n := len(h.startsNow()); n != 1 {
+		t.Errorf("%d starts are sent once the poll is answered, want 1", n)
+	}
+}
+
+// TestAnsweredStartIsConfirmedByALaterPoll guards against an acknowledgment for a former boot that drops the end of a start
+// without a ticket: the next boot has carried out and answered the start before the controller has heard of that boot.
+func TestAnsweredStartIsConfirmedByALaterPoll(t *testing.T) {
+	h, b := newCellWithJobToRecord(t, 1, simpleJob("j1", "batch", 1, 1000, nil))
+	h.ctl.BatchStored(b, h.sim.now)
+	starts := h.startsNow()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts are sent, want 1", len(starts))
+	}
+	w, sent := h.ctl.workers["i-aa"], h.sim.now
+	h.sim.advance(10 * time.Millisecond)
+	h.ctl.StartDone(w.info.ID, starts[0].Run, CarriedOut, 1, sent, h.sim.now)
+	if !w.acks.startMayReachLaterBoot(h.sim.now) {
+		t.Error("an end may be acknowledged before the known boot has answered a later poll")
+	}
+	w.acks.confirmStarts(&workload.PollResult{}, sent)
+	if !w.acks.startMayReachLaterBoot(h.sim.now) {
+		t.Error("a poll that was sent before the answer confirms the start")
+	}
+	w.acks.confirmStarts(&workload.PollResult{}, h.sim.now.Add(time.Millisecond))
+	if w.acks.startMayReachLaterBoot(h.sim.now) {
+		t.Error("a poll that was sent after the answer does not confirm the start")
+	}
+}
