--- a/internal/controller/startrecord.go
+++ b/internal/controller/startrecord.go
@@ -200,30 +200,38 @@
 	})
 }
 
-// addStartRecords adds the outdated records of starts to a batch. Without a new start they are no reason for a batch.
-func (c *Controller) addStartRecords(b *Batch, add func(key string, value []byte)) {
+// addStartRecords adds the outdated records of starts to a batch until it is full. Without a new start they are no reason
+// for a batch.
+func (c *Controller) addStartRecords(b *Batch, add func(key string, value []byte), full func() bool) {
 	if !c.dirty.startRecords && len(b.Records) == 0 {
 		return
 	}
 	c.dirty.startRecords = false
 	for worker, rec := range c.startRecords {
 		rec.prune(c.tickedAt)
-		if !rec.outdated {
-			continue
-		}
-		rec.outdated = false
-		if len(rec.starts) == 0 {
+		switch {
+		case !rec.outdated:
+		case full():
+			c.dirty.startRecords = true
+			return
+		case len(rec.starts) == 0:
 			delete(c.startRecords, worker)
 			add(startRecordPrefix+worker, nil)
-			continue
-		}
-		add(startRecordPrefix+worker, rec.encode())
-		for _, s := range rec.starts {
-			b.starts = append(b.starts, batchedStart{start: s, repeated: s.repeated})
+		default:
+			rec.outdated = false
+			rec.addTo(b, startRecordPrefix+worker, add)
 		}
 	}
 }
 
+// addTo adds the record to a batch.
+func (rec *startRecord) addTo(b *Batch, key string, add func(key string, value []byte)) {
+	add(key, rec.encode())
+	for _, s := range rec.starts {
+		b.starts = append(b.starts, batchedStart{start: s, repeated: s.repeated})
+	}
+}
+
 // encode returns the stored form of the record.
 func (rec *startRecord) encode() []byte {
 	stored := make([]storedStart, 0, len(rec.starts))
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -268,7 +268,7 @@
 		delete(c.dirty.dropped, id)
 		add(progressPrefix+id, nil)
 	}
-	c.addStartRecords(b, add)
+	c.addStartRecords(b, add, full)
 	if len(b.Records) == 0 {
 		return nil
 	}
