--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -108,7 +108,10 @@
 	a.lateUntil = w.pollSent.Add(c.lateOrderTime())
 	if w.fencingToken < c.lastTokenForAcks() {
 		c.raiseToken(w, w.fencingToken, now)
+		return
 	}
+	// Until the next epoch starts wait for LateStartTime after each such poll.
+	c.tokensUsedUp = true
 }
 
 // lastTokenForAcks returns the highest fencing token that an unanswered acknowledgment leads to. The others are kept
--- a/internal/controller/fencing.go
+++ b/internal/controller/fencing.go
@@ -14,7 +14,7 @@
 
 // FencingTokensPerEpoch is the number of fencing tokens of an epoch: the epoch itself and those that follow it. The
 // next epoch lies above them all.
-const FencingTokensPerEpoch = 64
+const FencingTokensPerEpoch = 256
 
 // newWorker returns a worker that the list or the store names. One that was known before gets the next fencing
 // token: orders from then may still arrive.
