--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -43,6 +43,8 @@
 	// no response arrive by startArrivesUntil.
 	starts            map[workload.Run]bool
 	startArrivesUntil time.Time
+	// confirmedAt is when the latest poll was sent that the known boot has answered.
+	confirmedAt time.Time
 	// unconfirmed are the starts that a later boot may have carried out unseen, or may yet carry out by their ticket.
 	unconfirmed map[workload.Run]unconfirmedStart
 }
@@ -58,9 +60,9 @@
 }
 
 // setAcknowledgment sets the ends that a poll acknowledges, and that it does not wait if it does.
-func (w *worker) setAcknowledgment(poll *Poll, now time.Time) {
+func (c *Controller) setAcknowledgment(w *worker, poll *Poll, now time.Time) {
 	a := &w.acks
-	delayed := poll.AckedSeq > 0 && a.deferAcknowledgment(poll, now)
+	delayed := poll.AckedSeq > 0 && a.deferAcknowledgment(poll, c.predecessorsExpiry, now)
 	switch {
 	case !delayed:
 		a.delayedSince = time.Time{}
@@ -71,17 +73,19 @@
 }
 
 // deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no later boot may carry out a
-// start. It reports whether an acknowledgment is due and starts must not put it off for long.
-func (a *acknowledgments) deferAcknowledgment(poll *Poll, now time.Time) bool {
+// start. It reports whether an acknowledgment is due and starts must not put it off for long. Earlier controllers may have
+// sent starts until predecessorsExpiry.
+func (a *acknowledgments) deferAcknowledgment(poll *Poll, predecessorsExpiry, now time.Time) bool {
 	due := a.lowestListedEnd > 0 && a.lowestListedEnd <= poll.AckedSeq
 	if due {
 		poll.Wait = 0
 	}
-	delayed := due && a.startMayReachLaterBoot(now)
+	inherited := a.confirmedAt.Before(predecessorsExpiry)
+	delayed := due && (inherited || a.startMayReachLaterBoot(now))
 	if !due || delayed {
 		poll.AckedSeq = 0
 	}
-	return delayed && a.startsMustPause(now)
+	return delayed && !inherited && a.startsMustPause(now)
 }
 
 // startsMustPause reports whether starts have to wait for an acknowledgment that they put off for long. One that waits for
@@ -179,6 +183,9 @@
 // confirmStarts drops the starts that no later boot can carry out, or has carried out, by a response of the known boot to
 // a poll that was sent at sent.
 func (a *acknowledgments) confirmStarts(result *workload.PollResult, sent time.Time) {
+	if sent.After(a.confirmedAt) {
+		a.confirmedAt = sent
+	}
 	if len(a.unconfirmed) == 0 {
 		return
 	}
--- a/internal/controller/startrecord.go
+++ b/internal/controller/startrecord.go
@@ -312,6 +312,7 @@
 	s.lease = c.longestLease()
 	s.arrivesUntil = sentUntil.Add(s.lateTime)
 	s.worker.lateStartsUntil = s.arrivesUntil
+	s.worker.acks.startArrivesUntil = s.arrivesUntil
 }
 
 // noteInheritedRun notes that a worker lists a run. If its start was sent once, by an earlier controller, it is carried out
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -84,7 +84,7 @@
 			poll.LeaseDeadlineMs = w.leaseDeadlineMs(now, c.timing.RequestedLease)
 			w.maxLeaseDeadlineMs = max(w.maxLeaseDeadlineMs, poll.LeaseDeadlineMs)
 		}
-		w.setAcknowledgment(&poll, now)
+		c.setAcknowledgment(w, &poll, now)
 		w.polledDeadlineMs = poll.LeaseDeadlineMs
 		if poll.LeaseDeadlineMs > 0 {
 			w.lastGrant = now
