--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -47,6 +47,15 @@
 	return v.ticket, true
 }
 
+// ticketExpiry returns when the ticket of a start on a worker expires, zero without a ticket.
+func (s *step) ticketExpiry(w *worker, ticket string) time.Time {
+	if ticket == "" {
+		return time.Time{}
+	}
+	v, _ := s.verdict(w)
+	return v.expiresAt
+}
+
 // hasTickets reports whether some ticket of a step is still valid, or none is needed.
 func (s *step) hasTickets(now time.Time) bool {
 	if s.job().class.Advisor == nil {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -365,6 +365,7 @@
 		r.confirmedAt = now
 	case result.Effect() == EffectUnknown:
 		r.copyMayArrive = true
+		r.worker.noteUnansweredTicket(r.ticketUntil)
 		if result == ConnectionBroken {
 			r.reached = true
 			c.testRun(r)
@@ -527,6 +528,7 @@
 	r.worker.lastGrant = now
 	r.worker.acks.noteStart(r.id(), ticket, !r.startSent.IsZero(), now)
 	r.fencingToken = r.worker.fencingToken
+	r.ticketUntil = r.task.step.ticketExpiry(r.worker, ticket)
 	r.inFlight = true
 	if r.startSent.IsZero() {
 		r.startSent = now
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -153,15 +153,27 @@
 	if w.bootAnswered {
 		end = w.leaseEnd()
 	}
-	late := time.Duration(0)
+	if laterBoot := c.laterBootLeaseEnd(w); !end.IsZero() && laterBoot.After(end) {
+		return laterBoot
+	}
+	return end
+}
+
+// laterBootLeaseEnd returns the time by which the leases have ended that orders of this controller may have granted at a
+// later boot of a worker, zero if it has sent none.
+func (c *Controller) laterBootLeaseEnd(w *worker) time.Time {
+	if w.lastGrant.IsZero() {
+		return time.Time{}
+	}
+	arrival := w.lastGrant
 	if w.otherBootAnswered || w.awaitsFence() {
 		// That boot may have run a start. Polls for the former boot may reach it as late as starts, and extend its lease.
-		late = c.timing.LateStartTime
+		arrival = arrival.Add(c.timing.LateStartTime)
 	}
-	if laterBoot := w.lastGrant.Add(late + c.longestLease()); !end.IsZero() && !w.lastGrant.IsZero() && laterBoot.After(end) {
-		return laterBoot
+	if w.ticketedStartsUntil.After(arrival) {
+		arrival = w.ticketedStartsUntil
 	}
-	return end
+	return arrival.Add(c.longestLease())
 }
 
 // predecessorsLeaseEnd returns the time by which every lease of earlier controllers on a worker has ended, zero if
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -57,6 +57,9 @@
 
 	// lastGrant is when the latest order was sent that may extend a lease, a start or a poll with a deadline.
 	lastGrant time.Time
+	// ticketedStartsUntil is when the tickets of the starts without an answer have expired, so that no boot carries these
+	// starts out any more.
+	ticketedStartsUntil time.Time
 	// unreachedGrant is lastGrant as of the latest updateLeaseRecord that found the worker unreached.
 	unreachedGrant time.Time
 
@@ -171,6 +174,8 @@
 	startSent time.Time // when the start order was first sent
 	// fencingToken is that of the latest start order.
 	fencingToken int64
+	// ticketUntil is when the ticket of the latest start order expires, zero if it has none.
+	ticketUntil time.Time
 	// startDeadlineMs is the lease deadline in the first start order.
 	startDeadlineMs int64
 	confirmedAt     time.Time // when the worker confirmed the run
@@ -354,6 +359,13 @@
 	return !earliestStart.After(latestKnown.Add(drift)) && !latestStart.Before(w.clockStart.Add(-drift))
 }
 
+// noteUnansweredTicket records that a start whose ticket expires at a time got no answer.
+func (w *worker) noteUnansweredTicket(expiresAt time.Time) {
+	if expiresAt.After(w.ticketedStartsUntil) {
+		w.ticketedStartsUntil = expiresAt
+	}
+}
+
 // holdsLease reports whether the lease of a run that is on the worker is certainly in force. A worker that
 // has the run has received the deadline in its start order.
 func (w *worker) holdsLease(r *run, now time.Time) bool {
