--- a/internal/standin/relay/pipe.go
+++ b/internal/standin/relay/pipe.go
@@ -31,6 +31,8 @@
 	silent atomic.Bool
 	once   sync.Once
 	closed chan struct{}
+	// release returns the channel that is closed while the relay holds nothing back.
+	release func() <-chan struct{}
 }
 
 func newPair(caller, target net.Conn) *pair {
@@ -102,6 +104,7 @@
 func (p *pair) deliver(queue <-chan chunk, to net.Conn) {
 	for c := range queue {
 		p.await(c.arrives)
+		p.awaitRetransmission(&c)
 		if p.silent.Load() {
 			continue
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -23,6 +23,10 @@
 	StateCut State = "cut"
 	// StateBlackhole accepts new connections and carries nothing on any.
 	StateBlackhole State = "blackhole"
+	// StateHeld keeps connections open and holds back what is sent on them. After it has ended, open connections
+	// deliver that at their next retransmission, also if the caller has closed its end by then. A connection that was
+	// opened meanwhile goes on only if its caller still waits.
+	StateHeld State = "held"
 )
 
 // Relay relays the connections of its routes over one shared link. It is safe
@@ -36,11 +40,13 @@
 	listeners []net.Listener
 	pairs     map[*pair]struct{}
 	closed    bool
+	released  chan struct{} // closed while the state is not StateHeld
 }
 
 // New returns a relay without routes; the recorder may be nil.
 func New(shape Shape, recorder *event.Recorder) *Relay {
-	r := &Relay{recorder: recorder, state: StateOpen, pairs: make(map[*pair]struct{})}
+	r := &Relay{recorder: recorder, state: StateOpen, pairs: make(map[*pair]struct{}), released: make(chan struct{})}
+	close(r.released)
 	r.SetShape(shape)
 	return r
 }
@@ -93,21 +99,30 @@
 		p := newPair(conn, nil)
 		p.silent.Store(true)
 		r.keep(p)
+	case StateHeld:
+		if early, ok := r.awaitRelease(conn); ok {
+			r.relay(conn, early, target, send, answer)
+		}
 	default:
-		r.relay(conn, target, send, answer)
+		r.relay(conn, nil, target, send, answer)
 	}
 }
 
-func (r *Relay) relay(conn net.Conn, target string, send, answer *lane) {
+// relay relays one connection, on which early was read before.
+func (r *Relay) relay(conn net.Conn, early []byte, target string, send, answer *lane) {
 	to, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		reset(conn)
 		return
 	}
 	p := newPair(conn, to)
+	p.release = r.releaseOf
 	if !r.keep(p) {
 		return
 	}
+	if _, err := to.Write(early); err != nil {
+		p.abort()
+	}
 	p.run(send, answer)
 	if !p.silent.Load() {
 		r.drop(p)
@@ -147,6 +162,12 @@
 	r.set(StateCut, "cut", (*pair).abort)
 }
 
+// Hold holds back everything until Heal.
+func (r *Relay) Hold() { r.set(StateHeld, "hold", nil) }
+
+// ResetOpen breaks the open connections with a reset; new ones work.
+func (r *Relay) ResetOpen() { r.set(StateOpen, "reset", (*pair).abort) }
+
 // Silence makes the present connections carry nothing for good while they stay
 // open; new ones work.
 func (r *Relay) Silence() {
@@ -168,6 +189,12 @@
 func (r *Relay) set(state State, name string, each func(*pair)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.state != StateHeld && state == StateHeld {
+		r.released = make(chan struct{})
+	}
+	if r.state == StateHeld && state != StateHeld {
+		close(r.released)
+	}
 	r.state = state
 	r.recorder.Record(event.Event{Type: event.FaultInjected, Detail: "relay: " + name})
 	if each == nil {
@@ -209,6 +236,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
+	if r.state == StateHeld {
+		r.state = StateCut
+		close(r.released)
+	}
 	for _, l := range r.listeners {
 		_ = l.Close()
 	}
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -136,6 +136,98 @@
 	}
 }
 
+// TestHeldBytesArriveAfterTheirCallerHasGivenUp guards against a relay that drops what was sent into a hold once the
+// caller has closed its end: TCP delivers it when the path is back.
+func TestHeldBytesArriveAfterTheirCallerHasGivenUp(t *testing.T) {
+	received := make(chan string, 1)
+	r, addr := newSink(t, received)
+	conn := dial(t, addr)
+	if _, err := conn.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	r.Hold()
+	if _, err := conn.Write([]byte("b")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	select {
+	case got := <-received:
+		t.Fatalf("received %q during the hold", got)
+	case <-time.After(300 * time.Millisecond):
+	}
+	r.Heal()
+	select {
+	case got := <-received:
+		if got != "ab" {
+			t.Errorf("received %q, want %q", got, "ab")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("nothing arrived after the hold")
+	}
+}
+
+// TestConnectionOpenedInHold guards against a relay that delivers what was sent on a connection that was opened in a hold
+// and given up in it, or that does not carry one whose caller still waits.
+func TestConnectionOpenedInHold(t *testing.T) {
+	received := make(chan string, 2)
+	r, addr := newSink(t, received)
+	r.Hold()
+	given, waiting := dial(t, addr), dial(t, addr)
+	for conn, text := range map[net.Conn]string{given: "given up", waiting: "waits"} {
+		if _, err := conn.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = given.Close()
+	time.Sleep(100 * time.Millisecond)
+	r.Heal()
+	time.Sleep(300 * time.Millisecond)
+	_ = waiting.Close()
+	select {
+	case got := <-received:
+		if got != "waits" {
+			t.Errorf("received %q, want %q", got, "waits")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("nothing arrived after the hold")
+	}
+	select {
+	case got := <-received:
+		t.Errorf("received %q as well", got)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
+// newSink returns a relay to a server that passes on what it has received on each connection when that ends.
+func newSink(t *testing.T, received chan<- string) (*Relay, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b, _ := io.ReadAll(conn) // a reset ends it as well
+				received <- string(b)
+			}()
+		}
+	}()
+	r := New(Shape{}, nil)
+	t.Cleanup(r.Close)
+	addr, err := r.AddRoute("127.0.0.1:0", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, addr
+}
+
 func TestDelayAddsUpBothWays(t *testing.T) {
 	_, addr := newEcho(t, Shape{DelayMs: 40})
 	conn := dial(t, addr)
