--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -161,6 +161,10 @@
 	// store names.
 	startRecords map[string]*startRecord
 	recordedRuns []*run
+	// awaitingRecord are the runs whose starts wait for their record, in the order of the requests, and some that do not
+	// any more. recordsStalled says that a start has waited for maxRecordWait since the latest batch was stored.
+	awaitingRecord []*run
+	recordsStalled bool
 	// inheritedStarts are the starts of earlier controllers that the store names. closedTasks are their tasks that are
 	// not open any more.
 	inheritedStarts []*unansweredStart
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -208,7 +208,7 @@
 		return out
 	}
 	ticket, ok := s.ticket(w, now)
-	if ticketed && (!ok || !w.acksAllowStart(now) || ticket == "" && c.recordFull(w, now)) {
+	if ticketed && (!ok || !w.acksAllowStart(now) || ticket == "" && !c.takesRecord(s, w, now)) {
 		return out
 	}
 	n := c.fitCount(s, w, now)
--- a/internal/controller/startrecord.go
+++ b/internal/controller/startrecord.go
@@ -20,6 +20,10 @@
 // the record well below the largest one that the store takes.
 const maxRecordedStarts = 256
 
+// maxRecordWait is how long a start waits for its record in the store. After it the run is withdrawn, so that it holds no
+// room, and is placed by the quotas and capacities of the time when the store answers again.
+const maxRecordWait = 500 * time.Millisecond
+
 // startRecord holds the tracked starts that may be under way to a worker.
 type startRecord struct {
 	starts map[workload.Run]*recordedStart
@@ -61,8 +65,11 @@
 		return
 	}
 	r.awaitsRecord = true
+	r.recordRequested = now
 	r.inFlight = true
 	c.recordStart(r)
+	c.awaitingRecord = append(c.awaitingRecord, r)
+	c.wakeups.add(now.Add(maxRecordWait))
 }
 
 // recordStart adds the start of a run to the record of its worker.
@@ -111,6 +118,23 @@
 	}
 }
 
+// withdrawStalledStarts withdraws all starts that wait for their record once one has waited for maxRecordWait. No other is
+// placed until a batch is stored.
+func (c *Controller) withdrawStalledStarts(now time.Time) {
+	waiting := slices.DeleteFunc(c.awaitingRecord, func(r *run) bool { return !r.awaitsRecord || r.recorded })
+	c.awaitingRecord = waiting
+	if len(waiting) == 0 || now.Sub(waiting[0].recordRequested) < maxRecordWait {
+		return
+	}
+	c.recordsStalled = true
+	c.awaitingRecord = nil
+	for _, r := range waiting {
+		if r.awaitsRecord {
+			c.withdrawStart(r, now)
+		}
+	}
+}
+
 // sendRecordedStarts sends the starts that are recorded in the store, and withdraws those that may not be sent now. With
 // one member of a gang all are withdrawn, so none is sent before.
 func (c *Controller) sendRecordedStarts(now time.Time) {
@@ -170,6 +194,11 @@
 	}
 }
 
+// takesRecord reports whether the start of a task of a step without a ticket can be recorded for a worker.
+func (c *Controller) takesRecord(s *step, w *worker, now time.Time) bool {
+	return s.def.AllowCopies || !c.recordsStalled && !c.recordFull(w, now)
+}
+
 // recordFull reports whether the record of a worker takes no further starts.
 func (c *Controller) recordFull(w *worker, now time.Time) bool {
 	rec := c.startRecords[w.info.ID]
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -302,6 +302,7 @@
 		reg.worker.storedCapacity = reg.record.Capacity
 		reg.worker.registered = reg.worker.describedBy(&reg.record)
 	}
+	c.recordsStalled = false
 	c.startsStored(b.starts)
 	c.requestPlacement(now)
 }
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -23,6 +23,7 @@
 	c.refreshElapsedRecord(now)
 	c.tickedAt = now
 	c.sendRecordedStarts(now)
+	c.withdrawStalledStarts(now)
 	if c.HasLeaderLease(now) {
 		c.sendRetries(now)
 	}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -183,6 +183,7 @@
 	stopAcked       time.Time // when the worker last said that the run is stopped or has ended
 	stopping        bool      // the stop was requested
 	awaitsRecord    bool      // the start order is sent once it is recorded in the store
+	recordRequested time.Time // when the record was requested
 	recorded        bool      // the store has the start order
 	retryAt         time.Time
 	inFlight        bool // a start or stop order is in flight
