Tests: two rules of recorded starts that a mutation got past

Found by the review: without boundInheritedStarts in SetPredecessorsExpiry, and without withdrawStarts at silence, the whole package passed. Each test fails with its mutation.

--- a/internal/controller/recordbound_test.go
+++ b/internal/controller/recordbound_test.go
@@ -122,3 +122,36 @@
 		t.Error("a poll that was sent after the answer does not confirm the start")
 	}
 }
+
+// TestInheritedStartsCountFromTheEndOfThePredecessors guards against a successor that waits for a recorded start from its
+// own beginning, while its predecessor may go on sending until its leader lease ends.
+func TestInheritedStartsCountFromTheEndOfThePredecessors(t *testing.T) {
+	h, b := newCellWithJobToRecord(t, 1, simpleJob("j1", "batch", 1, 1000, nil))
+	h.ctl.BatchStored(b, h.sim.now)
+	successor := New(h.ctl.epoch+FencingTokensPerEpoch, h.sim.timing, nil)
+	successor.SetConfig(h.sim.config, h.sim.now)
+	var stored []Record
+	for key, value := range h.sim.store {
+		stored = append(stored, Record{Key: key, Value: value})
+	}
+	stored = append(stored, b.Records...)
+	successor.Load(stored, h.sim.now)
+	end := h.sim.now.Add(5 * time.Second)
+	successor.SetPredecessorsExpiry(end)
+	if len(successor.inheritedStarts) != 1 {
+		t.Fatalf("%d starts are inherited, want 1", len(successor.inheritedStarts))
+	}
+	if got, want := successor.inheritedStarts[0].arrivesUntil, end.Add(h.sim.timing.LateStartTime); !got.Equal(want) {
+		t.Errorf("the start may arrive until %v after the end of the predecessors, want %v", got.Sub(end), want.Sub(end))
+	}
+}
+
+// TestStartIsWithdrawnWhenItsWorkerFallsSilent guards against a run that holds its task while its start waits for the
+// record of a worker that does not answer.
+func TestStartIsWithdrawnWhenItsWorkerFallsSilent(t *testing.T) {
+	h, _ := newCellWithJobToRecord(t, 1, simpleJob("j1", "batch", 1, 1000, nil))
+	h.ctl.PollFailed("i-aa", NoResponse, h.sim.now)
+	if n := h.runCount("j1"); n != 0 {
+		t.Errorf("%d runs, want none", n)
+	}
+}
