--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,7 +23,7 @@
 	"gang":    largeGang,
 	"crashes": threeCrashes,
 	"memory":  largeJob,
-	"start":   farStart,
+	"ends":    manyEnds,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -34,6 +34,8 @@
 	// record by the first byte of its key.
 	refused int
 	largest map[byte]int
+	// claimant is the machine that last wrote under a condition, by what it wrote.
+	claimant string
 }
 
 type topic struct {
@@ -168,6 +170,14 @@
 		}
 	}
 	s.add(name, t, records)
+	if q.Get("as_of") != "" && len(records) > 0 {
+		var claim struct {
+			Node string `json:"node"`
+		}
+		if json.Unmarshal(records[0][1+int(records[0][0]):], &claim) == nil && claim.Node != "" {
+			s.claimant = claim.Node
+		}
+	}
 	return out
 }
 
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -356,14 +356,24 @@
 	_ = os.RemoveAll(s.dir)
 }
 
+// controller returns the entry that last wrote to the store under a condition, nil if there is none.
+func (s *system) controller() *entry {
+	s.store.mu.Lock()
+	name := s.store.claimant
+	s.store.mu.Unlock()
+	for _, e := range s.entries {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
 // jobSpec is a job as requesters submit it.
 type jobSpec struct {
-	ID          string     `json:"-"`
-	Spec        string     `json:"specification"`
-	Steps       []stepSpec `json:"steps"`
-	RepeatCount int        `json:"repeat_count,omitempty"`
-	StartAtMs   int64      `json:"start_at_ms,omitempty"`
-	IntervalMs  int64      `json:"interval_ms,omitempty"`
+	ID    string     `json:"-"`
+	Spec  string     `json:"specification"`
+	Steps []stepSpec `json:"steps"`
 }
 
 type stepSpec struct {
