--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command standin3 plays the scripts of the third review: it starts the programs of the deploy file and the stand-ins
 // around them, on loopback addresses, and judges what requesters, workers and the platform see.
 package main
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
