--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"dotterelhitch/internal/advisorqueue"
@@ -15,6 +16,11 @@
 	c.record(event.Event{Type: typ, Worker: w.info.ID, Epoch: c.epoch, Boot: w.boot, Count: len(w.runs), Detail: detail})
 }
 
+// recordGained records how many runs and ends a boot lists in its first answer.
+func (c *Controller) recordGained(w *worker, result *workload.PollResult) {
+	c.recordWorker(event.WorkerGained, w, fmt.Sprintf("%d runs and %d ends listed", len(result.Running), len(result.Ended)))
+}
+
 func (c *Controller) recordRun(typ event.Type, r *run, detail string) {
 	c.record(event.Event{
 		Type:    typ,
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -88,7 +88,7 @@
 	w.noteClockStart(result.ClockMs, sent)
 	w.leaseReceived(w.polledDeadlineMs)
 	if !w.bootAnswered {
-		c.bootGained(w)
+		c.bootGained(w, result)
 	}
 	c.requestLeaseRecord(w)
 	w.leaseExpired = false
@@ -107,13 +107,13 @@
 }
 
 // bootGained records the first answer of a worker's boot to a poll that makes it refuse the orders sent before.
-func (c *Controller) bootGained(w *worker) {
+func (c *Controller) bootGained(w *worker, result *workload.PollResult) {
 	// An earlier controller may have just renewed the lease, or an order for an earlier boot have borne a
 	// deadline by that boot's clock.
 	w.maxLeaseDeadlineMs = w.clockMs + c.timing.MaxLease.Milliseconds()
 	w.bootAnswered = true
 	w.accountedFor = true
-	c.recordWorker(event.WorkerGained, w, "")
+	c.recordGained(w, result)
 }
 
 // overtaken reports whether a response to a poll that was sent at sent is of an earlier boot than the
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,7 +54,7 @@
 	EntryStart          Type = "entry_start"      // Member
 	EntryDrain          Type = "entry_drain"      // Member: graceful shutdown begins
 	EntryExit           Type = "entry_exit"       // Member: shutdown has ended
-	WorkerGained        Type = "worker_gained"    // Member, Worker, Epoch: inventory read
+	WorkerGained        Type = "worker_gained"    // Member, Worker, Epoch, Detail (runs and ends listed): inventory read
 	WorkerLost          Type = "worker_lost"      // Member, Worker: another member owns the worker now
 	WorkerListed        Type = "worker_listed"    // the list shows a new worker: Worker
 	WorkerUnlisted      Type = "worker_unlisted"  // the list has dropped it: Worker
