--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"dotterelhitch/internal/workload"
@@ -43,6 +44,8 @@
 	// no response arrive by startArrivesUntil.
 	starts            map[workload.Run]bool
 	startArrivesUntil time.Time
+	// inheritedStarts are the starts of earlier controllers that may still arrive.
+	inheritedStarts []*unansweredStart
 	// confirmedAt is when the latest poll was sent that the known boot has answered.
 	confirmedAt time.Time
 	// unconfirmed are the starts that a later boot may have carried out unseen, or may yet carry out by their ticket.
@@ -91,13 +94,19 @@
 // startsMustPause reports whether starts have to wait for an acknowledgment that they put off for long. One that waits for
 // a late start to arrive does not gain by that unless the ends are so many that the list may get too long for the worker.
 func (a *acknowledgments) startsMustPause(now time.Time) bool {
-	return !now.Before(a.startArrivesUntil) || a.listedEnds >= maxUnacknowledgedEnds
+	return !a.lateStartMayArrive(now) || a.listedEnds >= maxUnacknowledgedEnds
 }
 
 // startMayReachLaterBoot reports whether a later boot than the known one may carry out a start, or have carried it out
 // unseen.
 func (a *acknowledgments) startMayReachLaterBoot(now time.Time) bool {
-	return len(a.starts) > 0 || len(a.unconfirmed) > 0 || now.Before(a.startArrivesUntil)
+	return len(a.starts) > 0 || len(a.unconfirmed) > 0 || a.lateStartMayArrive(now)
+}
+
+// lateStartMayArrive reports whether a start without a response may still arrive.
+func (a *acknowledgments) lateStartMayArrive(now time.Time) bool {
+	inherited := func(s *unansweredStart) bool { return s.mayArrive(now) }
+	return now.Before(a.startArrivesUntil) || slices.ContainsFunc(a.inheritedStarts, inherited)
 }
 
 // ackUnanswered records that the latest poll got no response. If it acknowledges ends, later starts get a higher fencing
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -161,6 +161,8 @@
 	// store names.
 	startRecords map[string]*startRecord
 	recordedRuns []*run
+	// startRecordsDue is when refreshStartRecords looks at them next.
+	startRecordsDue time.Time
 	// awaitingRecord are the runs whose starts wait for their record, in the order of the requests, and some that do not
 	// any more. recordsStalled says that a start has waited for maxRecordWait since the latest batch was stored.
 	awaitingRecord []*run
--- a/internal/controller/startrecord.go
+++ b/internal/controller/startrecord.go
@@ -11,7 +11,8 @@
 
 // A start without an answer may be carried out after a change of the controller, too. Each start that is tracked is
 // therefore recorded in the store before it is sent, and the successor waits for those that may still arrive as for its
-// own. A start that is answered is taken out of the record with the next batch that is stored anyway.
+// own. A start that is answered is taken out of the record with the next batch, after startRecordPeriod at the latest: the
+// successor acknowledges no end on a worker while a start there may still arrive.
 
 // startRecordPrefix is that of the keys of startRecords, which are followed by the worker's ID.
 const startRecordPrefix = "u/"
@@ -24,6 +25,10 @@
 // room, and is placed by the quotas and capacities of the time when the store answers again.
 const maxRecordWait = 500 * time.Millisecond
 
+// startRecordPeriod is the period at which starts that can't be carried out any more are taken out of the records in the
+// store while there is no other batch.
+const startRecordPeriod = time.Second
+
 // startRecord holds the tracked starts that may be under way to a worker.
 type startRecord struct {
 	starts map[workload.Run]*recordedStart
@@ -229,8 +234,22 @@
 	})
 }
 
-// addStartRecords adds the outdated records of starts to a batch until it is full. Without a new start they are no reason
-// for a batch.
+// refreshStartRecords has the records stored again, at each startRecordPeriod, that name starts which can't be carried out
+// any more.
+func (c *Controller) refreshStartRecords(now time.Time) {
+	if len(c.startRecords) == 0 || now.Before(c.startRecordsDue) {
+		return
+	}
+	c.startRecordsDue = now.Add(startRecordPeriod)
+	c.wakeups.add(c.startRecordsDue)
+	for _, rec := range c.startRecords {
+		rec.prune(now)
+		c.dirty.startRecords = c.dirty.startRecords || rec.outdated
+	}
+}
+
+// addStartRecords adds the outdated records of starts to a batch until it is full. Between two calls of
+// refreshStartRecords, they are no reason for a batch without a new start.
 func (c *Controller) addStartRecords(b *Batch, add func(key string, value []byte), full func() bool) {
 	if !c.dirty.startRecords && len(b.Records) == 0 {
 		return
@@ -303,6 +322,7 @@
 	s := &unansweredStart{task: t, worker: w, number: id.Number, inherited: true}
 	c.boundInheritedStart(s, now)
 	t.unansweredStarts = append(t.unansweredStarts, s)
+	w.acks.inheritedStarts = append(w.acks.inheritedStarts, s)
 	c.inheritedStarts = append(c.inheritedStarts, s)
 	rec.starts[id] = &recordedStart{task: t, repeated: repeated, repetitionStored: repeated}
 }
@@ -341,7 +361,6 @@
 	s.lease = c.longestLease()
 	s.arrivesUntil = sentUntil.Add(s.lateTime)
 	s.worker.lateStartsUntil = s.arrivesUntil
-	s.worker.acks.startArrivesUntil = s.arrivesUntil
 }
 
 // noteInheritedRun notes that a worker lists a run. If its start was sent once, by an earlier controller, it is carried out
@@ -355,7 +374,7 @@
 	if s == nil || s.run != nil || s.repeated {
 		return
 	}
-	s.task.unansweredStarts = slices.DeleteFunc(s.task.unansweredStarts, func(u *unansweredStart) bool {
-		return u.inherited && u.number == id.Number
-	})
+	carriedOut := func(u *unansweredStart) bool { return u.inherited && u.task == s.task && u.number == id.Number }
+	s.task.unansweredStarts = slices.DeleteFunc(s.task.unansweredStarts, carriedOut)
+	w.acks.inheritedStarts = slices.DeleteFunc(w.acks.inheritedStarts, carriedOut)
 }
--- a/internal/controller/takeoverack_test.go
+++ b/internal/controller/takeoverack_test.go
@@ -115,3 +115,51 @@
 	}
 	h.requireAckAfter(f.id, earliest)
 }
+
+// newCellWithOneLongRun returns a simulation of one worker with a run without a ticket, which ends at the given age, and whose
+// controller is lost after a time.
+func newCellWithOneLongRun(t *testing.T, lasts, lostAfter time.Duration) (*simulation, *fakeWorker) {
+	sim := newSimulation(t, 1)
+	sim.addWorkers(1, 4000)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return lasts, workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(simpleJob("j0", "batch", 1, 1000, nil))
+	f := sim.workers["i-aa"]
+	for len(f.runs) == 0 {
+		sim.advance(time.Millisecond)
+	}
+	sim.advance(lostAfter)
+	sim.ctl = nil
+	return sim, f
+}
+
+// requireAckWithin checks that the end that a worker lists is acknowledged in time, and that its job is completed.
+func (sim *simulation) requireAckWithin(f *fakeWorker, most time.Duration) {
+	sim.t.Helper()
+	sim.advance(most)
+	if len(f.ends) > 0 || f.seq != 1 {
+		sim.t.Errorf("%d of %d ends are listed after %v, want none of 1", len(f.ends), f.seq, most)
+	}
+	if got := sim.state("j0"); got != workload.JobCompleted {
+		sim.t.Errorf("state %q, want completed", got)
+	}
+}
+
+// TestAnsweredStartsDelayNoSuccessor guards against ends that a successor does not acknowledge for as long as a start may be
+// late, since the store names a start that was answered long before and nothing has been stored since.
+func TestAnsweredStartsDelayNoSuccessor(t *testing.T) {
+	sim, f := newCellWithOneLongRun(t, 5*time.Second, 4*time.Second)
+	sim.advance(2 * time.Second)
+	sim.startController(true)
+	sim.requireAckWithin(f, time.Second)
+}
+
+// TestListedStartsDelayNoSuccessor guards against the same while the successor sees that the start was carried out.
+func TestListedStartsDelayNoSuccessor(t *testing.T) {
+	sim, f := newCellWithOneLongRun(t, time.Second, 10*time.Millisecond)
+	sim.startController(true)
+	sim.requireAckWithin(f, 2*time.Second)
+}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -21,6 +21,7 @@
 	c.storePredecessorsEnd(now)
 	c.refreshLeaseRecord(now)
 	c.refreshElapsedRecord(now)
+	c.refreshStartRecords(now)
 	c.tickedAt = now
 	c.sendRecordedStarts(now)
 	c.withdrawStalledStarts(now)
