--- a/internal/controller/fakeworker_test.go
+++ b/internal/controller/fakeworker_test.go
@@ -48,6 +48,7 @@
 	highestEndedRun  map[workload.TaskID]int64 // highest run number that was stopped or has ended
 	ends             []workload.EndedTask
 	endsBeforeExpiry map[int64]bool // ends that were listed, but not acknowledged, when the lease expired
+	startsAtEnd      map[int64]int  // starts of the task, on all workers, when it ended, by the number of the end
 	seq              int64
 	tickets          map[string]issuedTicket // those that the advisor has issued for this boot
 	answerPoll       func()                  // answers a poll that waits for an end
@@ -97,6 +98,7 @@
 	f.highestEndedRun = map[workload.TaskID]int64{}
 	f.ends = nil
 	f.endsBeforeExpiry = map[int64]bool{}
+	f.startsAtEnd = map[int64]int{}
 	f.seq = 0
 	f.tickets = map[string]issuedTicket{}
 	f.answerPoll = nil
@@ -199,6 +201,7 @@
 		f.sim.stoppedWork += f.sim.now.Sub(r.startedAt).Seconds() * float64(r.step.Size.CPUMilli) / 1000
 	}
 	f.seq++
+	f.startsAtEnd[f.seq] = f.sim.startsOf[id]
 	f.ends = append(f.ends, workload.EndedTask{Seq: f.seq, Run: r.id, Reason: reason})
 	if r.step.Gang {
 		f.sim.gangEnded(r, reason)
@@ -222,14 +225,19 @@
 		switch e.Reason {
 		case workload.EndDone:
 			f.sim.ackedDone[e.Run.Task] = true
+			f.sim.checkAckedEnd(e.Run.Task, f.startsAtEnd[e.Seq])
 		case workload.EndFailed:
 			f.sim.ackedFailures[e.Run.Task]++
 		}
 	}
 }
 
+// endsPerAnswer is how many ends a worker lists in one answer at most.
+const endsPerAnswer = 500
+
 func (f *fakeWorker) pollResult() *workload.PollResult {
-	result := &workload.PollResult{BootMs: f.boot, ClockMs: f.clock(), Ended: append([]workload.EndedTask(nil), f.ends...)}
+	listed := f.ends[:min(len(f.ends), endsPerAnswer)]
+	result := &workload.PollResult{BootMs: f.boot, ClockMs: f.clock(), Ended: slices.Clone(listed)}
 	for _, id := range f.taskIDs() {
 		r := f.runs[id]
 		result.Running = append(result.Running, workload.RunningTask{Run: r.id, Percent: f.percent(r)})
@@ -272,6 +280,7 @@
 	runTime, reason := sim.drawResult(s.Run.Task, f)
 	r := &fakeRun{id: s.Run, step: step, startedAt: sim.now, reason: reason, endAt: sim.now.Add(runTime), waitsForGang: step.Gang}
 	f.runs[s.Run.Task] = r
+	sim.startsOf[s.Run.Task]++
 	f.extendLease(s.LeaseDeadlineMs)
 	if sim.deadly != nil && sim.deadly(s.Run.Task) {
 		sim.crashByTask(f)
--- a/internal/controller/lines.go
+++ b/internal/controller/lines.go
@@ -21,6 +21,18 @@
 	c.recordWorker(event.WorkerGained, w, fmt.Sprintf("%d runs and %d ends listed", len(result.Running), len(result.Ended)))
 }
 
+// recordEndsRead records that all ends on a worker from before its first answer are read.
+func (c *Controller) recordEndsRead(w *worker, now time.Time) {
+	c.record(event.Event{
+		Type:   event.WorkerEndsRead,
+		Worker: w.info.ID,
+		Epoch:  c.epoch,
+		Boot:   w.boot,
+		Count:  w.endLists.readEnds,
+		AgeMs:  now.Sub(w.endLists.firstAt).Milliseconds(),
+	})
+}
+
 func (c *Controller) recordRun(typ event.Type, r *run, detail string) {
 	c.record(event.Event{
 		Type:    typ,
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -8,10 +8,6 @@
 	"dotterelhitch/internal/workload"
 )
 
-// maxEndsListed is the largest number of ends that a worker lists in one response. A list of
-// that length may be incomplete.
-const maxEndsListed = 500
-
 // SetWorker adds or updates a worker from the platform's list.
 func (c *Controller) SetWorker(info workload.Worker, now time.Time) {
 	w := c.workers[info.ID]
@@ -88,7 +84,7 @@
 	w.noteClockStart(result.ClockMs, sent)
 	w.leaseReceived(w.polledDeadlineMs)
 	if !w.bootAnswered {
-		c.bootGained(w, result)
+		c.bootGained(w, result, now)
 	}
 	c.requestLeaseRecord(w)
 	w.leaseExpired = false
@@ -98,21 +94,20 @@
 	w.acks.confirmStarts(result, sent)
 	c.applyRunning(w, result, now)
 	c.noteOutlived(w, now)
-	for i := range result.Ended {
-		c.handleListedEnd(w, &result.Ended[i], now)
-	}
+	c.noteEnds(w, result, now)
 	c.removeAbsentRuns(w, result, sent, now)
 	c.findStragglers(w, now)
 	c.requestPlacement(now)
 }
 
 // bootGained records the first answer of a worker's boot to a poll that makes it refuse the orders sent before.
-func (c *Controller) bootGained(w *worker, result *workload.PollResult) {
+func (c *Controller) bootGained(w *worker, result *workload.PollResult, now time.Time) {
 	// An earlier controller may have just renewed the lease, or an order for an earlier boot have borne a
 	// deadline by that boot's clock.
 	w.maxLeaseDeadlineMs = w.clockMs + c.timing.MaxLease.Milliseconds()
 	w.bootAnswered = true
 	w.accountedFor = true
+	w.endLists.begin(result, now)
 	c.recordGained(w, result)
 }
 
@@ -198,6 +193,7 @@
 	w.acks.lowestListedEnd = 0
 	clear(w.storedEnds)
 	clear(w.processedEnds)
+	w.endLists = endLists{}
 	for _, orphan := range w.orphans {
 		orphan.stopAcked = time.Time{}
 	}
@@ -237,6 +233,7 @@
 func (c *Controller) loseWorker(w *worker, reason string, now time.Time) {
 	w.leaseExpired = true
 	w.accountedFor = true
+	w.endLists = endLists{}
 	for _, r := range w.runs {
 		c.runLost(r, reason, now)
 	}
@@ -440,6 +437,7 @@
 	c.noteInheritedRun(w, e.Run)
 	j := c.jobs[e.Run.Task.Job]
 	r := w.runs[e.Run]
+	w.endLists.noteEnd(r)
 	t := c.findShownTask(e.Run.Task, now)
 	if r != nil {
 		t = r.task
@@ -496,7 +494,7 @@
 // removeAbsentRuns ends the runs that a worker lists neither as running nor as ended, in a
 // response to a poll that was sent after they were confirmed or stopped.
 func (c *Controller) removeAbsentRuns(w *worker, result *workload.PollResult, sent, now time.Time) {
-	if len(result.Ended) >= maxEndsListed {
+	if !listsAllEnds(result) {
 		return
 	}
 	w.runsListedAt = w.clockStart.Add(time.Duration(result.ClockMs) * time.Millisecond)
--- a/internal/controller/startchecks_test.go
+++ b/internal/controller/startchecks_test.go
@@ -1,6 +1,10 @@
 package controller
 
-import "time"
+import (
+	"time"
+
+	"dotterelhitch/internal/workload"
+)
 
 // Bounds on the starts of a task that crashes its workers: after maxCrashesUnderTask workers have
 // crashed under it, fewer than maxStartsAfterCrashes starts may follow.
@@ -63,6 +67,14 @@
 	}
 }
 
+// checkAckedEnd checks that a task has not been started after the end as done that is acknowledged now. starts is the number
+// of its starts when it ended.
+func (sim *simulation) checkAckedEnd(id workload.TaskID, starts int) {
+	if step := &sim.jobs[id.Job].Steps[id.Step]; sim.startsOf[id] > starts && !step.AllowCopies {
+		sim.violation("%s was started again after an end that is acknowledged now", id)
+	}
+}
+
 func (sim *simulation) stored(job string) bool {
 	_, ok := sim.store[jobPrefix+job]
 	return ok
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -110,29 +110,31 @@
 
 // needsPolling reports whether a worker is listed, may have runs, or may show what became of them.
 func (c *Controller) needsPolling(w *worker) bool {
-	return w.listed || !w.accountedFor || len(w.runs)+len(w.orphans)+len(w.lapsedRuns) > 0
+	return w.listed || !w.settled() || len(w.runs)+len(w.orphans)+len(w.lapsedRuns) > 0
 }
 
 // expireLeases ends the runs on workers that have not answered for longer than any lease
 // lasts.
 func (c *Controller) expireLeases(now time.Time) {
-	unaccounted := false
+	unsettled := false
 	c.awaitsConfirmation = false
 	for id, w := range c.workers {
-		if w.accountedFor && (w.pollFailures == 0 || w.leaseExpired) {
+		if w.settled() && (w.pollFailures == 0 || w.leaseExpired) {
 			c.forgetWorker(id, w, now)
 			continue
 		}
 		switch {
+		case w.accountedFor && w.pollFailures == 0:
+			unsettled = true // its ends are being read
 		case c.leasesEnded(c.latestLeaseEnd(w), now):
 			c.expireWorker(w, now)
 		case w.bootAnswered && c.leasesEnded(w.leaseEnd(), now):
 			c.expireKnownBoot(w, now)
 		default:
-			unaccounted = unaccounted || !w.accountedFor
+			unsettled = unsettled || !w.settled()
 		}
 	}
-	if !unaccounted && !c.takeoverComplete {
+	if !unsettled && !c.takeoverComplete {
 		c.completeTakeover(now)
 	}
 }
@@ -200,6 +202,7 @@
 		return
 	}
 	w.noteLapsed(lost, now)
+	w.endLists = endLists{}
 	for _, r := range lost {
 		c.runLost(r, lostWithLease, now)
 	}
@@ -248,7 +251,7 @@
 }
 
 // completeTakeover lets the tasks be started whose runs no worker has reported. It is called
-// once every worker that an earlier controller may have used is accounted for.
+// once every worker that an earlier controller may have used is settled.
 func (c *Controller) completeTakeover(now time.Time) {
 	c.takeoverComplete = true
 	c.dropInheritedTests()
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -38,9 +38,10 @@
 	otherBootSeenAt   time.Time
 	// bootAnswered says that this boot has answered a poll under the current epoch.
 	bootAnswered bool
-	// accountedFor says that no run of an earlier controller can be there without being
-	// known.
+	// accountedFor says that no run of an earlier controller can be in progress there without being
+	// known. That of an end may still be to be read (settled).
 	accountedFor bool
+	endLists     endLists
 
 	// leasesEndBy is the time by which every lease of earlier controllers has ended, zero if it follows
 	// from Controller.predecessorsExpiry alone. unreachedIn is the latest version of the lease record
@@ -322,7 +323,7 @@
 
 // usable reports whether tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.takesStarts() && w.describesBoot() && w.registered && !w.info.Draining && !w.leaseExpired &&
+	return w.listed && w.takesStarts() && w.describesBoot() && w.registered && !w.info.Draining && !w.leaseExpired && !w.endLists.truncated &&
 		w.reachable(now) && !now.Before(w.noStartsUntil) && !w.hasUnknownUsage()
 }
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -73,6 +73,7 @@
 	stopsSent int
 	// maxStartDelay is the longest time between an occurrence's scheduled time and its start, by class.
 	maxStartDelay map[string]time.Duration
+	startsOf      map[workload.TaskID]int  // starts that workers have carried out
 	ackedDone     map[workload.TaskID]bool // tasks of which an end with EndDone was acknowledged
 	ackedFailures map[workload.TaskID]int  // acknowledged failures
 	// deadly tells the tasks that crash each worker that starts them. crashesUnder counts the
@@ -166,6 +167,7 @@
 		clocks:           map[*Controller]time.Duration{},
 		accepted:         map[string]bool{},
 		maxStartDelay:    map[string]time.Duration{},
+		startsOf:         map[workload.TaskID]int{},
 		ackedDone:        map[workload.TaskID]bool{},
 		ackedFailures:    map[workload.TaskID]int{},
 		quotaWhenPlaced:  map[string]placedQuota{},
