--- a/internal/controller/endlists_test.go
+++ b/internal/controller/endlists_test.go
@@ -132,7 +132,8 @@
 		}
 	}
 	sim.startController(true)
-	sim.submit(simpleJob("j2", "gang", 3000, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+	// Its starts need no ticket and no record.
+	sim.submit(simpleJob("j2", "batch", 3000, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1; s.AllowCopies = true }))
 	sim.advance(5 * time.Second)
 	if got := sim.state("j2"); got != workload.JobCompleted {
 		t.Errorf("state %q, want completed", got)
