--- a/internal/controller/endlists_test.go
+++ b/internal/controller/endlists_test.go
@@ -166,6 +166,9 @@
 			lose(f)
 			took := sim.awaitTakeover(sim.timing.longestLease() + time.Second)
 			t.Logf("the takeover took %v", took)
+			if !w.settled() {
+				t.Error("ends of the lost worker are still waited for")
+			}
 			sim.advance(5 * time.Second)
 			if got := sim.state("j1"); got != workload.JobCompleted {
 				t.Errorf("state %q, want completed", got)
--- a/internal/stream/follow.go
+++ b/internal/stream/follow.go
@@ -51,9 +51,12 @@
 			}
 			all = append(all, record)
 		}
-		if !page.HasMore || len(page.Records) == 0 {
+		if !page.HasMore {
 			return all, first, nil
 		}
+		if len(page.Records) == 0 {
+			return nil, Page{}, structs.NewError(structs.CodeInternal, "an empty page of keys after %q, with more to follow", after)
+		}
 		after, err = nextPageStart(after, page.Records[len(page.Records)-1].Key)
 		if err != nil {
 			return nil, Page{}, err
--- a/internal/stream/follow_test.go
+++ b/internal/stream/follow_test.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// emptyPages is a topic whose pages hold nothing although more is said to follow.
+type emptyPages struct{ pagedTopic }
+
+func (*emptyPages) Newest(context.Context, string, string) (Page, error) {
+	return Page{HasMore: true, End: 7}, nil
+}
+
+// TestEmptyPageIsNoEnd guards against a topic that is taken for read, so that its records are lost to the reader, at an
+// empty page with more to follow.
+func TestEmptyPageIsNoEnd(t *testing.T) {
+	if records, _, err := ReadNewest(context.Background(), &emptyPages{}, "keyed.t"); structs.CodeOf(err) != structs.CodeInternal {
+		t.Errorf("%d records, %v, want an error", len(records), err)
+	}
+}
+
 // FuzzPagesEnd checks that the reading of a topic ends, and returns all keys that are ASCII, whatever
 // the other keys are.
 func FuzzPagesEnd(f *testing.F) {
