--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -70,7 +70,7 @@
 	LeaseChanged        Type = "lease_changed"    // the controller's leader lease has lapsed or is renewed after that: Epoch, State, AgeMs (since it was renewed)
 	PredecessorsBounded Type = "former_bounded"   // the former controllers' leader leases expire sooner than assumed: Epoch, AgeMs (by how much)
 	WorkerEndsRead      Type = "worker_ends_read" // the ends from before the first answer of a worker that had more than one answer lists are read: Worker, Epoch, Boot, Count (ends read), AgeMs (since that answer)
-	CellSettled         Type = "cell_settled"     // all workers of former epochs are accounted for: Epoch, Count (jobs)
+	CellSettled         Type = "cell_settled"     // all workers of former epochs are accounted for, and their ends read: Epoch, Count (jobs)
 	TaskAdopted         Type = "task_adopted"     // a run of a former epoch is adopted and continues: Task, Attempt, Worker
 	StepWaiting         Type = "step_waits"       // tasks wait: Task (step), Count (tasks), Candidates (workers that could run them but for the reason), AgeMs (expected time until a gang starts), State (reason, as in the metrics), Detail (reason)
 	TaskMoved           Type = "task_moved"       // a run is stalled or slow and is started on another worker: Task, Attempt, Worker
