Starts of earlier controllers that can't arrive any more are dropped from the acknowledgments' list

The list goes once none of them may arrive; until then the first one ends the search. A line in usable is wrapped, two comments are plainer.

--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -105,8 +105,11 @@
 
 // lateStartMayArrive reports whether a start without a response may still arrive.
 func (a *acknowledgments) lateStartMayArrive(now time.Time) bool {
-	inherited := func(s *unansweredStart) bool { return s.mayArrive(now) }
-	return now.Before(a.startArrivesUntil) || slices.ContainsFunc(a.inheritedStarts, inherited)
+	if slices.ContainsFunc(a.inheritedStarts, func(s *unansweredStart) bool { return s.mayArrive(now) }) {
+		return true
+	}
+	a.inheritedStarts = nil
+	return now.Before(a.startArrivesUntil)
 }
 
 // ackUnanswered records that the latest poll got no response. If it acknowledges ends, later starts get a higher fencing
--- a/internal/controller/endlists.go
+++ b/internal/controller/endlists.go
@@ -14,8 +14,7 @@
 // Runs that end after the first response do not put that off. Ends are numbered in their order, so the end of such a run
 // shows that those from before the response have been listed.
 
-// maxEndsListed is the largest number of ends that a worker lists in one response. A list of
-// that length may be incomplete.
+// maxEndsListed is the largest number of ends that a worker lists in one response. A list of that length may be incomplete.
 const maxEndsListed = 500
 
 // endLists is what the responses of a boot say of its ends.
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -39,7 +39,7 @@
 	// bootAnswered says that this boot has answered a poll under the current epoch.
 	bootAnswered bool
 	// accountedFor says that no run of an earlier controller can be in progress there without being
-	// known. That of an end may still be to be read (settled).
+	// known. endLists tells whether one may have ended there without that being known.
 	accountedFor bool
 	endLists     endLists
 
@@ -323,8 +323,8 @@
 
 // usable reports whether tasks may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.takesStarts() && w.describesBoot() && w.registered && !w.info.Draining && !w.leaseExpired && !w.endLists.truncated &&
-		w.reachable(now) && !now.Before(w.noStartsUntil) && !w.hasUnknownUsage()
+	return w.listed && w.takesStarts() && w.describesBoot() && w.registered && !w.info.Draining && !w.leaseExpired &&
+		w.reachable(now) && !now.Before(w.noStartsUntil) && !w.hasUnknownUsage() && !w.endLists.truncated
 }
 
 // leaseDeadlineMs returns the end of a lease granted at now, in milliseconds on the worker's
