--- a/internal/controller/acknowledgment.go
+++ b/internal/controller/acknowledgment.go
@@ -65,7 +65,7 @@
 // setAcknowledgment sets the ends that a poll acknowledges, and that it does not wait if it does.
 func (c *Controller) setAcknowledgment(w *worker, poll *Poll, now time.Time) {
 	a := &w.acks
-	delayed := poll.AckedSeq > 0 && a.deferAcknowledgment(poll, c.predecessorsExpiry, now)
+	delayed := poll.AckedSeq > 0 && a.deferAcknowledgment(poll, c.predecessorsExpiry, w.endLists.unread, now)
 	switch {
 	case !delayed:
 		a.delayedSince = time.Time{}
@@ -77,14 +77,15 @@
 
 // deferAcknowledgment has a poll acknowledge ends only if the worker still lists them and no later boot may carry out a
 // start. It reports whether an acknowledgment is due and starts must not put it off for long. Earlier controllers may have
-// sent starts until predecessorsExpiry.
-func (a *acknowledgments) deferAcknowledgment(poll *Poll, predecessorsExpiry, now time.Time) bool {
+// sent starts until predecessorsExpiry. What they sent puts nothing off while the takeover waits for unread ends, which the
+// worker lists only after an acknowledgment.
+func (a *acknowledgments) deferAcknowledgment(poll *Poll, predecessorsExpiry time.Time, unread bool, now time.Time) bool {
 	due := a.lowestListedEnd > 0 && a.lowestListedEnd <= poll.AckedSeq
 	if due {
 		poll.Wait = 0
 	}
 	inherited := a.confirmedAt.Before(predecessorsExpiry)
-	delayed := due && (inherited || a.startMayReachLaterBoot(now))
+	delayed := due && (inherited || a.startMayReachLaterBoot(now) || !unread && a.inheritedStartMayArrive(now))
 	if !due || delayed {
 		poll.AckedSeq = 0
 	}
@@ -94,22 +95,23 @@
 // startsMustPause reports whether starts have to wait for an acknowledgment that they put off for long. One that waits for
 // a late start to arrive does not gain by that unless the ends are so many that the list may get too long for the worker.
 func (a *acknowledgments) startsMustPause(now time.Time) bool {
-	return !a.lateStartMayArrive(now) || a.listedEnds >= maxUnacknowledgedEnds
+	lateStartMayArrive := now.Before(a.startArrivesUntil) || a.inheritedStartMayArrive(now)
+	return !lateStartMayArrive || a.listedEnds >= maxUnacknowledgedEnds
 }
 
-// startMayReachLaterBoot reports whether a later boot than the known one may carry out a start, or have carried it out
-// unseen.
+// startMayReachLaterBoot reports whether a later boot than the known one may carry out a start of this controller, or have
+// carried it out unseen.
 func (a *acknowledgments) startMayReachLaterBoot(now time.Time) bool {
-	return len(a.starts) > 0 || len(a.unconfirmed) > 0 || a.lateStartMayArrive(now)
+	return len(a.starts) > 0 || len(a.unconfirmed) > 0 || now.Before(a.startArrivesUntil)
 }
 
-// lateStartMayArrive reports whether a start without a response may still arrive.
-func (a *acknowledgments) lateStartMayArrive(now time.Time) bool {
+// inheritedStartMayArrive reports whether a start of an earlier controller may still arrive.
+func (a *acknowledgments) inheritedStartMayArrive(now time.Time) bool {
 	if slices.ContainsFunc(a.inheritedStarts, func(s *unansweredStart) bool { return s.mayArrive(now) }) {
 		return true
 	}
 	a.inheritedStarts = nil
-	return now.Before(a.startArrivesUntil)
+	return false
 }
 
 // ackUnanswered records that the latest poll got no response. If it acknowledges ends, later starts get a higher fencing
--- a/internal/controller/endlists_test.go
+++ b/internal/controller/endlists_test.go
@@ -95,6 +95,41 @@
 	}
 }
 
+// TestTakeoverOfThousandsOfEndsRightAfterStarts guards against a takeover that lasts for as long as a start may be late: the
+// store names starts without a ticket of which the successor sees nothing before it has read all ends.
+func TestTakeoverOfThousandsOfEndsRightAfterStarts(t *testing.T) {
+	const tasks = 2000
+	sim := newSimulation(t, 1)
+	sim.addWorkers(1, tasks*10)
+	endAt := simulationStart.Add(time.Second)
+	sim.drawResult = func(workload.TaskID, *fakeWorker) (time.Duration, workload.EndReason) {
+		return max(endAt.Sub(sim.now), 100*time.Millisecond), workload.EndDone
+	}
+	sim.startController(true)
+	sim.advance(100 * time.Millisecond)
+	sim.submit(simpleJob("j1", "batch", tasks, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+	for range 1000 {
+		if sim.runCount() < tasks {
+			sim.advance(time.Millisecond)
+		}
+	}
+	sim.ctl = nil
+	sim.advance(endAt.Sub(sim.now) + time.Second)
+	if n := sim.listedEnds(); n != tasks {
+		t.Fatalf("%d ends are listed, want %d", n, tasks)
+	}
+	sim.startController(true)
+	if len(sim.ctl.inheritedStarts) == 0 {
+		t.Fatal("the store names no start")
+	}
+	took := sim.awaitTakeover(time.Second)
+	t.Logf("the takeover took %v with %d starts in the store", took, len(sim.ctl.inheritedStarts))
+	sim.advance(5 * time.Second)
+	if sim.startsSent != 0 || sim.state("j1") != workload.JobCompleted {
+		t.Errorf("%d starts, state %q, want none and completed", sim.startsSent, sim.state("j1"))
+	}
+}
+
 // TestTakeoverWhileEndsKeepComing guards against a takeover that never ends: on a worker that lists 500 ends in each answer,
 // since tasks go on ending as fast as their ends are taken note of, those from before the first answer are read in time.
 func TestTakeoverWhileEndsKeepComing(t *testing.T) {
