--- a/internal/controller/endlists.go
+++ b/internal/controller/endlists.go
@@ -68,5 +68,69 @@
 	}
 }
 
+// handleListedEnd processes an end that a worker lists.
+func (c *Controller) handleListedEnd(w *worker, e *workload.EndedTask, now time.Time) {
+	if e.Seq <= w.ackedSeq || w.processedEnds[e.Seq] {
+		return
+	}
+	w.processedEnds[e.Seq] = true
+	c.removeOrphan(w, e.Run)
+	c.noteInheritedRun(w, e.Run)
+	j := c.jobs[e.Run.Task.Job]
+	r := w.runs[e.Run]
+	w.endLists.noteEnd(r)
+	t := c.findShownTask(e.Run.Task, now)
+	if r != nil {
+		t = r.task
+		c.removeRun(r)
+	}
+	stored := true
+	if j != nil && t != nil && !j.ended() {
+		c.markStarted(j, now)
+		stored = !c.handleRunEnd(t, r, e, now)
+	}
+	ack := endAck{worker: w, boot: w.boot, seq: e.Seq, heldFor: c.taskToHoldAckFor(t, e)}
+	if j == nil || stored && !j.hasUnstoredProgress() {
+		c.ackEnd(ack, now)
+		return
+	}
+	j.pendingAcks = append(j.pendingAcks, ack)
+	c.markProgressDirty(j)
+}
+
+// skipAckedEnds raises ackedSeq to just below the first end listed. The worker has dropped
+// earlier ends at the request of an earlier controller.
+func (w *worker) skipAckedEnds(result *workload.PollResult) {
+	w.acks.lowestListedEnd = 0
+	w.acks.listedEnds = len(result.Ended)
+	if len(result.Ended) == 0 {
+		return
+	}
+	lowest := result.Ended[0].Seq
+	for i := range result.Ended {
+		lowest = min(lowest, result.Ended[i].Seq)
+	}
+	w.acks.lowestListedEnd = lowest
+	w.ackedSeq = max(w.ackedSeq, lowest-1)
+}
+
+// ackEnd marks an end as stored, so that the worker may drop it, or holds the acknowledgment back while a late start
+// may follow the end.
+func (c *Controller) ackEnd(ack endAck, now time.Time) {
+	if ack.worker.boot != ack.boot || ack.seq <= ack.worker.ackedSeq {
+		return
+	}
+	if ack.heldFor != nil && ack.heldFor.startMayArrive(now) {
+		c.heldAcks = append(c.heldAcks, ack)
+		return
+	}
+	ack.worker.storedEnds[ack.seq] = true
+	for ack.worker.storedEnds[ack.worker.ackedSeq+1] {
+		ack.worker.ackedSeq++
+		delete(ack.worker.storedEnds, ack.worker.ackedSeq)
+		delete(ack.worker.processedEnds, ack.worker.ackedSeq)
+	}
+}
+
 // settled reports whether no run of an earlier controller can be on the worker, or have ended there, without being known.
 func (w *worker) settled() bool { return w.accountedFor && !w.endLists.unread }
--- a/internal/controller/observe.go
+++ b/internal/controller/observe.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"dotterelhitch/internal/event"
-	"dotterelhitch/internal/structs"
 	"dotterelhitch/internal/workload"
 )
 
@@ -352,63 +351,6 @@
 	return len(t.runs) == 0 || s.def.AllowCopies
 }
 
-// addOrphan counts a run on its worker and stops the run.
-func (c *Controller) addOrphan(w *worker, id workload.Run, t *task, now time.Time) {
-	c.recordUncounted(w, id, t)
-	orphan := &orphanRun{run: id, fencingToken: w.fencingToken}
-	if t != nil {
-		orphan.task = t
-		t.orphanRuns++
-		orphan.size = t.step.size
-		orphan.sizeKnown = true
-	} else if size, ok := c.sizeOfTask(id.Task); ok {
-		orphan.size = size
-		orphan.sizeKnown = true
-	}
-	if j := c.jobs[id.Task.Job]; j != nil {
-		orphan.owner = j.owner()
-	}
-	w.orphans[id] = orphan
-	c.occupy(w, orphan.owner, orphan.size)
-	c.stopOrphan(w, orphan, now)
-}
-
-// sizeOfTask returns the size of a task, and false if its job is not known.
-func (c *Controller) sizeOfTask(id workload.TaskID) (structs.Resources, bool) {
-	j := c.jobs[id.Job]
-	if j == nil || j.spec == nil || id.Step >= len(j.spec.Steps) {
-		return structs.Resources{}, false
-	}
-	return j.spec.Steps[id.Step].ReservedSize(), true
-}
-
-func (c *Controller) stopOrphan(w *worker, orphan *orphanRun, now time.Time) {
-	orphan.stopInFlight = true
-	orphan.stopSent = now
-	c.orders.Stops = append(c.orders.Stops, w.stopOrder(orphan.run))
-}
-
-// repeatOrphanStop sends the stop of an orphan run again if an earlier one was refused or got no
-// response. Each poll gives the occasion.
-func (c *Controller) repeatOrphanStop(w *worker, orphan *orphanRun, now time.Time) {
-	if orphan.stopInFlight || now.Sub(orphan.stopSent) < refusedStopPause || !c.HasLeaderLease(now) {
-		return
-	}
-	c.stopOrphan(w, orphan, now)
-}
-
-func (c *Controller) removeOrphan(w *worker, id workload.Run) {
-	orphan := w.orphans[id]
-	if orphan == nil {
-		return
-	}
-	delete(w.orphans, id)
-	c.release(w, orphan.owner, orphan.size)
-	if orphan.task != nil {
-		orphan.task.orphanRuns--
-	}
-}
-
 // findTask returns a task of an open occurrence, nil if there is none.
 func (c *Controller) findTask(id workload.TaskID) *task {
 	j := c.jobs[id.Job]
@@ -427,70 +369,6 @@
 	return nil
 }
 
-// handleListedEnd processes an end that a worker lists.
-func (c *Controller) handleListedEnd(w *worker, e *workload.EndedTask, now time.Time) {
-	if e.Seq <= w.ackedSeq || w.processedEnds[e.Seq] {
-		return
-	}
-	w.processedEnds[e.Seq] = true
-	c.removeOrphan(w, e.Run)
-	c.noteInheritedRun(w, e.Run)
-	j := c.jobs[e.Run.Task.Job]
-	r := w.runs[e.Run]
-	w.endLists.noteEnd(r)
-	t := c.findShownTask(e.Run.Task, now)
-	if r != nil {
-		t = r.task
-		c.removeRun(r)
-	}
-	stored := true
-	if j != nil && t != nil && !j.ended() {
-		c.markStarted(j, now)
-		stored = !c.handleRunEnd(t, r, e, now)
-	}
-	ack := endAck{worker: w, boot: w.boot, seq: e.Seq, heldFor: c.taskToHoldAckFor(t, e)}
-	if j == nil || stored && !j.hasUnstoredProgress() {
-		c.ackEnd(ack, now)
-		return
-	}
-	j.pendingAcks = append(j.pendingAcks, ack)
-	c.markProgressDirty(j)
-}
-
-// skipAckedEnds raises ackedSeq to just below the first end listed. The worker has dropped
-// earlier ends at the request of an earlier controller.
-func (w *worker) skipAckedEnds(result *workload.PollResult) {
-	w.acks.lowestListedEnd = 0
-	w.acks.listedEnds = len(result.Ended)
-	if len(result.Ended) == 0 {
-		return
-	}
-	lowest := result.Ended[0].Seq
-	for i := range result.Ended {
-		lowest = min(lowest, result.Ended[i].Seq)
-	}
-	w.acks.lowestListedEnd = lowest
-	w.ackedSeq = max(w.ackedSeq, lowest-1)
-}
-
-// ackEnd marks an end as stored, so that the worker may drop it, or holds the acknowledgment back while a late start
-// may follow the end.
-func (c *Controller) ackEnd(ack endAck, now time.Time) {
-	if ack.worker.boot != ack.boot || ack.seq <= ack.worker.ackedSeq {
-		return
-	}
-	if ack.heldFor != nil && ack.heldFor.startMayArrive(now) {
-		c.heldAcks = append(c.heldAcks, ack)
-		return
-	}
-	ack.worker.storedEnds[ack.seq] = true
-	for ack.worker.storedEnds[ack.worker.ackedSeq+1] {
-		ack.worker.ackedSeq++
-		delete(ack.worker.storedEnds, ack.worker.ackedSeq)
-		delete(ack.worker.processedEnds, ack.worker.ackedSeq)
-	}
-}
-
 // removeAbsentRuns ends the runs that a worker lists neither as running nor as ended, in a
 // response to a poll that was sent after they were confirmed or stopped.
 func (c *Controller) removeAbsentRuns(w *worker, result *workload.PollResult, sent, now time.Time) {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -136,24 +136,6 @@
 	return r.Addr == w.info.Addr && (r.Capacity.IsZero() || w.info.Capacity.Fits(r.Capacity))
 }
 
-// orphanRun is a run on a worker that the controller does not count as a run of any task. It
-// is being stopped.
-type orphanRun struct {
-	run       workload.Run
-	task      *task // nil if the task is not known
-	owner     usage.Owner
-	size      structs.Resources
-	sizeKnown bool // whether size is known
-	// fencingToken is that of the orders when the worker listed the run. An order with a lower one may have brought it.
-	fencingToken int64
-	// stopInFlight says that a stop order is in flight, stopSent when the last one was sent.
-	stopInFlight bool
-	stopSent     time.Time
-	// stopAcked is when the worker last said that the run is stopped or has ended, zero if it
-	// has not.
-	stopAcked time.Time
-}
-
 // runState is the state of a run as far as the controller knows it.
 type runState uint8
 
@@ -254,16 +236,6 @@
 	return w.info.Capacity.Sub(w.used)
 }
 
-// hasUnknownUsage reports whether an orphan run of unknown size is on the worker.
-func (w *worker) hasUnknownUsage() bool {
-	for _, orphan := range w.orphans {
-		if !orphan.sizeKnown {
-			return true
-		}
-	}
-	return false
-}
-
 // noteDraining records whether the worker's boot drains, from its entry. The entry of another boot says nothing
 // of this one.
 func (w *worker) noteDraining() {
