--- a/internal/controller/endlists_test.go
+++ b/internal/controller/endlists_test.go
@@ -315,3 +315,44 @@
 		t.Errorf("%d starts of %d tasks", sim.startsSent, recorded+tasks)
 	}
 }
+
+// TestEndsFromBeforeTheFirstAnswer guards against ends that are taken for read too early, or never: of the ends that a worker
+// lists after its first answer, those of runs that were in progress then or started since come last.
+func TestEndsFromBeforeTheFirstAnswer(t *testing.T) {
+	firstAt := simulationStart
+	full := &workload.PollResult{Ended: make([]workload.EndedTask, endsPerAnswer)}
+	for name, c := range map[string]struct {
+		run    *run
+		unread bool
+	}{
+		"unknown":                         {run: nil, unread: true},
+		"of a former boot, not seen here": {run: &run{startSent: firstAt.Add(-time.Second)}, unread: true},
+		"waits for its record":            {run: &run{awaitsRecord: true}, unread: true},
+		"of a former boot, seen here":     {run: &run{startSent: firstAt.Add(-time.Second), listedByWorker: true}, unread: false},
+		"adopted at the first answer":     {run: &run{startSent: firstAt}, unread: false},
+		"started since":                   {run: &run{startSent: firstAt.Add(time.Second)}, unread: false},
+	} {
+		var l endLists
+		l.begin(full, firstAt)
+		l.noteEnd(c.run)
+		l.noteResponse(full)
+		if l.unread != c.unread || !l.truncated {
+			t.Errorf("%s: unread %v, truncated %v, want %v and true", name, l.unread, l.truncated, c.unread)
+		}
+	}
+}
+
+// TestWorkerWithUnreadEndsIsPolled guards against a worker that leaves the list while its ends are read, and is not asked for
+// the rest of them.
+func TestWorkerWithUnreadEndsIsPolled(t *testing.T) {
+	c := New(1, Timing{}, nil)
+	w := newWorker(workload.Worker{ID: "i-1"}, 1)
+	w.accountedFor = true
+	if c.needsPolling(w) {
+		t.Error("a worker that is neither listed nor in use is polled")
+	}
+	w.endLists.unread = true
+	if !c.needsPolling(w) {
+		t.Error("a worker with unread ends is not polled")
+	}
+}
