--- a/internal/controller/endlists_test.go
+++ b/internal/controller/endlists_test.go
@@ -21,7 +21,7 @@
 	}
 	sim.startController(true)
 	sim.advance(100 * time.Millisecond)
-	sim.submit(simpleJob("j1", class, workers*tasksPerWorker, cpu, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+	sim.submit(simpleJob("j1", class, workers*tasksPerWorker, cpu, smallMemory))
 	sim.advance(29 * time.Second)
 	if n := sim.runCount(); n != workers*tasksPerWorker {
 		t.Fatalf("%d runs, want %d", n, workers*tasksPerWorker)
@@ -33,6 +33,9 @@
 	return sim
 }
 
+// smallMemory has thousands of a step's tasks fit a worker.
+func smallMemory(s *workload.Step) { s.Size.MemoryMiB = 1 }
+
 // listedEnds returns the number of ends that no controller has taken note of.
 func (sim *simulation) listedEnds() int {
 	n := 0
@@ -107,7 +110,7 @@
 	}
 	sim.startController(true)
 	sim.advance(100 * time.Millisecond)
-	sim.submit(simpleJob("j1", "batch", tasks, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+	sim.submit(simpleJob("j1", "batch", tasks, 10, smallMemory))
 	for range 1000 {
 		if sim.runCount() < tasks {
 			sim.advance(time.Millisecond)
@@ -254,7 +257,7 @@
 			}
 			sim.startController(true)
 			sim.advance(100 * time.Millisecond)
-			sim.submit(simpleJob("j1", "gang", tasks, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+			sim.submit(simpleJob("j1", "gang", tasks, 10, smallMemory))
 			sim.advance(4 * time.Second)
 			started := sim.startsSent
 			sim.refuseLosses()
@@ -291,7 +294,7 @@
 	sim.refuseLosses()
 	f := sim.workers["i-aa"]
 	f.up = false // its process ends, unseen
-	sim.submit(simpleJob("j1", "batch", recorded, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+	sim.submit(simpleJob("j1", "batch", recorded, 10, smallMemory))
 	sim.submit(simpleJob("j2", "batch", tasks, 10, func(s *workload.Step) { s.Size.MemoryMiB = 1; s.AllowCopies = true }))
 	sim.advance(100 * time.Millisecond)
 	f.start()
--- a/internal/controller/endlistwalk_test.go
+++ b/internal/controller/endlistwalk_test.go
@@ -38,7 +38,7 @@
 		endAt = sim.now.Add(4 * time.Second)
 		if sim.ctl != nil {
 			class := []string{"batch", "gang"}[rng.IntN(2)]
-			sim.submit(simpleJob(fmt.Sprintf("j%d", i), class, 1500+rng.IntN(1000), 10, func(s *workload.Step) { s.Size.MemoryMiB = 1 }))
+			sim.submit(simpleJob(fmt.Sprintf("j%d", i), class, 1500+rng.IntN(1000), 10, smallMemory))
 		}
 		sim.advance(endAt.Sub(sim.now) - between(rng, 0, 500*time.Millisecond))
 		switch rng.IntN(3) {
